--- /dev/null
+++ b/document/document.go
@@ -0,0 +1,156 @@
+// Package document holds the one document that states everything in force: organisations, their keys and
+// rates, the database groups and the routes to them.
+package document
+
+import (
+	"slices"
+	"time"
+)
+
+// Revision numbers the accepted documents. The first accepted document has revision one.
+type Revision uint64
+
+// Document states everything in force. A Document is never changed in place; its With methods return copies.
+type Document struct {
+	Revision      Revision       `json:"revision"`
+	Change        Change         `json:"change"`
+	Seats         int            `json:"seats" validate:"min=1,max=10000"`
+	Organisations []Organisation `json:"organisations" validate:"dive"`
+	Groups        []Group        `json:"groups" validate:"dive"`
+	Routes        []Route        `json:"routes" validate:"dive"`
+	// History holds the latest changes, newest last, at most MaxHistory of them.
+	History []Change `json:"history"`
+}
+
+// Change records who made a revision. ID is drawn at random, so that a re-read after a lost answer tells the
+// caller's own change from another's.
+type Change struct {
+	ID       string    `json:"id"`
+	Revision Revision  `json:"revision"`
+	Author   string    `json:"author" validate:"max=100"`
+	Summary  string    `json:"summary" validate:"max=500"`
+	At       time.Time `json:"at"`
+}
+
+// Organisation is one business that shares the databases.
+type Organisation struct {
+	Name string `json:"name" validate:"required,name"`
+	Keys []Key  `json:"keys" validate:"dive"`
+	// Rate is the number of statements a second over the whole fleet.
+	Rate float64 `json:"rate" validate:"gt=0"`
+	// Burst is the number of statements that may come at once over the whole fleet.
+	Burst float64 `json:"burst" validate:"gte=1"`
+}
+
+// Key is a caller's key, of which only the hash is kept.
+type Key struct {
+	ID string `json:"id" validate:"required,name"`
+	// SHA256 is the lower-case hexadecimal SHA-256 of the key's text.
+	SHA256 string `json:"sha256" validate:"required,len=64,hexadecimal"`
+}
+
+// Group is a database group: servers that replicate one log.
+type Group struct {
+	Name    string   `json:"name" validate:"required,name"`
+	Slots   []string `json:"slots" validate:"min=1,dive,required,name"`
+	Servers []Server `json:"servers" validate:"min=1,dive"`
+}
+
+// Server is one database server of a group.
+type Server struct {
+	Name       string `json:"name" validate:"required,name"`
+	Address    string `json:"address" validate:"required,hostname_port"`
+	DataCentre string `json:"data_centre" validate:"required,name"`
+	// Connections is the number of connections that the whole fleet may hold to the server.
+	Connections int `json:"connections" validate:"min=1"`
+	// Departing servers get no new work.
+	Departing bool `json:"departing"`
+}
+
+// Kind says what the requests on a route do.
+type Kind string
+
+// The kinds of a route.
+const (
+	Read  Kind = "read"
+	Write Kind = "write"
+)
+
+// Route is what a caller names as its database.
+type Route struct {
+	Name  string `json:"name" validate:"required,name"`
+	Group string `json:"group" validate:"required"`
+	// Slot is the database on the group's servers in which the route's data lives.
+	Slot string `json:"slot" validate:"required"`
+	Kind Kind   `json:"kind" validate:"oneof=read write"`
+	// AcceptedAgeMS is the age in milliseconds that a read accepts; zero means that it accepts none.
+	AcceptedAgeMS int64 `json:"accepted_age_ms" validate:"min=0"`
+	// Idempotent statements may be sent again after an unknown outcome.
+	Idempotent bool `json:"idempotent"`
+	// Open routes need no key. Their requests run for the organisation "open".
+	Open bool `json:"open"`
+	// Rate and Burst limit an open route over the whole fleet; other routes count for the caller's organisation.
+	Rate  float64 `json:"rate,omitempty" validate:"gte=0"`
+	Burst float64 `json:"burst,omitempty" validate:"gte=0"`
+}
+
+// OpenOrganisation is the organisation for which requests on open routes run.
+const OpenOrganisation = "open"
+
+// FindOrganisation returns the organisation of the name.
+func (d Document) FindOrganisation(name string) (Organisation, bool) {
+	return find(d.Organisations, func(o Organisation) bool { return o.Name == name })
+}
+
+// FindGroup returns the group of the name.
+func (d Document) FindGroup(name string) (Group, bool) {
+	return find(d.Groups, func(g Group) bool { return g.Name == name })
+}
+
+// FindRoute returns the route of the name.
+func (d Document) FindRoute(name string) (Route, bool) {
+	return find(d.Routes, func(r Route) bool { return r.Name == name })
+}
+
+// WithOrganisation returns a copy with the organisation added, or replaced when its name is there already.
+func (d Document) WithOrganisation(o Organisation) Document {
+	d.Organisations = withItem(d.Organisations, o, func(other Organisation) bool { return other.Name == o.Name })
+	return d
+}
+
+// WithGroup returns a copy with the group added, or replaced when its name is there already.
+func (d Document) WithGroup(g Group) Document {
+	d.Groups = withItem(d.Groups, g, func(other Group) bool { return other.Name == g.Name })
+	return d
+}
+
+// WithRoute returns a copy with the route added, or replaced when its name is there already.
+func (d Document) WithRoute(r Route) Document {
+	d.Routes = withItem(d.Routes, r, func(other Route) bool { return other.Name == r.Name })
+	return d
+}
+
+// AcceptedAge returns the age that a read on the route accepts.
+func (r Route) AcceptedAge() time.Duration { return time.Duration(r.AcceptedAgeMS) * time.Millisecond }
+
+// FindServer returns the server of the name.
+func (g Group) FindServer(name string) (Server, bool) {
+	return find(g.Servers, func(s Server) bool { return s.Name == name })
+}
+
+func find[T any](items []T, match func(T) bool) (T, bool) {
+	if i := slices.IndexFunc(items, match); i >= 0 {
+		return items[i], true
+	}
+	var zero T
+	return zero, false
+}
+
+func withItem[T any](items []T, item T, match func(T) bool) []T {
+	items = slices.Clone(items)
+	if i := slices.IndexFunc(items, match); i >= 0 {
+		items[i] = item
+		return items
+	}
+	return append(items, item)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,77 @@
+// Package entry holds the duties of an entry instance. They reach the world only through the interfaces of
+// package port, so that another front end can use them without a socket.
+package entry
+
+import (
+	"context"
+
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/session"
+)
+
+// Credentials is what a caller brings at start-up.
+type Credentials struct {
+	Organisation string
+	// Key is the caller's secret. It goes no further than admission.
+	Key   string
+	Route string
+	// Token is the text of the caller's session token: empty, "new", or a token issued by an instance.
+	Token string
+	// ReadOnly is true when the caller asked for read-only transactions only.
+	ReadOnly bool
+}
+
+// Caller is an admitted caller. A Caller is never changed in place.
+type Caller struct {
+	Organisation string
+	// KeyID names the key that was presented; it is empty on an open route.
+	KeyID   string
+	Route   document.Route
+	Read    bool
+	Session session.Session
+}
+
+// WithSession returns the caller with another state of its session.
+func (c Caller) WithSession(s session.Session) Caller {
+	c.Session = s
+	return c
+}
+
+// WithRoute returns the caller with the route as the document now defines it.
+func (c Caller) WithRoute(r document.Route) Caller {
+	c.Route = r
+	return c
+}
+
+// Target is the server to which a transaction goes.
+type Target struct {
+	Group   string
+	Server  string
+	Address string
+	// Replica is true when a replica serves a read.
+	Replica bool
+	// Term is the term of the primary to which a write goes.
+	Term group.Term
+}
+
+// Gate decides who gets in and how often.
+type Gate interface {
+	// Admit checks a caller at start-up. Errors are of kind KeyRefused, UnknownRoute, BadToken or NotFresh.
+	Admit(ctx context.Context, c Credentials) (Caller, error)
+	// Spend is called before each statement. It checks that the caller's key is still in force, returns the caller
+	// with the route as it is now, and takes one statement from the organisation's rate. Errors are of kind
+	// KeyRefused, UnknownRoute, NotFresh or OverRate, and the statement has not run.
+	Spend(ctx context.Context, c Caller) (Caller, error)
+	// Token returns the text of the session's token.
+	Token(s session.Session) string
+}
+
+// Director decides where a transaction goes and when its write may be confirmed.
+type Director interface {
+	// Place returns the server for the caller's next transaction. It waits for one and fails with kind NoPrimary.
+	Place(ctx context.Context, c Caller) (Target, error)
+	// Acknowledge waits until a write of the caller at p may be confirmed. Errors are of kind NotKept when the
+	// write was discarded, or UnknownOutcome.
+	Acknowledge(ctx context.Context, groupName string, p group.Position) error
+}
--- /dev/null
+++ b/session/placement.go
@@ -0,0 +1,138 @@
+package session
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/group"
+)
+
+// ObservationLimit is how old the last answer of a server may be for a read to go there. A server that has stopped
+// answering is not chosen.
+const ObservationLimit = 2500 * time.Millisecond
+
+// Request is what the placement has to know of a statement. The zero value is a write.
+type Request struct {
+	// Group is the name of the group that the route leads to.
+	Group string
+	// Read is true when the request only reads.
+	Read bool
+	// AcceptedAge is the age of data that a read accepts; zero accepts none.
+	AcceptedAge time.Duration
+	// DataCentre is the data centre of the deciding instance; its servers are preferred.
+	DataCentre string
+	// Spread chooses between servers that fit equally well.
+	Spread uint64
+
+	newest      group.Position
+	newestKnown bool
+}
+
+// WithNewest returns the request with a position that lies at or after every write that was acknowledged before the
+// request began, as group.View.Newest gives it.
+func (r Request) WithNewest(p group.Position) Request {
+	r.newest = p
+	r.newestKnown = true
+	return r
+}
+
+// Placement is where a request goes. It is one of ToPrimary, ToServer, AwaitNewest, AwaitPrimary and AwaitServer.
+type Placement interface{ placement() }
+
+// ToPrimary sends the request to the primary of a term.
+type ToPrimary struct {
+	Server string
+	Term   group.Term
+}
+
+// ToServer sends a read to a server that holds what the session has to see.
+type ToServer struct {
+	Server  string
+	Replica bool
+}
+
+// AwaitNewest asks for the group's newest position before the read is placed again.
+type AwaitNewest struct{}
+
+// AwaitPrimary waits until the group has a primary.
+type AwaitPrimary struct{}
+
+// AwaitServer waits until a server fits.
+type AwaitServer struct{}
+
+func (ToPrimary) placement()    {}
+func (ToServer) placement()     {}
+func (AwaitNewest) placement()  {}
+func (AwaitPrimary) placement() {}
+func (AwaitServer) placement()  {}
+
+// Place decides where the session's request goes, given what is known of the group at instant now.
+func Place(r Request, s Session, v group.View, now time.Duration) Placement {
+	if !r.Read {
+		return placeWrite(v)
+	}
+	floor, known := s.Floor(r.Group)
+	if !known {
+		if !r.newestKnown {
+			return AwaitNewest{}
+		}
+		floor = r.newest
+	}
+	return placeRead(r, v, floor, now)
+}
+
+func placeWrite(v group.View) Placement {
+	primary, ok := v.Primary()
+	if !ok {
+		return AwaitPrimary{}
+	}
+	o, _ := v.Observation(primary.Name)
+	return ToPrimary{Server: primary.Name, Term: o.Status.Followed}
+}
+
+func placeRead(r Request, v group.View, floor group.Position, now time.Duration) Placement {
+	fitting := slices.DeleteFunc(v.Members(), func(m group.Member) bool { return !fits(r, v, m, floor, now) })
+	if len(fitting) == 0 {
+		return AwaitServer{}
+	}
+	best := slices.MinFunc(fitting, func(a, b group.Member) int { return comparePreference(r, v, a, b) })
+	fitting = slices.DeleteFunc(fitting, func(m group.Member) bool { return comparePreference(r, v, m, best) != 0 })
+	chosen := fitting[r.Spread%uint64(len(fitting))]
+	return ToServer{Server: chosen.Name, Replica: isPrimary(v, chosen) == 0}
+}
+
+// fits reports whether the member may serve a read that has to see floor.
+func fits(r Request, v group.View, m group.Member, floor group.Position, now time.Duration) bool {
+	o, ok := v.Observation(m.Name)
+	if !ok || m.Departing || now-o.Asked > ObservationLimit || !o.Status.History.Contains(floor) {
+		return false
+	}
+	if r.newestKnown || r.AcceptedAge == 0 {
+		return true
+	}
+	age, known := v.AgeAt(m.Name, now)
+	return known && age <= r.AcceptedAge
+}
+
+// comparePreference orders members for a read: replicas before the primary, then the reader's own data centre.
+func comparePreference(r Request, v group.View, a, b group.Member) int {
+	return cmp.Or(
+		cmp.Compare(isPrimary(v, a), isPrimary(v, b)),
+		cmp.Compare(isElsewhere(r, a), isElsewhere(r, b)),
+	)
+}
+
+func isPrimary(v group.View, m group.Member) int {
+	if o, ok := v.Observation(m.Name); ok && o.Status.Role == group.Primary {
+		return 1
+	}
+	return 0
+}
+
+func isElsewhere(r Request, m group.Member) int {
+	if m.DataCentre == r.DataCentre {
+		return 0
+	}
+	return 1
+}
