Name the limits that the gate and the connection pool take from

Cause: the pool and the gate are written apart from the ledger keeper and need its interface. Ruled out: direct use of the keeper's type, which would tie the callers' side to the store. Conclusion: two small interfaces in entry.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -75,3 +75,18 @@
 	// write was discarded, or UnknownOutcome.
 	Acknowledge(ctx context.Context, groupName string, p group.Position) error
 }
+
+// RateLimit limits statements over the whole fleet.
+type RateLimit interface {
+	// Take takes one statement from the limit, and waits a short time for a share. Errors are of kind OverRate. The name
+	// of an organisation's limit is "rate/<organisation>", that of an open route "rate_open/<route>".
+	Take(ctx context.Context, limit string) error
+}
+
+// ConnectionLimit limits connections to one server over the whole fleet.
+type ConnectionLimit interface {
+	// Allowed returns how many connections this instance may hold to the server now.
+	Allowed(server string) int
+	// Want tells how many connections this instance could use now, those that it holds included.
+	Want(server string, n int)
+}
