--- /dev/null
+++ b/cmd/settings/check/check.go
@@ -0,0 +1,59 @@
+// Package check checks a settings file without starting an instance.
+package check
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/rhubarbwick/rhubarbwick/adapter/settings"
+	"github.com/rhubarbwick/rhubarbwick/cmd/streams"
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+// Options are the options of the settings check command.
+type Options struct {
+	Streams streams.Streams
+	Path    string
+}
+
+// NewCommand returns the settings check command.
+func NewCommand(s streams.Streams) *cli.Command {
+	opts := &Options{Streams: s}
+	return &cli.Command{
+		Name:        "check",
+		Usage:       "check a settings file and print every fault",
+		Description: "Example:\n\n   rhubarbwick settings check --settings kigali-1.ini",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "the INI `FILE`", Required: true, Destination: &opts.Path},
+		},
+		Action: func(context.Context, *cli.Command) error { return run(opts) },
+	}
+}
+
+func run(opts *Options) error {
+	if _, err := Load(opts.Path, opts.Streams.Err); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(opts.Streams.Out, "settings: no fault")
+	return err
+}
+
+// Load reads settings, prints every fault to w, and fails with kind Invalid when there is one.
+func Load(path string, w io.Writer) (settings.Settings, error) {
+	s, faults, err := settings.Load(path)
+	if err != nil {
+		return s, err
+	}
+	for _, fault := range faults {
+		if _, err := fmt.Fprintln(w, "settings:", fault); err != nil {
+			return s, err
+		}
+	}
+	if len(faults) > 0 {
+		return s, port.Failf(port.Invalid, "%s has %d faults", path, len(faults))
+	}
+	return s, nil
+}
--- /dev/null
+++ b/cmd/settings/settings.go
@@ -0,0 +1,18 @@
+// Package settings holds the commands on the settings of an instance.
+package settings
+
+import (
+	"github.com/urfave/cli/v3"
+
+	"github.com/rhubarbwick/rhubarbwick/cmd/settings/check"
+	"github.com/rhubarbwick/rhubarbwick/cmd/streams"
+)
+
+// NewCommand returns the settings command.
+func NewCommand(s streams.Streams) *cli.Command {
+	return &cli.Command{
+		Name:     "settings",
+		Usage:    "work with the settings of an instance",
+		Commands: []*cli.Command{check.NewCommand(s)},
+	}
+}
--- /dev/null
+++ b/cmd/streams/streams.go
@@ -0,0 +1,48 @@
+// Package streams holds the standard streams of a command and prints tables to them.
+package streams
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+)
+
+// Streams are the standard streams of a command.
+type Streams struct {
+	In  io.Reader
+	Out io.Writer
+	Err io.Writer
+	// Terminal is true when Out is a terminal.
+	Terminal bool
+}
+
+// System returns the streams of the process.
+func System() Streams {
+	info, err := os.Stdout.Stat()
+	terminal := err == nil && info.Mode()&os.ModeCharDevice != 0
+	return Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Terminal: terminal}
+}
+
+// Table prints rows with aligned columns and a heading on a terminal, and tab-separated without a heading
+// elsewhere.
+func (s Streams) Table(heading []string, rows [][]string) error {
+	if !s.Terminal {
+		return writeRows(s.Out, rows)
+	}
+	w := tabwriter.NewWriter(s.Out, 0, 0, 2, ' ', 0)
+	if err := writeRows(w, append([][]string{heading}, rows...)); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+func writeRows(w io.Writer, rows [][]string) error {
+	for _, row := range rows {
+		if _, err := fmt.Fprintln(w, strings.Join(row, "\t")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
