Add the stand-in of a database server

Cause: fencing, promotion, binding and replication have to be tested against a server that offers them, and none may be installed. The core (log, promises, tables, replication) is one duty that takes commands from one ring and works without sockets; listeners wrap it for PostgreSQL protocol 3, for replicas and for commanded faults.

Ruled out: a mutex around the core (a freeze could then not stop every answer at one place); row locks (increments are logged as operations and carried out at commit, so none is lost); claiming the new term on the order to follow (the old tail of the log would count as part of it: Followed rises only after the logs were compared); a second port for replicas (a primary's address is then the one in the document).

--- /dev/null
+++ b/cmd/rhubarbwick-standin/main.go
@@ -0,0 +1,33 @@
+// Command rhubarbwick-standin runs the stand-ins that tests use in place of the platform's store and of database
+// servers.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/rhubarbwick/rhubarbwick/cmd/standin/server"
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	root := &cli.Command{
+		Name:     "rhubarbwick-standin",
+		Usage:    "stand-ins for tests",
+		Commands: []*cli.Command{server.New(os.Stdout)},
+	}
+	if err := root.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return port.KindOf(err).Answer().ExitCode
+	}
+	return 0
+}
--- /dev/null
+++ b/standin/server/connection.go
@@ -0,0 +1,388 @@
+package server
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/group"
+)
+
+// MaxSeries is the number of rows that a series may have.
+const MaxSeries = 1_000_000
+
+// State is the state of a connection's transaction, as ReadyForQuery tells it.
+type State byte
+
+// The states of a transaction.
+const (
+	Idle     State = 'I'
+	InBlock  State = 'T'
+	InFailed State = 'E'
+)
+
+// Connection is a connection to a server without a socket. Use Server.Connect.
+type Connection struct {
+	server *Server
+	slot   string
+	// state is owned by the core's duty.
+	state connectionState
+}
+
+// connectionState is what a connection holds. The zero value is that of a new connection.
+type connectionState struct {
+	binding     *binding
+	transaction *transaction
+	parameters  map[string]string
+}
+
+// binding says for which organisation a connection works.
+type binding struct {
+	organisation string
+	nonce        string
+	readOnly     bool
+}
+
+// transaction holds the writes that were not committed.
+type transaction struct {
+	implicit bool
+	readOnly bool
+	changes  []Change
+	failed   *Failure
+}
+
+// Connect returns a new connection to a slot.
+func (s *Server) Connect(slot string) *Connection { return &Connection{server: s, slot: slot} }
+
+// Execute runs one statement and, outside a transaction block, commits its writes.
+func (c *Connection) Execute(ctx context.Context, statement Statement) (Result, error) {
+	result, _, err := c.Run(ctx, statement)
+	if err != nil {
+		_, _, _ = c.Sync(ctx, true)
+		return Result{}, err
+	}
+	committed, _, err := c.Sync(ctx, false)
+	if !committed.Position.IsZero() {
+		result.Position = committed.Position
+	}
+	return result, err
+}
+
+// Run runs one statement. Writes outside a transaction block wait for Sync.
+func (c *Connection) Run(ctx context.Context, statement Statement) (Result, State, error) {
+	// Every statement passes the core first, so that a frozen server answers none.
+	a, err := c.server.do(ctx, runCommand{connection: c, statement: statement})
+	if err != nil {
+		return Result{}, a.state, err
+	}
+	switch statement := statement.(type) {
+	case Sleep:
+		if err := sleep(ctx, c.server.timer, statement.Time); err != nil {
+			return Result{}, a.state, failf(codeCancelled, "statement was cancelled")
+		}
+	case AskStatus, OrderFence, OrderPromote, OrderFollow:
+		status, err := c.maintain(ctx, statement)
+		return statusResult(status), a.state, err
+	}
+	return a.result, a.state, nil
+}
+
+func (c *Connection) maintain(ctx context.Context, statement Statement) (group.Status, error) {
+	switch statement := statement.(type) {
+	case AskStatus:
+		return c.server.Status(ctx, statement.Await, statement.MaxWait)
+	case OrderFence:
+		return c.server.Fence(ctx, statement.Term, statement.Candidate)
+	case OrderPromote:
+		return c.server.Promote(ctx, statement.Term, statement.Candidate)
+	case OrderFollow:
+		return c.server.Follow(ctx, statement.Term, statement.Primary)
+	}
+	return group.Status{}, failf(codeInternalError, "statement %T is not for maintenance", statement)
+}
+
+// Sync ends the implicit transaction: its writes are committed, or discarded when a statement failed.
+func (c *Connection) Sync(ctx context.Context, failed bool) (Result, State, error) {
+	a, err := c.server.do(ctx, syncCommand{connection: c, failed: failed})
+	return a.result, a.state, err
+}
+
+// Close rolls back an open transaction.
+func (c *Connection) Close(ctx context.Context) error {
+	_, err := c.server.do(ctx, closeCommand{connection: c})
+	return err
+}
+
+// run runs a statement in the core's duty.
+func (s *Server) run(c *Connection, statement Statement) answer {
+	s.open[c] = struct{}{}
+	result, err := s.dispatch(c, statement)
+	if err != nil && c.state.transaction != nil && c.state.transaction.failed == nil {
+		c.state.transaction.failed = failf(codeFailed, "transaction is aborted, statements are refused until it ends")
+	}
+	return answer{result: result, state: c.state.state(), err: err}
+}
+
+func (s *Server) dispatch(c *Connection, statement Statement) (Result, error) {
+	switch statement := statement.(type) {
+	case Commit:
+		return s.commitBlock(c)
+	case Rollback:
+		c.state.transaction = nil
+		return Result{Tag: "ROLLBACK"}, nil
+	case Release:
+		return release(c, statement)
+	}
+	if t := c.state.transaction; t != nil && t.failed != nil {
+		return Result{}, t.failed
+	}
+	switch statement := statement.(type) {
+	case Empty:
+		return Result{}, nil
+	case Begin:
+		return begin(c, statement), nil
+	case One:
+		return rows([]string{"1"}), nil
+	case Series:
+		return series(statement)
+	case Set:
+		return set(c, statement)
+	case Show:
+		return show(c, statement)
+	case Bind:
+		return bind(c, statement)
+	case Sleep:
+		return rows([]string{""}), nil
+	case AskStatus, OrderFence, OrderPromote, OrderFollow:
+		return Result{}, maintenanceAllowed(c)
+	case refused:
+		return Result{}, failf(codeFailed, "statement was refused")
+	}
+	return s.runOnTable(c, statement)
+}
+
+func (s *Server) runOnTable(c *Connection, statement Statement) (Result, error) {
+	if c.state.binding == nil {
+		return Result{}, failf(codeNotAllowed, "connection is not bound to an organisation")
+	}
+	table := Table{Slot: c.slot, Organisation: c.state.binding.organisation}
+	switch statement := statement.(type) {
+	case Select:
+		if value, ok := s.tables.read(table, statement.Key, c.state.changes()); ok {
+			return rows([]string{value}), nil
+		}
+		return rows(), nil
+	case Upsert:
+		change := Change{Table: table, Operation: Put, Key: statement.Key, Value: statement.Value}
+		return s.write(c, change, "INSERT 0 1")
+	case Add:
+		return s.add(c, Change{Table: table, Operation: Increment, Key: statement.Key})
+	case Delete:
+		if _, ok := s.tables.read(table, statement.Key, c.state.changes()); !ok {
+			return s.write(c, Change{}, "DELETE 0")
+		}
+		return s.write(c, Change{Table: table, Operation: Remove, Key: statement.Key}, "DELETE 1")
+	}
+	return Result{}, failf(codeInternalError, "statement %T is not handled", statement)
+}
+
+func (s *Server) add(c *Connection, change Change) (Result, error) {
+	value, ok := s.tables.read(change.Table, change.Key, c.state.changes())
+	if !ok {
+		return s.write(c, Change{}, "UPDATE 0")
+	}
+	if _, err := strconv.ParseInt(value, 10, 64); err != nil {
+		return Result{}, failf(codeInvalidText, "value %q of key %q is not an integer", value, change.Key)
+	}
+	return s.write(c, change, "UPDATE 1")
+}
+
+// write adds a change to the connection's transaction. A change without a key only checks that a write is allowed.
+func (s *Server) write(c *Connection, change Change, tag string) (Result, error) {
+	if c.state.readOnly() {
+		return Result{}, failf(codeReadOnly, "write was refused in a read-only transaction")
+	}
+	if !s.standing.IsPrimary() {
+		return Result{}, failf(codeReadOnly, "write was refused because the server is a replica")
+	}
+	if c.state.transaction == nil {
+		c.state.transaction = &transaction{implicit: true}
+	}
+	if change.Operation != "" {
+		c.state.transaction.changes = append(c.state.transaction.changes, change)
+	}
+	return Result{Tag: tag}, nil
+}
+
+func (s *Server) commitBlock(c *Connection) (Result, error) {
+	t := c.state.transaction
+	c.state.transaction = nil
+	if t == nil {
+		return Result{Tag: "COMMIT"}, nil
+	}
+	return s.commit(t)
+}
+
+// commit writes the transaction's changes into the log as one entry.
+func (s *Server) commit(t *transaction) (Result, error) {
+	if t.failed != nil && t.failed.Code == codeFailed {
+		return Result{Tag: "ROLLBACK"}, nil
+	}
+	if t.failed != nil {
+		return Result{}, t.failed
+	}
+	if len(t.changes) == 0 {
+		return Result{Tag: "COMMIT"}, nil
+	}
+	if !s.standing.IsPrimary() {
+		return Result{}, failf(codeReadOnly, "commit was refused because the server is a replica")
+	}
+	s.log = s.log.WithChanges(t.changes)
+	s.tables.apply(t.changes)
+	return Result{Tag: "COMMIT", Position: s.log.History().Last()}, nil
+}
+
+// sync ends an implicit transaction in the core's duty.
+func (s *Server) sync(c *Connection, failed bool) answer {
+	t := c.state.transaction
+	if t == nil || !t.implicit {
+		return answer{state: c.state.state()}
+	}
+	c.state.transaction = nil
+	if failed {
+		return answer{state: Idle}
+	}
+	result, err := s.commit(t)
+	return answer{result: result, state: Idle, err: err}
+}
+
+func begin(c *Connection, statement Begin) Result {
+	if t := c.state.transaction; t != nil {
+		t.implicit = false
+		return Result{Tag: "BEGIN"}
+	}
+	c.state.transaction = &transaction{readOnly: statement.ReadOnly || c.state.readOnly()}
+	return Result{Tag: "BEGIN"}
+}
+
+func bind(c *Connection, statement Bind) (Result, error) {
+	if c.state.binding != nil {
+		return Result{}, failf(codeState, "connection is already bound to an organisation")
+	}
+	if c.state.transaction != nil {
+		return Result{}, failf(codeActive, "connection cannot be bound inside a transaction")
+	}
+	if statement.Organisation == "" || statement.Nonce == "" {
+		return Result{}, failf(codeInvalid, "bind needs an organisation and a nonce")
+	}
+	c.state.binding = &binding{
+		organisation: statement.Organisation,
+		nonce:        statement.Nonce,
+		readOnly:     statement.ReadOnly,
+	}
+	return rows([]string{""}), nil
+}
+
+func release(c *Connection, statement Release) (Result, error) {
+	if c.state.binding == nil {
+		return Result{}, failf(codeState, "connection is not bound to an organisation")
+	}
+	if c.state.binding.nonce != statement.Nonce {
+		return Result{}, failf(codeNotAllowed, "nonce is not that of the binding")
+	}
+	c.state = connectionState{}
+	return rows([]string{""}), nil
+}
+
+// maintenanceAllowed refuses maintenance on a bound connection, because there the statements come from a caller.
+func maintenanceAllowed(c *Connection) error {
+	if c.state.binding != nil {
+		return failf(codeNotAllowed, "maintenance is refused on a connection that is bound to an organisation")
+	}
+	return nil
+}
+
+func set(c *Connection, statement Set) (Result, error) {
+	if strings.HasPrefix(statement.Name, "rhubarbwick.") {
+		return Result{}, failf(codeNotAllowed, "parameter %q cannot be set", statement.Name)
+	}
+	if c.state.parameters == nil {
+		c.state.parameters = make(map[string]string)
+	}
+	c.state.parameters[statement.Name] = statement.Value
+	return Result{Tag: "SET"}, nil
+}
+
+func show(c *Connection, statement Show) (Result, error) {
+	if value, ok := c.state.parameters[statement.Name]; ok {
+		return Result{Tag: "SHOW", Rows: [][]string{{value}}}, nil
+	}
+	if value, ok := defaults[statement.Name]; ok {
+		return Result{Tag: "SHOW", Rows: [][]string{{value}}}, nil
+	}
+	return Result{}, failf(codeNoParameter, "unrecognized configuration parameter %q", statement.Name)
+}
+
+// defaults holds the parameters that a connection has from its start.
+var defaults = map[string]string{
+	"application_name":              "",
+	"client_encoding":               "UTF8",
+	"datestyle":                     "ISO, MDY",
+	"default_transaction_read_only": "off",
+	"integer_datetimes":             "on",
+	"search_path":                   "public",
+	"server_encoding":               "UTF8",
+	"server_version":                "17.0",
+	"standard_conforming_strings":   "on",
+	"statement_timeout":             "0",
+	"timezone":                      "UTC",
+}
+
+func series(statement Series) (Result, error) {
+	n := statement.Last - statement.First + 1
+	if n > MaxSeries {
+		return Result{}, failf(codeInvalid, "series of %d rows is longer than %d", n, MaxSeries)
+	}
+	var all [][]string
+	for i := statement.First; i <= statement.Last; i++ {
+		all = append(all, []string{strconv.Itoa(i)})
+	}
+	return rows(all...), nil
+}
+
+func rows(all ...[]string) Result {
+	return Result{Tag: "SELECT " + strconv.Itoa(len(all)), Rows: all}
+}
+
+func (s connectionState) state() State {
+	switch {
+	case s.transaction == nil || s.transaction.implicit:
+		return Idle
+	case s.transaction.failed != nil:
+		return InFailed
+	}
+	return InBlock
+}
+
+func (s connectionState) changes() []Change {
+	if s.transaction == nil {
+		return nil
+	}
+	return s.transaction.changes
+}
+
+func (s connectionState) readOnly() bool {
+	switch {
+	case s.binding != nil && s.binding.readOnly:
+		return true
+	case s.transaction != nil && !s.transaction.implicit:
+		return s.transaction.readOnly
+	}
+	return s.parameters["default_transaction_read_only"] == "on"
+}
+
+// milliseconds returns a duration in milliseconds, rounded up.
+func milliseconds(d time.Duration) string {
+	return strconv.FormatInt(int64((d+time.Millisecond-1)/time.Millisecond), 10)
+}
