Carry simple and extended queries between callers and servers

Cause: entry.Gate and entry.Director had no front end.

adapter/postgres has a listener with one duty for each caller connection and a pool with one duty for itself and two for each server connection. A caller's duty takes everything it has to know from one ring: its units of messages, the server's answers, cancel requests, the stop. package request holds what follows from what was sent and received, without sockets; allotment.Queue is the fair queue for scarce connections.

Ruled out: sending the bind together with the caller's first message. After a refused bind the server would still run a simple query that follows it, so "not run" could be untrue. The bind costs one round trip. Ruled out: writing to the server from the caller's duty. A server that waits for its answer to be read, and a duty that waits for its request to be taken, would wait for each other.

--- /dev/null
+++ b/adapter/postgres/answer.go
@@ -0,0 +1,45 @@
+package postgres
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+// Severities of an ErrorResponse.
+const (
+	severityError = "ERROR"
+	severityFatal = "FATAL"
+)
+
+// errorResponse encodes err as the ErrorResponse of its kind. The message says "not run" exactly when the kind says so.
+func errorResponse(severity string, err error) *pgproto3.ErrorResponse {
+	answer := port.KindOf(err).Answer()
+	return &pgproto3.ErrorResponse{
+		Severity:            severity,
+		SeverityUnlocalized: severity,
+		Code:                answer.SQLState,
+		Message:             err.Error() + "; " + outcomeText(answer.Outcome),
+	}
+}
+
+func outcomeText(outcome port.Outcome) string {
+	switch outcome {
+	case port.NotRun:
+		return "not run"
+	case port.Discarded:
+		return "the write was not kept"
+	case port.Done:
+		return "done"
+	case port.Unknown:
+	}
+	return "the outcome is unknown"
+}
+
+// refusal returns err as an error whose kind says that the request has not run.
+func refusal(err error) error {
+	if port.KindOf(err).Answer().Outcome == port.NotRun {
+		return err
+	}
+	return port.Wrapf(err, port.NoConnection, "no connection to a server")
+}
--- /dev/null
+++ b/adapter/postgres/caller_test.go
@@ -0,0 +1,39 @@
+package postgres_test
+
+import (
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/rhubarbwick/rhubarbwick/adapter/postgres"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Guards against a driver in its default mode that cannot work over transaction pooling.
+func TestQueries(t *testing.T) {
+	server := startFake(t)
+	f := start(t, postgres.ListenerConfig{}, server)
+	t.Run("simple", func(t *testing.T) {
+		requireRow(t, f.connect("acme", "stock"), "select 1", pgx.QueryExecModeSimpleProtocol)
+	})
+	t.Run("extended", func(t *testing.T) {
+		conn := f.connect("acme", "orders")
+		requireRow(t, conn, "select 2")
+		requireRow(t, conn, "select 2")
+		_, err := conn.Exec(t.Context(), "insert 1")
+		require.NoError(t, err)
+		require.Equal(t, "acme@map[core:1:1]", conn.PgConn().ParameterStatus("rhubarbwick.session"))
+	})
+	t.Run("transaction", func(t *testing.T) {
+		conn := f.connect("acme", "orders")
+		tx, err := conn.Begin(t.Context())
+		require.NoError(t, err)
+		_, err = tx.Exec(t.Context(), "insert 1")
+		require.NoError(t, err)
+		require.NoError(t, tx.Commit(t.Context()))
+		require.Equal(t, "acme@map[core:1:2]", conn.PgConn().ParameterStatus("rhubarbwick.session"))
+	})
+}
--- /dev/null
+++ b/adapter/postgres/fake_test.go
@@ -0,0 +1,343 @@
+package postgres_test
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+)
+
+// fakeServer is a scripted database server. It answers binds and releases itself and any other statement as its script
+// says.
+type fakeServer struct {
+	t      *testing.T
+	socket net.Listener
+	done   sync.WaitGroup
+
+	mu      sync.Mutex
+	script  func(*fakeConn, string)
+	refused string
+	log     []string
+	conns   map[*fakeConn]struct{}
+	cancels int
+	opened  int
+	offset  uint64
+}
+
+// fakeConn is one connection to a fakeServer.
+type fakeConn struct {
+	server   *fakeServer
+	conn     net.Conn
+	backend  *pgproto3.Backend
+	number   int
+	bound    string
+	status   byte
+	prepared map[string]string
+	portal   string
+	simple   bool
+}
+
+func startFake(t *testing.T) *fakeServer {
+	t.Helper()
+	socket, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &fakeServer{t: t, socket: socket, conns: make(map[*fakeConn]struct{})}
+	s.done.Add(1)
+	go s.loop()
+	t.Cleanup(s.stop)
+	return s
+}
+
+func (s *fakeServer) address() string { return s.socket.Addr().String() }
+
+func (s *fakeServer) stop() {
+	_ = s.socket.Close()
+	s.closeConns()
+	s.done.Wait()
+}
+
+func (s *fakeServer) closeConns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.conn.Close()
+	}
+}
+
+func (s *fakeServer) answer(script func(*fakeConn, string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.script = script
+}
+
+func (s *fakeServer) refuseBinds(message string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused = message
+}
+
+func (s *fakeServer) record(c *fakeConn, sql string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log = append(s.log, fmt.Sprintf("%d %s %s", c.number, c.bound, sql))
+}
+
+// statements returns what callers ran, as "connection organisation statement".
+func (s *fakeServer) statements() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.log...)
+}
+
+func (s *fakeServer) counts() (opened, cancels int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opened, s.cancels
+}
+
+func (s *fakeServer) commit() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.offset++
+	return s.offset
+}
+
+func (s *fakeServer) loop() {
+	defer s.done.Done()
+	for {
+		conn, err := s.socket.Accept()
+		if err != nil {
+			return
+		}
+		s.done.Add(1)
+		go s.run(conn)
+	}
+}
+
+func (s *fakeServer) run(conn net.Conn) {
+	defer s.done.Done()
+	defer func() { _ = conn.Close() }()
+	c := &fakeConn{
+		server: s, conn: conn, backend: pgproto3.NewBackend(conn, conn), status: 'I', prepared: make(map[string]string),
+	}
+	if !c.login() {
+		return
+	}
+	s.mu.Lock()
+	s.opened++
+	c.number = s.opened
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	c.serve()
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+}
+
+func (c *fakeConn) login() bool {
+	m, err := c.backend.ReceiveStartupMessage()
+	if err != nil {
+		return false
+	}
+	start, ok := m.(*pgproto3.StartupMessage)
+	if !ok {
+		c.server.mu.Lock()
+		c.server.cancels++
+		c.server.mu.Unlock()
+		return false
+	}
+	if start.Parameters["user"] != "system" {
+		c.fail("28P01", "unknown user")
+		return false
+	}
+	c.backend.Send(&pgproto3.AuthenticationOk{})
+	c.backend.Send(&pgproto3.BackendKeyData{ProcessID: 7, SecretKey: []byte{1, 2, 3, 4}})
+	c.ready()
+	return true
+}
+
+func (c *fakeConn) serve() {
+	failed := false
+	for {
+		m, err := c.backend.Receive()
+		if err != nil {
+			return
+		}
+		if failed {
+			if _, ok := m.(*pgproto3.Sync); !ok {
+				continue
+			}
+		}
+		switch m := m.(type) {
+		case *pgproto3.Query:
+			c.simple = true
+			c.query(m.String)
+			c.ready()
+			c.simple = false
+		case *pgproto3.Parse:
+			c.prepared[m.Name] = m.Query
+			c.backend.Send(&pgproto3.ParseComplete{})
+		case *pgproto3.Describe:
+			failed = !c.describe(m)
+		case *pgproto3.Bind:
+			sql, ok := c.prepared[m.PreparedStatement]
+			failed = !ok
+			if !ok {
+				c.fail("26000", "prepared statement does not exist")
+				break
+			}
+			c.portal = sql
+			c.backend.Send(&pgproto3.BindComplete{})
+		case *pgproto3.Execute:
+			c.query(c.portal)
+		case *pgproto3.Close:
+			delete(c.prepared, m.Name)
+			c.backend.Send(&pgproto3.CloseComplete{})
+		case *pgproto3.Flush:
+			_ = c.backend.Flush()
+		case *pgproto3.Sync:
+			failed = false
+			c.ready()
+		case *pgproto3.Terminate:
+			return
+		}
+	}
+}
+
+func (c *fakeConn) describe(m *pgproto3.Describe) bool {
+	if m.ObjectType == 'S' {
+		if _, ok := c.prepared[m.Name]; !ok {
+			c.fail("26000", "prepared statement does not exist")
+			return false
+		}
+		c.backend.Send(&pgproto3.ParameterDescription{})
+	}
+	c.backend.Send(c.rowDescription())
+	return true
+}
+
+func (c *fakeConn) rowDescription() *pgproto3.RowDescription {
+	return &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("v"), DataTypeOID: 25, TypeModifier: -1}}}
+}
+
+// query runs one statement: bind, release, or what the script says.
+func (c *fakeConn) query(sql string) {
+	switch {
+	case strings.HasPrefix(sql, "SELECT rhubarbwick_bind("):
+		c.bind(sql)
+	case strings.HasPrefix(sql, "SELECT rhubarbwick_release("):
+		c.bound = ""
+		c.prepared = make(map[string]string)
+		c.row("released")
+		c.complete("SELECT 1")
+	default:
+		c.server.record(c, sql)
+		c.server.mu.Lock()
+		script := c.server.script
+		c.server.mu.Unlock()
+		if script == nil {
+			script = (*fakeConn).run
+		}
+		script(c, sql)
+	}
+}
+
+func (c *fakeConn) bind(sql string) {
+	c.server.mu.Lock()
+	refused := c.server.refused
+	c.server.mu.Unlock()
+	if refused != "" {
+		c.fail("57P03", refused)
+		return
+	}
+	c.bound = strings.SplitN(sql, "'", 3)[1]
+	if strings.HasSuffix(sql, "true)") {
+		c.bound += "/read"
+	}
+	c.row("bound")
+	c.complete("SELECT 1")
+}
+
+// run is the default script: BEGIN, COMMIT, INSERT, COPY, and anything else returns its own text.
+func (c *fakeConn) run(sql string) {
+	switch {
+	case sql == "begin":
+		c.status = 'T'
+		c.complete("BEGIN")
+	case sql == "commit":
+		c.status = 'I'
+		c.complete("COMMIT")
+		c.position()
+	case sql == "rollback":
+		c.status = 'I'
+		c.complete("ROLLBACK")
+	case strings.HasPrefix(sql, "insert"):
+		c.complete("INSERT 0 1")
+		if c.status == 'I' {
+			c.position()
+		}
+	case strings.HasPrefix(sql, "copy in"):
+		c.backend.Send(&pgproto3.CopyInResponse{})
+		_ = c.backend.Flush()
+		_, _ = c.backend.Receive()
+		c.fail("57014", "COPY failed")
+	case strings.HasPrefix(sql, "copy out"):
+		c.backend.Send(&pgproto3.CopyOutResponse{})
+		c.backend.Send(&pgproto3.CopyData{Data: []byte("secret")})
+		c.backend.Send(&pgproto3.CopyDone{})
+		c.complete("COPY 1")
+	default:
+		c.row(sql)
+		c.complete("SELECT 1")
+	}
+}
+
+func (c *fakeConn) position() {
+	value := fmt.Sprintf("1:%d", c.server.commit())
+	c.backend.Send(&pgproto3.ParameterStatus{Name: "rhubarbwick.position", Value: value})
+}
+
+func (c *fakeConn) row(text string) {
+	if c.simple {
+		c.backend.Send(c.rowDescription())
+	}
+	c.backend.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(text)}})
+}
+
+func (c *fakeConn) complete(tag string) {
+	c.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+}
+
+func (c *fakeConn) fail(code, message string) {
+	c.backend.Send(&pgproto3.ErrorResponse{Severity: "ERROR", Code: code, Message: message})
+	_ = c.backend.Flush()
+}
+
+func (c *fakeConn) ready() {
+	c.backend.Send(&pgproto3.ReadyForQuery{TxStatus: c.status})
+	_ = c.backend.Flush()
+}
+
+// fakeLimit allows the same number of connections to every server.
+type fakeLimit struct {
+	mu      sync.Mutex
+	allowed int
+}
+
+func (l *fakeLimit) Allowed(string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.allowed
+}
+
+func (l *fakeLimit) Want(string, int) {}
+
+func (l *fakeLimit) allow(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.allowed = n
+}
--- /dev/null
+++ b/adapter/postgres/frame.go
@@ -0,0 +1,91 @@
+package postgres
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+const (
+	headerBytes = 5
+	// chunkBytes is how much of an answer is passed on at once when more of it has already arrived.
+	chunkBytes = 16 << 10
+)
+
+// frame is one encoded protocol message: a type byte, the length, and the body.
+type frame []byte
+
+// kind returns the message's type byte.
+func (f frame) kind() byte { return f[0] }
+
+// body returns the message without its header.
+func (f frame) body() []byte { return f[headerBytes:] }
+
+// readFrame reads one message. A body above limit is an error of kind TooLarge; a limit of zero means none.
+func readFrame(r *bufio.Reader, limit int) (frame, error) {
+	header, err := r.Peek(headerBytes)
+	if err != nil {
+		return nil, err
+	}
+	length := int(int32(binary.BigEndian.Uint32(header[1:])))
+	if length < 4 {
+		return nil, port.Failf(port.Protocol, "message of type %q has invalid length %d", header[0], length)
+	}
+	if limit > 0 && length-4 > limit {
+		return nil, port.Failf(port.TooLarge, "message of %d bytes exceeds the limit of %d bytes", length-4, limit)
+	}
+	f := make(frame, 1+length)
+	if _, err := io.ReadFull(r, f); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// readChunk reads at least one message, and those that have already arrived completely up to chunkBytes.
+func readChunk(r *bufio.Reader) ([]frame, error) {
+	first, err := readFrame(r, 0)
+	if err != nil {
+		return nil, err
+	}
+	frames := []frame{first}
+	for size := len(first); size < chunkBytes && hasFrame(r); {
+		f, err := readFrame(r, 0)
+		if err != nil {
+			return frames, err
+		}
+		frames = append(frames, f)
+		size += len(f)
+	}
+	return frames, nil
+}
+
+func hasFrame(r *bufio.Reader) bool {
+	if r.Buffered() < headerBytes {
+		return false
+	}
+	header, _ := r.Peek(headerBytes)
+	return r.Buffered() > int(binary.BigEndian.Uint32(header[1:]))
+}
+
+// encode appends a message to b. The messages that this package makes are always encodable.
+func encode(b []byte, m pgproto3.Message) []byte {
+	encoded, err := m.Encode(b)
+	if err != nil {
+		return b
+	}
+	return encoded
+}
+
+// cString returns the text before the first zero byte of b, and what follows that byte.
+func cString(b []byte) (string, []byte) {
+	for i, c := range b {
+		if c == 0 {
+			return string(b[:i]), b[i+1:]
+		}
+	}
+	return string(b), nil
+}
--- /dev/null
+++ b/adapter/postgres/helper_test.go
@@ -0,0 +1,176 @@
+package postgres_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/adapter/clock"
+	"github.com/rhubarbwick/rhubarbwick/adapter/postgres"
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/entry"
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/session"
+)
+
+// fakeGate admits any organisation whose key is "key-<organisation>" on the routes that it knows.
+type fakeGate struct {
+	mu     sync.Mutex
+	routes map[string]document.Route
+	seen   []entry.Credentials
+	refuse error
+}
+
+func (g *fakeGate) Admit(_ context.Context, c entry.Credentials) (entry.Caller, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seen = append(g.seen, c)
+	route, ok := g.routes[c.Route]
+	if !ok {
+		return entry.Caller{}, port.Failf(port.UnknownRoute, "route %q does not exist", c.Route)
+	}
+	if c.Key != "key-"+c.Organisation {
+		return entry.Caller{}, port.Failf(port.KeyRefused, "key refused")
+	}
+	return entry.Caller{
+		Organisation: c.Organisation, Route: route, Read: c.ReadOnly || route.Kind == document.Read,
+		Session: session.Fresh(c.Organisation),
+	}, nil
+}
+
+func (g *fakeGate) Spend(_ context.Context, c entry.Caller) (entry.Caller, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return c, g.refuse
+}
+
+func (g *fakeGate) Token(s session.Session) string {
+	return fmt.Sprintf("%s@%v", s.Organisation(), s.Floors())
+}
+
+func (g *fakeGate) refuseWith(err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refuse = err
+}
+
+// fakeDirector places transactions on its servers in turn, and acknowledges as its function says.
+type fakeDirector struct {
+	mu          sync.Mutex
+	targets     []entry.Target
+	placed      int
+	acknowledge func(ctx context.Context, p group.Position) error
+}
+
+func (d *fakeDirector) Place(context.Context, entry.Caller) (entry.Target, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	target := d.targets[d.placed%len(d.targets)]
+	d.placed++
+	return target, nil
+}
+
+func (d *fakeDirector) Acknowledge(ctx context.Context, _ string, p group.Position) error {
+	d.mu.Lock()
+	f := d.acknowledge
+	d.mu.Unlock()
+	if f == nil {
+		return nil
+	}
+	return f(ctx, p)
+}
+
+// fixture is a listener with a pool in front of fake servers, on a fake clock.
+type fixture struct {
+	t        *testing.T
+	clock    *clock.Fake
+	gate     *fakeGate
+	director *fakeDirector
+	limit    *fakeLimit
+	pool     *postgres.Pool
+	listener *postgres.Listener
+	address  string
+}
+
+func start(t *testing.T, cfg postgres.ListenerConfig, servers ...*fakeServer) *fixture {
+	t.Helper()
+	f := &fixture{
+		t: t, clock: &clock.Fake{}, director: &fakeDirector{}, limit: &fakeLimit{allowed: 4},
+		gate: &fakeGate{routes: map[string]document.Route{
+			"orders": {Name: "orders", Group: "core", Slot: "one", Kind: document.Write},
+			"stock":  {Name: "stock", Group: "core", Slot: "one", Kind: document.Read},
+			"menus":  {Name: "menus", Group: "core", Slot: "two", Kind: document.Read},
+		}},
+	}
+	for i, s := range servers {
+		f.director.targets = append(f.director.targets, entry.Target{
+			Group: "core", Server: fmt.Sprintf("db%d", i+1), Address: s.address(),
+		})
+	}
+	f.pool = postgres.NewPool(postgres.PoolConfig{User: "system", Password: "own"}, f.limit, f.clock, nil)
+	f.listener = postgres.NewListener(cfg, f.gate, f.director, f.pool, f.clock, nil)
+	socket, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f.address = socket.Addr().String()
+	f.serve(socket)
+	return f
+}
+
+func (f *fixture) serve(socket net.Listener) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var duties sync.WaitGroup
+	duties.Add(2)
+	go func() {
+		defer duties.Done()
+		f.pool.Run(ctx)
+	}()
+	go func() {
+		defer duties.Done()
+		_ = f.listener.Serve(ctx, socket)
+	}()
+	f.t.Cleanup(func() {
+		cancel()
+		_ = f.listener.Stop(ctx)
+		duties.Wait()
+	})
+}
+
+func (f *fixture) url(organisation, route, options string) string {
+	return fmt.Sprintf("postgres://%s:key-%s@%s/%s?sslmode=disable%s", organisation, organisation, f.address, route, options)
+}
+
+// connect returns a caller in the driver's default mode.
+func (f *fixture) connect(organisation, route string) *pgx.Conn {
+	f.t.Helper()
+	conn, err := pgx.Connect(f.t.Context(), f.url(organisation, route, ""))
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+func requireRow(t *testing.T, conn *pgx.Conn, sql string, mode ...any) {
+	t.Helper()
+	var got string
+	require.NoError(t, conn.QueryRow(t.Context(), sql, mode...).Scan(&got))
+	require.Equal(t, sql, got)
+}
+
+// requireState checks the error's SQLSTATE and that its message says "not run" exactly when its kind says so.
+func requireState(t *testing.T, kind port.Kind, err error) {
+	t.Helper()
+	var told *pgconn.PgError
+	require.ErrorAs(t, err, &told)
+	require.Equal(t, kind.Answer().SQLState, told.Code, told.Message)
+	if kind.Answer().Outcome == port.NotRun {
+		require.Contains(t, told.Message, "not run")
+	} else {
+		require.NotContains(t, told.Message, "not run")
+	}
+}
--- /dev/null
+++ b/allotment/queue.go
@@ -0,0 +1,114 @@
+package allotment
+
+import "slices"
+
+// DefaultQueueLimit is the number of waiting callers that a zero Queue holds.
+const DefaultQueueLimit = 256
+
+// Waiter is a caller that waits for a connection. ID is unique among the waiters of one queue.
+type Waiter struct {
+	ID           uint64
+	Organisation string
+}
+
+// Queue holds waiting callers and serves the organisations round-robin; within an organisation the oldest goes
+// first. A Queue is never changed in place. The zero value is empty and holds DefaultQueueLimit waiters.
+type Queue struct {
+	limit int
+	size  int
+	// lanes are in the order in which the organisations are served; none is empty.
+	lanes []lane
+}
+
+type lane struct {
+	organisation string
+	ids          []uint64
+}
+
+// NewQueue returns an empty queue that holds limit waiters. A limit below one means DefaultQueueLimit.
+func NewQueue(limit int) Queue { return Queue{limit: limit} }
+
+// Len returns the number of waiters.
+func (q Queue) Len() int { return q.size }
+
+// WithWaiter returns the queue with another waiter. It reports false when the queue is full. A full queue still takes
+// an organisation's waiter when the organisation waits for less than its equal part of the queue, so that one
+// organisation cannot keep the others out; the queue then exceeds its limit by at most the limit.
+func (q Queue) WithWaiter(w Waiter) (Queue, bool) {
+	i := q.find(w.Organisation)
+	if i < 0 {
+		if q.size >= 2*q.capacity() {
+			return q, false
+		}
+		q.lanes = append(slices.Clone(q.lanes), lane{organisation: w.Organisation, ids: []uint64{w.ID}})
+		q.size++
+		return q, true
+	}
+	if q.size >= q.capacity() && !q.mayExceed(len(q.lanes[i].ids)) {
+		return q, false
+	}
+	q.lanes = slices.Clone(q.lanes)
+	q.lanes[i].ids = append(slices.Clone(q.lanes[i].ids), w.ID)
+	q.size++
+	return q, true
+}
+
+// Waiters returns the waiters in the order in which they are to be served: one of each organisation in turn.
+func (q Queue) Waiters() []Waiter {
+	waiters := make([]Waiter, 0, q.size)
+	for round := 0; len(waiters) < q.size; round++ {
+		for _, l := range q.lanes {
+			if round < len(l.ids) {
+				waiters = append(waiters, Waiter{ID: l.ids[round], Organisation: l.organisation})
+			}
+		}
+	}
+	return waiters
+}
+
+// WithServed returns the queue after the waiter was served: without it, and with its organisation's turn last.
+func (q Queue) WithServed(w Waiter) Queue {
+	rest := q.Without(w)
+	i := rest.find(w.Organisation)
+	if rest.size == q.size || i < 0 {
+		return rest
+	}
+	served := rest.lanes[i]
+	rest.lanes = append(slices.Delete(slices.Clone(rest.lanes), i, i+1), served)
+	return rest
+}
+
+// Without returns the queue without a waiter that no longer waits.
+func (q Queue) Without(w Waiter) Queue {
+	i := q.find(w.Organisation)
+	if i < 0 {
+		return q
+	}
+	at := slices.Index(q.lanes[i].ids, w.ID)
+	if at < 0 {
+		return q
+	}
+	q.lanes = slices.Clone(q.lanes)
+	q.size--
+	if len(q.lanes[i].ids) == 1 {
+		q.lanes = slices.Delete(q.lanes, i, i+1)
+		return q
+	}
+	q.lanes[i].ids = slices.Delete(slices.Clone(q.lanes[i].ids), at, at+1)
+	return q
+}
+
+func (q Queue) capacity() int {
+	if q.limit < 1 {
+		return DefaultQueueLimit
+	}
+	return q.limit
+}
+
+func (q Queue) mayExceed(waiting int) bool {
+	return q.size < 2*q.capacity() && waiting < q.capacity()/len(q.lanes)
+}
+
+func (q Queue) find(organisation string) int {
+	return slices.IndexFunc(q.lanes, func(l lane) bool { return l.organisation == organisation })
+}
--- /dev/null
+++ b/request/exchange_test.go
@@ -0,0 +1,104 @@
+package request_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/request"
+)
+
+var committed = request.Committed{Position: group.Position{Term: 2, Offset: 7}}
+
+// Guards against a non-idempotent request that is sent twice, and a read that is given up although nobody saw its answer.
+func TestMayRetry(t *testing.T) {
+	read, write := request.Exchange{Read: true}, request.Exchange{}
+	idempotent, continued := request.Exchange{Idempotent: true}, request.Exchange{Read: true, Continued: true}
+	requireRetry(t, "write not sent", true, write, request.Broken{})
+	requireRetry(t, "write sent", false, write, request.Sent{}, request.Broken{})
+	requireRetry(t, "idempotent write sent", true, idempotent, request.Sent{}, request.Broken{})
+	requireRetry(t, "read sent", true, read, request.Sent{}, request.Broken{})
+	requireRetry(t, "read relayed", false, read, request.Sent{}, request.Relayed{}, request.Broken{})
+	requireRetry(t, "read in a transaction", false, continued, request.Broken{})
+	requireRetry(t, "finished read", false, read, request.Sent{}, request.Finished{})
+}
+
+// Guards against an outcome that is not true.
+func TestOutcome(t *testing.T) {
+	notKept := request.Settled{Err: port.Failf(port.NotKept, "replaced")}
+	refused := request.Settled{Err: port.Failf(port.NoPrimary, "no primary")}
+	requireOutcome(t, "nothing sent", port.NotRun, request.Broken{})
+	requireOutcome(t, "sent", port.Unknown, request.Sent{}, request.Broken{})
+	requireOutcome(t, "nothing committed", port.Done, request.Sent{}, request.Finished{})
+	requireOutcome(t, "committed and broken", port.Unknown, request.Sent{}, committed, request.Broken{})
+	requireOutcome(t, "committed and finished", port.Unknown, request.Sent{}, committed, request.Finished{})
+	requireOutcome(t, "acknowledged", port.Done, request.Sent{}, committed, request.Finished{}, request.Settled{})
+	requireOutcome(t, "not kept", port.Discarded, request.Sent{}, committed, request.Finished{}, notKept)
+	requireOutcome(t, "wait refused", port.Unknown, request.Sent{}, committed, request.Finished{}, refused)
+}
+
+// Guards against a confirmation that goes out before the position of its write is known.
+func TestHolds(t *testing.T) {
+	synchronised := request.Completed{Tag: "INSERT 0 1", Synchronised: true}
+	requireHolds(t, "rows of a write", false, request.Exchange{}, request.Sent{})
+	requireHolds(t, "completed write", true, request.Exchange{}, request.Sent{}, synchronised)
+	requireHolds(t, "completed read", false, request.Exchange{Read: true}, request.Sent{}, synchronised)
+	requireHolds(t, "insert without Sync", false, request.Exchange{}, request.Completed{Tag: "INSERT 0 1"})
+	requireHolds(t, "commit without Sync", true, request.Exchange{}, request.Completed{Tag: "COMMIT"})
+	t.Run("position is awaited once the answer is complete", func(t *testing.T) {
+		x := with(request.Exchange{}, request.Sent{}, committed)
+		_, awaits := x.AwaitsAcknowledgment()
+		require.False(t, awaits)
+		p, awaits := x.WithEvent(request.Finished{}).AwaitsAcknowledgment()
+		require.True(t, awaits)
+		require.Equal(t, committed.Position, p)
+	})
+}
+
+// Guards against statements of a caller that grow without bound.
+func TestStatements(t *testing.T) {
+	t.Run("number", func(t *testing.T) {
+		var s request.Statements
+		var err error
+		for i := range request.MaxStatements {
+			s, err = s.WithStatement(string(rune('a'+i)), []byte("x"))
+			require.NoError(t, err)
+		}
+		_, err = s.WithStatement("one more", nil)
+		require.Equal(t, port.TooLarge, port.KindOf(err))
+		_, err = s.Without("a").WithStatement("one more", nil)
+		require.NoError(t, err)
+	})
+	t.Run("bytes", func(t *testing.T) {
+		s, err := request.Statements{}.WithStatement("a", make([]byte, request.MaxStatementBytes))
+		require.NoError(t, err)
+		_, err = s.WithStatement("b", []byte("x"))
+		require.Equal(t, port.TooLarge, port.KindOf(err))
+		_, err = s.WithStatement("a", []byte("x"))
+		require.NoError(t, err)
+	})
+}
+
+func with(x request.Exchange, events ...request.Event) request.Exchange {
+	for _, e := range events {
+		x = x.WithEvent(e)
+	}
+	return x
+}
+
+func requireRetry(t *testing.T, name string, want bool, x request.Exchange, events ...request.Event) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) { require.Equal(t, want, with(x, events...).MayRetry()) })
+}
+
+func requireOutcome(t *testing.T, name string, want port.Outcome, events ...request.Event) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) { require.Equal(t, want, with(request.Exchange{}, events...).Outcome()) })
+}
+
+func requireHolds(t *testing.T, name string, want bool, x request.Exchange, events ...request.Event) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) { require.Equal(t, want, with(x, events...).Holds()) })
+}
