Do not wait for ever for a frozen primary, and let dismissed callers read the reason

Cause: a frozen server keeps its connections open, so a bind or a write sent to it was never answered; a dismissed caller with unread input got a reset connection instead of the reason.

A bind ends after 1 s and the request is placed elsewhere. A FATAL of a server ends the server connection only. Several uses of one statement name within a batch are now followed in order.

Ruled out: a general time limit for statements, which would end long statements on healthy servers.

--- a/adapter/postgres/backend.go
+++ b/adapter/postgres/backend.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -16,8 +18,13 @@
 	"github.com/rhubarbwick/rhubarbwick/ring"
 )
 
-// outboundCapacity exceeds the number of units that a caller may have in flight, so that sending never waits.
-const outboundCapacity = 16
+const (
+	// outboundCapacity exceeds the number of units that a caller may have in flight, so that sending never waits.
+	outboundCapacity = 16
+	// bindLimit is how long a server may take to bind a connection. A frozen server does not answer, and the request can
+	// still be placed elsewhere.
+	bindLimit = time.Second
+)
 
 // holder is who receives what a server connection reads. It is one of resting, asking and lent.
 type holder interface{ holder() }
@@ -165,8 +172,11 @@
 
 func (b *backend) finishAsking(h *asking, ready frame, rest []frame) {
 	err := h.err
-	if err == nil && (h.commands != 1 || len(ready.body()) != 1 || ready.body()[0] != 'I') {
+	switch {
+	case len(ready.body()) != 1 || ready.body()[0] != 'I', err == nil && h.commands != 1:
 		err = port.Failf(port.Internal, "server %s did not complete a command of the proxy", b.key.server)
+	case err != nil:
+		err = &refusedError{cause: err}
 	}
 	b.hold(resting{})
 	b.checkResting(rest)
@@ -221,20 +231,33 @@
 func (b *backend) bind(ctx context.Context, c entry.Caller, to lent) error {
 	answer := ring.New[error](1)
 	sql := fmt.Sprintf("SELECT rhubarbwick_bind(%s, %s, %t)", quote(c.Organisation), quote(to.nonce), c.Read)
+	ctx, cancel := port.WithTimeout(ctx, b.pool.timer, bindLimit)
+	defer cancel()
 	b.ask(sql, func(err error) { answer.Offer(err) })
 	err, waitErr := answer.Take(ctx)
 	if waitErr != nil {
-		err = waitErr
+		err = port.Wrapf(waitErr, port.NoConnection, "server %s did not bind the connection", b.key.server)
 	}
 	if err == nil && !b.hold(to) {
 		err = port.Failf(port.NoConnection, "connection to server %s ended", b.key.server)
 	}
-	if err != nil {
+	var refused *refusedError
+	switch {
+	case errors.As(err, &refused):
+		b.pool.tell(backendReturned{backend: b})
+		return refused.cause
+	case err != nil:
 		b.close()
 	}
 	return err
 }
 
+// refusedError says that the server refused a command of the proxy and is ready for another.
+type refusedError struct{ cause error }
+
+// Error returns the server's message.
+func (e *refusedError) Error() string { return e.cause.Error() }
+
 // release ends the transaction's binding and gives the connection back to the pool, or closes it.
 func (b *backend) release(nonce string) {
 	b.ask("SELECT rhubarbwick_release("+quote(nonce)+")", b.released)
--- a/adapter/postgres/caller.go
+++ b/adapter/postgres/caller.go
@@ -38,7 +38,7 @@
 )
 
 // event is what a caller's duty is told. It is one of unitReceived, callerLeft, serverAnswered, serverBroken,
-// cancelAsked, stopAsked and idleElapsed.
+// cancelAsked, stopAsked, idleElapsed, placedElsewhere and answerOverdue.
 type event interface{ event() }
 
 // unitReceived is a part of a request that is sent to the server at once.
@@ -67,13 +67,21 @@
 // idleElapsed says that a transaction has been idle for the limit since the request of the number.
 type idleElapsed struct{ request uint64 }
 
-func (unitReceived) event()   {}
-func (callerLeft) event()     {}
-func (serverAnswered) event() {}
-func (serverBroken) event()   {}
-func (cancelAsked) event()    {}
-func (stopAsked) event()      {}
-func (idleElapsed) event()    {}
+// placedElsewhere says that a write like the request of the number would now go to another server.
+type placedElsewhere struct{ request uint64 }
+
+// answerOverdue says that the request of the number got no answer although its server was replaced.
+type answerOverdue struct{ request uint64 }
+
+func (unitReceived) event()    {}
+func (callerLeft) event()      {}
+func (serverAnswered) event()  {}
+func (serverBroken) event()    {}
+func (cancelAsked) event()     {}
+func (stopAsked) event()       {}
+func (idleElapsed) event()     {}
+func (placedElsewhere) event() {}
+func (answerOverdue) event()   {}
 
 // unit is a run of messages that ends with Query, Sync or Flush.
 type unit struct {
@@ -119,6 +127,8 @@
 	finished  bool
 	requests  uint64
 	active    *activeRequest
+	// stopIdle ends the timer that limits an idle transaction.
+	stopIdle func()
 }
 
 // activeRequest is the request that is being answered.
@@ -131,6 +141,8 @@
 	expected []expectation
 	attempts int
 	started  time.Duration
+	// stopWatch ends the duty or the timer that watches over a write.
+	stopWatch func()
 	// copied counts the bytes of a refused COPY that are passed over; copying is true from its start.
 	copied  int
 	copying bool
@@ -143,7 +155,7 @@
 	ctx, leave := context.WithCancelCause(ctx)
 	return &caller{
 		listener: l, conn: conn, reader: reader, entry: admitted, events: ring.New[event](eventCapacity),
-		ahead: ring.New[struct{}](unitsAhead), ctx: ctx, leave: leave, status: 'I',
+		ahead: ring.New[struct{}](unitsAhead), ctx: ctx, leave: leave, status: 'I', stopIdle: func() {},
 	}
 }
 
@@ -220,6 +232,7 @@
 		c.backend.close()
 	}
 	c.flush()
+	c.stopIdle()
 	c.leave(errors.New("the caller was dismissed"))
 }
 
@@ -227,7 +240,6 @@
 	switch e := e.(type) {
 	case unitReceived:
 		c.waiting = append(c.waiting, e.unit)
-		c.proceed()
 	case callerLeft:
 		c.dismiss(e.err)
 	case serverAnswered:
@@ -240,12 +252,16 @@
 		c.cancel()
 	case stopAsked:
 		c.stopping = true
-		c.proceed()
 	case idleElapsed:
 		if e.request == c.requests && c.active == nil {
 			c.dismiss(port.Failf(port.Stopping, "the instance is stopping and the transaction was idle"))
 		}
+	case placedElsewhere:
+		c.expectAnswer(e.request)
+	case answerOverdue:
+		c.giveUp(e.request)
 	}
+	c.proceed()
 }
 
 // proceed begins or continues requests with the units that wait, as far as the active request allows.
@@ -263,17 +279,19 @@
 	}
 }
 
+// after puts an event when d has passed, unless the caller has gone.
+func (c *caller) after(d time.Duration, e event) (stop func()) {
+	return c.listener.timer.After(d, func(time.Duration) { c.events.Offer(e) })
+}
+
 // proceedStop dismisses a caller without a transaction, and limits how long a transaction may be idle.
 func (c *caller) proceedStop() {
 	if c.backend == nil {
 		c.dismiss(port.Failf(port.Stopping, "the instance is stopping"))
 		return
 	}
-	number := c.requests
-	stop := c.listener.timer.After(c.listener.cfg.IdleLimit, func(time.Duration) {
-		c.events.Offer(idleElapsed{request: number})
-	})
-	context.AfterFunc(c.ctx, stop)
+	c.stopIdle()
+	c.stopIdle = c.after(c.listener.cfg.IdleLimit, idleElapsed{request: c.requests})
 }
 
 func (c *caller) take(u unit) {
@@ -298,7 +316,8 @@
 // isLent reports whether the connection lent under the nonce is the one that the caller has now.
 func (c *caller) isLent(nonce string) bool { return c.backend != nil && c.nonce == nonce }
 
-// begin starts a request.
+// begin starts a request. Nothing of the caller's earlier answers is left unsent, so that the output of this request can
+// be dropped when it is sent again.
 func (c *caller) begin(u unit) {
 	c.flush()
 	c.requests++
@@ -313,10 +332,14 @@
 		exchange: request.Exchange{
 			Read: c.entry.Read, Idempotent: c.entry.Route.Idempotent, Continued: c.backend != nil,
 		},
-		units:   []unit{u},
-		started: c.listener.timer.Now(),
+		units:     []unit{u},
+		started:   c.listener.timer.Now(),
+		stopWatch: func() {},
 	}
 	c.attempt()
+	if c.active != nil && !c.active.exchange.Read {
+		c.watchPrimary()
+	}
 }
 
 // attempt sends the active request, on the transaction's connection or on one of a new transaction.
@@ -418,10 +441,17 @@
 	c.ready(c.status)
 }
 
-// endRefused ends the active request of a new transaction with an error.
-func (c *caller) endRefused(err error) {
+// end ends the active request and returns it.
+func (c *caller) end() *activeRequest {
 	a := c.active
 	c.active = nil
+	a.stopWatch()
+	return a
+}
+
+// endRefused ends the active request of a new transaction with an error.
+func (c *caller) endRefused(err error) {
+	a := c.end()
 	c.refuse(a.units[len(a.units)-1], err)
 }
 
--- a/adapter/postgres/frame.go
+++ b/adapter/postgres/frame.go
@@ -14,6 +14,8 @@
 	headerBytes = 5
 	// chunkBytes is how much of an answer is passed on at once when more of it has already arrived.
 	chunkBytes = 16 << 10
+	// maxServerBytes bounds one message of a server. Rows are passed on whole, so it also bounds a row.
+	maxServerBytes = 64 << 20
 )
 
 // frame is one encoded protocol message: a type byte, the length, and the body.
@@ -25,7 +27,7 @@
 // body returns the message without its header.
 func (f frame) body() []byte { return f[headerBytes:] }
 
-// readFrame reads one message. A body above limit is an error of kind TooLarge; a limit of zero means none.
+// readFrame reads one message. A body above limit is an error of kind TooLarge.
 func readFrame(r *bufio.Reader, limit int) (frame, error) {
 	header, err := r.Peek(headerBytes)
 	if err != nil {
@@ -35,7 +37,7 @@
 	if length < 4 {
 		return nil, port.Failf(port.Protocol, "message of type %q has invalid length %d", header[0], length)
 	}
-	if limit > 0 && length-4 > limit {
+	if length-4 > limit {
 		return nil, port.Failf(port.TooLarge, "message of %d bytes exceeds the limit of %d bytes", length-4, limit)
 	}
 	f := make(frame, 1+length)
@@ -47,13 +49,13 @@
 
 // readChunk reads at least one message, and those that have already arrived completely up to chunkBytes.
 func readChunk(r *bufio.Reader) ([]frame, error) {
-	first, err := readFrame(r, 0)
+	first, err := readFrame(r, maxServerBytes)
 	if err != nil {
 		return nil, err
 	}
 	frames := []frame{first}
 	for size := len(first); size < chunkBytes && hasFrame(r); {
-		f, err := readFrame(r, 0)
+		f, err := readFrame(r, maxServerBytes)
 		if err != nil {
 			return frames, err
 		}
--- a/adapter/postgres/listener.go
+++ b/adapter/postgres/listener.go
@@ -6,6 +6,7 @@
 	"crypto/subtle"
 	"crypto/tls"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -26,8 +27,15 @@
 	DefaultIdleLimit    = 60 * time.Second
 )
 
-// cancelLimit is how long a cancel request to a server may take.
-const cancelLimit = 5 * time.Second
+const (
+	// cancelLimit is how long a cancel request to a server may take.
+	cancelLimit = 5 * time.Second
+	// lingerLimit is how long a dismissed caller may take to read the reason.
+	lingerLimit = time.Second
+	// startupReserve is the number of connections above MaxCallers, so that cancel requests get in and a refused caller
+	// learns the reason.
+	startupReserve = 64
+)
 
 // ListenerConfig holds the settings of a Listener. A zero field means its default.
 type ListenerConfig struct {
@@ -73,9 +81,10 @@
 	timer    port.Timer
 	log      *zap.Logger
 
-	mu       sync.Mutex
-	socket   net.Listener
-	conns    map[net.Conn]struct{}
+	mu     sync.Mutex
+	socket net.Listener
+	// conns holds all connections; the value is true once the caller was admitted.
+	conns    map[net.Conn]bool
 	callers  map[uint32]*caller
 	stopping bool
 	duties   sync.WaitGroup
@@ -90,7 +99,7 @@
 	}
 	return &Listener{
 		cfg: cfg.withDefaults(), gate: gate, director: director, pool: pool, timer: timer, log: log.Named("callers"),
-		conns: make(map[net.Conn]struct{}), callers: make(map[uint32]*caller),
+		conns: make(map[net.Conn]bool), callers: make(map[uint32]*caller),
 	}
 }
 
@@ -145,10 +154,10 @@
 	if l.stopping {
 		return port.Failf(port.Stopping, "the instance is stopping")
 	}
-	if len(l.conns) >= l.cfg.MaxCallers {
+	if len(l.conns) >= l.cfg.MaxCallers+startupReserve {
 		return port.Failf(port.NoConnection, "too many callers")
 	}
-	l.conns[conn] = struct{}{}
+	l.conns[conn] = false
 	l.duties.Add(1)
 	return nil
 }
@@ -178,6 +187,29 @@
 	l.duties.Add(1)
 	go l.runReader(c)
 	c.loop()
+	l.linger(conn, c)
+}
+
+// linger lets a dismissed caller read the reason: closing a connection with unread input would discard it.
+func (l *Listener) linger(raw net.Conn, c *caller) {
+	half, ok := c.conn.(interface{ CloseWrite() error })
+	if !c.finished || !ok || half.CloseWrite() != nil {
+		return
+	}
+	stop := l.timer.After(lingerLimit, func(time.Duration) { _ = raw.Close() })
+	defer stop()
+	_, _ = io.Copy(io.Discard, raw)
+}
+
+// begin counts a goroutine that Stop waits for. It reports false when no caller is left.
+func (l *Listener) begin() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.conns) == 0 {
+		return false
+	}
+	l.duties.Add(1)
+	return true
 }
 
 func (l *Listener) runReader(c *caller) {
@@ -186,17 +218,22 @@
 }
 
 // enter makes the caller known for cancel requests and for Stop, under a number that no other caller has.
-func (l *Listener) enter(c *caller) {
+func (l *Listener) enter(raw net.Conn, c *caller) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.stopping {
+		return port.Failf(port.Stopping, "the instance is stopping")
+	}
+	if len(l.callers) >= l.cfg.MaxCallers {
+		return port.Failf(port.NoConnection, "too many callers")
+	}
+	l.conns[raw] = true
 	for taken := true; taken; {
 		c.pid = newCallerNumber()
 		_, taken = l.callers[c.pid]
 	}
 	l.callers[c.pid] = c
-	if l.stopping {
-		c.events.Offer(stopAsked{})
-	}
+	return nil
 }
 
 func (l *Listener) exit(c *caller) {
@@ -232,6 +269,11 @@
 	if l.socket != nil {
 		_ = l.socket.Close()
 	}
+	for conn, admitted := range l.conns {
+		if !admitted {
+			_ = conn.Close()
+		}
+	}
 	for _, c := range l.callers {
 		l.duties.Add(1)
 		go c.runStop()
--- a/adapter/postgres/pool.go
+++ b/adapter/postgres/pool.go
@@ -22,13 +22,16 @@
 	// DefaultWaitLimit is how long a caller waits for a server connection.
 	DefaultWaitLimit = 15 * time.Second
 	// DefaultOpenLimit is how long opening a server connection may take.
-	DefaultOpenLimit = 5 * time.Second
+	DefaultOpenLimit = 2 * time.Second
 	// limitPeriod is how often the pool compares its connections with what it is allowed to hold.
 	limitPeriod = 200 * time.Millisecond
 	// poolCapacity bounds the commands that wait for the pool's duty; senders block when it is full.
 	poolCapacity = 256
 )
 
+// keepAlive ends the connection to a machine that has gone within about 8 s.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}
+
 // PoolConfig holds the settings of a Pool.
 type PoolConfig struct {
 	// User and Password are the system's own account on the servers.
@@ -205,7 +208,8 @@
 		s := p.server(c.key.server)
 		s.opening[c.key]--
 		s.total--
-		s.refuseNext(c.key, c.err)
+		// The callers look for another server; one that does not open connections is often about to be replaced.
+		s.refuse(func(wanted) bool { return true }, c.err)
 		p.adjust(s)
 	case backendReturned:
 		s := p.server(c.backend.key.server)
@@ -302,7 +306,6 @@
 	defer p.duties.Done()
 	b, err := p.connect(key, address)
 	if err != nil {
-		p.log.Warn("could not open a connection", zap.String("server", key.server), zap.Error(err))
 		p.tell(openFailed{key: key, err: err})
 		return
 	}
@@ -332,7 +335,9 @@
 	}
 	conn, err := pgconn.ConnectConfig(ctx, cfg)
 	if err != nil {
-		return nil, port.Wrapf(err, port.NoConnection, "server %s refused the connection", key.server)
+		// The cause names the system's account and is not for callers.
+		p.log.Warn("could not open a connection", zap.String("server", key.server), zap.Error(err))
+		return nil, port.Failf(port.NoConnection, "server %s cannot be reached", key.server)
 	}
 	hijacked, err := conn.Hijack()
 	if err != nil {
@@ -363,6 +368,7 @@
 	}
 	cfg.Host, cfg.Port, cfg.User, cfg.Password, cfg.Database = host, uint16(n), p.cfg.User, p.cfg.Password, key.slot
 	cfg.TLSConfig, cfg.Fallbacks = p.cfg.TLS, nil
+	cfg.DialFunc = (&net.Dialer{KeepAliveConfig: keepAlive}).DialContext
 	cfg.RuntimeParams = map[string]string{"application_name": "rhubarbwick"}
 	return cfg, nil
 }
--- a/adapter/postgres/relay.go
+++ b/adapter/postgres/relay.go
@@ -71,8 +71,7 @@
 		a.exchange = a.exchange.WithEvent(request.Completed{Tag: tag, Synchronised: a.isSynchronised()})
 		c.pass(f)
 	case 'E':
-		a.expected = nil
-		c.pass(f)
+		c.relayError(f)
 	case 'G', 'H', 'W':
 		c.refuseCopy(f)
 	default:
@@ -80,6 +79,19 @@
 	}
 }
 
+// relayError relays an error that the request caused. After an error that ends the server connection, the caller's own
+// connection stays and gets the outcome of its request.
+func (c *caller) relayError(f frame) {
+	var m pgproto3.ErrorResponse
+	if err := m.Decode(f.body()); err != nil || m.Severity == "FATAL" || m.Severity == "PANIC" {
+		c.drop()
+		c.handleBroken(port.Failf(port.NoConnection, "the server ended the connection: %s", m.Message))
+		return
+	}
+	c.active.expected = nil
+	c.pass(f)
+}
+
 // pass gives a message to the caller, or holds it while the answer may confirm a write.
 func (c *caller) pass(f frame) {
 	a := c.active
@@ -107,11 +119,17 @@
 		c.passAsynchronous(f)
 		return
 	}
+	if c.active == nil {
+		return
+	}
 	value, _ := cString(rest)
 	position, err := group.ParsePosition(value)
-	if err == nil && c.active != nil {
-		c.active.exchange = c.active.exchange.WithEvent(request.Committed{Position: position})
+	if err != nil {
+		c.drop()
+		c.endBroken(port.Wrapf(err, port.UnknownOutcome, "the server reported an invalid position"))
+		return
 	}
+	c.active.exchange = c.active.exchange.WithEvent(request.Committed{Position: position})
 }
 
 func (c *caller) passAsynchronous(f frame) {
@@ -148,7 +166,7 @@
 		a.held = encode(a.held, &pgproto3.ParameterStatus{Name: sessionParameter, Value: token})
 	}
 	c.out = append(c.out, a.held...)
-	c.active = nil
+	c.end()
 	c.out = append(c.out, f...)
 	for _, f := range rest {
 		c.relayAsynchronous(f)
@@ -156,7 +174,6 @@
 	if c.status == 'I' {
 		c.giveBack()
 	}
-	c.proceed()
 }
 
 // endUnconfirmed answers a write that was committed but not acknowledged.
@@ -166,14 +183,13 @@
 	}
 	ended := c.status == 'I'
 	c.drop()
-	c.active = nil
+	c.end()
 	if !ended {
 		c.dismiss(err)
 		return
 	}
 	c.send(errorResponse(severityError, err))
 	c.ready(c.status)
-	c.proceed()
 }
 
 // handleBroken follows the loss of the server connection.
@@ -210,8 +226,7 @@
 
 // endBroken ends the active request with an error after its server connection was given up.
 func (c *caller) endBroken(err error) {
-	a := c.active
-	c.active = nil
+	a := c.end()
 	if a.exchange.Continued {
 		c.dismiss(err)
 		return
@@ -222,5 +237,4 @@
 		return
 	}
 	c.ready(c.status)
-	c.proceed()
 }
--- a/adapter/postgres/rewrite.go
+++ b/adapter/postgres/rewrite.go
@@ -4,6 +4,7 @@
 	"maps"
 
 	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/request"
 )
 
 // expectation is a ParseComplete or CloseComplete that the server will send unless an error comes first.
@@ -20,11 +21,7 @@
 // rewrite returns the unit's messages as they are sent to the server. Statements that the caller prepared earlier and
 // that the server connection lacks are prepared again.
 func (c *caller) rewrite(u unit) ([]byte, error) {
-	known := maps.Clone(c.prepared)
-	statements := c.statements
-	for _, expected := range c.active.expected {
-		known[expected.name] = expected.parse != nil
-	}
+	known, statements := c.expected()
 	data := make([]byte, 0, u.size)
 	expected := c.active.expected
 	for _, f := range u.frames {
@@ -32,7 +29,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if text, ok := c.statements.Find(name); uses && ok && !known[name] {
+		if text, ok := statements.Find(name); uses && ok && !known[name] {
 			data = append(data, text...)
 			expected = append(expected, expectation{name: name, parse: text, added: true})
 			known[name] = true
@@ -46,7 +43,12 @@
 			expected = append(expected, expectation{name: name, parse: f})
 			known[name] = true
 		case 'C':
-			expected = append(expected, expectation{name: name, portal: f.body()[0] != 'S'})
+			e := expectation{name: name, portal: f.body()[0] != 'S'}
+			expected = append(expected, e)
+			if !e.portal {
+				statements = statements.Without(name)
+				delete(known, name)
+			}
 		case 'Q':
 			// A simple query destroys the unnamed statement.
 			delete(c.prepared, "")
@@ -56,6 +58,24 @@
 	return data, nil
 }
 
+// expected returns the statements that the server connection and the caller will have when the server has done what it
+// was sent so far.
+func (c *caller) expected() (known map[string]bool, statements request.Statements) {
+	known, statements = maps.Clone(c.prepared), c.statements
+	for _, e := range c.active.expected {
+		switch {
+		case e.portal:
+		case e.parse == nil:
+			delete(known, e.name)
+			statements = statements.Without(e.name)
+		default:
+			known[e.name] = true
+			statements, _ = statements.WithStatement(e.name, e.parse)
+		}
+	}
+	return known, statements
+}
+
 // statementOf returns the name of the statement that a message prepares, uses or closes. uses is true when the
 // statement has to exist.
 func statementOf(f frame) (name string, uses bool, err error) {
--- a/adapter/postgres/server_pool.go
+++ b/adapter/postgres/server_pool.go
@@ -62,17 +62,6 @@
 	}
 }
 
-// refuseNext answers the caller that is next for a connection of the key with err.
-func (s *serverPool) refuseNext(key poolKey, err error) {
-	for _, w := range s.queue.Waiters() {
-		if request := s.waiting[w.ID]; request.key == key {
-			s.abandon(w)
-			request.reply.Offer(grant{err: err})
-			return
-		}
-	}
-}
-
 // assign serves the waiting callers in the queue's order: with an idle connection, a new one that open starts, or the
 // place of an idle connection of another slot. A caller whose turn it is keeps later ones from taking that place.
 func (s *serverPool) assign(allowed int, open func(wanted)) {
--- a/adapter/postgres/startup.go
+++ b/adapter/postgres/startup.go
@@ -47,15 +47,17 @@
 // greeting is a connection during start-up.
 type greeting struct {
 	listener *Listener
-	conn     net.Conn
-	reader   *bufio.Reader
+	// raw is the connection under the encryption.
+	raw    net.Conn
+	conn   net.Conn
+	reader *bufio.Reader
 }
 
 // startUp admits a caller. It returns nil without an error after a cancel request.
 func (l *Listener) startUp(ctx context.Context, conn net.Conn) (*caller, error) {
 	limit := l.timer.After(l.cfg.StartupLimit, func(time.Duration) { _ = conn.Close() })
 	defer limit()
-	g := &greeting{listener: l, conn: conn, reader: bufio.NewReaderSize(conn, chunkBytes)}
+	g := &greeting{listener: l, raw: conn, conn: conn, reader: bufio.NewReaderSize(conn, chunkBytes)}
 	limited, cancel := port.WithTimeout(ctx, l.timer, l.cfg.StartupLimit)
 	defer cancel()
 	start, err := g.readStart(limited)
@@ -262,7 +264,9 @@
 func (g *greeting) welcome(ctx context.Context, start *pgproto3.StartupMessage, admitted entry.Caller) (*caller, error) {
 	c := newCaller(ctx, g.listener, g.conn, g.reader, admitted)
 	c.secret = newSecret(start.ProtocolVersion)
-	g.listener.enter(c)
+	if err := g.listener.enter(g.raw, c); err != nil {
+		return nil, g.refused(err)
+	}
 	out := encode(nil, &pgproto3.AuthenticationOk{})
 	for _, parameter := range parameters {
 		out = encode(out, &parameter)
