Add the group monitor and the director that places over it

A monitor asks each server through two asking duties: one for plain questions, one for questions that wait for a position, so that a long question does not hold up a short one. Its ring of one question makes a waiting question stand for all that come while another is outstanding. Callers wait in the monitor's loop, at most 4096.

group.View.Settle tells from the history of a later term, whose first entry a majority holds, whether a write was kept. The wait is asked again with a new newest position after 500 ms, because the newest position may have belonged to an entry that was discarded since.

Ruled out: waking every caller at each view, which costs a wake-up for each caller and observation; a single asking duty, which would hold up Newest behind a question that waits up to 1 s for a position.

Promotion is not carried out yet.

--- a/adapter/clock/fake.go
+++ b/adapter/clock/fake.go
@@ -41,6 +41,16 @@
 	f.mu.Unlock()
 }
 
+// Next returns the instant of the first timer. It reports false when there is none.
+func (f *Fake) Next() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.queue) == 0 {
+		return 0, false
+	}
+	return f.queue[0].at, true
+}
+
 func (f *Fake) deliverNext(end time.Duration) bool {
 	f.mu.Lock()
 	if len(f.queue) == 0 || f.queue[0].at > end {
--- /dev/null
+++ b/entry/director.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/session"
+)
+
+const (
+	// PlacementLimit is how long a transaction waits for a server.
+	PlacementLimit = 15 * time.Second
+	// SettlementLimit is how long the acknowledgment of a write may take.
+	SettlementLimit = 15 * time.Second
+	// NewestLimit is how long a read waits for a server that holds the newest position before it asks for the newest
+	// position again. The first answer may include a write that was discarded since.
+	NewestLimit = 500 * time.Millisecond
+)
+
+// GroupDirectorConfig is what a GroupDirector needs.
+type GroupDirectorConfig struct {
+	DataCentre string
+	Timer      port.Timer
+	// Monitor returns the monitor of the group of the name.
+	Monitor func(groupName string) (*Monitor, bool)
+}
+
+// GroupDirector is the Director of an instance that monitors the groups itself.
+type GroupDirector struct {
+	cfg    GroupDirectorConfig
+	spread atomic.Uint64
+}
+
+var _ Director = (*GroupDirector)(nil)
+
+// NewGroupDirector returns a GroupDirector.
+func NewGroupDirector(cfg GroupDirectorConfig) *GroupDirector { return &GroupDirector{cfg: cfg} }
+
+// Place returns the server for the caller's next transaction. It waits up to PlacementLimit.
+func (d *GroupDirector) Place(ctx context.Context, c Caller) (Target, error) {
+	m, ok := d.cfg.Monitor(c.Route.Group)
+	if !ok {
+		return Target{}, port.Failf(port.NoPrimary, "group %q is not known at this instance", c.Route.Group)
+	}
+	ctx, cancel := port.WithTimeout(ctx, d.cfg.Timer, PlacementLimit)
+	defer cancel()
+	target, err := d.place(ctx, m, d.request(c), c.Session)
+	return target, port.Wrapf(err, port.NoPrimary, "no server of group %q fits", c.Route.Group)
+}
+
+func (d *GroupDirector) request(c Caller) session.Request {
+	return session.Request{
+		Group:       c.Route.Group,
+		Read:        c.Read,
+		AcceptedAge: c.Route.AcceptedAge(),
+		DataCentre:  d.cfg.DataCentre,
+		Spread:      d.spread.Add(1),
+	}
+}
+
+func (d *GroupDirector) place(ctx context.Context, m *Monitor, r session.Request, s session.Session) (Target, error) {
+	v := m.View()
+	asked := false
+	for {
+		switch p := session.Place(r, s, v, d.cfg.Timer.Now()).(type) {
+		case session.ToPrimary:
+			return target(r, v, p.Server, false, p.Term), nil
+		case session.ToServer:
+			return target(r, v, p.Server, p.Replica, 0), nil
+		case session.AwaitNewest:
+			newest, err := m.Newest(ctx)
+			if err != nil {
+				return Target{}, err
+			}
+			r, v, asked = r.WithNewest(newest), m.View(), true
+		case session.AwaitPrimary, session.AwaitServer:
+			next, err := d.await(ctx, m, r, s, asked)
+			if err != nil && !errors.Is(err, errAskAgain) {
+				return Target{}, err
+			}
+			if err != nil {
+				r = r.WithoutNewest()
+				next = m.View()
+			}
+			v = next
+		}
+	}
+}
+
+var errAskAgain = errors.New("no server holds the newest position")
+
+// await waits until the request can be placed. A read that needs the newest position gives up after NewestLimit with
+// errAskAgain.
+func (d *GroupDirector) await(
+	ctx context.Context, m *Monitor, r session.Request, s session.Session, asked bool,
+) (group.View, error) {
+	if asked {
+		var cancel context.CancelCauseFunc
+		ctx, cancel = context.WithCancelCause(ctx)
+		defer cancel(nil)
+		stop := d.cfg.Timer.After(NewestLimit, func(time.Duration) { cancel(errAskAgain) })
+		defer stop()
+	}
+	return m.Await(ctx, func(v group.View) bool {
+		switch session.Place(r, s, v, d.cfg.Timer.Now()).(type) {
+		case session.AwaitPrimary, session.AwaitServer:
+			return false
+		}
+		return true
+	})
+}
+
+func target(r session.Request, v group.View, server string, replica bool, term group.Term) Target {
+	member, _ := v.Member(server)
+	return Target{Group: r.Group, Server: server, Address: member.Address, Replica: replica, Term: term}
+}
+
+// Acknowledge waits until a write at p may be confirmed. The zero position stands for a transaction that wrote nothing.
+func (d *GroupDirector) Acknowledge(ctx context.Context, groupName string, p group.Position) error {
+	if p.IsZero() {
+		return nil
+	}
+	m, ok := d.cfg.Monitor(groupName)
+	if !ok {
+		return port.Failf(port.UnknownOutcome, "group %q is not known at this instance", groupName)
+	}
+	ctx, cancel := port.WithTimeout(ctx, d.cfg.Timer, SettlementLimit)
+	defer cancel()
+	v, err := m.AwaitPosition(ctx, p, func(v group.View) bool { return v.Settle(p) != group.Unsettled })
+	if err != nil {
+		return port.Wrapf(err, port.UnknownOutcome, "write %s of group %q is not settled", p, groupName)
+	}
+	if v.Settle(p) == group.Lost {
+		return port.Failf(port.NotKept, "write %s of group %q was discarded by a later term", p, groupName)
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/fake_test.go
@@ -0,0 +1,432 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/adapter/clock"
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/ring"
+)
+
+const (
+	testGroup       = "formula-core"
+	fakeLatency     = 1500 * time.Microsecond
+	heartbeatPeriod = 100 * time.Millisecond
+)
+
+// logEntry is one entry of a fake server's log. A write of zero is the first entry of a term.
+type logEntry struct {
+	term  group.Term
+	write int
+}
+
+// serverState is the part of a fake server that survives every message: its log and its promise.
+type serverState struct {
+	name      string
+	role      group.Role
+	promised  group.Term
+	candidate string
+	followed  group.Term
+	primary   string
+	log       []logEntry
+	heard     time.Duration
+	complete  time.Duration
+	ageKnown  bool
+}
+
+func (s *serverState) history() group.History {
+	var eras []group.Era
+	for i, e := range s.log {
+		if len(eras) == 0 || eras[len(eras)-1].Term != e.term {
+			eras = append(eras, group.Era{Term: e.term, First: uint64(i + 1)})
+		}
+	}
+	return group.NewHistory(uint64(len(s.log)), eras...)
+}
+
+func (s *serverState) status(now time.Duration) group.Status {
+	status := group.Status{
+		Server: s.name, Role: s.role, Promised: s.promised, Candidate: s.candidate, Followed: s.followed,
+		History: s.history(), AgeKnown: true,
+	}
+	if s.role == group.Replica {
+		status.PrimarySilence, status.Age, status.AgeKnown = now-s.heard, now-s.complete, s.ageKnown
+	}
+	return status
+}
+
+func (s *serverState) fence(term group.Term, candidate string) bool {
+	if term < s.promised || term == s.promised && candidate != s.candidate {
+		return false
+	}
+	s.promised, s.candidate = term, candidate
+	return true
+}
+
+func (s *serverState) promote(term group.Term, candidate string) bool {
+	if s.promised != term || s.candidate != candidate {
+		return false
+	}
+	if s.role == group.Primary && s.followed == term {
+		return true
+	}
+	s.role, s.followed, s.primary = group.Primary, term, s.name
+	s.log = append(s.log[:len(s.log):len(s.log)], logEntry{term: term})
+	return true
+}
+
+func (s *serverState) follow(term group.Term, primary string) bool {
+	if term < s.promised || s.role == group.Primary && s.followed == term {
+		return false
+	}
+	if s.followed != term {
+		s.candidate = ""
+	}
+	s.role, s.promised, s.followed, s.primary = group.Replica, term, term, primary
+	return true
+}
+
+func (s *serverState) write(id int) (group.Position, bool) {
+	if s.role != group.Primary || s.promised != s.followed {
+		return group.Position{}, false
+	}
+	s.log = append(s.log[:len(s.log):len(s.log)], logEntry{term: s.followed, write: id})
+	return group.Position{Term: s.followed, Offset: uint64(len(s.log))}, true
+}
+
+// replicate takes the primary's log. A server that has promised a later term takes nothing.
+func (s *serverState) replicate(term group.Term, from string, log []logEntry, sent, now time.Duration) {
+	if s.role != group.Replica || s.followed != term || s.promised != term || s.primary != from {
+		return
+	}
+	if len(log) >= len(s.log) || s.history().Last().Term != term {
+		s.log = log
+	}
+	s.heard, s.complete, s.ageKnown = now, sent, true
+}
+
+// holds reports whether the log contains the write.
+func (s *serverState) holds(write int) bool {
+	for _, e := range s.log {
+		if e.write == write {
+			return true
+		}
+	}
+	return false
+}
+
+// fakeServer is a server on the fake network.
+type fakeServer struct {
+	serverState
+	dead    bool
+	frozen  bool
+	backlog []func()
+	waiting map[int]func() bool
+	waits   int
+}
+
+// world is a fake group on a network whose time is a clock.Fake. Its tests run in a synctest bubble, so that time moves
+// only when every goroutine waits.
+type world struct {
+	t     *testing.T
+	timer *clock.Fake
+	mu    sync.Mutex
+	rng   *rand.Rand
+	names []string
+	nodes map[string]*fakeServer
+	cuts  map[[2]string]bool
+	lag   map[string]time.Duration
+	// primaries holds the server of each term that was ever primary, with its log at that instant.
+	primaries map[group.Term]string
+	elected   []func(term group.Term, s *fakeServer)
+}
+
+func newWorld(t *testing.T, seed uint64, servers int) *world {
+	w := &world{
+		t: t, timer: &clock.Fake{}, rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*fakeServer{},
+		cuts: map[[2]string]bool{}, lag: map[string]time.Duration{}, primaries: map[group.Term]string{},
+	}
+	for i := range servers {
+		name := fmt.Sprintf("s%d", i)
+		state := serverState{name: name, role: group.Replica, promised: 1, followed: 1, primary: "s0", log: []logEntry{{term: 1}}}
+		if i == 0 {
+			state.role = group.Primary
+		}
+		w.names = append(w.names, name)
+		w.nodes[name] = &fakeServer{serverState: state, waiting: map[int]func() bool{}}
+		offset := time.Duration(w.rng.Int64N(int64(heartbeatPeriod)))
+		w.timer.After(offset, func(time.Duration) {
+			w.timer.Every(heartbeatPeriod, func(time.Duration) { w.heartbeat(name) })
+		})
+	}
+	w.primaries[1] = "s0"
+	return w
+}
+
+func (w *world) members() []group.Member {
+	var members []group.Member
+	for i, name := range w.names {
+		members = append(members, group.Member{Name: name, Address: name, DataCentre: fmt.Sprintf("dc%d", i)})
+	}
+	return members
+}
+
+// run moves time by d. Between two instants it waits until every goroutine waits.
+func (w *world) run(d time.Duration) {
+	end := w.timer.Now() + d
+	for {
+		synctest.Wait()
+		next, ok := w.timer.Next()
+		if !ok || next > end {
+			break
+		}
+		w.timer.Advance(max(next-w.timer.Now(), 0))
+	}
+	w.timer.Advance(end - w.timer.Now())
+	synctest.Wait()
+}
+
+// runUntil moves time in small steps until holds, and fails the test after limit.
+func (w *world) runUntil(limit time.Duration, what string, holds func() bool) {
+	w.t.Helper()
+	end := w.timer.Now() + limit
+	for !holds() {
+		next, ok := w.timer.Next()
+		if !ok || next > end {
+			require.Failf(w.t, "not reached", "%s within %s", what, limit)
+		}
+		w.timer.Advance(max(next-w.timer.Now(), 0))
+		synctest.Wait()
+	}
+}
+
+func (w *world) locked(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+}
+
+func (w *world) cut(a, b string, both bool) {
+	w.locked(func() {
+		w.cuts[[2]string{a, b}] = true
+		w.cuts[[2]string{b, a}] = both || w.cuts[[2]string{b, a}]
+	})
+}
+
+func (w *world) heal() { w.locked(func() { clear(w.cuts) }) }
+
+func (w *world) kill(name string) { w.locked(func() { w.nodes[name].dead = true }) }
+
+func (w *world) freeze(name string) { w.locked(func() { w.nodes[name].frozen = true }) }
+
+func (w *world) thaw(name string) {
+	w.locked(func() {
+		s := w.nodes[name]
+		s.frozen = false
+		backlog := s.backlog
+		s.backlog = nil
+		for _, f := range backlog {
+			f()
+		}
+	})
+}
+
+// restart brings a dead server back as a replica, without its log when empty is true.
+func (w *world) restart(name string, empty bool) {
+	w.locked(func() {
+		s := w.nodes[name]
+		s.dead, s.role, s.primary, s.heard, s.ageKnown = false, group.Replica, "", w.timer.Now(), false
+		if empty {
+			s.serverState = serverState{name: name, role: group.Replica, heard: w.timer.Now()}
+		}
+	})
+}
+
+func (w *world) latency() time.Duration {
+	return fakeLatency + time.Duration(w.rng.Int64N(int64(200*time.Microsecond)))
+}
+
+// send runs f at the server after the latency, unless the link is cut or the server dead.
+func (w *world) send(from, to string, extra time.Duration, f func(s *fakeServer), lost func()) {
+	w.timer.After(w.latency()+extra, func(time.Duration) {
+		w.locked(func() { w.deliver(from, to, f, lost) })
+	})
+}
+
+func (w *world) deliver(from, to string, f func(s *fakeServer), lost func()) {
+	s := w.nodes[to]
+	switch {
+	case w.cuts[[2]string{from, to}]:
+	case s.dead:
+		if lost != nil {
+			lost()
+		}
+	case s.frozen:
+		s.backlog = append(s.backlog, func() { f(s); w.changed(s) })
+	default:
+		f(s)
+		w.changed(s)
+	}
+}
+
+// changed answers the questions that wait for a position at the server.
+func (w *world) changed(s *fakeServer) {
+	for id, answer := range s.waiting {
+		if answer() {
+			delete(s.waiting, id)
+		}
+	}
+}
+
+func (w *world) heartbeat(name string) {
+	w.locked(func() {
+		if s := w.nodes[name]; !s.dead && !s.frozen {
+			w.spread(s)
+		}
+	})
+}
+
+// spread sends the primary's log to every other server.
+func (w *world) spread(s *fakeServer) {
+	if s.role != group.Primary || s.promised != s.followed {
+		return
+	}
+	term, log, sent := s.followed, s.log[:len(s.log):len(s.log)], w.timer.Now()
+	for _, name := range w.names {
+		if name != s.name {
+			w.send(s.name, name, w.lag[name], func(r *fakeServer) {
+				r.replicate(term, s.name, log, sent, w.timer.Now())
+			}, nil)
+		}
+	}
+}
+
+// write appends a write at the server and reports its position, as a caller's commit does.
+func (w *world) write(server string, id int) (group.Position, bool) {
+	var p group.Position
+	var ok bool
+	w.locked(func() {
+		s := w.nodes[server]
+		if s.dead || s.frozen {
+			return
+		}
+		if p, ok = s.write(id); ok {
+			w.spread(s)
+			w.changed(s)
+		}
+	})
+	return p, ok
+}
+
+// link is a port.Server over the fake network.
+type link struct {
+	w    *world
+	from string
+	to   string
+}
+
+func (w *world) connect(from string) func(group.Member) port.Server {
+	return func(m group.Member) port.Server { return link{w: w, from: from, to: m.Address} }
+}
+
+type linkAnswer struct {
+	status group.Status
+	err    error
+}
+
+func (l link) call(ctx context.Context, f func(s *fakeServer, answer func(error))) (group.Status, error) {
+	answers := ring.New[linkAnswer](1)
+	back := func(a linkAnswer) {
+		l.w.timer.After(l.w.latency(), func(time.Duration) {
+			l.w.locked(func() {
+				if !l.w.cuts[[2]string{l.to, l.from}] {
+					answers.Offer(a)
+				}
+			})
+		})
+	}
+	deliver := func(s *fakeServer) {
+		f(s, func(err error) { back(linkAnswer{s.status(l.w.timer.Now()), err}) })
+	}
+	refused := func() { back(linkAnswer{err: port.Failf(port.Unavailable, "server %q is down", l.to)}) }
+	l.w.locked(func() { l.w.send(l.from, l.to, 0, deliver, refused) })
+	a, err := answers.Take(ctx)
+	if err != nil {
+		return group.Status{}, port.Wrapf(err, port.Unavailable, "server %q does not answer", l.to)
+	}
+	return a.status, a.err
+}
+
+func refusal(ok bool) error {
+	if ok {
+		return nil
+	}
+	return port.Failf(port.Conflict, "a later term is promised")
+}
+
+func (l link) Status(ctx context.Context, await group.Position, maxWait time.Duration) (group.Status, error) {
+	return l.call(ctx, func(s *fakeServer, answer func(error)) {
+		ready := func() bool {
+			if !await.IsZero() && !s.history().Contains(await) && s.followed <= await.Term {
+				return false
+			}
+			answer(nil)
+			return true
+		}
+		if ready() {
+			return
+		}
+		s.waits++
+		id := s.waits
+		s.waiting[id] = ready
+		l.w.timer.After(maxWait, func(time.Duration) {
+			l.w.locked(func() {
+				if _, ok := s.waiting[id]; ok && !s.frozen && !s.dead {
+					delete(s.waiting, id)
+					answer(nil)
+				}
+			})
+		})
+	})
+}
+
+func (l link) Fence(ctx context.Context, term group.Term, candidate string) (group.Status, error) {
+	return l.call(ctx, func(s *fakeServer, answer func(error)) { answer(refusal(s.fence(term, candidate))) })
+}
+
+func (l link) Promote(ctx context.Context, term group.Term, candidate string) (group.Status, error) {
+	return l.call(ctx, func(s *fakeServer, answer func(error)) {
+		ok := s.promote(term, candidate)
+		if ok {
+			l.w.promoted(term, s)
+		}
+		answer(refusal(ok))
+	})
+}
+
+func (l link) Follow(ctx context.Context, term group.Term, primary string) (group.Status, error) {
+	return l.call(ctx, func(s *fakeServer, answer func(error)) { answer(refusal(s.follow(term, primary))) })
+}
+
+// promoted records the primary of a term. Two primaries of one term fail the test.
+func (w *world) promoted(term group.Term, s *fakeServer) {
+	if other, ok := w.primaries[term]; ok && other != s.name {
+		w.t.Errorf("term %d has two primaries, %s and %s", term, other, s.name)
+	}
+	if _, ok := w.primaries[term]; !ok {
+		w.primaries[term] = s.name
+		for _, f := range w.elected {
+			f(term, s)
+		}
+	}
+	w.spread(s)
+}
--- /dev/null
+++ b/entry/monitor.go
@@ -0,0 +1,403 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/ring"
+)
+
+const (
+	// WatchPeriod is how often a watcher asks each server, and any instance while a caller waits.
+	WatchPeriod = 250 * time.Millisecond
+	// IdleTicks is the number of watch periods between two questions of an instance that does not watch the group.
+	IdleTicks = 4
+	// AnswerLimit is how long a server may take to answer a question, apart from the time it was asked to wait.
+	AnswerLimit = time.Second
+	// PositionWait is how long a server is asked to wait for a position before it answers without it.
+	PositionWait = time.Second
+	// MaxWaiters bounds the callers that wait at one monitor.
+	MaxWaiters = 4096
+
+	monitorCapacity = 256
+)
+
+// MonitorConfig is what a Monitor needs.
+type MonitorConfig struct {
+	Group   string
+	Members []group.Member
+	Timer   port.Timer
+	// Connect returns the maintenance side of a server. It must not block.
+	Connect func(m group.Member) port.Server
+	// Watching is true when the instance starts as a watcher of the group.
+	Watching bool
+}
+
+// Monitor is the duty that keeps the view of one group. It owns the view; callers read the published one and wait for
+// a later one.
+type Monitor struct {
+	cfg       MonitorConfig
+	inbox     *ring.Ring[monitorMessage]
+	published atomic.Pointer[group.View]
+
+	// The fields below belong to the loop.
+	view        group.View
+	watching    bool
+	ticks       int
+	servers     map[string]*watched
+	waiters     []*waiter
+	subscribers []*ring.Ring[group.View]
+	running     sync.WaitGroup
+}
+
+// NewMonitor returns a Monitor that knows nothing of its group until Run.
+func NewMonitor(cfg MonitorConfig) *Monitor {
+	m := &Monitor{
+		cfg:      cfg,
+		inbox:    ring.New[monitorMessage](monitorCapacity),
+		view:     group.NewView(cfg.Members...),
+		watching: cfg.Watching,
+		servers:  make(map[string]*watched),
+	}
+	m.publish()
+	return m
+}
+
+// monitorMessage is what a monitor takes from its ring. It is one of ticked, answered, joined, membersChanged,
+// watchingChanged, observed and subscribed.
+type monitorMessage interface{ monitorMessage() }
+
+type ticked struct{}
+
+type answered struct {
+	by          *asker
+	question    question
+	observation group.Observation
+	err         error
+}
+
+type joined struct{ waiter *waiter }
+
+type membersChanged struct{ members []group.Member }
+
+type watchingChanged struct{ watching bool }
+
+type observed struct{ observation group.Observation }
+
+type subscribed struct{ ring *ring.Ring[group.View] }
+
+func (ticked) monitorMessage()          {}
+func (answered) monitorMessage()        {}
+func (joined) monitorMessage()          {}
+func (membersChanged) monitorMessage()  {}
+func (watchingChanged) monitorMessage() {}
+func (observed) monitorMessage()        {}
+func (subscribed) monitorMessage()      {}
+
+// waiter is a caller that waits for a view. A position that is not zero is asked for at the servers.
+type waiter struct {
+	done     <-chan struct{}
+	holds    func(group.View) bool
+	position group.Position
+	reply    *ring.Ring[reply]
+}
+
+type reply struct {
+	view group.View
+	err  error
+}
+
+// gone reports whether the caller has stopped waiting.
+func (w *waiter) gone() bool {
+	select {
+	case <-w.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// watched is a server with its two asking duties. Questions that wait for a position have a duty of their own, so that
+// they do not hold up the others.
+type watched struct {
+	member   group.Member
+	poller   *asker
+	awaiter  *asker
+	awaiting bool
+	stop     context.CancelFunc
+}
+
+// Group returns the name of the group.
+func (m *Monitor) Group() string { return m.cfg.Group }
+
+// View returns the latest view.
+func (m *Monitor) View() group.View { return *m.published.Load() }
+
+// Await waits until holds is true of the view. holds must be quick, because it runs in the monitor's loop. Errors are of
+// kind Unavailable when too many callers wait, or the context's cause.
+func (m *Monitor) Await(ctx context.Context, holds func(group.View) bool) (group.View, error) {
+	return m.AwaitPosition(ctx, group.Position{}, holds)
+}
+
+// AwaitPosition waits like Await, and has the servers tell as soon as they hold p.
+func (m *Monitor) AwaitPosition(ctx context.Context, p group.Position, holds func(group.View) bool) (group.View, error) {
+	if v := m.View(); holds(v) {
+		return v, nil
+	}
+	w := &waiter{done: ctx.Done(), holds: holds, position: p, reply: ring.New[reply](1)}
+	if err := m.inbox.Put(ctx, joined{w}); err != nil {
+		return group.View{}, err
+	}
+	answer, err := w.reply.Take(ctx)
+	if err != nil {
+		return group.View{}, err
+	}
+	return answer.view, answer.err
+}
+
+// Newest returns a position that lies at or after every write that was acknowledged before the call.
+func (m *Monitor) Newest(ctx context.Context) (group.Position, error) {
+	since := m.cfg.Timer.Now()
+	v, err := m.Await(ctx, func(v group.View) bool {
+		_, known := v.Newest(since)
+		return known
+	})
+	if err != nil {
+		return group.Position{}, err
+	}
+	newest, _ := v.Newest(since)
+	return newest, nil
+}
+
+// SetMembers replaces the members of the group.
+func (m *Monitor) SetMembers(ctx context.Context, members ...group.Member) error {
+	return m.inbox.Put(ctx, membersChanged{members})
+}
+
+// SetWatching sets whether this instance is a watcher of the group.
+func (m *Monitor) SetWatching(ctx context.Context, watching bool) error {
+	return m.inbox.Put(ctx, watchingChanged{watching})
+}
+
+// Observe adds a status that another duty received.
+func (m *Monitor) Observe(ctx context.Context, o group.Observation) error {
+	return m.inbox.Put(ctx, observed{o})
+}
+
+// Subscribe puts each later view into r, which drops the oldest when it is full.
+func (m *Monitor) Subscribe(ctx context.Context, r *ring.Ring[group.View]) error {
+	return m.inbox.Put(ctx, subscribed{r})
+}
+
+// Run keeps the view until ctx ends.
+func (m *Monitor) Run(ctx context.Context) { m.loop(ctx) }
+
+func (m *Monitor) loop(ctx context.Context) {
+	stop := m.cfg.Timer.Every(WatchPeriod, func(time.Duration) { m.inbox.Offer(ticked{}) })
+	defer stop()
+	defer m.running.Wait()
+	m.connect(ctx)
+	m.askAll()
+	for {
+		message, err := m.inbox.Take(ctx)
+		if err != nil {
+			m.dismiss()
+			return
+		}
+		m.handle(ctx, message)
+	}
+}
+
+func (m *Monitor) handle(ctx context.Context, message monitorMessage) {
+	switch message := message.(type) {
+	case ticked:
+		m.tick()
+	case answered:
+		m.take(message)
+	case joined:
+		m.join(message.waiter)
+	case membersChanged:
+		m.view = m.view.WithMembers(message.members...)
+		m.connect(ctx)
+		m.askAll()
+		m.publish()
+	case watchingChanged:
+		m.watching = message.watching
+	case observed:
+		m.view = m.view.WithObservation(message.observation)
+		m.publish()
+	case subscribed:
+		m.subscribers = append(m.subscribers, message.ring)
+	}
+}
+
+// tick asks the servers when it is time. It looks at the waiters too, because what they wait for may depend on time.
+func (m *Monitor) tick() {
+	m.ticks++
+	m.serve()
+	if m.watching || len(m.waiters) > 0 || m.ticks%IdleTicks == 0 {
+		m.askAll()
+	}
+	m.askPositions()
+	m.notify()
+}
+
+func (m *Monitor) take(a answered) {
+	w, ok := m.servers[a.by.member.Name]
+	if !ok || a.by != w.poller && a.by != w.awaiter {
+		return
+	}
+	if a.by == w.awaiter {
+		w.awaiting = false
+	}
+	if a.err != nil {
+		return
+	}
+	m.view = m.view.WithObservation(a.observation)
+	m.publish()
+	// A server that answers without the position is asked again at the next tick, so that it cannot cause a
+	// question for each round trip.
+	if a.by == w.awaiter && a.observation.Status.History.Contains(a.question.await) {
+		m.askPosition(w)
+	}
+}
+
+func (m *Monitor) join(w *waiter) {
+	if w.holds(m.view) {
+		w.reply.Offer(reply{view: m.view})
+		return
+	}
+	if len(m.waiters) >= MaxWaiters {
+		m.serve()
+	}
+	if len(m.waiters) >= MaxWaiters {
+		w.reply.Offer(reply{err: port.Failf(port.Unavailable, "more than %d callers wait for group %q", MaxWaiters, m.cfg.Group)})
+		return
+	}
+	m.waiters = append(m.waiters, w)
+	if w.position.IsZero() {
+		m.askAll()
+		return
+	}
+	m.askPositions()
+}
+
+// serve answers the waiters for which the view will do and forgets those that have gone.
+func (m *Monitor) serve() {
+	kept := m.waiters[:0]
+	for _, w := range m.waiters {
+		switch {
+		case w.gone():
+		case w.holds(m.view):
+			w.reply.Offer(reply{view: m.view})
+		default:
+			kept = append(kept, w)
+		}
+	}
+	clear(m.waiters[len(kept):])
+	m.waiters = kept
+}
+
+func (m *Monitor) dismiss() {
+	for _, w := range m.waiters {
+		w.reply.Offer(reply{err: port.Failf(port.Stopping, "monitor of group %q has stopped", m.cfg.Group)})
+	}
+	m.waiters = nil
+}
+
+func (m *Monitor) publish() {
+	v := m.view
+	m.published.Store(&v)
+	m.serve()
+	m.notify()
+}
+
+func (m *Monitor) notify() {
+	for _, r := range m.subscribers {
+		r.Push(m.view)
+	}
+}
+
+func (m *Monitor) askAll() {
+	for _, w := range m.servers {
+		w.poller.questions.Offer(question{})
+	}
+}
+
+func (m *Monitor) askPositions() {
+	for _, w := range m.servers {
+		m.askPosition(w)
+	}
+}
+
+// askPosition has the server tell when it holds the first position that a caller waits for and that the server did not
+// hold at its last answer. One question is outstanding at a time.
+func (m *Monitor) askPosition(w *watched) {
+	if w.awaiting {
+		return
+	}
+	p, ok := m.firstMissing(w.member.Name)
+	if !ok {
+		return
+	}
+	w.awaiting = w.awaiter.questions.Offer(question{await: p, maxWait: PositionWait})
+}
+
+func (m *Monitor) firstMissing(server string) (group.Position, bool) {
+	var first group.Position
+	o, _ := m.view.Observation(server)
+	for _, w := range m.waiters {
+		p := w.position
+		if p.IsZero() || o.Status.Followed > p.Term || o.Status.History.Contains(p) {
+			continue
+		}
+		if first.IsZero() || p.Compare(first) < 0 {
+			first = p
+		}
+	}
+	return first, !first.IsZero()
+}
+
+// connect starts asking duties for new members and ends those of members that left or moved.
+func (m *Monitor) connect(ctx context.Context) {
+	members := make(map[string]group.Member)
+	for _, member := range m.view.Members() {
+		members[member.Name] = member
+	}
+	for name, w := range m.servers {
+		if member, ok := members[name]; !ok || member.Address != w.member.Address {
+			w.stop()
+			delete(m.servers, name)
+		}
+	}
+	for name, member := range members {
+		if _, ok := m.servers[name]; !ok {
+			m.servers[name] = m.watch(ctx, member)
+		}
+	}
+}
+
+func (m *Monitor) watch(ctx context.Context, member group.Member) *watched {
+	ctx, stop := context.WithCancel(ctx)
+	server := m.cfg.Connect(member)
+	w := &watched{member: member, stop: stop}
+	w.poller = m.start(ctx, member, server)
+	w.awaiter = m.start(ctx, member, server)
+	return w
+}
+
+func (m *Monitor) start(ctx context.Context, member group.Member, server port.Server) *asker {
+	a := &asker{
+		member:    member,
+		server:    server,
+		timer:     m.cfg.Timer,
+		questions: ring.New[question](1),
+		answers:   m.inbox,
+	}
+	m.running.Go(func() { a.loop(ctx) })
+	return a
+}
--- /dev/null
+++ b/entry/monitor_test.go
@@ -0,0 +1,176 @@
+package entry_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/entry"
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/session"
+)
+
+// inWorld runs body in a bubble with a fake group, and waits until every duty has ended.
+func inWorld(t *testing.T, seed uint64, servers int, body func(ctx context.Context, w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		body(ctx, newWorld(t, seed, servers))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func startMonitor(ctx context.Context, w *world, from string, watching bool) *entry.Monitor {
+	m := entry.NewMonitor(entry.MonitorConfig{
+		Group: testGroup, Members: w.members(), Timer: w.timer, Connect: w.connect(from), Watching: watching,
+	})
+	go m.Run(ctx)
+	return m
+}
+
+func startDirector(w *world, m *entry.Monitor) *entry.GroupDirector {
+	return entry.NewGroupDirector(entry.GroupDirectorConfig{
+		DataCentre: "dc0", Timer: w.timer,
+		Monitor: func(string) (*entry.Monitor, bool) { return m, true },
+	})
+}
+
+func writer() entry.Caller {
+	return entry.Caller{Route: document.Route{Group: testGroup, Kind: document.Write}, Session: session.New("north")}
+}
+
+func reader(s session.Session) entry.Caller {
+	return entry.Caller{Route: document.Route{Group: testGroup, Kind: document.Read}, Read: true, Session: s}
+}
+
+// outcome is the end of a call that runs beside the test.
+type outcome[T any] struct {
+	value T
+	err   error
+	at    time.Duration
+	done  bool
+}
+
+func start[T any](w *world, f func() (T, error)) *outcome[T] {
+	o := &outcome[T]{}
+	go func() {
+		value, err := f()
+		w.locked(func() { *o = outcome[T]{value, err, w.timer.Now(), true} })
+	}()
+	return o
+}
+
+func (o *outcome[T]) await(w *world, limit time.Duration) (T, error) {
+	w.t.Helper()
+	w.runUntil(limit, "end of the call", func() bool { synctest.Wait(); return o.done })
+	return o.value, o.err
+}
+
+func place(ctx context.Context, w *world, d entry.Director, c entry.Caller) *outcome[entry.Target] {
+	return start(w, func() (entry.Target, error) { return d.Place(ctx, c) })
+}
+
+func acknowledge(ctx context.Context, w *world, d entry.Director, p group.Position) *outcome[struct{}] {
+	return start(w, func() (struct{}, error) { return struct{}{}, d.Acknowledge(ctx, testGroup, p) })
+}
+
+// Guards against a healthy group that is not served, and against an acknowledgment that waits for a poll.
+func TestHealthyGroup(t *testing.T) {
+	inWorld(t, 1, 3, func(ctx context.Context, w *world) {
+		d := startDirector(w, startMonitor(ctx, w, "entry", false))
+		target, err := place(ctx, w, d, writer()).await(w, time.Second)
+		require.NoError(t, err)
+		require.Equal(t, entry.Target{Group: testGroup, Server: "s0", Address: "s0", Term: 1}, target)
+
+		p, ok := w.write("s0", 1)
+		require.True(t, ok)
+		began := w.timer.Now()
+		_, err = acknowledge(ctx, w, d, p).await(w, time.Second)
+		require.NoError(t, err)
+		require.Less(t, w.timer.Now()-began, 4*fakeLatency)
+
+		target, err = place(ctx, w, d, reader(session.New("north").WithFloor(testGroup, p))).await(w, time.Second)
+		require.NoError(t, err)
+		require.True(t, target.Replica)
+	})
+}
+
+func newest(ctx context.Context, w *world, m *entry.Monitor) *outcome[group.Position] {
+	return start(w, func() (group.Position, error) { return m.Newest(ctx) })
+}
+
+// Guards against a server that holds up the callers of others, and against an answer for the newest position without a
+// majority.
+func TestNewest(t *testing.T) {
+	inWorld(t, 2, 3, func(ctx context.Context, w *world) {
+		m := startMonitor(ctx, w, "entry", false)
+		w.freeze("s2")
+		_, err := newest(ctx, w, m).await(w, 3*fakeLatency)
+		require.NoError(t, err)
+
+		w.kill("s1")
+		p, ok := w.write("s0", 1)
+		require.True(t, ok)
+		waiting := newest(ctx, w, m)
+		w.run(5 * time.Second)
+		require.False(t, waiting.done)
+		w.thaw("s2")
+		got, err := waiting.await(w, time.Second)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, got.Compare(p), 0)
+	})
+}
+
+// Guards against a caller that waits without end, and against one that is not served when the servers are back.
+func TestPlacementEnds(t *testing.T) {
+	inWorld(t, 3, 3, func(ctx context.Context, w *world) {
+		d := startDirector(w, startMonitor(ctx, w, "entry", false))
+		for _, name := range w.names {
+			w.cut("entry", name, true)
+		}
+		for _, c := range []entry.Caller{writer(), reader(session.New("north"))} {
+			_, err := place(ctx, w, d, c).await(w, entry.PlacementLimit+time.Second)
+			requireKind(t, port.NoPrimary, err)
+		}
+		waiting := place(ctx, w, d, writer())
+		w.run(time.Second)
+		w.heal()
+		_, err := waiting.await(w, 2*time.Second)
+		require.NoError(t, err)
+	})
+}
+
+// Guards against an acknowledgment that waits for a lagging replica, or that comes without a majority.
+func TestAcknowledgmentByMajority(t *testing.T) {
+	inWorld(t, 4, 3, func(ctx context.Context, w *world) {
+		d := startDirector(w, startMonitor(ctx, w, "entry", false))
+		w.lag["s2"] = 10 * time.Second
+		p, _ := w.write("s0", 1)
+		_, err := acknowledge(ctx, w, d, p).await(w, 10*fakeLatency)
+		require.NoError(t, err)
+		require.True(t, w.nodes["s1"].holds(1))
+		require.False(t, w.nodes["s2"].holds(1))
+
+		w.kill("s1")
+		p, _ = w.write("s0", 2)
+		waiting := acknowledge(ctx, w, d, p)
+		w.run(5 * time.Second)
+		require.False(t, waiting.done)
+		w.restart("s1", false)
+		w.locked(func() { w.nodes["s1"].primary = "s0" })
+		_, err = waiting.await(w, time.Second)
+		require.NoError(t, err)
+	})
+}
+
+func requireKind(t *testing.T, want port.Kind, err error) {
+	t.Helper()
+	require.Error(t, err)
+	require.Equal(t, want, port.KindOf(err), "%v", err)
+}
--- a/group/position.go
+++ b/group/position.go
@@ -139,6 +139,16 @@
 	return p.Offset > 0 && p.Offset <= h.last && h.termAt(p.Offset) == p.Term
 }
 
+// FirstOf returns the position of the first entry of a term. It reports false when the log holds none.
+func (h History) FirstOf(term Term) (Position, bool) {
+	for _, era := range h.eras {
+		if era.Term == term && era.First <= h.last {
+			return Position{Term: term, Offset: era.First}, true
+		}
+	}
+	return Position{}, false
+}
+
 func (h History) termAt(offset uint64) Term {
 	var term Term
 	for _, era := range h.eras {
--- a/group/view.go
+++ b/group/view.go
@@ -132,6 +132,42 @@
 	return holders >= v.Majority()
 }
 
+// Settlement is what became of a write.
+type Settlement string
+
+// The settlements of a write.
+const (
+	// Unsettled means that the write may yet be kept or discarded.
+	Unsettled Settlement = ""
+	// Kept means that the write is in the log of every later primary.
+	Kept Settlement = "kept"
+	// Lost means that no later log contains the write.
+	Lost Settlement = "lost"
+)
+
+// Settle reports what became of a write at p. When the first entry of a later term is held by a majority, every later
+// log contains the log up to that entry, so its history settles whether the write was kept.
+func (v View) Settle(p Position) Settlement {
+	if v.Acknowledged(p) {
+		return Kept
+	}
+	for _, member := range v.members {
+		o, ok := v.seen[member.Name]
+		if !ok || o.Status.Followed <= p.Term {
+			continue
+		}
+		first, found := o.Status.History.FirstOf(o.Status.Followed)
+		if !found || !v.Acknowledged(first) {
+			continue
+		}
+		if o.Status.History.Contains(p) {
+			return Kept
+		}
+		return Lost
+	}
+	return Unsettled
+}
+
 // Newest returns a position that lies at or after every write that was acknowledged before instant since. It
 // reports false until a majority of the servers was asked at since or later. An acknowledged write is in the logs of
 // a majority, so one of the asked servers holds it, and the furthest of their logs does.
--- a/session/placement.go
+++ b/session/placement.go
@@ -37,6 +37,13 @@
 	return r
 }
 
+// WithoutNewest returns the request without the position that WithNewest gave it.
+func (r Request) WithoutNewest() Request {
+	r.newest = group.Position{}
+	r.newestKnown = false
+	return r
+}
+
 // Placement is where a request goes. It is one of ToPrimary, ToServer, AwaitNewest, AwaitPrimary and AwaitServer.
 type Placement interface{ placement() }
 
