--- /dev/null
+++ b/document/check.go
@@ -0,0 +1,253 @@
+package document
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+)
+
+// Fault is one thing that is wrong with a document or an edit.
+type Fault struct {
+	// Path leads to the field, for example "routes[2].slot".
+	Path string
+	// Value is what was given.
+	Value string
+	// Allowed says what may be given.
+	Allowed string
+}
+
+// String returns the fault as one line.
+func (f Fault) String() string {
+	return fmt.Sprintf("%s: %s is given; allowed: %s", f.Path, f.Value, f.Allowed)
+}
+
+const (
+	maxShownValue = 80
+	allowedName   = "1 to 63 characters: a lower-case letter, then lower-case letters, digits, _ or -"
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z][a-z0-9_-]{0,62}$`)
+	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	checker     = newChecker()
+)
+
+// Check returns every fault of the document.
+func (d Document) Check() []Fault {
+	faults := checkFields(d)
+	faults = append(faults, d.checkOrganisations()...)
+	faults = append(faults, d.checkGroups()...)
+	return append(faults, d.checkRoutes()...)
+}
+
+func (d Document) checkOrganisations() []Fault {
+	var faults []Fault
+	names := seen{}
+	hashes := seen{}
+	for i, o := range d.Organisations {
+		path := fmt.Sprintf("organisations[%d]", i)
+		faults = names.check(faults, path+".name", o.Name)
+		if o.Name == OpenOrganisation {
+			faults = append(faults, Fault{path + ".name", quote(o.Name), "a name other than the reserved \"open\""})
+		}
+		ids := seen{}
+		for j, k := range o.Keys {
+			path := fmt.Sprintf("%s.keys[%d]", path, j)
+			faults = ids.check(faults, path+".id", k.ID)
+			// A key of two organisations would let its holder choose between them.
+			faults = hashes.check(faults, path+".sha256", k.SHA256)
+		}
+	}
+	return faults
+}
+
+func (d Document) checkGroups() []Fault {
+	var faults []Fault
+	names := seen{}
+	addresses := seen{}
+	for i, g := range d.Groups {
+		path := fmt.Sprintf("groups[%d]", i)
+		faults = names.check(faults, path+".name", g.Name)
+		slots := seen{}
+		for j, slot := range g.Slots {
+			faults = slots.check(faults, fmt.Sprintf("%s.slots[%d]", path, j), slot)
+		}
+		servers := seen{}
+		for j, s := range g.Servers {
+			path := fmt.Sprintf("%s.servers[%d]", path, j)
+			faults = servers.check(faults, path+".name", s.Name)
+			// Two entries of one server would each allow its full number of connections.
+			faults = addresses.check(faults, path+".address", s.Address)
+		}
+	}
+	return faults
+}
+
+func (d Document) checkRoutes() []Fault {
+	var faults []Fault
+	names := seen{}
+	for i, r := range d.Routes {
+		path := fmt.Sprintf("routes[%d]", i)
+		faults = names.check(faults, path+".name", r.Name)
+		faults = append(faults, d.checkReferences(path, r)...)
+		faults = append(faults, checkRate(path, r)...)
+	}
+	return faults
+}
+
+func (d Document) checkReferences(path string, r Route) []Fault {
+	g, found := d.FindGroup(r.Group)
+	if !found {
+		return []Fault{{path + ".group", quote(r.Group), "the name of a group in groups"}}
+	}
+	if !slices.Contains(g.Slots, r.Slot) {
+		return []Fault{{path + ".slot", quote(r.Slot), fmt.Sprintf("a slot of group %s", g.Name)}}
+	}
+	return nil
+}
+
+func checkRate(path string, r Route) []Fault {
+	var faults []Fault
+	if !r.Open {
+		if r.Rate != 0 {
+			faults = append(faults, Fault{path + ".rate", number(r.Rate), "no rate, because the route is not open"})
+		}
+		if r.Burst != 0 {
+			faults = append(faults, Fault{path + ".burst", number(r.Burst), "no burst, because the route is not open"})
+		}
+		return faults
+	}
+	if r.Kind != Read {
+		faults = append(faults, Fault{path + ".kind", quote(string(r.Kind)), "\"read\", because the route is open"})
+	}
+	if r.Rate <= 0 {
+		faults = append(faults, Fault{path + ".rate", number(r.Rate), "a rate above 0, because the route is open"})
+	}
+	if r.Burst < 1 {
+		faults = append(faults, Fault{path + ".burst", number(r.Burst), "a burst of 1 or more, because the route is open"})
+	}
+	return faults
+}
+
+// seen keeps where each value was given first.
+type seen map[string]string
+
+func (s seen) check(faults []Fault, path, value string) []Fault {
+	first, found := s[value]
+	if !found {
+		s[value] = path
+		return faults
+	}
+	return append(faults, Fault{path, shown(path, value), "a value other than that of " + first})
+}
+
+func newChecker() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		return name
+	})
+	register(v, "name", namePattern.MatchString)
+	register(v, "sha256_hex", hashPattern.MatchString)
+	register(v, "ip_port", isAddress)
+	return v
+}
+
+func register(v *validator.Validate, tag string, match func(string) bool) {
+	check := func(f validator.FieldLevel) bool { return match(f.Field().String()) }
+	if err := v.RegisterValidation(tag, check); err != nil {
+		panic(fmt.Errorf("validation %q cannot be registered: %w", tag, err))
+	}
+}
+
+// isAddress accepts only the canonical text, so that one server has one address text.
+func isAddress(s string) bool {
+	a, err := netip.ParseAddrPort(s)
+	return err == nil && a.Port() != 0 && a.Addr().Zone() == "" && a.String() == s
+}
+
+func checkFields(value any) []Fault {
+	err := checker.Struct(value)
+	if err == nil {
+		return nil
+	}
+	invalid, ok := err.(validator.ValidationErrors) //nolint:errorlint // The validator returns it unwrapped.
+	if !ok {
+		return []Fault{{"document", err.Error(), "a document"}}
+	}
+	faults := make([]Fault, 0, len(invalid))
+	for _, f := range invalid {
+		_, path, _ := strings.Cut(f.Namespace(), ".")
+		faults = append(faults, Fault{path, shown(path, f.Value()), allowed(f)})
+	}
+	return faults
+}
+
+// allowed says what the failed check lets through.
+func allowed(f validator.FieldError) string {
+	sized := f.Kind() == reflect.Slice || f.Kind() == reflect.String
+	unit := ""
+	if f.Kind() == reflect.Slice {
+		unit = " entries"
+	} else if f.Kind() == reflect.String {
+		unit = " characters"
+	}
+	switch f.Tag() {
+	case "required":
+		return "a value"
+	case "name":
+		return allowedName
+	case "sha256_hex":
+		return "64 lower-case hexadecimal digits, the SHA-256 of the key"
+	case "ip_port":
+		return "an IP address and a port, for example 10.0.0.1:5432 or [fd00::1]:5432"
+	case "oneof":
+		return strings.Join(strings.Fields(f.Param()), " or ")
+	case "gt":
+		return "a number above " + f.Param()
+	case "min", "gte":
+		return f.Param() + unit + " or more"
+	case "max", "lte":
+		if sized {
+			return "at most " + f.Param() + unit
+		}
+		return f.Param() + " or less"
+	default:
+		return f.Tag() + " " + f.Param()
+	}
+}
+
+// shown is the text of a value for a fault. A wrong hash may be a key by mistake, so its text is not shown.
+func shown(path string, value any) string {
+	switch v := value.(type) {
+	case string:
+		if strings.HasSuffix(path, ".sha256") {
+			return fmt.Sprintf("a text of %d characters", len(v))
+		}
+		return quote(v)
+	case Kind:
+		return quote(string(v))
+	case float64:
+		return number(v)
+	default:
+		if k := reflect.ValueOf(value).Kind(); k == reflect.Slice {
+			return fmt.Sprintf("%d entries", reflect.ValueOf(value).Len())
+		}
+		return fmt.Sprint(value)
+	}
+}
+
+func quote(s string) string {
+	if len(s) > maxShownValue {
+		s = s[:maxShownValue] + "…"
+	}
+	return strconv.Quote(s)
+}
+
+func number(f float64) string { return strconv.FormatFloat(f, 'g', -1, 64) }
--- /dev/null
+++ b/document/codec.go
@@ -0,0 +1,81 @@
+package document
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// MaxSize is the greatest size of an encoded document in bytes, the largest value that the store keeps.
+const MaxSize = 1 << 20
+
+// Parse reads and checks a document. It returns the document only when there is no fault.
+func Parse(data []byte) (Document, []Fault) {
+	if len(data) > MaxSize {
+		return Document{}, []Fault{sizeFault(len(data))}
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	var d Document
+	if err := decoder.Decode(&d); err != nil {
+		return Document{}, []Fault{decodeFault(err, decoder.InputOffset())}
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return Document{}, []Fault{{"document", fmt.Sprintf("text after byte %d", decoder.InputOffset()), "one JSON object"}}
+	}
+	if faults := d.Check(); len(faults) > 0 {
+		return Document{}, faults
+	}
+	return d, nil
+}
+
+// Encode returns the document's JSON. It fails when the document is too large for the store.
+func Encode(d Document) ([]byte, []Fault) {
+	data, err := json.Marshal(d.withEmptyLists())
+	if err != nil {
+		return nil, []Fault{{"document", err.Error(), "values that JSON can hold"}}
+	}
+	if len(data) > MaxSize {
+		return nil, []Fault{sizeFault(len(data))}
+	}
+	return data, nil
+}
+
+// withEmptyLists replaces absent lists by empty ones, so that the JSON shows [] instead of null.
+func (d Document) withEmptyLists() Document {
+	d.Organisations = append([]Organisation{}, d.Organisations...)
+	for i, o := range d.Organisations {
+		if o.Keys == nil {
+			d.Organisations[i].Keys = []Key{}
+		}
+	}
+	d.Groups = append([]Group{}, d.Groups...)
+	d.Routes = append([]Route{}, d.Routes...)
+	d.History = append([]Change{}, d.History...)
+	return d
+}
+
+func sizeFault(n int) Fault {
+	return Fault{"document", fmt.Sprintf("%d bytes", n), fmt.Sprintf("at most %d bytes", MaxSize)}
+}
+
+func decodeFault(err error, offset int64) Fault {
+	var mismatch *json.UnmarshalTypeError
+	if errors.As(err, &mismatch) {
+		return Fault{orDocument(mismatch.Field), mismatch.Value, "a " + mismatch.Type.String()}
+	}
+	if name, found := strings.CutPrefix(err.Error(), "json: unknown field "); found {
+		return Fault{strings.Trim(name, `"`), fmt.Sprintf("a field near byte %d", offset), "only the fields of a document"}
+	}
+	return Fault{"document", fmt.Sprintf("%s near byte %d", err, offset), "JSON"}
+}
+
+func orDocument(path string) string {
+	if path == "" {
+		return "document"
+	}
+	return path
+}
--- a/document/document.go
+++ b/document/document.go
@@ -12,20 +12,21 @@
 
 // Document states everything in force. A Document is never changed in place; its With methods return copies.
 type Document struct {
-	Revision      Revision       `json:"revision"`
-	Change        Change         `json:"change"`
+	Revision Revision `json:"revision"`
+	Change   Change   `json:"change"`
+	// Seats is the number of instances for which standing shares are kept.
 	Seats         int            `json:"seats" validate:"min=1,max=10000"`
 	Organisations []Organisation `json:"organisations" validate:"dive"`
 	Groups        []Group        `json:"groups" validate:"dive"`
 	Routes        []Route        `json:"routes" validate:"dive"`
 	// History holds the latest changes, newest last, at most MaxHistory of them.
-	History []Change `json:"history"`
+	History []Change `json:"history" validate:"max=32,dive"`
 }
 
 // Change records who made a revision. ID is drawn at random, so that a re-read after a lost answer tells the
 // caller's own change from another's.
 type Change struct {
-	ID       string    `json:"id"`
+	ID       string    `json:"id" validate:"max=100"`
 	Revision Revision  `json:"revision"`
 	Author   string    `json:"author" validate:"max=100"`
 	Summary  string    `json:"summary" validate:"max=500"`
@@ -35,34 +36,34 @@
 // Organisation is one business that shares the databases.
 type Organisation struct {
 	Name string `json:"name" validate:"required,name"`
-	Keys []Key  `json:"keys" validate:"dive"`
+	Keys []Key  `json:"keys" validate:"max=100,dive"`
 	// Rate is the number of statements a second over the whole fleet.
-	Rate float64 `json:"rate" validate:"gt=0"`
+	Rate float64 `json:"rate" validate:"gt=0,lte=10000000"`
 	// Burst is the number of statements that may come at once over the whole fleet.
-	Burst float64 `json:"burst" validate:"gte=1"`
+	Burst float64 `json:"burst" validate:"gte=1,lte=10000000"`
 }
 
 // Key is a caller's key, of which only the hash is kept.
 type Key struct {
 	ID string `json:"id" validate:"required,name"`
 	// SHA256 is the lower-case hexadecimal SHA-256 of the key's text.
-	SHA256 string `json:"sha256" validate:"required,len=64,hexadecimal"`
+	SHA256 string `json:"sha256" validate:"required,sha256_hex"`
 }
 
 // Group is a database group: servers that replicate one log.
 type Group struct {
 	Name    string   `json:"name" validate:"required,name"`
-	Slots   []string `json:"slots" validate:"min=1,dive,required,name"`
-	Servers []Server `json:"servers" validate:"min=1,dive"`
+	Slots   []string `json:"slots" validate:"min=1,max=1000,dive,required,name"`
+	Servers []Server `json:"servers" validate:"min=1,max=15,dive"`
 }
 
 // Server is one database server of a group.
 type Server struct {
 	Name       string `json:"name" validate:"required,name"`
-	Address    string `json:"address" validate:"required,hostname_port"`
+	Address    string `json:"address" validate:"required,ip_port"`
 	DataCentre string `json:"data_centre" validate:"required,name"`
 	// Connections is the number of connections that the whole fleet may hold to the server.
-	Connections int `json:"connections" validate:"min=1"`
+	Connections int `json:"connections" validate:"min=1,max=100000"`
 	// Departing servers get no new work.
 	Departing bool `json:"departing"`
 }
@@ -84,16 +85,23 @@
 	Slot string `json:"slot" validate:"required"`
 	Kind Kind   `json:"kind" validate:"oneof=read write"`
 	// AcceptedAgeMS is the age in milliseconds that a read accepts; zero means that it accepts none.
-	AcceptedAgeMS int64 `json:"accepted_age_ms" validate:"min=0"`
+	AcceptedAgeMS int64 `json:"accepted_age_ms" validate:"min=0,max=86400000"`
 	// Idempotent statements may be sent again after an unknown outcome.
 	Idempotent bool `json:"idempotent"`
 	// Open routes need no key. Their requests run for the organisation "open".
 	Open bool `json:"open"`
 	// Rate and Burst limit an open route over the whole fleet; other routes count for the caller's organisation.
-	Rate  float64 `json:"rate,omitempty" validate:"gte=0"`
-	Burst float64 `json:"burst,omitempty" validate:"gte=0"`
+	Rate  float64 `json:"rate,omitempty" validate:"gte=0,lte=10000000"`
+	Burst float64 `json:"burst,omitempty" validate:"gte=0,lte=10000000"`
 }
 
+// DefaultSeats is the number of seats of a document that states none.
+const DefaultSeats = 32
+
+// MaxHistory is the number of latest changes that a document keeps. At 12,000 changes a day it covers four minutes,
+// in which the next operator completes the audit records of one that died.
+const MaxHistory = 32
+
 // OpenOrganisation is the organisation for which requests on open routes run.
 const OpenOrganisation = "open"
 
