--- /dev/null
+++ b/adapter/peer/client.go
@@ -0,0 +1,123 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/entry"
+	peerv1 "github.com/rhubarbwick/rhubarbwick/gen/rhubarbwick/peer/v1"
+	"github.com/rhubarbwick/rhubarbwick/gen/rhubarbwick/peer/v1/peerv1connect"
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+// Client calls other instances. Use NewClient; a zero Client refuses every call. Callers bound the time of a call
+// through its context.
+type Client struct {
+	http       *http.Client
+	credential string
+}
+
+var _ entry.RelayClient = (*Client)(nil)
+
+// NewClient returns a client that shows the fleet's secret.
+func NewClient(secret []byte) (*Client, error) {
+	shown, err := credential(secret)
+	if err != nil {
+		return nil, err
+	}
+	transport := &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxConnsPerHost:        MaxVouches,
+		MaxResponseHeaderBytes: maxHeader,
+		IdleConnTimeout:        idleTimeout,
+	}
+	return &Client{http: &http.Client{Transport: transport}, credential: shown}, nil
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	if c.http != nil {
+		c.http.CloseIdleConnections()
+	}
+}
+
+// Follow asks the instance at the address for the document.
+func (c *Client) Follow(ctx context.Context, address string, poll entry.RelayPoll) (entry.RelayReport, error) {
+	calls, err := c.calls(address)
+	if err != nil {
+		return entry.RelayReport{}, err
+	}
+	req := connect.NewRequest(&peerv1.FollowRequest{
+		KnownRevision: uint64(poll.Known),
+		WaitMs:        uint32(poll.Wait.Milliseconds()),
+	})
+	req.Header().Set("Authorization", c.credential)
+	res, err := calls.Follow(ctx, req)
+	if err != nil {
+		return entry.RelayReport{}, port.Wrapf(err, port.Unavailable, "instance %s does not answer", address)
+	}
+	report, err := reportOf(res.Msg)
+	return report, port.Wrapf(err, port.Unavailable, "instance %s gave a faulty answer", address)
+}
+
+// Offer hands a document to the instance at the address.
+func (c *Client) Offer(ctx context.Context, address string, d document.Document) (document.Revision, error) {
+	calls, err := c.calls(address)
+	if err != nil {
+		return 0, err
+	}
+	data, faults := document.Encode(d)
+	if len(faults) > 0 {
+		return 0, port.Wrapf(entry.EditFaults(faults), port.Invalid, "revision %d cannot be sent", d.Revision)
+	}
+	req := connect.NewRequest(&peerv1.OfferRequest{Document: data})
+	req.Header().Set("Authorization", c.credential)
+	res, err := calls.Offer(ctx, req)
+	if err != nil {
+		return 0, port.Wrapf(err, port.Unavailable, "instance %s does not answer", address)
+	}
+	return document.Revision(res.Msg.GetRevision()), nil
+}
+
+func (c *Client) calls(address string) (peerv1connect.RelayServiceClient, error) {
+	if c.http == nil {
+		return nil, port.Failf(port.Unavailable, "the client knows no fleet secret")
+	}
+	return peerv1connect.NewRelayServiceClient(c.http, "http://"+address,
+		connect.WithReadMaxBytes(MaxMessage),
+		connect.WithSendMaxBytes(MaxMessage),
+		connect.WithCompressMinBytes(compressFrom),
+	), nil
+}
+
+// reportOf checks an answer. A document must be without faults and of the revision that the answer names.
+func reportOf(m *peerv1.FollowResponse) (entry.RelayReport, error) {
+	if len(m.GetVouches()) > MaxVouches {
+		return entry.RelayReport{}, port.Failf(port.Protocol, "%d vouches, at most %d are allowed", len(m.GetVouches()), MaxVouches)
+	}
+	report := entry.RelayReport{
+		Revision:  document.Revision(m.GetRevision()),
+		Confirmed: m.AgeMs != nil,
+		Age:       millis(m.GetAgeMs()),
+		Held:      millis(uint64(m.GetHeldMs())),
+	}
+	for _, v := range m.GetVouches() {
+		report.Vouches = append(report.Vouches, entry.Vouch{DataCentre: v.GetDataCentre(), Age: millis(v.GetAgeMs())})
+	}
+	if len(m.GetDocument()) == 0 {
+		return report, nil
+	}
+	d, faults := document.Parse(m.GetDocument())
+	if len(faults) > 0 {
+		return entry.RelayReport{}, port.Wrapf(entry.EditFaults(faults), port.Protocol, "revision %d has faults", m.GetRevision())
+	}
+	if d.Revision != report.Revision {
+		return entry.RelayReport{}, port.Failf(port.Protocol, "document has revision %d, the answer names %d", d.Revision, report.Revision)
+	}
+	report.Document = d
+	return report, nil
+}
--- /dev/null
+++ b/adapter/peer/peer.go
@@ -0,0 +1,53 @@
+// Package peer carries the document between instances over connect-go.
+package peer
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+const (
+	// MaxMessage bounds a message: the largest document and the fields beside it.
+	MaxMessage = document.MaxSize + 64<<10
+	// MaxVouches bounds the vouches of a report. There are 16 data centres in two years.
+	MaxVouches = 256
+	// MaxCalls bounds the calls that an instance answers at once. A relay has about 100 followers in two years, and
+	// 200 when the other relay of its data centre dies.
+	MaxCalls = 1024
+	// MinSecret is the smallest length of the fleet's secret in bytes.
+	MinSecret = 32
+
+	// compressFrom is the size in bytes from which messages are compressed. Smaller ones grow.
+	compressFrom = 1024
+	maxHeader    = 16 << 10
+	idleTimeout  = time.Minute
+	dialTimeout  = time.Second
+)
+
+// credential returns what an instance shows to another one. It is derived, so that the secret itself, which also
+// signs session tokens, is never sent.
+func credential(secret []byte) (string, error) {
+	if len(secret) < MinSecret {
+		return "", port.Failf(port.Invalid, "fleet secret has %d bytes, at least %d are needed", len(secret), MinSecret)
+	}
+	h := hmac.New(sha256.New, secret)
+	h.Write([]byte("rhubarbwick peer 1"))
+	return "Bearer " + hex.EncodeToString(h.Sum(nil)), nil
+}
+
+// ceilMillis rounds up, so that a rounded age never makes a document look fresher.
+func ceilMillis(d time.Duration) uint64 {
+	return uint64((max(d, 0) + time.Millisecond - 1) / time.Millisecond)
+}
+
+// millis converts a number of milliseconds. A number beyond a day, which no clock could count in a duration either,
+// becomes a day.
+func millis(n uint64) time.Duration {
+	const day = 24 * time.Hour
+	return time.Duration(min(n, uint64(day/time.Millisecond))) * time.Millisecond
+}
--- /dev/null
+++ b/adapter/peer/server.go
@@ -0,0 +1,140 @@
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"sync/atomic"
+
+	"connectrpc.com/connect"
+
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/entry"
+	peerv1 "github.com/rhubarbwick/rhubarbwick/gen/rhubarbwick/peer/v1"
+	"github.com/rhubarbwick/rhubarbwick/gen/rhubarbwick/peer/v1/peerv1connect"
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+// Relay answers other instances. entry.Follower implements it.
+type Relay interface {
+	Report(ctx context.Context, poll entry.RelayPoll) entry.RelayReport
+	Take(ctx context.Context, d document.Document) (document.Revision, error)
+}
+
+// Server answers other instances over HTTP. Use NewServer; a zero Server refuses every call.
+type Server struct {
+	relay      Relay
+	credential string
+	calls      chan struct{}
+	encoded    atomic.Pointer[encodedDocument]
+}
+
+var _ peerv1connect.RelayServiceHandler = (*Server)(nil)
+
+// encodedDocument is the JSON of the newest document that was sent, kept for the other followers.
+type encodedDocument struct {
+	revision document.Revision
+	data     []byte
+}
+
+// NewServer returns a server for instances that know the fleet's secret.
+func NewServer(relay Relay, secret []byte) (*Server, error) {
+	shown, err := credential(secret)
+	if err != nil {
+		return nil, err
+	}
+	return &Server{relay: relay, credential: shown, calls: make(chan struct{}, MaxCalls)}, nil
+}
+
+// Handler returns the handler of the server's calls. Calls beyond MaxCalls are refused at once.
+func (s *Server) Handler() http.Handler {
+	_, calls := peerv1connect.NewRelayServiceHandler(s,
+		connect.WithReadMaxBytes(MaxMessage),
+		connect.WithSendMaxBytes(MaxMessage),
+		connect.WithCompressMinBytes(compressFrom),
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		shown := []byte(r.Header.Get("Authorization"))
+		if s.credential == "" || subtle.ConstantTimeCompare(shown, []byte(s.credential)) != 1 {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		select {
+		case s.calls <- struct{}{}:
+			defer func() { <-s.calls }()
+			calls.ServeHTTP(w, r)
+		default:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// HTTPServer returns a server for the handler with bounded headers and times. The caller serves and closes it.
+func (s *Server) HTTPServer() *http.Server {
+	return &http.Server{
+		Handler:           s.Handler(),
+		ReadHeaderTimeout: entry.DocumentLimit,
+		ReadTimeout:       entry.EditCall,
+		WriteTimeout:      entry.DocumentWait + entry.EditCall,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
+}
+
+// Follow answers a poll.
+func (s *Server) Follow(
+	ctx context.Context, req *connect.Request[peerv1.FollowRequest],
+) (*connect.Response[peerv1.FollowResponse], error) {
+	poll := entry.RelayPoll{
+		Known: document.Revision(req.Msg.GetKnownRevision()),
+		Wait:  millis(uint64(req.Msg.GetWaitMs())),
+	}
+	report := s.relay.Report(ctx, poll)
+	res := &peerv1.FollowResponse{
+		Revision: uint64(report.Revision),
+		HeldMs:   uint32(min(report.Held, entry.DocumentWait).Milliseconds()),
+	}
+	if report.Document.Revision > 0 {
+		data, err := s.encode(report.Document)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeInternal, err)
+		}
+		res.Document = data
+	}
+	if report.Confirmed {
+		age := ceilMillis(report.Age)
+		res.AgeMs = &age
+	}
+	for _, v := range report.Vouches {
+		res.Vouches = append(res.Vouches, &peerv1.Vouch{DataCentre: v.DataCentre, AgeMs: ceilMillis(v.Age)})
+	}
+	return connect.NewResponse(res), nil
+}
+
+// Offer takes a document.
+func (s *Server) Offer(
+	ctx context.Context, req *connect.Request[peerv1.OfferRequest],
+) (*connect.Response[peerv1.OfferResponse], error) {
+	d, faults := document.Parse(req.Msg.GetDocument())
+	if len(faults) > 0 {
+		return nil, connect.NewError(connect.CodeInvalidArgument, entry.EditFaults(faults))
+	}
+	revision, err := s.relay.Take(ctx, d)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&peerv1.OfferResponse{Revision: uint64(revision)}), nil
+}
+
+// encode returns the document's JSON, which is made once for each revision.
+func (s *Server) encode(d document.Document) ([]byte, error) {
+	if e := s.encoded.Load(); e != nil && e.revision == d.Revision {
+		return e.data, nil
+	}
+	data, faults := document.Encode(d)
+	if len(faults) > 0 {
+		return nil, port.Wrapf(entry.EditFaults(faults), port.Internal, "revision %d cannot be sent", d.Revision)
+	}
+	s.encoded.Store(&encodedDocument{revision: d.Revision, data: data})
+	return data, nil
+}
--- /dev/null
+++ b/document/knowledge.go
@@ -0,0 +1,153 @@
+package document
+
+import (
+	"maps"
+	"time"
+)
+
+// FreshnessLimit is how old the last confirmation of the document may be. Beyond it a key may have been withdrawn
+// without this instance knowing, so keyed requests are refused.
+const FreshnessLimit = 10 * time.Second
+
+// Knowledge is what an instance knows of the document in force: the document and since when it may be out of date.
+// Instants are those of the instance's own monotonic clock. A Knowledge is never changed in place; the zero value
+// knows no document, and belongs to an instance that started at instant zero.
+type Knowledge struct {
+	index Index
+	start time.Duration
+	// confirmed is an instant at which no newer document was accepted.
+	confirmed      time.Duration
+	everConfirmed  bool
+	vouched        map[string]time.Duration
+	relaySince     time.Duration
+	relay          bool
+	ownDataCentre  string
+	allDataCentres []string
+}
+
+// NewKnowledge returns the knowledge of an instance that started at the instant. Confirmations from before the start
+// do not count: the instance may have known a newer document before it was restarted.
+func NewKnowledge(start time.Duration) Knowledge { return Knowledge{start: start} }
+
+// Index returns the document in force, indexed.
+func (k Knowledge) Index() Index { return k.index }
+
+// Document returns the document in force.
+func (k Knowledge) Document() Document { return k.index.document }
+
+// Revision returns the revision in force; zero means that no document is known.
+func (k Knowledge) Revision() Revision { return k.index.document.Revision }
+
+// WithDocument returns the knowledge with the document in force if it succeeds the current one, and unchanged if not.
+// A confirmation of the current one holds for its successor as well: nothing newer than the current one was accepted
+// by then.
+func (k Knowledge) WithDocument(d Document) Knowledge {
+	if !Succeeds(d, k.Document()) {
+		return k
+	}
+	k.index = NewIndex(d)
+	return k
+}
+
+// WithConfirmation returns the knowledge after it was confirmed that revision r was the newest at the instant. A
+// revision other than the one in force confirms nothing: a greater one is not in force here yet, and a smaller one
+// comes from a late answer or from a store that lost updates.
+func (k Knowledge) WithConfirmation(r Revision, at time.Duration) Knowledge {
+	if r != k.Revision() || at < k.start || (k.everConfirmed && at <= k.confirmed) {
+		return k
+	}
+	k.confirmed, k.everConfirmed = at, true
+	return k
+}
+
+// WithVouch returns the knowledge after a relay of the data centre vouched that no revision greater than r was known
+// there at the instant.
+func (k Knowledge) WithVouch(dataCentre string, r Revision, at time.Duration) Knowledge {
+	known, found := k.vouched[dataCentre]
+	if r > k.Revision() || at < k.start || (found && at <= known) {
+		return k
+	}
+	vouched := make(map[string]time.Duration, len(k.vouched)+1)
+	maps.Copy(vouched, k.vouched)
+	vouched[dataCentre] = at
+	k.vouched = vouched
+	return k
+}
+
+// WithDataCentres returns the knowledge with the data centres that have to vouch for each other while the store is
+// down.
+func (k Knowledge) WithDataCentres(names []string) Knowledge {
+	k.allDataCentres = names
+	return k
+}
+
+// WithRelay returns the knowledge of an instance that is, or is no longer, a relay of the data centre at the instant.
+func (k Knowledge) WithRelay(relay bool, dataCentre string, now time.Duration) Knowledge {
+	if relay && !k.relay {
+		k.relaySince = now
+	}
+	k.relay, k.ownDataCentre = relay, dataCentre
+	return k
+}
+
+// ConfirmedAt returns the latest instant at which no newer document was accepted, as far as is known at now.
+func (k Knowledge) ConfirmedAt(now time.Duration) (time.Duration, bool) {
+	vouched, ok := k.vouchedAt(now)
+	switch {
+	case k.everConfirmed && ok:
+		return max(k.confirmed, vouched), true
+	case ok:
+		return vouched, true
+	default:
+		return k.confirmed, k.everConfirmed
+	}
+}
+
+// AgeAt returns how long ago the document was last known to be the newest.
+func (k Knowledge) AgeAt(now time.Duration) (time.Duration, bool) {
+	at, ok := k.ConfirmedAt(now)
+	return now - at, ok
+}
+
+// IsFreshAt reports whether the instance may rely on the document at now.
+func (k Knowledge) IsFreshAt(now time.Duration) bool {
+	age, ok := k.AgeAt(now)
+	return ok && age <= FreshnessLimit
+}
+
+// VouchesAt returns for each data centre the instant at which it vouched for the revision in force, this instance's
+// own vouch included.
+func (k Knowledge) VouchesAt(now time.Duration) map[string]time.Duration {
+	vouches := maps.Clone(k.vouched)
+	if vouches == nil {
+		vouches = make(map[string]time.Duration, 1)
+	}
+	if k.mayVouch() {
+		vouches[k.ownDataCentre] = now
+	}
+	return vouches
+}
+
+// mayVouch reports whether the instance may vouch for its data centre. A relay may do so only after its document was
+// confirmed since it became a relay: before that, a change may have been offered to its predecessors alone.
+func (k Knowledge) mayVouch() bool {
+	return k.relay && k.everConfirmed && k.confirmed >= k.relaySince
+}
+
+// vouchedAt returns the earliest of the vouches of all data centres. An accepted change is known to the relays of the
+// data centre where it was accepted, so none was accepted before that instant.
+func (k Knowledge) vouchedAt(now time.Duration) (time.Duration, bool) {
+	if len(k.allDataCentres) == 0 {
+		return 0, false
+	}
+	vouches := k.VouchesAt(now)
+	earliest := now
+	for _, name := range k.allDataCentres {
+		at, found := vouches[name]
+		if !found {
+			return 0, false
+		}
+		earliest = min(earliest, at)
+	}
+	return earliest, true
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,7 @@
 
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/organisation"
 	"github.com/rhubarbwick/rhubarbwick/session"
 )
 
@@ -30,6 +31,10 @@
 	Route   document.Route
 	Read    bool
 	Session session.Session
+
+	// keyHash tells the key that was presented from a later key of the same id.
+	keyHash  organisation.KeyHash
+	readOnly bool
 }
 
 // WithSession returns the caller with another state of its session.
--- /dev/null
+++ b/entry/follower.go
@@ -0,0 +1,340 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/instance"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/ring"
+)
+
+const (
+	// DocumentObject is the name of the store object that holds the document.
+	DocumentObject = "document"
+	// DocumentWait is how long one poll for the document waits. A confirmation counts from the start of its poll, so
+	// the document's age at a relay reaches twice this time.
+	DocumentWait = time.Second
+	// DocumentLimit is how long a source may take to answer, apart from the time it was asked to wait.
+	DocumentLimit = time.Second
+	// StaleReport is the age from which a relay's report counts as a failure of the relay, so that another source,
+	// which may know more, is asked before the document stops being fresh.
+	StaleReport = 5 * time.Second
+	// AskAge is the age of a relay's confirmation from which it asks the relays of the other data centres. It is above
+	// the age that a relay reaches while the store answers.
+	AskAge = 2500 * time.Millisecond
+	// AskPeriod is how often a relay looks whether it has to ask.
+	AskPeriod = time.Second
+
+	followerCapacity = 64
+	relayPause       = 200 * time.Millisecond
+	storePause       = time.Second
+	shortPoll        = 100 * time.Millisecond
+)
+
+// RelayPoll asks another instance for the document.
+type RelayPoll struct {
+	// Known is the revision that the asking instance has.
+	Known document.Revision
+	// Wait is how long to wait for a greater one.
+	Wait time.Duration
+}
+
+// RelayReport is the answer to a RelayPoll.
+type RelayReport struct {
+	// Revision is the one in force at the answering instance.
+	Revision document.Revision
+	// Document has that revision. It is empty when the asking instance has the revision already.
+	Document document.Document
+	// Confirmed is true when Age tells how long before the answer the revision was known to be the newest.
+	Confirmed bool
+	Age       time.Duration
+	// Vouches tells what the relays of the data centres vouched for.
+	Vouches []Vouch
+	// Held is how long the answer was held back.
+	Held time.Duration
+}
+
+// Vouch says that Age before the answer no revision greater than the report's was known in the data centre.
+type Vouch struct {
+	DataCentre string
+	Age        time.Duration
+}
+
+// RelayClient reaches other instances.
+type RelayClient interface {
+	// Follow asks the instance at the address for the document. Errors are of kind Unavailable.
+	Follow(ctx context.Context, address string, poll RelayPoll) (RelayReport, error)
+	// Offer hands a document to the instance at the address and returns the revision in force there afterwards. Errors
+	// are of kind Unavailable.
+	Offer(ctx context.Context, address string, d document.Document) (document.Revision, error)
+}
+
+// FollowerConfig is what a Follower needs.
+type FollowerConfig struct {
+	Self instance.Instance
+	// Seeds are addresses of instances that are asked when no listed relay answers.
+	Seeds  []string
+	Store  port.Store
+	Relays RelayClient
+	Timer  port.Timer
+	// Log takes one line for the operator. It may be nil.
+	Log func(line string)
+}
+
+// Follower is the duty that keeps the document in force. Its loop owns what is known; readers take the published
+// state.
+type Follower struct {
+	cfg       FollowerConfig
+	inbox     *ring.Ring[followerTask]
+	published atomic.Pointer[followerState]
+
+	// The fields below belong to the loop.
+	state     followerState
+	documents []func(document.Document)
+	lists     []func(instance.List)
+}
+
+// followerState is what a follower publishes. newer is closed when a greater revision is published.
+type followerState struct {
+	knowledge document.Knowledge
+	list      instance.List
+	newer     chan struct{}
+}
+
+// followerTask is an event with the channel that is closed when it was applied.
+type followerTask struct {
+	event   followerEvent
+	applied chan struct{}
+}
+
+// followerEvent is what a follower takes from its ring. It is one of storeConfirmed, relayReported, listRead,
+// documentOffered, documentsWanted and listsWanted.
+type followerEvent interface{ followerEvent() }
+
+// storeConfirmed says that the store held the revision at the instant. The document is empty when it was seen before.
+type storeConfirmed struct {
+	revision document.Revision
+	document document.Document
+	at       time.Duration
+}
+
+// relayReported is a report that was held from the instant until the answer left.
+type relayReported struct {
+	report RelayReport
+	at     time.Duration
+}
+
+type listRead struct{ list instance.List }
+
+type documentOffered struct{ document document.Document }
+
+type documentsWanted struct{ deliver func(document.Document) }
+
+type listsWanted struct{ deliver func(instance.List) }
+
+func (storeConfirmed) followerEvent()  {}
+func (relayReported) followerEvent()   {}
+func (listRead) followerEvent()        {}
+func (documentOffered) followerEvent() {}
+func (documentsWanted) followerEvent() {}
+func (listsWanted) followerEvent()     {}
+
+// NewFollower returns a follower that knows no document until Run.
+func NewFollower(cfg FollowerConfig) *Follower {
+	f := &Follower{
+		cfg:   cfg,
+		inbox: ring.New[followerTask](followerCapacity),
+		state: followerState{knowledge: document.NewKnowledge(cfg.Timer.Now()), newer: make(chan struct{})},
+	}
+	f.publish()
+	return f
+}
+
+// Run follows the document until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	poller := &documentPoller{follower: f, sources: instance.NewSources(f.cfg.Self, f.cfg.Seeds...)}
+	asker := &peerAsker{follower: f, sources: instance.NewSources(f.cfg.Self)}
+	reader := &listReader{follower: f}
+	var running sync.WaitGroup
+	running.Go(func() { f.loop(ctx) })
+	running.Go(func() { poller.loop(ctx) })
+	running.Go(func() { asker.loop(ctx) })
+	running.Go(func() { reader.loop(ctx) })
+	running.Wait()
+}
+
+// Document returns the document in force. Its revision is zero when none is known.
+func (f *Follower) Document() document.Document { return f.published.Load().knowledge.Document() }
+
+// List returns the latest list of instances.
+func (f *Follower) List() instance.List { return f.published.Load().list }
+
+// Rules returns the document in force, indexed, and whether it is fresh. The instant is taken first, so that the
+// document is at least as new as the instant for which freshness is told.
+func (f *Follower) Rules() (document.Index, bool) {
+	now := f.cfg.Timer.Now()
+	k := f.published.Load().knowledge
+	return k.Index(), k.IsFreshAt(now)
+}
+
+// Age returns how long ago the document was last known to be the newest.
+func (f *Follower) Age() (time.Duration, bool) {
+	now := f.cfg.Timer.Now()
+	return f.published.Load().knowledge.AgeAt(now)
+}
+
+// Wait returns the document as soon as its revision is at least r.
+func (f *Follower) Wait(ctx context.Context, r document.Revision) (document.Document, error) {
+	for {
+		state := f.published.Load()
+		if state.knowledge.Revision() >= r {
+			return state.knowledge.Document(), nil
+		}
+		select {
+		case <-state.newer:
+		case <-ctx.Done():
+			return document.Document{}, port.Wrapf(context.Cause(ctx), port.Timeout, "revision %d is not in force yet", r)
+		}
+	}
+}
+
+// Take puts a document in force if its revision is greater, and returns the revision in force afterwards.
+func (f *Follower) Take(ctx context.Context, d document.Document) (document.Revision, error) {
+	if err := f.tell(ctx, documentOffered{document: d}); err != nil {
+		return 0, port.Wrapf(err, port.Unavailable, "revision %d was not taken", d.Revision)
+	}
+	return f.Document().Revision, nil
+}
+
+// Subscribe calls deliver with the document in force, if there is one, and with each later one. deliver must not block.
+func (f *Follower) Subscribe(ctx context.Context, deliver func(document.Document)) error {
+	return f.inbox.Put(ctx, followerTask{event: documentsWanted{deliver}, applied: make(chan struct{})})
+}
+
+// SubscribeList calls deliver with the list of instances and with each changed one. deliver must not block.
+func (f *Follower) SubscribeList(ctx context.Context, deliver func(instance.List)) error {
+	return f.inbox.Put(ctx, followerTask{event: listsWanted{deliver}, applied: make(chan struct{})})
+}
+
+// Report answers another instance's poll. It waits for a revision greater than the known one, as long as the poll
+// says and DocumentWait at most.
+func (f *Follower) Report(ctx context.Context, poll RelayPoll) RelayReport {
+	began := f.cfg.Timer.Now()
+	if wait := min(poll.Wait, DocumentWait); wait > 0 {
+		waiting, cancel := port.WithTimeout(ctx, f.cfg.Timer, wait)
+		// The report is the same whether a document came or the time is over.
+		_, _ = f.Wait(waiting, poll.Known+1)
+		cancel()
+	}
+	// The instant is taken before the state: a document that was taken before the instant is in the report.
+	now := f.cfg.Timer.Now()
+	k := f.published.Load().knowledge
+	report := RelayReport{Revision: k.Revision(), Held: now - began}
+	if k.Revision() > poll.Known {
+		report.Document = k.Document()
+	}
+	report.Age, report.Confirmed = k.AgeAt(now)
+	for name, at := range k.VouchesAt(now) {
+		report.Vouches = append(report.Vouches, Vouch{DataCentre: name, Age: now - at})
+	}
+	return report
+}
+
+func (f *Follower) loop(ctx context.Context) {
+	for {
+		task, err := f.inbox.Take(ctx)
+		if err != nil {
+			return
+		}
+		f.apply(task.event)
+		close(task.applied)
+	}
+}
+
+// tell hands an event to the loop and waits until it was applied.
+func (f *Follower) tell(ctx context.Context, e followerEvent) error {
+	task := followerTask{event: e, applied: make(chan struct{})}
+	if err := f.inbox.Put(ctx, task); err != nil {
+		return err
+	}
+	select {
+	case <-task.applied:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+func (f *Follower) apply(e followerEvent) {
+	before := f.state
+	switch e := e.(type) {
+	case storeConfirmed:
+		f.state.knowledge = before.knowledge.WithDocument(e.document).WithConfirmation(e.revision, e.at)
+	case relayReported:
+		f.state.knowledge = withReport(before.knowledge, e)
+	case listRead:
+		f.state.list = e.list
+		f.state.knowledge = before.knowledge.
+			WithDataCentres(e.list.DataCentres()).
+			WithRelay(e.list.IsRelay(f.cfg.Self), f.cfg.Self.DataCentre, f.cfg.Timer.Now())
+	case documentOffered:
+		f.state.knowledge = before.knowledge.WithDocument(e.document)
+	case documentsWanted:
+		f.documents = append(f.documents, e.deliver)
+		if before.knowledge.Revision() > 0 {
+			e.deliver(before.knowledge.Document())
+		}
+	case listsWanted:
+		f.lists = append(f.lists, e.deliver)
+		e.deliver(before.list)
+	}
+	f.publishAfter(before)
+}
+
+// publishAfter publishes the state and tells those who wait for what changed since before.
+func (f *Follower) publishAfter(before followerState) {
+	isNewer := f.state.knowledge.Revision() > before.knowledge.Revision()
+	if isNewer {
+		f.state.newer = make(chan struct{})
+	}
+	f.publish()
+	if isNewer {
+		close(before.newer)
+		for _, deliver := range f.documents {
+			deliver(f.state.knowledge.Document())
+		}
+	}
+	if !f.state.list.Equal(before.list) {
+		for _, deliver := range f.lists {
+			deliver(f.state.list)
+		}
+	}
+}
+
+func (f *Follower) publish() {
+	state := f.state
+	f.published.Store(&state)
+}
+
+func (f *Follower) log(line string) {
+	if f.cfg.Log != nil {
+		f.cfg.Log("document: " + line)
+	}
+}
+
+// withReport applies a report. Its ages count back from the instant at which the answer left, which is at the latest
+// the instant of the question plus the time that the answer was held.
+func withReport(k document.Knowledge, e relayReported) document.Knowledge {
+	k = k.WithDocument(e.report.Document)
+	if e.report.Confirmed {
+		k = k.WithConfirmation(e.report.Revision, e.at-max(e.report.Age, 0))
+	}
+	for _, v := range e.report.Vouches {
+		k = k.WithVouch(v.DataCentre, e.report.Revision, e.at-max(v.Age, 0))
+	}
+	return k
+}
--- /dev/null
+++ b/entry/follower_duties.go
@@ -0,0 +1,223 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/instance"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/ring"
+)
+
+const (
+	minListPeriod = 2 * time.Second
+	// listPeriodPerInstance keeps the fleet at 40 reads of the list a second, whatever its size.
+	listPeriodPerInstance = 25 * time.Millisecond
+)
+
+// documentPoller is the duty that always has one poll open at the follower's source.
+type documentPoller struct {
+	follower *Follower
+	sources  instance.Sources
+	// seen is the version of the store's document, and revision the revision that it has.
+	seen     port.Version
+	revision document.Revision
+}
+
+func (p *documentPoller) loop(ctx context.Context) {
+	timer := p.follower.cfg.Timer
+	for ctx.Err() == nil {
+		p.sources = p.sources.WithList(p.follower.List())
+		began := timer.Now()
+		before := p.follower.Document().Revision
+		source := p.sources.Next(began)
+		err := p.poll(ctx, source)
+		if err != nil && ctx.Err() == nil {
+			p.follower.log(fmt.Sprintf("%s gives no fresh document: %s", describe(source), err))
+			p.sources = p.sources.WithFailure(source, timer.Now())
+			sleep(ctx, timer, pauseAfter(source))
+			continue
+		}
+		p.sources = p.sources.WithSuccess(source)
+		// A source that answers at once without a newer document must not make this loop spin.
+		if p.follower.Document().Revision == before && timer.Now()-began < shortPoll {
+			sleep(ctx, timer, shortPoll)
+		}
+	}
+}
+
+func (p *documentPoller) poll(ctx context.Context, source instance.Source) error {
+	switch source := source.(type) {
+	case instance.FromRelay:
+		return p.follower.ask(ctx, source.Address, DocumentWait)
+	default:
+		return p.pollStore(ctx)
+	}
+}
+
+// pollStore waits for another document than the one seen. Whatever the store answers was true after the question.
+func (p *documentPoller) pollStore(ctx context.Context) error {
+	f := p.follower
+	known := f.Document().Revision
+	asked := f.cfg.Timer.Now()
+	limited, cancel := port.WithTimeout(ctx, f.cfg.Timer, DocumentWait+DocumentLimit)
+	defer cancel()
+	object, changed, err := f.cfg.Store.Watch(limited, DocumentObject, p.seen, DocumentWait)
+	switch {
+	case err != nil && port.KindOf(err) == port.NotFound, err == nil && changed && object.Version == 0:
+		p.seen, p.revision = 0, 0
+		sleep(ctx, f.cfg.Timer, storePause)
+		return p.confirm(ctx, storeConfirmed{at: asked}, known)
+	case err != nil:
+		return err
+	case !changed:
+		return p.confirm(ctx, storeConfirmed{revision: p.revision, at: asked}, known)
+	}
+	d, faults := document.Parse(object.Data)
+	if len(faults) > 0 {
+		return port.Failf(port.Invalid, "stored document of version %d has %d faults, the first is: %s",
+			object.Version, len(faults), faults[0])
+	}
+	p.seen, p.revision = object.Version, d.Revision
+	return p.confirm(ctx, storeConfirmed{revision: d.Revision, document: d, at: asked}, known)
+}
+
+// confirm applies what the store answered. known is the revision that was in force before the question.
+func (p *documentPoller) confirm(ctx context.Context, e storeConfirmed, known document.Revision) error {
+	if err := p.follower.tell(ctx, e); err != nil {
+		return err
+	}
+	if e.revision < known {
+		return port.Failf(port.Conflict, "the store holds revision %d, revision %d stays in force", e.revision, known)
+	}
+	return nil
+}
+
+// ask polls another instance and applies its report.
+func (f *Follower) ask(ctx context.Context, address string, wait time.Duration) error {
+	limited, cancel := port.WithTimeout(ctx, f.cfg.Timer, wait+DocumentLimit)
+	defer cancel()
+	asked := f.cfg.Timer.Now()
+	poll := RelayPoll{Known: f.Document().Revision, Wait: wait}
+	report, err := f.cfg.Relays.Follow(limited, address, poll)
+	if err != nil {
+		return err
+	}
+	held := min(max(report.Held, 0), f.cfg.Timer.Now()-asked)
+	if err := f.tell(ctx, relayReported{report: report, at: asked + held}); err != nil {
+		return err
+	}
+	age, ok := f.Age()
+	isBehind := report.Revision < poll.Known && (!ok || age > StaleReport)
+	if !report.Confirmed || report.Age > StaleReport || isBehind {
+		return port.Failf(port.NotFresh, "instance %s has not heard of the newest document for too long", address)
+	}
+	return nil
+}
+
+// peerAsker is the duty of a relay that asks the relays of the other data centres while the store is silent.
+type peerAsker struct {
+	follower *Follower
+	sources  instance.Sources
+}
+
+func (a *peerAsker) loop(ctx context.Context) {
+	ticks := ring.New[time.Duration](1)
+	stop := a.follower.cfg.Timer.Every(AskPeriod, func(now time.Duration) { ticks.Push(now) })
+	defer stop()
+	for {
+		now, err := ticks.Take(ctx)
+		if err != nil {
+			return
+		}
+		if age, ok := a.follower.Age(); ok && age < AskAge {
+			continue
+		}
+		a.sources = a.sources.WithList(a.follower.List())
+		a.askAll(ctx, a.sources.Peers(now))
+	}
+}
+
+// askAll asks all peers at once and remembers which did not answer.
+func (a *peerAsker) askAll(ctx context.Context, peers []string) {
+	questions := make([]peerQuestion, len(peers))
+	var running sync.WaitGroup
+	for i, address := range peers {
+		questions[i] = peerQuestion{follower: a.follower, address: address}
+		running.Go(func() { questions[i].run(ctx) })
+	}
+	running.Wait()
+	for _, q := range questions {
+		source := instance.FromRelay{Address: q.address}
+		if q.err != nil && port.KindOf(q.err) != port.NotFresh {
+			a.sources = a.sources.WithFailure(source, a.follower.cfg.Timer.Now())
+			continue
+		}
+		a.sources = a.sources.WithSuccess(source)
+	}
+}
+
+// peerQuestion is one question to a peer.
+type peerQuestion struct {
+	follower *Follower
+	address  string
+	err      error
+}
+
+func (q *peerQuestion) run(ctx context.Context) { q.err = q.follower.ask(ctx, q.address, 0) }
+
+// listReader is the duty that reads the platform's list of instances.
+type listReader struct{ follower *Follower }
+
+func (r *listReader) loop(ctx context.Context) {
+	timer := r.follower.cfg.Timer
+	for ctx.Err() == nil {
+		if err := r.read(ctx); err != nil && ctx.Err() == nil {
+			r.follower.log(fmt.Sprintf("the list of instances cannot be read: %s", err))
+		}
+		period := time.Duration(r.follower.List().Len()) * listPeriodPerInstance
+		sleep(ctx, timer, max(period, minListPeriod))
+	}
+}
+
+func (r *listReader) read(ctx context.Context) error {
+	limited, cancel := port.WithTimeout(ctx, r.follower.cfg.Timer, DocumentLimit)
+	defer cancel()
+	instances, err := r.follower.cfg.Store.Instances(limited)
+	if err != nil {
+		return err
+	}
+	return r.follower.tell(ctx, listRead{list: instance.NewList(instances...)})
+}
+
+// sleep waits until d has passed on the timer or ctx ends.
+func sleep(ctx context.Context, timer port.Timer, d time.Duration) {
+	over := make(chan struct{})
+	stop := timer.After(d, func(time.Duration) { close(over) })
+	defer stop()
+	select {
+	case <-over:
+	case <-ctx.Done():
+	}
+}
+
+func pauseAfter(source instance.Source) time.Duration {
+	switch source.(type) {
+	case instance.FromStore:
+		return storePause
+	default:
+		return relayPause
+	}
+}
+
+func describe(source instance.Source) string {
+	switch source := source.(type) {
+	case instance.FromRelay:
+		return "instance " + source.Address
+	default:
+		return "the store"
+	}
+}
--- /dev/null
+++ b/instance/list.go
@@ -0,0 +1,114 @@
+package instance
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
+	"slices"
+)
+
+const (
+	// RelaysPerDataCentre is how many instances of a data centre watch the store for the others.
+	RelaysPerDataCentre = 2
+	// WatchersPerGroup is how many instances watch a group.
+	WatchersPerGroup = 3
+
+	relayKey = "relay"
+)
+
+// Rank is the rendezvous rank of an instance for a key. The greatest ranks have the role.
+type Rank uint64
+
+// RankOf returns the rank of the incarnation for the key. Every instance computes the same rank.
+func RankOf(key, incarnation string) Rank {
+	sum := sha256.Sum256([]byte(key + "\x00" + incarnation))
+	return Rank(binary.BigEndian.Uint64(sum[:8]))
+}
+
+// List is the platform's list of instances. It lags behind the fleet. A List is never changed in place; the zero value
+// is an empty list.
+type List struct {
+	instances []Instance
+}
+
+// NewList returns a list of the instances. One without an incarnation or an address is left out.
+func NewList(instances ...Instance) List {
+	kept := slices.DeleteFunc(slices.Clone(instances), func(i Instance) bool {
+		return i.Incarnation == "" || i.Address == ""
+	})
+	slices.SortFunc(kept, func(a, b Instance) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	return List{instances: kept}
+}
+
+// All returns every listed instance, ordered by incarnation.
+func (l List) All() []Instance { return slices.Clone(l.instances) }
+
+// Len returns the number of listed instances.
+func (l List) Len() int { return len(l.instances) }
+
+// Equal reports whether both lists hold the same instances in the same states.
+func (l List) Equal(other List) bool { return slices.Equal(l.instances, other.instances) }
+
+// WithInstance returns a list with the instance added, or replaced when its incarnation is listed already.
+func (l List) WithInstance(i Instance) List {
+	others := slices.DeleteFunc(l.All(), func(other Instance) bool { return other.Incarnation == i.Incarnation })
+	return NewList(append(others, i)...)
+}
+
+// DataCentres returns the data centres that have a listed instance, in order. Departing instances count, because they
+// may still accept a change.
+func (l List) DataCentres() []string {
+	var names []string
+	for _, i := range l.instances {
+		names = append(names, i.DataCentre)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// Ranked returns the live instances by falling rank for the key.
+func (l List) Ranked(key string) []Instance {
+	live := slices.DeleteFunc(l.All(), func(i Instance) bool { return i.State != Live })
+	slices.SortStableFunc(live, func(a, b Instance) int {
+		return cmp.Compare(RankOf(key, b.Incarnation), RankOf(key, a.Incarnation))
+	})
+	return live
+}
+
+// Relays returns the relays of a data centre, the one of highest rank first.
+func (l List) Relays(dataCentre string) []Instance {
+	near := slices.DeleteFunc(l.Ranked(relayKey), func(i Instance) bool { return i.DataCentre != dataCentre })
+	return near[:min(len(near), RelaysPerDataCentre)]
+}
+
+// IsRelay reports whether the instance is a relay of its data centre.
+func (l List) IsRelay(i Instance) bool {
+	return slices.ContainsFunc(l.Relays(i.DataCentre), func(r Instance) bool { return r.Incarnation == i.Incarnation })
+}
+
+// IsFirstRelay reports whether the instance is the one relay of the fleet that does what has to be done once.
+func (l List) IsFirstRelay(i Instance) bool {
+	for _, name := range l.DataCentres() {
+		if relays := l.Relays(name); len(relays) > 0 {
+			return relays[0].Incarnation == i.Incarnation
+		}
+	}
+	return false
+}
+
+// Watchers returns the instances that watch the group, the one of highest rank first. They are in different data
+// centres as far as there are enough.
+func (l List) Watchers(groupName string) []Instance {
+	var watchers, others []Instance
+	taken := make(map[string]bool)
+	for _, i := range l.Ranked("group/" + groupName) {
+		if taken[i.DataCentre] {
+			others = append(others, i)
+			continue
+		}
+		taken[i.DataCentre] = true
+		watchers = append(watchers, i)
+	}
+	watchers = append(watchers, others...)
+	return watchers[:min(len(watchers), WatchersPerGroup)]
+}
--- /dev/null
+++ b/instance/sources.go
@@ -0,0 +1,163 @@
+package instance
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// RelayRetry is how long a relay that did not answer is passed over.
+	RelayRetry = 10 * time.Second
+	// StoreRetry is how long the store is passed over after it did not answer.
+	StoreRetry = time.Second
+)
+
+// Source is where an instance learns the document. It is one of FromRelay and FromStore.
+type Source interface{ source() }
+
+// FromRelay learns from another instance at the address.
+type FromRelay struct{ Address string }
+
+// FromStore learns from the platform's store.
+type FromStore struct{}
+
+func (FromRelay) source() {}
+func (FromStore) source() {}
+
+// Sources decides where an instance learns the document. A Sources is never changed in place.
+type Sources struct {
+	self  Instance
+	list  List
+	seeds []string
+	// failed holds the instant of the last failure of each address. The store's address is empty.
+	failed map[string]time.Duration
+}
+
+// NewSources returns the sources of an instance that knows no list yet. Seeds are addresses of instances that are
+// asked when no listed relay answers.
+func NewSources(self Instance, seeds ...string) Sources {
+	return Sources{self: self, seeds: slices.Clone(seeds)}
+}
+
+// WithList returns the sources with the platform's list.
+func (s Sources) WithList(l List) Sources {
+	s.list = l
+	return s
+}
+
+// WithFailure returns the sources after the source did not answer.
+func (s Sources) WithFailure(source Source, now time.Duration) Sources {
+	failed := make(map[string]time.Duration, len(s.failed)+1)
+	for address, at := range s.failed {
+		if now-at < RelayRetry {
+			failed[address] = at
+		}
+	}
+	failed[addressOf(source)] = now
+	s.failed = failed
+	return s
+}
+
+// WithSuccess returns the sources after the source answered.
+func (s Sources) WithSuccess(source Source) Sources {
+	if _, found := s.failed[addressOf(source)]; !found {
+		return s
+	}
+	s.failed = maps.Clone(s.failed)
+	delete(s.failed, addressOf(source))
+	return s
+}
+
+// Next returns the source to ask next: the store for a relay, and otherwise a relay of the own data centre, another
+// one, a seed, and the store, whichever did not fail of late. When all failed it is the one that failed first.
+func (s Sources) Next(now time.Duration) Source {
+	if s.list.IsRelay(s.self) {
+		return FromStore{}
+	}
+	candidates := s.relays()
+	for _, seed := range s.seeds {
+		candidates = append(candidates, FromRelay{Address: seed})
+	}
+	candidates = append(candidates, FromStore{})
+	for _, c := range candidates {
+		if !s.hasFailed(c, now) {
+			return c
+		}
+	}
+	return slices.MinFunc(candidates, func(a, b Source) int {
+		return cmp.Compare(s.failed[addressOf(a)], s.failed[addressOf(b)])
+	})
+}
+
+// Peers returns the addresses that a relay asks while the store is silent: one relay of each other data centre, and
+// the other relays of its own.
+func (s Sources) Peers(now time.Duration) []string {
+	if !s.list.IsRelay(s.self) {
+		return nil
+	}
+	var peers []string
+	for _, r := range s.list.Relays(s.self.DataCentre) {
+		if r.Incarnation != s.self.Incarnation {
+			peers = append(peers, r.Address)
+		}
+	}
+	for _, dc := range s.list.DataCentres() {
+		relays := s.list.Relays(dc)
+		if dc == s.self.DataCentre || len(relays) == 0 {
+			continue
+		}
+		chosen := slices.IndexFunc(relays, func(r Instance) bool { return !s.hasFailed(FromRelay{r.Address}, now) })
+		if chosen < 0 {
+			chosen = s.leastRecentlyFailed(relays)
+		}
+		peers = append(peers, relays[chosen].Address)
+	}
+	return peers
+}
+
+// relays returns the relays of the own data centre in this instance's own order, so that followers spread over them.
+func (s Sources) relays() []Source {
+	relays := s.list.Relays(s.self.DataCentre)
+	slices.SortFunc(relays, func(a, b Instance) int {
+		return cmp.Compare(RankOf(s.self.Incarnation, a.Incarnation), RankOf(s.self.Incarnation, b.Incarnation))
+	})
+	sources := make([]Source, 0, len(relays))
+	for _, r := range relays {
+		sources = append(sources, FromRelay{Address: r.Address})
+	}
+	return sources
+}
+
+func (s Sources) leastRecentlyFailed(relays []Instance) int {
+	oldest := 0
+	for i, r := range relays {
+		if s.failed[r.Address] < s.failed[relays[oldest].Address] {
+			oldest = i
+		}
+	}
+	return oldest
+}
+
+func (s Sources) hasFailed(source Source, now time.Duration) bool {
+	at, found := s.failed[addressOf(source)]
+	if !found {
+		return false
+	}
+	switch source.(type) {
+	case FromStore:
+		return now-at < StoreRetry
+	default:
+		return now-at < RelayRetry
+	}
+}
+
+func addressOf(source Source) string {
+	switch source := source.(type) {
+	case FromRelay:
+		return source.Address
+	default:
+		return ""
+	}
+}
