--- /dev/null
+++ b/allotment/bucket.go
@@ -0,0 +1,94 @@
+package allotment
+
+import (
+	"math/bits"
+	"time"
+)
+
+// Bucket is a local token bucket. Instants are those of the holder's own monotonic clock. The zero value admits
+// nothing. A Bucket is never changed in place.
+type Bucket struct {
+	rate   Statements
+	burst  Statements
+	tokens Statements
+	at     time.Duration
+}
+
+// At returns the bucket filled up to now. An instant before the last one changes nothing.
+func (b Bucket) At(now time.Duration) Bucket {
+	if now <= b.at {
+		return b
+	}
+	b.tokens = min(b.burst, b.tokens+accrued(b.rate, now-b.at))
+	b.at = now
+	return b
+}
+
+// Take takes n tokens, and reports false when there are too few.
+func (b Bucket) Take(now time.Duration, n Statements) (Bucket, bool) {
+	b = b.At(now)
+	if n <= 0 || b.tokens < n {
+		return b, false
+	}
+	b.tokens -= n
+	return b, true
+}
+
+// WithShare returns the bucket with another rate and burst. It gets no tokens, and loses those above the burst.
+func (b Bucket) WithShare(now time.Duration, share Amount) Bucket {
+	b = b.At(now)
+	b.rate, b.burst = share.Rate, share.Burst
+	b.tokens = min(b.tokens, b.burst)
+	return b
+}
+
+// WithTokens returns the bucket with n tokens more, as far as the burst allows.
+func (b Bucket) WithTokens(now time.Duration, n Statements) Bucket {
+	b = b.At(now)
+	b.tokens = min(b.burst, b.tokens+max(n, 0))
+	return b
+}
+
+// WithoutTokens returns the bucket with up to n tokens fewer, and how many it gave.
+func (b Bucket) WithoutTokens(now time.Duration, n Statements) (Bucket, Statements) {
+	b = b.At(now)
+	n = min(max(n, 0), b.tokens)
+	b.tokens -= n
+	return b, n
+}
+
+// Tokens returns the tokens at the last instant.
+func (b Bucket) Tokens() Statements { return b.tokens }
+
+// Next returns how long it takes until n tokens are there, and false when they never will be.
+func (b Bucket) Next(n Statements) (time.Duration, bool) {
+	if b.tokens >= n {
+		return 0, true
+	}
+	if b.rate <= 0 || b.burst < n {
+		return 0, false
+	}
+	missing := n - b.tokens
+	return time.Duration(muldiv(int64(missing), int64(time.Second), int64(b.rate))) + 1, true
+}
+
+// accrued returns rate × elapsed, rounded down.
+func accrued(rate Statements, elapsed time.Duration) Statements {
+	// A bucket that was untouched for an hour counts as untouched for an hour; the product stays in range.
+	elapsed = min(elapsed, time.Hour)
+	return Statements(muldiv(int64(rate), int64(elapsed), int64(time.Second)))
+}
+
+// muldiv returns a×b/c rounded down, for values that are not negative. A result above the range is its limit.
+func muldiv(a, b, c int64) int64 {
+	const most = 1<<63 - 1
+	if a <= 0 || b <= 0 || c <= 0 {
+		return 0
+	}
+	hi, lo := bits.Mul64(uint64(a), uint64(b))
+	if hi >= uint64(c) {
+		return most
+	}
+	q, _ := bits.Div64(hi, lo, uint64(c))
+	return int64(min(q, most))
+}
--- /dev/null
+++ b/allotment/edit.go
@@ -0,0 +1,223 @@
+package allotment
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Errors of an edit that does not fit the ledger.
+var (
+	ErrNoEntry   = errors.New("holder has no entry in the ledger")
+	ErrRenewed   = errors.New("lease number has changed")
+	ErrTooMuch   = errors.New("holder gives back more than its share")
+	ErrOldLimit  = errors.New("limit is of an older revision")
+	ErrNotAnEdit = errors.New("unknown edit")
+)
+
+// Edit is one change of a ledger.
+type Edit interface{ edit() }
+
+// Claim enters a holder with an empty share, or with its standing share when a seat is reserved for it.
+type Claim struct{ Holder string }
+
+// Renew raises the holder's lease number and brings its standing share up to date.
+type Renew struct {
+	Holder string
+	// Lease is greater than that of any update that the holder has sent, so that a number tells which of several
+	// updates without an answer took effect.
+	Lease uint64
+}
+
+// Want states what the holder could use, its share included.
+type Want struct {
+	Holder string
+	Wanted Amount
+}
+
+// GiveBack returns a part of a share to the pool, with the unspent tokens that go with it.
+type GiveBack struct {
+	Holder string
+	Share  Amount
+	Tokens Statements
+}
+
+// Take moves up to Ask from the pool to the holder, with the pool's tokens.
+type Take struct {
+	Holder string
+	Ask    Amount
+}
+
+// Leave returns everything that the holder has, its seat included.
+type Leave struct {
+	Holder string
+	Tokens Statements
+}
+
+// Reclaim returns the share of a holder whose lease has lapsed, but for its standing share. Its tokens count as spent.
+type Reclaim struct {
+	Holder string
+	// Lease is the number that was seen unchanged for ReclaimAfter.
+	Lease uint64
+}
+
+// Vacate returns the standing share of a holder that has been silent for VacateAfter. Its tokens count as spent.
+type Vacate struct {
+	Holder string
+	Lease  uint64
+}
+
+// Relimit puts the limit of a newer document in force.
+type Relimit struct{ Limit Limit }
+
+func (Claim) edit()    {}
+func (Renew) edit()    {}
+func (Want) edit()     {}
+func (GiveBack) edit() {}
+func (Take) edit()     {}
+func (Leave) edit()    {}
+func (Reclaim) edit()  {}
+func (Vacate) edit()   {}
+func (Relimit) edit()  {}
+
+// Grant is what an edit moved to the holder who made it.
+type Grant struct {
+	Share  Amount
+	Tokens Statements
+}
+
+// Apply returns the ledger after the edit, and what the holder got.
+func (l Ledger) Apply(edit Edit) (Ledger, Grant, error) {
+	switch e := edit.(type) {
+	case Claim:
+		return l.claim(e), Grant{}, nil
+	case Renew:
+		return l.renew(e)
+	case Want:
+		return l.want(e)
+	case GiveBack:
+		return l.giveBack(e)
+	case Take:
+		return l.take(e)
+	case Leave:
+		return l.leave(e)
+	case Reclaim:
+		return l.reclaim(e)
+	case Vacate:
+		return l.vacate(e)
+	case Relimit:
+		return l.relimit(e)
+	default:
+		return l, Grant{}, fmt.Errorf("%w: %T", ErrNotAnEdit, edit)
+	}
+}
+
+func (l Ledger) claim(c Claim) Ledger {
+	if _, ok := l.Find(c.Holder); ok {
+		return l
+	}
+	entry := Entry{Holder: c.Holder}
+	if seat, ok := l.FindSeat(c.Holder); ok {
+		entry.Share, entry.Standing, entry.Lease = seat.Share, seat.Share, seat.Lease
+		l = l.withoutSeat(c.Holder)
+	}
+	return l.withEntry(entry)
+}
+
+func (l Ledger) renew(r Renew) (Ledger, Grant, error) {
+	entry, ok := l.Find(r.Holder)
+	if !ok {
+		return l, Grant{}, ErrNoEntry
+	}
+	entry.Lease = max(entry.Lease+1, r.Lease)
+	entry.Standing = l.standingFor(entry)
+	return l.withEntry(entry), Grant{}, nil
+}
+
+// standingFor returns the part of the entry's share that is reserved after a lapse. The number of seats bounds how
+// many holders have one, so that at most standingPercent of the total is ever reserved.
+func (l Ledger) standingFor(e Entry) Amount {
+	if e.Standing.IsZero() && l.seated() >= l.Limit.Seats {
+		return Amount{}
+	}
+	return l.Limit.Standing().Min(e.Share)
+}
+
+func (l Ledger) want(w Want) (Ledger, Grant, error) {
+	entry, ok := l.Find(w.Holder)
+	if !ok {
+		return l, Grant{}, ErrNoEntry
+	}
+	entry.Wanted = w.Wanted.Min(l.Limit.Total).Max(Amount{})
+	return l.withEntry(entry), Grant{}, nil
+}
+
+func (l Ledger) giveBack(g GiveBack) (Ledger, Grant, error) {
+	entry, ok := l.Find(g.Holder)
+	if !ok {
+		return l, Grant{}, ErrNoEntry
+	}
+	if g.Share.isNegative() || !entry.Share.Covers(g.Share) {
+		return l, Grant{}, ErrTooMuch
+	}
+	entry.Share = entry.Share.Minus(g.Share)
+	entry.Standing = entry.Standing.Min(entry.Share)
+	return l.withEntry(entry).withTokens(min(g.Tokens, g.Share.Burst)), Grant{}, nil
+}
+
+func (l Ledger) take(t Take) (Ledger, Grant, error) {
+	entry, ok := l.Find(t.Holder)
+	if !ok {
+		return l, Grant{}, ErrNoEntry
+	}
+	share := t.Ask.Max(Amount{}).Min(l.Free())
+	tokens := min(l.Tokens, share.Burst)
+	entry.Share = entry.Share.Plus(share)
+	l.Tokens -= tokens
+	return l.withEntry(entry), Grant{Share: share, Tokens: tokens}, nil
+}
+
+func (l Ledger) leave(e Leave) (Ledger, Grant, error) {
+	entry, ok := l.Find(e.Holder)
+	if !ok {
+		return l.withoutSeat(e.Holder), Grant{}, nil
+	}
+	return l.withoutEntry(e.Holder).withTokens(min(e.Tokens, entry.Share.Burst)), Grant{}, nil
+}
+
+func (l Ledger) reclaim(r Reclaim) (Ledger, Grant, error) {
+	entry, ok := l.Find(r.Holder)
+	if !ok {
+		return l, Grant{}, ErrNoEntry
+	}
+	if entry.Lease != r.Lease {
+		return l, Grant{}, ErrRenewed
+	}
+	l = l.withoutEntry(r.Holder)
+	if entry.Standing.IsZero() {
+		return l, Grant{}, nil
+	}
+	return l.withSeat(Seat{Holder: entry.Holder, Share: entry.Standing, Lease: entry.Lease}), Grant{}, nil
+}
+
+func (l Ledger) vacate(v Vacate) (Ledger, Grant, error) {
+	seat, ok := l.FindSeat(v.Holder)
+	if !ok {
+		return l, Grant{}, ErrNoEntry
+	}
+	if seat.Lease != v.Lease {
+		return l, Grant{}, ErrRenewed
+	}
+	return l.withoutSeat(v.Holder), Grant{}, nil
+}
+
+func (l Ledger) relimit(r Relimit) (Ledger, Grant, error) {
+	if l.Limit.Name != "" && r.Limit.Revision <= l.Limit.Revision {
+		return l, Grant{}, ErrOldLimit
+	}
+	// A new ledger starts with a full pool: nobody has spent anything from it.
+	if l.Limit.Name == "" {
+		l.Tokens = r.Limit.Total.Burst
+	}
+	l.Limit = r.Limit
+	return l.withTokens(0), Grant{}, nil
+}
--- /dev/null
+++ b/allotment/ledger.go
@@ -0,0 +1,171 @@
+package allotment
+
+import (
+	"slices"
+	"strings"
+)
+
+// Entry is what one holder has of a limit.
+type Entry struct {
+	// Holder is the incarnation of the instance.
+	Holder string
+	Share  Amount
+	// Standing is the part of Share that the holder keeps after its lease; it is nothing without a seat.
+	Standing Amount
+	// Lease grows with each update by the holder, so that others see that it lives.
+	Lease uint64
+	// Wanted is what the holder could use, its share included.
+	Wanted Amount
+}
+
+// Seat is the standing share that stays reserved for a holder whose entry was reclaimed.
+type Seat struct {
+	Holder string
+	Share  Amount
+	Lease  uint64
+}
+
+// Ledger states how one limit is divided. What is in no entry and no seat is the pool. A Ledger is never changed in
+// place; Apply returns a changed copy.
+type Ledger struct {
+	Limit   Limit
+	Entries []Entry
+	Seats   []Seat
+	// Tokens were given back unspent and wait in the pool.
+	Tokens Statements
+}
+
+// Find returns the entry of a holder.
+func (l Ledger) Find(holder string) (Entry, bool) {
+	i, ok := l.search(holder)
+	if !ok {
+		return Entry{}, false
+	}
+	return l.Entries[i], true
+}
+
+// FindSeat returns the seat that is reserved for a holder.
+func (l Ledger) FindSeat(holder string) (Seat, bool) {
+	i := slices.IndexFunc(l.Seats, func(s Seat) bool { return s.Holder == holder })
+	if i < 0 {
+		return Seat{}, false
+	}
+	return l.Seats[i], true
+}
+
+// Held returns the sum of the entries and the reserved seats.
+func (l Ledger) Held() Amount {
+	var sum Amount
+	for _, e := range l.Entries {
+		sum = sum.Plus(e.Share)
+	}
+	for _, s := range l.Seats {
+		sum = sum.Plus(s.Share)
+	}
+	return sum
+}
+
+// Free returns what the pool holds. While a limit falls, more may be held than the limit allows; nothing is free
+// until enough was given back.
+func (l Ledger) Free() Amount { return l.Limit.Total.Minus(l.Held()) }
+
+// Falling reports whether more is held than the limit allows, because the limit fell.
+func (l Ledger) Falling() bool { return !l.Limit.Total.Covers(l.Held()) }
+
+// Short reports whether a holder other than the named one wants more than it has.
+func (l Ledger) Short(except string) bool {
+	return slices.ContainsFunc(l.Entries, func(e Entry) bool {
+		return e.Holder != except && !e.Share.Covers(e.Wanted)
+	})
+}
+
+// Fair returns what the named holder has when the total is divided by what the holders want: each gets what it wants,
+// or, when that is too much, at most an equal part of what those who want less leave over. What nobody wants is
+// divided equally.
+func (l Ledger) Fair(holder string) Amount {
+	i, ok := l.search(holder)
+	if !ok {
+		return Amount{}
+	}
+	total := l.Limit.Total
+	for _, s := range l.Seats {
+		total = total.Minus(s.Share)
+	}
+	rates, bursts, units := make([]int64, 0), make([]int64, 0), make([]int64, 0)
+	for _, e := range l.Entries {
+		rates = append(rates, int64(e.Wanted.Rate))
+		bursts = append(bursts, int64(e.Wanted.Burst))
+		units = append(units, e.Wanted.Units)
+	}
+	return Amount{
+		Rate:  Statements(fill(int64(total.Rate), rates, i)),
+		Burst: Statements(fill(int64(total.Burst), bursts, i)),
+		Units: fill(total.Units, units, i),
+	}
+}
+
+// fill divides total by max-min fairness and returns the part of the i-th.
+func fill(total int64, wanted []int64, i int) int64 {
+	order := make([]int, len(wanted))
+	for k := range order {
+		order[k] = k
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return int(min(max(wanted[a]-wanted[b], -1), 1)) })
+	part := int64(0)
+	for k, who := range order {
+		level := total / int64(len(order)-k)
+		got := min(wanted[who], level)
+		if who == i {
+			part = got
+		}
+		total -= got
+	}
+	return part + total/int64(len(wanted))
+}
+
+func (l Ledger) search(holder string) (int, bool) {
+	return slices.BinarySearchFunc(l.Entries, holder, func(e Entry, h string) int { return strings.Compare(e.Holder, h) })
+}
+
+func (l Ledger) withEntry(e Entry) Ledger {
+	i, ok := l.search(e.Holder)
+	l.Entries = slices.Clone(l.Entries)
+	if ok {
+		l.Entries[i] = e
+		return l
+	}
+	l.Entries = slices.Insert(l.Entries, i, e)
+	return l
+}
+
+func (l Ledger) withoutEntry(holder string) Ledger {
+	l.Entries = slices.DeleteFunc(slices.Clone(l.Entries), func(e Entry) bool { return e.Holder == holder })
+	return l
+}
+
+func (l Ledger) withSeat(s Seat) Ledger {
+	l.Seats = append(slices.Clone(l.Seats), s)
+	return l
+}
+
+func (l Ledger) withoutSeat(holder string) Ledger {
+	l.Seats = slices.DeleteFunc(slices.Clone(l.Seats), func(s Seat) bool { return s.Holder == holder })
+	return l
+}
+
+// withTokens adds tokens to the pool. The pool never holds more tokens than free burst.
+func (l Ledger) withTokens(n Statements) Ledger {
+	l.Tokens = min(l.Tokens+max(n, 0), l.Free().Burst)
+	return l
+}
+
+// seated counts the holders that have a standing share, lapsed ones included.
+func (l Ledger) seated() int {
+	n := len(l.Seats)
+	for _, e := range l.Entries {
+		if !e.Standing.IsZero() {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/entry/account.go
@@ -0,0 +1,372 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/allotment"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/ring"
+)
+
+// account is the duty that keeps one ledger for this instance. Its loop owns the fields below wake.
+type account struct {
+	cfg     KeeperConfig
+	limiter *limiter
+	// wake has room for one item: one that waits already makes the loop look at everything.
+	wake *ring.Ring[struct{}]
+
+	mu    sync.Mutex
+	limit allotment.Limit
+	units int64
+	open  int64
+	told  bool
+
+	// base is the ledger as it was last read or written, and version its version.
+	base    allotment.Ledger
+	version port.Version
+	// held is true while an entry of this holder may be in the ledger.
+	held      bool
+	sightings allotment.Sightings
+	// lease is the greatest lease number that was sent.
+	lease uint64
+	// attempts are updates of which it is not known whether they took effect. All have the same base version.
+	attempts []attempt
+	wrote    time.Duration
+	synced   time.Duration
+	failed   time.Duration
+	down     bool
+	written  bool
+}
+
+// attempt is an update that was sent.
+type attempt struct {
+	sent    time.Duration
+	version port.Version
+	ledger  allotment.Ledger
+	entry   allotment.Entry
+	// taken are tokens that came from the pool, given those that went to it.
+	taken allotment.Statements
+	given allotment.Statements
+}
+
+func newAccount(cfg KeeperConfig, limit allotment.Limit) *account {
+	a := &account{cfg: cfg, limit: limit, wake: ring.New[struct{}](1)}
+	a.limiter = newLimiter(limit.Name, cfg.Timer, a.nudge)
+	a.setFixed(limit)
+	return a
+}
+
+// setFixed gives the share of a policy that needs no ledger.
+func (a *account) setFixed(limit allotment.Limit) bool {
+	share, ok := allotment.Fixed(a.cfg.Policy, limit)
+	if ok {
+		a.limiter.fix(share)
+	}
+	return ok
+}
+
+func (a *account) nudge() { a.wake.Offer(struct{}{}) }
+
+// setLimit puts a newer limit in force. Where it is lower, the local share falls at once, before the ledger changes.
+func (a *account) setLimit(limit allotment.Limit) {
+	a.mu.Lock()
+	old := a.limit
+	if limit.Revision > old.Revision {
+		a.limit = limit
+	}
+	a.mu.Unlock()
+	if limit.Revision <= old.Revision || a.setFixed(limit) {
+		return
+	}
+	a.limiter.shrink(limit)
+	a.nudge()
+}
+
+func (a *account) want(n int) {
+	a.mu.Lock()
+	a.units = int64(max(n, 0))
+	a.mu.Unlock()
+	a.nudge()
+}
+
+func (a *account) hold(n int) {
+	a.mu.Lock()
+	changed := a.open != int64(n) || !a.told
+	a.open, a.told = int64(max(n, 0)), true
+	a.mu.Unlock()
+	if changed {
+		a.nudge()
+	}
+}
+
+// run keeps the ledger until ctx ends, then gives everything back.
+func (a *account) run(ctx context.Context) {
+	if _, fixed := allotment.Fixed(a.cfg.Policy, a.limit); fixed {
+		return
+	}
+	stop := a.cfg.Timer.Every(beat, func(time.Duration) { a.nudge() })
+	defer stop()
+	a.loop(ctx)
+	a.leave(context.WithoutCancel(ctx))
+}
+
+func (a *account) loop(ctx context.Context) {
+	for {
+		if _, err := a.wake.Take(ctx); err != nil {
+			return
+		}
+		a.step(ctx)
+	}
+}
+
+// step exchanges with the store when something is due.
+func (a *account) step(ctx context.Context) {
+	now := a.cfg.Timer.Now()
+	demand, holding := a.demand(now)
+	if !a.due(now, demand, holding) {
+		return
+	}
+	if a.written && now-a.wrote < writeGap {
+		a.later(a.wrote + writeGap - now)
+		return
+	}
+	if a.down && now-a.failed < retryEvery {
+		return
+	}
+	err := a.sync(ctx, demand)
+	a.down = err != nil
+	if a.down {
+		a.failed = a.cfg.Timer.Now()
+	}
+}
+
+func (a *account) later(d time.Duration) {
+	a.cfg.Timer.After(d, func(time.Duration) { a.nudge() })
+}
+
+func (a *account) demand(now time.Duration) (allotment.Demand, allotment.Holding) {
+	d, holding := a.limiter.demand(now)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	d.Units, d.Held = a.units, a.open
+	if !a.told {
+		d.Held = a.units
+	}
+	return d, holding
+}
+
+func (a *account) currentLimit() allotment.Limit {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.limit
+}
+
+func (a *account) due(now time.Duration, d allotment.Demand, h allotment.Holding) bool {
+	if !a.held {
+		return d.Waiting > 0 || d.Units > 0
+	}
+	limit := a.currentLimit()
+	return d.Waiting > 0 ||
+		d.Units > h.Share().Units ||
+		now-a.synced >= renewEvery ||
+		h.Lapsed() ||
+		len(a.attempts) > 0 ||
+		limit.Revision > a.base.Limit.Revision ||
+		a.idle(d)
+}
+
+func (a *account) idle(d allotment.Demand) bool {
+	if d.Waiting > 0 || d.Units > 0 || d.Held > 0 {
+		return false
+	}
+	if countsConnections(a.limiter.name) {
+		return true
+	}
+	return d.Idle >= allotment.IdleTime
+}
+
+// sync reads the ledger, decides, and writes it.
+func (a *account) sync(ctx context.Context, d allotment.Demand) error {
+	const maxConflicts = 8
+	for range maxConflicts {
+		if err := a.read(ctx); err != nil {
+			return err
+		}
+		next, err := a.plan(d)
+		if err != nil {
+			return err
+		}
+		err = a.write(ctx, next)
+		if port.KindOf(err) != port.Conflict || err == nil {
+			return err
+		}
+	}
+	return port.Failf(port.Conflict, "ledger %s changes too often", a.limiter.name)
+}
+
+func (a *account) object() string { return "ledger/" + a.limiter.name }
+
+// read reads the ledger and settles the updates whose outcome was not known.
+func (a *account) read(ctx context.Context) error {
+	ctx, cancel := port.WithTimeout(ctx, a.cfg.Timer, storeTimeout)
+	defer cancel()
+	object, err := a.cfg.Store.Get(ctx, a.object())
+	if port.KindOf(err) == port.NotFound {
+		object, err = port.Object{}, nil
+	}
+	if err != nil {
+		return port.Wrapf(err, port.KindOf(err), "read ledger %s", a.limiter.name)
+	}
+	base := allotment.Ledger{}
+	if object.Version != 0 {
+		base, err = ParseLedger(object.Data)
+	}
+	if err != nil {
+		return err
+	}
+	a.base, a.version = base, object.Version
+	a.sightings = a.sightings.WithLedger(a.cfg.Timer.Now(), base)
+	a.settle()
+	return nil
+}
+
+// settle finds out which of the attempts took effect. While the ledger still has the version on which they were
+// built, each of them may take effect yet. After any other update of the ledger none can.
+func (a *account) settle() {
+	if len(a.attempts) == 0 || a.version == a.attempts[0].version {
+		return
+	}
+	lease := uint64(0)
+	if e, ok := a.base.Find(a.cfg.Holder); ok {
+		lease = e.Lease
+	} else if s, ok := a.base.FindSeat(a.cfg.Holder); ok {
+		lease = s.Lease
+	}
+	attempts := a.attempts
+	a.attempts = nil
+	for _, t := range attempts {
+		if t.entry.Lease == lease {
+			a.confirm(t)
+			return
+		}
+	}
+	a.limiter.restore()
+}
+
+// confirm takes over an attempt that is known to have taken effect.
+func (a *account) confirm(t attempt) {
+	a.attempts = nil
+	a.held = t.entry.Holder != ""
+	a.limiter.grant(t)
+}
+
+// plan returns the update that is due on the ledger as it was read.
+func (a *account) plan(d allotment.Demand) (attempt, error) {
+	now := a.cfg.Timer.Now()
+	p := planner{ledger: a.base}
+	if limit := a.currentLimit(); limit.Revision > a.base.Limit.Revision || a.base.Limit.Name == "" {
+		p.apply(allotment.Relimit{Limit: limit})
+	}
+	for _, edit := range a.sightings.Lapsed(now, p.ledger, a.cfg.Holder) {
+		p.apply(edit)
+	}
+	if a.held && a.idle(d) {
+		return a.planLeave(p)
+	}
+	_, held := p.ledger.Find(a.cfg.Holder)
+	_, seat := p.ledger.FindSeat(a.cfg.Holder)
+	if !held && !seat {
+		a.limiter.empty()
+	}
+	p.apply(allotment.Claim{Holder: a.cfg.Holder})
+	plan := allotment.Decide(p.ledger, a.cfg.Holder, d)
+	entry, _ := p.ledger.Find(a.cfg.Holder)
+	p.apply(allotment.Want{Holder: a.cfg.Holder, Wanted: plan.Wanted})
+	give := entry.Share.Minus(plan.Target)
+	// The tokens are taken from the bucket before they are given, by way of the stash.
+	low := entry
+	low.Share = entry.Share.Min(plan.Target)
+	given := min(a.limiter.withhold(low), give.Burst)
+	p.apply(allotment.GiveBack{Holder: a.cfg.Holder, Share: give, Tokens: given})
+	p.apply(allotment.Take{Holder: a.cfg.Holder, Ask: plan.Target.Minus(entry.Share)})
+	a.lease++
+	p.apply(allotment.Renew{Holder: a.cfg.Holder, Lease: a.lease})
+	return a.attempt(p, given)
+}
+
+func (a *account) planLeave(p planner) (attempt, error) {
+	given := a.limiter.withhold(allotment.Entry{})
+	p.apply(allotment.Leave{Holder: a.cfg.Holder, Tokens: given})
+	return a.attempt(p, given)
+}
+
+func (a *account) attempt(p planner, given allotment.Statements) (attempt, error) {
+	if p.err != nil {
+		return attempt{}, port.Wrapf(p.err, port.Internal, "ledger %s", a.limiter.name)
+	}
+	t := attempt{version: a.version, ledger: p.ledger, taken: p.tokens, given: given}
+	t.entry, _ = p.ledger.Find(a.cfg.Holder)
+	a.lease = max(a.lease, t.entry.Lease)
+	a.limiter.withhold(t.entry)
+	return t, nil
+}
+
+// write sends an update. Whatever the answer is but success, the next read settles it.
+func (a *account) write(ctx context.Context, t attempt) error {
+	data, err := EncodeLedger(t.ledger)
+	if err != nil {
+		return err
+	}
+	t.sent = a.cfg.Timer.Now()
+	a.attempts = append(a.attempts, t)
+	a.wrote, a.written = t.sent, true
+	ctx, cancel := port.WithTimeout(ctx, a.cfg.Timer, storeTimeout)
+	defer cancel()
+	version, err := a.cfg.Store.Put(ctx, a.object(), data, t.version)
+	if err != nil {
+		return port.Wrapf(err, port.KindOf(err), "write ledger %s", a.limiter.name)
+	}
+	a.base, a.version, a.synced = t.ledger, version, t.sent
+	a.confirm(t)
+	return nil
+}
+
+// leave gives everything back when the instance stops.
+func (a *account) leave(ctx context.Context) {
+	if !a.held {
+		return
+	}
+	ctx, cancel := port.WithTimeout(ctx, a.cfg.Timer, leaveTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		if err := a.read(ctx); err != nil {
+			return
+		}
+		t, err := a.planLeave(planner{ledger: a.base})
+		if err != nil || port.KindOf(a.write(ctx, t)) != port.Conflict {
+			return
+		}
+	}
+}
+
+// planner collects the edits of one update.
+type planner struct {
+	ledger allotment.Ledger
+	tokens allotment.Statements
+	err    error
+}
+
+func (p *planner) apply(edit allotment.Edit) {
+	if p.err != nil {
+		return
+	}
+	next, grant, err := p.ledger.Apply(edit)
+	if err != nil {
+		p.err = err
+		return
+	}
+	p.ledger = next
+	p.tokens += grant.Tokens
+}
--- /dev/null
+++ b/entry/keeper.go
@@ -0,0 +1,176 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/allotment"
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+// The names of limits start with one of these.
+const (
+	ratePrefix        = "rate/"
+	openRatePrefix    = "rate_open/"
+	connectionsPrefix = "connections/"
+)
+
+// KeeperConfig is what a Keeper needs.
+type KeeperConfig struct {
+	Store port.Store
+	Timer port.Timer
+	// Holder is the incarnation of this instance.
+	Holder string
+	// Policy defaults to allotment.ByDemand.
+	Policy allotment.Policy
+}
+
+// Keeper holds this instance's part of the limits of the whole fleet. It implements RateLimit and ConnectionLimit.
+// Use NewKeeper, then call Run.
+type Keeper struct {
+	cfg KeeperConfig
+
+	mu       sync.RWMutex
+	accounts map[string]*account
+	// ctx is set while Run runs.
+	ctx     context.Context
+	running sync.WaitGroup
+}
+
+// NewKeeper returns a keeper without limits. SetDocument gives it some.
+func NewKeeper(cfg KeeperConfig) *Keeper {
+	if cfg.Policy == nil {
+		cfg.Policy = allotment.ByDemand{}
+	}
+	return &Keeper{cfg: cfg, accounts: make(map[string]*account)}
+}
+
+// Run keeps the ledgers until ctx ends. Then it gives back all shares, for which it takes at most leaveTimeout.
+func (k *Keeper) Run(ctx context.Context) {
+	k.mu.Lock()
+	k.ctx = ctx
+	for _, a := range k.accounts {
+		k.start(a)
+	}
+	k.mu.Unlock()
+	<-ctx.Done()
+	k.running.Wait()
+}
+
+// SetDocument puts the limits of a document in force. Older documents change nothing.
+func (k *Keeper) SetDocument(d document.Document) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	limits := Limits(d)
+	for name, limit := range limits {
+		if a, ok := k.accounts[name]; ok {
+			a.setLimit(limit)
+			continue
+		}
+		a := newAccount(k.cfg, limit)
+		k.accounts[name] = a
+		if k.ctx != nil {
+			k.start(a)
+		}
+	}
+	for name, a := range k.accounts {
+		if _, ok := limits[name]; !ok {
+			a.setLimit(allotment.Limit{Name: name, Seats: d.Seats, Revision: uint64(d.Revision)})
+		}
+	}
+}
+
+func (k *Keeper) start(a *account) {
+	if k.ctx.Err() != nil {
+		return
+	}
+	k.running.Go(func() { a.run(k.ctx) })
+}
+
+// Take takes one statement from a limit.
+func (k *Keeper) Take(ctx context.Context, limit string) error {
+	a, ok := k.find(limit)
+	if !ok {
+		return port.Failf(port.OverRate, "limit %s does not exist", limit)
+	}
+	return a.limiter.take(ctx)
+}
+
+// Allowed returns how many connections this instance may hold now. server is "<group>/<server>".
+func (k *Keeper) Allowed(server string) int {
+	a, ok := k.find(connectionsPrefix + server)
+	if !ok {
+		return 0
+	}
+	return a.limiter.allowed()
+}
+
+// Want tells how many connections this instance could use now, those that it holds included.
+func (k *Keeper) Want(server string, n int) {
+	if a, ok := k.find(connectionsPrefix + server); ok {
+		a.want(n)
+	}
+}
+
+// Hold tells how many connections are open now. Open connections are never given back. Without a call to Hold, as
+// many as Want said count as open.
+func (k *Keeper) Hold(server string, n int) {
+	if a, ok := k.find(connectionsPrefix + server); ok {
+		a.hold(n)
+	}
+}
+
+func (k *Keeper) find(name string) (*account, bool) {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	a, ok := k.accounts[name]
+	return a, ok
+}
+
+// Limits returns the limits that a document states, by name.
+func Limits(d document.Document) map[string]allotment.Limit {
+	limits := make(map[string]allotment.Limit)
+	add := func(name string, total allotment.Amount) {
+		limits[name] = allotment.Limit{Name: name, Total: total, Seats: d.Seats, Revision: uint64(d.Revision)}
+	}
+	for _, o := range d.Organisations {
+		add(ratePrefix+o.Name, rateAmount(o.Rate, o.Burst))
+	}
+	for _, r := range d.Routes {
+		if r.Open {
+			add(openRatePrefix+r.Name, rateAmount(r.Rate, r.Burst))
+		}
+	}
+	for _, g := range d.Groups {
+		for _, s := range g.Servers {
+			add(connectionsPrefix+g.Name+"/"+s.Name, allotment.Amount{Units: int64(s.Connections)})
+		}
+	}
+	return limits
+}
+
+func rateAmount(rate, burst float64) allotment.Amount {
+	return allotment.Amount{Rate: allotment.ToStatements(rate), Burst: allotment.ToStatements(burst)}
+}
+
+// countsConnections reports whether the limit is one of connections.
+func countsConnections(limit string) bool { return strings.HasPrefix(limit, connectionsPrefix) }
+
+// Times of the exchange with the store.
+const (
+	// renewEvery leaves two more attempts in a lease of 30 s.
+	renewEvery = 10 * time.Second
+	// writeGap is the least time between two updates of one ledger by one holder.
+	writeGap = 200 * time.Millisecond
+	// storeTimeout ends a call of the store that does not answer.
+	storeTimeout = 2 * time.Second
+	// retryEvery is the time between attempts while the store does not answer.
+	retryEvery = time.Second
+	// leaveTimeout bounds how long a holder that stops tries to give back its shares.
+	leaveTimeout = 3 * time.Second
+	// beat is how often demand is looked at without a statement that waits.
+	beat = time.Second
+)
--- /dev/null
+++ b/entry/keeper_failure_test.go
@@ -0,0 +1,212 @@
+package entry_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/allotment"
+	"github.com/rhubarbwick/rhubarbwick/document"
+)
+
+// flood keeps all keepers busy far above the limit, so that any share that counts twice shows as overshoot.
+const flood = 400
+
+// testFleet runs a scenario with an organisation of 100 statements a second and a burst of 100, and checks that no
+// interval of it saw more.
+func testFleet(t *testing.T, name string, n int, scenario func(t *testing.T, f *fleet)) {
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, n, limited(1, 100, 100), allotment.ByDemand{})
+			defer f.finish()
+			scenario(t, f)
+			requireNoOvershoot(t, f, nyanza, 100, 100)
+		})
+	})
+}
+
+// kill ends a keeper's exchange with the store for good, without giving anything back.
+func (m *member) kill() { m.line.set(func(l *line) { l.cut = true }) }
+
+// requireAdmitted checks that about the whole rate is used from an instant on.
+func requireAdmitted(t *testing.T, f *fleet, since time.Duration, atLeast float64) {
+	t.Helper()
+	elapsed := (f.clock.Now() - since).Seconds()
+	require.GreaterOrEqual(t, float64(f.admittedSince(nyanza, since))/elapsed, atLeast, "statements a second")
+}
+
+// Guards against a share that is spent by two holders, or by nobody, after one of them fails.
+func TestKeeperFailures(t *testing.T) {
+	testFleet(t, "a dead holder's share is taken after its lease", 3, func(t *testing.T, f *fleet) {
+		f.load(12*time.Second, nyanza, flood, f.keepers...)
+		f.keepers[0].kill()
+		f.load(45*time.Second, nyanza, flood, f.keepers[1:]...)
+		f.load(10*time.Second, nyanza, flood, f.keepers[1:]...)
+		requireAdmitted(t, f, f.clock.Now()-10*time.Second, 95)
+	})
+	testFleet(t, "a cut-off holder falls back to its standing share", 3, func(t *testing.T, f *fleet) {
+		f.load(12*time.Second, nyanza, flood, f.keepers...)
+		f.keepers[0].kill()
+		f.load(50*time.Second, nyanza, flood, f.keepers...)
+		// The statements that still wait at the others are answered first.
+		f.advance(time.Second)
+		since := f.clock.Now()
+		f.load(10*time.Second, nyanza, flood, f.keepers[0])
+		requireAdmitted(t, f, since, 0.3)
+		require.LessOrEqual(t, f.admittedSince(nyanza, since), 6)
+	})
+	testFleet(t, "a paused holder wakes without its share", 3, func(_ *testing.T, f *fleet) {
+		f.load(12*time.Second, nyanza, flood, f.keepers...)
+		f.keepers[0].timer.pause()
+		f.load(45*time.Second, nyanza, flood, f.keepers[1:]...)
+		f.keepers[0].timer.resume()
+		f.load(20*time.Second, nyanza, flood, f.keepers...)
+	})
+	testFleet(t, "a holder is paused between check and use", 3, func(_ *testing.T, f *fleet) {
+		f.load(25*time.Second, nyanza, flood, f.keepers...)
+		// The clock is read in the lease, and the statement goes on after others have taken the share.
+		for range 20 {
+			trap := make(chan struct{})
+			f.keepers[0].timer.pause()
+			f.keepers[0].timer.setTrap(trap)
+			f.send(f.keepers[0], nyanza)
+			f.load(40*time.Second, nyanza, flood, f.keepers[1:]...)
+			close(trap)
+			f.advance(time.Millisecond)
+			f.keepers[0].timer.resume()
+			f.load(20*time.Second, nyanza, flood, f.keepers...)
+		}
+	})
+	testFleet(t, "an instance is replaced", 3, func(t *testing.T, f *fleet) {
+		f.load(12*time.Second, nyanza, flood, f.keepers...)
+		f.keepers[0].stop()
+		f.load(time.Second, nyanza, flood, f.keepers[1:]...)
+		<-f.keepers[0].done
+		fresh := f.join()
+		since := f.clock.Now()
+		f.load(10*time.Second, nyanza, flood, f.keepers[1], f.keepers[2], fresh)
+		requireAdmitted(t, f, since, 90)
+	})
+	testFleet(t, "the store is down for ten minutes", 3, func(t *testing.T, f *fleet) {
+		f.load(12*time.Second, nyanza, flood, f.keepers...)
+		f.store.setDown(true)
+		since := f.clock.Now()
+		f.load(18*time.Second, nyanza, flood, f.keepers...)
+		requireAdmitted(t, f, since, 90)
+		f.load(10*time.Minute, nyanza, flood, f.keepers...)
+		f.store.setDown(false)
+		f.load(15*time.Second, nyanza, flood, f.keepers...)
+		since = f.clock.Now()
+		f.load(10*time.Second, nyanza, flood, f.keepers...)
+		requireAdmitted(t, f, since, 90)
+	})
+	testFleet(t, "answers are lost", 3, func(t *testing.T, f *fleet) {
+		for i := range 6 {
+			f.keepers[i%3].line.set(func(l *line) { l.loseAnswers = true })
+			f.load(7*time.Second, nyanza, flood, f.keepers[i%3], f.keepers[(i+1)%3])
+			f.keepers[i%3].line.set(func(l *line) { l.loseAnswers = false })
+			f.load(4*time.Second, nyanza, flood, f.keepers[(i+2)%3])
+		}
+		since := f.clock.Now()
+		f.load(10*time.Second, nyanza, flood, f.keepers...)
+		requireAdmitted(t, f, since, 90)
+	})
+	testFleet(t, "updates take effect after their sender gave up", 3, func(_ *testing.T, f *fleet) {
+		for i := range 12 {
+			late := time.Duration(i%4+1) * 700 * time.Millisecond
+			f.keepers[i%3].line.set(func(l *line) { l.lateBy = late })
+			f.load(5*time.Second, nyanza, flood, f.keepers[i%3], f.keepers[(i+1)%3])
+			f.keepers[i%3].line.set(func(l *line) { l.lateBy = 0 })
+			f.load(2*time.Second, nyanza, flood, f.keepers[(i+1)%3])
+		}
+	})
+	testFleet(t, "the store is slow", 3, func(_ *testing.T, f *fleet) {
+		f.store.setSlow(1500 * time.Millisecond)
+		f.load(60*time.Second, nyanza, flood, f.keepers...)
+	})
+	testFleet(t, "two keepers claim at once", 2, func(t *testing.T, f *fleet) {
+		f.send(f.keepers[0], nyanza)
+		f.send(f.keepers[1], nyanza)
+		f.advance(time.Second)
+		require.Len(t, f.store.ledger(t, nyanza).Entries, 2)
+		f.load(10*time.Second, nyanza, flood, f.keepers...)
+	})
+	testFleet(t, "a holder without traffic gives everything back", 2, func(t *testing.T, f *fleet) {
+		f.load(5*time.Second, nyanza, 50, f.keepers[0])
+		f.advance(2 * time.Minute)
+		l := f.store.ledger(t, nyanza)
+		require.Empty(t, l.Entries)
+		require.Empty(t, l.Seats)
+		require.Equal(t, l.Limit.Total.Burst, l.Tokens)
+		calls := f.store.reads + f.store.writes
+		f.advance(2 * time.Minute)
+		require.Equal(t, calls, f.store.reads+f.store.writes)
+	})
+}
+
+// Guards against a limit that rises for one holder before it has fallen for the others.
+func TestKeeperLimitFalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, limited(1, 100, 100), allotment.ByDemand{})
+		defer f.finish()
+		f.load(12*time.Second, nyanza, flood, f.keepers...)
+		requireNoOvershoot(t, f, nyanza, 100, 100)
+		f.setDocument(limited(2, 20, 10))
+		since := f.clock.Now()
+		f.load(20*time.Second, nyanza, flood, f.keepers...)
+		requireNoOvershootSince(t, f, since, 20, 10)
+		f.setDocument(limited(3, 50, 50))
+		f.load(20*time.Second, nyanza, flood, f.keepers...)
+		requireNoOvershootSince(t, f, since, 50, 50)
+		requireAdmitted(t, f, f.clock.Now()-10*time.Second, 45)
+	})
+	t.Run("one holder learns of it late", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 3, limited(1, 100, 100), allotment.ByDemand{})
+			defer f.finish()
+			f.load(12*time.Second, nyanza, flood, f.keepers...)
+			f.keepers[0].SetDocument(limited(2, 20, 10))
+			f.keepers[1].SetDocument(limited(2, 20, 10))
+			f.load(11*time.Second, nyanza, flood, f.keepers...)
+			since := f.clock.Now()
+			f.load(20*time.Second, nyanza, flood, f.keepers...)
+			requireNoOvershootSince(t, f, since, 20, 10)
+		})
+	})
+}
+
+// requireNoOvershootSince checks the intervals after an instant against a lower limit.
+func requireNoOvershootSince(t *testing.T, f *fleet, since time.Duration, rate, burst float64) {
+	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var later []time.Duration
+	for _, at := range f.admitted[nyanza] {
+		if at > since {
+			later = append(later, at)
+		}
+	}
+	require.NotEmpty(t, later)
+	require.LessOrEqual(t, overshoot(later, rate, burst), 1e-6, "statements above burst + rate × t")
+}
+
+func (f *fleet) setDocument(d document.Document) {
+	f.doc = d
+	for _, m := range f.keepers {
+		m.SetDocument(d)
+	}
+}
+
+func (p *pausableTimer) setTrap(trap chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.trap = trap
+}
+
+func (s *ledgerStore) setSlow(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = d
+}
--- /dev/null
+++ b/entry/ledger_object.go
@@ -0,0 +1,123 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/rhubarbwick/rhubarbwick/allotment"
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+// Amounts in a stored ledger are millionths of a statement, so that they add up exactly.
+type amountObject struct {
+	Rate  int64 `json:"rate,omitempty"`
+	Burst int64 `json:"burst,omitempty"`
+	Units int64 `json:"units,omitempty"`
+}
+
+type limitObject struct {
+	Name     string       `json:"name"`
+	Total    amountObject `json:"total"`
+	Seats    int          `json:"seats"`
+	Revision uint64       `json:"revision"`
+}
+
+type entryObject struct {
+	Holder   string       `json:"holder"`
+	Share    amountObject `json:"share"`
+	Standing amountObject `json:"standing"`
+	Lease    uint64       `json:"lease"`
+	Wanted   amountObject `json:"wanted"`
+}
+
+type seatObject struct {
+	Holder string       `json:"holder"`
+	Share  amountObject `json:"share"`
+	Lease  uint64       `json:"lease"`
+}
+
+type poolObject struct {
+	Free   amountObject `json:"free"`
+	Tokens int64        `json:"tokens"`
+}
+
+type ledgerObject struct {
+	Limit   limitObject   `json:"limit"`
+	Entries []entryObject `json:"entries"`
+	Seats   []seatObject  `json:"seats"`
+	Pool    poolObject    `json:"pool"`
+}
+
+// EncodeLedger returns the ledger as it is stored.
+func EncodeLedger(l allotment.Ledger) ([]byte, error) {
+	object := ledgerObject{
+		Limit: limitObject{
+			Name: l.Limit.Name, Total: toAmountObject(l.Limit.Total), Seats: l.Limit.Seats, Revision: l.Limit.Revision,
+		},
+		Entries: []entryObject{},
+		Seats:   []seatObject{},
+		Pool:    poolObject{Free: toAmountObject(l.Free()), Tokens: int64(l.Tokens)},
+	}
+	for _, e := range l.Entries {
+		object.Entries = append(object.Entries, entryObject{
+			Holder: e.Holder, Share: toAmountObject(e.Share), Standing: toAmountObject(e.Standing),
+			Lease: e.Lease, Wanted: toAmountObject(e.Wanted),
+		})
+	}
+	for _, s := range l.Seats {
+		object.Seats = append(object.Seats, seatObject{Holder: s.Holder, Share: toAmountObject(s.Share), Lease: s.Lease})
+	}
+	data, err := json.Marshal(object)
+	return data, port.Wrapf(err, port.Internal, "encode ledger %q", l.Limit.Name)
+}
+
+// ParseLedger reads a stored ledger and checks every field.
+func ParseLedger(data []byte) (allotment.Ledger, error) {
+	var object ledgerObject
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&object); err != nil {
+		return allotment.Ledger{}, port.Wrapf(err, port.Invalid, "parse ledger")
+	}
+	if decoder.More() {
+		return allotment.Ledger{}, port.Failf(port.Invalid, "parse ledger: text after the object")
+	}
+	l := object.ledger()
+	if err := l.Check(); err != nil {
+		return allotment.Ledger{}, port.Wrapf(err, port.Invalid, "ledger %q", l.Limit.Name)
+	}
+	if free := object.Pool.Free.amount(); free != l.Free() {
+		return allotment.Ledger{}, port.Failf(port.Invalid, "ledger %q: pool states %v free, entries leave %v",
+			l.Limit.Name, free, l.Free())
+	}
+	return l, nil
+}
+
+func (o ledgerObject) ledger() allotment.Ledger {
+	l := allotment.Ledger{
+		Limit: allotment.Limit{
+			Name: o.Limit.Name, Total: o.Limit.Total.amount(), Seats: o.Limit.Seats, Revision: o.Limit.Revision,
+		},
+		Tokens: allotment.Statements(o.Pool.Tokens),
+	}
+	for _, e := range o.Entries {
+		l.Entries = append(l.Entries, allotment.Entry{
+			Holder: e.Holder, Share: e.Share.amount(), Standing: e.Standing.amount(),
+			Lease: e.Lease, Wanted: e.Wanted.amount(),
+		})
+	}
+	for _, s := range o.Seats {
+		l.Seats = append(l.Seats, allotment.Seat{Holder: s.Holder, Share: s.Share.amount(), Lease: s.Lease})
+	}
+	return l
+}
+
+func (o amountObject) amount() allotment.Amount {
+	return allotment.Amount{
+		Rate: allotment.Statements(o.Rate), Burst: allotment.Statements(o.Burst), Units: o.Units,
+	}
+}
+
+func toAmountObject(a allotment.Amount) amountObject {
+	return amountObject{Rate: int64(a.Rate), Burst: int64(a.Burst), Units: a.Units}
+}
--- /dev/null
+++ b/entry/limiter.go
@@ -0,0 +1,303 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/allotment"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/ring"
+)
+
+const (
+	// takeWait is how long a statement waits for a token.
+	takeWait = 250 * time.Millisecond
+	// maxWaiting bounds the statements that wait for one limit; a further one is refused at once.
+	maxWaiting = 1024
+	// maxCheckTime is less than the time between the end of a lease and its reclaim. A statement whose check took
+	// longer may have been checked in a lease that others have taken since.
+	maxCheckTime = time.Second
+	// meterTime is the period over which demand is counted.
+	meterTime = time.Second
+	// meterPeriods is how many periods the greatest demand is remembered.
+	meterPeriods = 10
+)
+
+// limiter admits statements from the local holding of one limit. Its lock is never held over a message.
+type limiter struct {
+	name  string
+	timer port.Timer
+	// need is called when a statement found no token. It must not block.
+	need func()
+
+	mu      sync.Mutex
+	holding allotment.Holding
+	// stash are the tokens of updates whose outcome is not known.
+	stash allotment.Statements
+	queue *ring.Ring[*waiter]
+	head  *waiter
+	// granted is the limit under which the holding was granted or to which it shrank.
+	granted allotment.Limit
+	stop    func()
+	meter   meter
+}
+
+// waiter is a statement that waits for a token.
+type waiter struct {
+	deadline time.Duration
+	// admitted is the instant at which a token was taken.
+	admitted time.Duration
+	outcome  chan error
+	gone     bool
+}
+
+func newLimiter(name string, timer port.Timer, need func()) *limiter {
+	return &limiter{name: name, timer: timer, need: need, queue: ring.New[*waiter](maxWaiting)}
+}
+
+// take takes one token, or waits for one in order of arrival.
+func (l *limiter) take(ctx context.Context) error {
+	l.mu.Lock()
+	now := l.timer.Now()
+	l.meter.count(now)
+	if l.waitingLocked() == 0 && l.spend(now) {
+		l.mu.Unlock()
+		return l.confirm(now)
+	}
+	w := &waiter{deadline: now + takeWait, outcome: make(chan error, 1)}
+	if !l.queue.Offer(w) {
+		l.mu.Unlock()
+		return l.refusal("too many statements wait")
+	}
+	l.serve(now)
+	l.mu.Unlock()
+	l.need()
+	return l.await(ctx, w)
+}
+
+// confirm refuses a statement whose check took so long that its lease may have ended and been taken by others.
+func (l *limiter) confirm(checked time.Duration) error {
+	if l.timer.Now()-checked >= maxCheckTime {
+		return l.refusal("check was interrupted")
+	}
+	return nil
+}
+
+func (l *limiter) await(ctx context.Context, w *waiter) error {
+	select {
+	case err := <-w.outcome:
+		if err == nil {
+			err = l.confirm(w.admitted)
+		}
+		return err
+	case <-ctx.Done():
+		l.mu.Lock()
+		w.gone = true
+		l.mu.Unlock()
+		return l.refusal("caller left")
+	}
+}
+
+func (l *limiter) refusal(why string) error {
+	return port.Failf(port.OverRate, "limit %s: %s", l.name, why)
+}
+
+func (l *limiter) spend(now time.Duration) bool {
+	holding, ok := l.holding.Take(now)
+	l.holding = holding
+	return ok
+}
+
+// serve admits the waiting statements for which there are tokens, refuses those that waited too long, and sets the
+// timer for the next one. The lock is held.
+func (l *limiter) serve(now time.Duration) {
+	for l.next() {
+		switch {
+		case l.head.gone:
+		case now >= l.head.deadline:
+			l.head.outcome <- l.refusal("rate is used up")
+		case l.spend(now):
+			l.head.admitted = now
+			l.head.outcome <- nil
+		default:
+			l.wait(now)
+			return
+		}
+		l.head = nil
+	}
+}
+
+func (l *limiter) next() bool {
+	if l.head == nil {
+		l.head, _ = l.queue.TryTake()
+	}
+	return l.head != nil
+}
+
+func (l *limiter) wait(now time.Duration) {
+	d := l.head.deadline - now
+	if next, ok := l.holding.Next(); ok {
+		d = min(d, next)
+	}
+	if l.stop != nil {
+		l.stop()
+	}
+	l.stop = l.timer.After(max(d, time.Microsecond), l.ring)
+}
+
+// ring reads the clock itself: the instant of a delivered timer is old when the process was paused.
+func (l *limiter) ring(time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stop = nil
+	l.serve(l.timer.Now())
+}
+
+func (l *limiter) waitingLocked() int {
+	n := l.queue.Len()
+	if l.head != nil {
+		n++
+	}
+	return n
+}
+
+// demand returns what was measured, and the holding.
+func (l *limiter) demand(now time.Duration) (allotment.Demand, allotment.Holding) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holding = l.holding.At(now)
+	d := l.meter.demand(now)
+	d.Waiting = l.waitingLocked()
+	d.Full = l.holding.Tokens() >= l.holding.Share().Burst
+	return d, l.holding
+}
+
+// allowed returns the connections that may be held now.
+func (l *limiter) allowed() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holding = l.holding.At(l.timer.Now())
+	return l.holding.Allowed()
+}
+
+// withhold lowers the holding to an entry that an update will write, and returns all tokens that were withheld for
+// updates without an answer.
+func (l *limiter) withhold(e allotment.Entry) allotment.Statements {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	holding, tokens := l.holding.WithShareAtMost(l.timer.Now(), e)
+	l.holding = holding
+	l.stash += tokens
+	return l.stash
+}
+
+// restore puts withheld tokens back after the updates that were to give them away are known to have failed.
+func (l *limiter) restore() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.timer.Now()
+	l.holding = l.holding.At(now).WithReturned(now, l.takeStash())
+	l.serve(now)
+}
+
+// grant takes over an update that is known to have taken effect.
+func (l *limiter) grant(t attempt) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.timer.Now()
+	l.holding = l.holding.At(now)
+	back := max(l.takeStash()-t.given, 0)
+	l.holding = l.holding.WithEntry(now, t.sent, t.entry, t.taken+back)
+	l.granted = t.ledger.Limit
+	l.serve(now)
+}
+
+// takeStash empties the stash. The tokens of a holder whose lease has ended count as spent.
+func (l *limiter) takeStash() allotment.Statements {
+	stash := l.stash
+	l.stash = 0
+	if l.holding.Lapsed() {
+		return 0
+	}
+	return stash
+}
+
+// empty leaves nothing, because the ledger has neither an entry nor a seat for this holder.
+func (l *limiter) empty() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holding = allotment.Holding{}
+	l.stash = 0
+}
+
+// fix sets a share that depends on no ledger.
+func (l *limiter) fix(share allotment.Amount) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.timer.Now()
+	l.holding = l.holding.WithFixedShare(now, share)
+	l.serve(now)
+}
+
+// shrink lowers the share in proportion when the limit falls below the one under which the share was granted.
+func (l *limiter) shrink(limit allotment.Limit) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if limit.Revision <= l.granted.Revision {
+		return
+	}
+	now := l.timer.Now()
+	holding, tokens := l.holding.WithLimitAtMost(now, l.granted.Total, limit.Total)
+	l.holding = holding
+	l.stash += tokens
+	l.granted = limit
+}
+
+// meter counts demand in periods.
+type meter struct {
+	start  time.Duration
+	last   time.Duration
+	any    bool
+	counts [meterPeriods]int
+	// mean is the mean demand in statements a second.
+	mean float64
+}
+
+func (m *meter) count(now time.Duration) {
+	m.roll(now)
+	m.counts[0]++
+	m.last, m.any = now, true
+}
+
+func (m *meter) roll(now time.Duration) {
+	// weight is the part of the newest period in the mean. Half follows a change within about 3 s.
+	const weight = 0.5
+	for steps := 0; now-m.start >= meterTime; steps++ {
+		if steps > 2*meterPeriods {
+			m.start = now
+			break
+		}
+		m.mean += weight * (float64(m.counts[0])/meterTime.Seconds() - m.mean)
+		copy(m.counts[1:], m.counts[:meterPeriods-1])
+		m.counts[0] = 0
+		m.start += meterTime
+	}
+}
+
+func (m *meter) demand(now time.Duration) allotment.Demand {
+	m.roll(now)
+	peak := 0
+	for _, n := range m.counts {
+		peak = max(peak, n)
+	}
+	idle := now - m.last
+	if !m.any {
+		idle = now
+	}
+	return allotment.Demand{
+		Rate: allotment.ToStatements(max(m.mean, float64(m.counts[0]))),
+		Peak: allotment.Statements(peak) * allotment.Statement,
+		Idle: idle,
+	}
+}
