--- /dev/null
+++ b/cmd/serve/process.go
@@ -0,0 +1,279 @@
+package serve
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rhubarbwick/rhubarbwick/adapter/admin"
+	"github.com/rhubarbwick/rhubarbwick/adapter/clock"
+	"github.com/rhubarbwick/rhubarbwick/adapter/peer"
+	"github.com/rhubarbwick/rhubarbwick/adapter/platform"
+	"github.com/rhubarbwick/rhubarbwick/adapter/postgres"
+	"github.com/rhubarbwick/rhubarbwick/adapter/settings"
+	"github.com/rhubarbwick/rhubarbwick/allotment"
+	"github.com/rhubarbwick/rhubarbwick/entry"
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/instance"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/session"
+)
+
+// peerDrain is how long other instances' calls may take while the instance stops.
+const peerDrain = time.Second
+
+// process is one entry instance with all its duties.
+type process struct {
+	cfg      settings.Settings
+	self     instance.Instance
+	log      *zap.Logger
+	timer    *clock.Service
+	store    port.Store
+	follower *entry.Follower
+	editor   *entry.Editor
+	keeper   *entry.Keeper
+	groups   *entry.Groups
+	pool     *postgres.Pool
+	listener *postgres.Listener
+	peers    *peer.Server
+	admin    *admin.Server
+
+	caller, peer, operator net.Listener
+}
+
+// newProcess opens the sockets and assembles the parts.
+func newProcess(cfg settings.Settings, incarnation string, log *zap.Logger) (*process, error) {
+	p := &process{cfg: cfg, log: log, timer: clock.NewService()}
+	if err := p.listen(); err != nil {
+		return nil, err
+	}
+	p.self = instance.Instance{
+		Incarnation: incarnation,
+		Address:     p.peer.Addr().String(),
+		DataCentre:  cfg.Instance.DataCentre,
+		State:       instance.Live,
+	}
+	if cfg.Instance.PeerAdvertise != "" {
+		p.self.Address = cfg.Instance.PeerAdvertise
+	}
+	store, err := platform.NewStore(cfg.Platform.StoreURL, p.timer)
+	if err != nil {
+		return nil, err
+	}
+	p.store = store
+	if err := p.assembleDocument(); err != nil {
+		return nil, err
+	}
+	return p, p.assembleCallers()
+}
+
+func (p *process) listen() error {
+	for _, open := range []struct {
+		socket  *net.Listener
+		key     string
+		address string
+	}{
+		{&p.caller, "caller_listen", p.cfg.Instance.CallerListen},
+		{&p.peer, "peer_listen", p.cfg.Instance.PeerListen},
+		{&p.operator, "admin_listen", p.cfg.Instance.AdminListen},
+	} {
+		socket, err := net.Listen("tcp", open.address)
+		if err != nil {
+			return port.Wrapf(err, port.Invalid, "[instance] %s = %q cannot be opened", open.key, open.address)
+		}
+		*open.socket = socket
+	}
+	return nil
+}
+
+// assembleDocument makes the parts that keep the document in force.
+func (p *process) assembleDocument() error {
+	secret := []byte(p.cfg.Session.TokenSecret)
+	relays, err := peer.NewClient(secret)
+	if err != nil {
+		return err
+	}
+	log := p.log.Named("document")
+	p.follower = entry.NewFollower(entry.FollowerConfig{
+		Self:   p.self,
+		Store:  p.store,
+		Relays: relays,
+		Timer:  p.timer,
+		Log:    func(line string) { log.Info(line) },
+	})
+	p.editor = entry.NewEditor(entry.EditorConfig{
+		Self:     p.self,
+		Store:    p.store,
+		Relays:   relays,
+		Follower: p.follower,
+		Timer:    p.timer,
+		Wall:     time.Now,
+		NewID:    newIncarnation,
+		Log:      func(line string) { log.Info(line) },
+	})
+	p.peers, err = peer.NewServer(p.follower, secret)
+	return err
+}
+
+// assembleCallers makes the parts between callers and servers.
+func (p *process) assembleCallers() error {
+	signer, err := session.NewSigner([]byte(p.cfg.Session.TokenSecret))
+	if err != nil {
+		return err
+	}
+	p.keeper = entry.NewKeeper(entry.KeeperConfig{
+		Store:  p.store,
+		Timer:  p.timer,
+		Holder: p.self.Incarnation,
+		Policy: policyOf(p.cfg.Limits),
+	})
+	p.groups = entry.NewGroups(entry.GroupsConfig{
+		Self:    p.self,
+		Timer:   p.timer,
+		Store:   p.store,
+		Connect: p.connect,
+	})
+	p.pool = postgres.NewPool(postgres.PoolConfig{
+		User:      p.cfg.Servers.User,
+		Password:  p.cfg.Servers.Password,
+		WaitLimit: settings.Milliseconds(p.cfg.Servers.WaitMS),
+		OpenLimit: settings.Milliseconds(p.cfg.Servers.ConnectMS),
+	}, p.keeper, p.timer, p.log)
+	director := entry.NewGroupDirector(entry.GroupDirectorConfig{
+		DataCentre: p.self.DataCentre,
+		Timer:      p.timer,
+		Monitor:    p.groups.Monitor,
+	})
+	certificate, err := p.tls()
+	if err != nil {
+		return err
+	}
+	gate := entry.NewDocumentGate(p.follower, signer, p.keeper)
+	p.listener = postgres.NewListener(postgres.ListenerConfig{
+		MaxCallers:   p.cfg.Callers.MaxConnections,
+		MessageLimit: p.cfg.Callers.MessageBytes,
+		StartupLimit: settings.Milliseconds(p.cfg.Callers.StartUpMS),
+		IdleLimit:    settings.Milliseconds(p.cfg.Callers.IdleDrainMS),
+		TLS:          certificate,
+	}, gate, director, p.pool, p.timer, p.log)
+	p.admin = admin.NewServer(admin.Config{Follower: p.follower, Log: p.log})
+	return nil
+}
+
+func (p *process) connect(m group.Member) port.Server {
+	return postgres.NewMaintenance(postgres.MaintenanceConfig{
+		Name:     m.Name,
+		Address:  m.Address,
+		User:     p.cfg.Servers.User,
+		Password: p.cfg.Servers.Password,
+	})
+}
+
+func (p *process) tls() (*tls.Config, error) {
+	if p.cfg.Callers.TLSCertificate == "" {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(p.cfg.Callers.TLSCertificate, p.cfg.Callers.TLSKey)
+	if err != nil {
+		return nil, port.Wrapf(err, port.Invalid, "[callers] tls_certificate cannot be loaded")
+	}
+	return &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}, nil
+}
+
+func policyOf(cfg settings.Limits) allotment.Policy {
+	switch cfg.Policy {
+	case "static":
+		return allotment.StaticSplit{}
+	case "none":
+		return allotment.Unlimited{}
+	}
+	return allotment.ByDemand{}
+}
+
+// run serves until ctx ends, then stops without cutting a request.
+func (p *process) run(ctx context.Context, out io.Writer) error {
+	duties, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopDuties()
+	var running sync.WaitGroup
+	for _, run := range []func(context.Context){
+		p.timer.Run, p.follower.Run, p.editor.Run, p.keeper.Run, p.groups.Run, p.pool.Run,
+	} {
+		running.Go(func() { run(duties) })
+	}
+	peers := p.peers.HTTPServer()
+	operators := p.admin.HTTPServer()
+	running.Go(func() { p.serveHTTP("peers", peers, p.peer) })
+	running.Go(func() { p.serveHTTP("admin", operators, p.operator) })
+	if err := p.subscribe(duties); err != nil {
+		return err
+	}
+	running.Go(func() { p.serveCallers(duties) })
+	if err := p.announce(out); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	p.drain(duties)
+	closeHTTP(duties, peers, operators)
+	stopDuties()
+	running.Wait()
+	p.log.Named("instance").Info("stopped")
+	return nil
+}
+
+// subscribe passes each document and each list of instances on to the parts that follow them.
+func (p *process) subscribe(ctx context.Context) error {
+	if err := p.follower.Subscribe(ctx, p.keeper.SetDocument); err != nil {
+		return err
+	}
+	if err := p.follower.Subscribe(ctx, p.pool.SetDocument); err != nil {
+		return err
+	}
+	if err := p.follower.Subscribe(ctx, p.groups.SetDocument); err != nil {
+		return err
+	}
+	return p.follower.SubscribeList(ctx, p.groups.SetList)
+}
+
+func (p *process) announce(out io.Writer) error {
+	_, err := fmt.Fprintf(out, "instance %s listens on %s for callers, %s for instances, %s for operators\n",
+		p.self.Incarnation, p.caller.Addr(), p.peer.Addr(), p.operator.Addr())
+	return err
+}
+
+func (p *process) serveCallers(ctx context.Context) {
+	if err := p.listener.Serve(ctx, p.caller); err != nil {
+		p.log.Named("callers").Error("listener stopped", zap.Error(err))
+	}
+}
+
+func (p *process) serveHTTP(part string, server *http.Server, socket net.Listener) {
+	if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+		p.log.Named(part).Error("listener stopped", zap.Error(err))
+	}
+}
+
+func (p *process) drain(ctx context.Context) {
+	p.log.Named("instance").Info("stopping; running requests are finished first")
+	p.admin.SetStopping()
+	if err := p.listener.Stop(ctx); err != nil {
+		p.log.Named("callers").Warn("a caller was cut off", zap.Error(err))
+	}
+}
+
+func closeHTTP(ctx context.Context, servers ...*http.Server) {
+	ctx, cancel := context.WithTimeout(ctx, peerDrain)
+	defer cancel()
+	for _, server := range servers {
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close()
+		}
+	}
+}
--- a/cmd/serve/serve.go
+++ b/cmd/serve/serve.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/hex"
 	"os/signal"
 	"syscall"
 
@@ -10,12 +12,14 @@
 
 	"github.com/rhubarbwick/rhubarbwick/cmd/settings/check"
 	"github.com/rhubarbwick/rhubarbwick/cmd/streams"
+	"github.com/rhubarbwick/rhubarbwick/port"
 )
 
 // Options are the options of the serve command.
 type Options struct {
-	Streams streams.Streams
-	Path    string
+	Streams     streams.Streams
+	Path        string
+	Incarnation string
 }
 
 // NewCommand returns the serve command.
@@ -28,6 +32,11 @@
 			"Example:\n\n   rhubarbwick serve --settings kigali-1.ini",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "the INI `FILE`", Required: true, Destination: &opts.Path},
+			&cli.StringFlag{
+				Name:        "incarnation",
+				Usage:       "the `ID` under which the platform lists this start; by default it is drawn at random",
+				Destination: &opts.Incarnation,
+			},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
 	}
@@ -38,9 +47,26 @@
 	if err != nil {
 		return err
 	}
+	if opts.Incarnation == "" {
+		opts.Incarnation = newIncarnation()
+	}
+	log, err := newLogger(cfg.Log, opts.Streams.Err)
+	if err != nil {
+		return port.Wrapf(err, port.Invalid, "the log cannot be opened")
+	}
+	defer func() { _ = log.Sync() }()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	_ = cfg
-	<-ctx.Done()
-	return nil
+	p, err := newProcess(cfg, opts.Incarnation, log)
+	if err != nil {
+		return err
+	}
+	return p.run(ctx, opts.Streams.Out)
+}
+
+// newIncarnation draws the identity of this start. crypto/rand does not fail.
+func newIncarnation() string {
+	var id [8]byte
+	_, _ = rand.Read(id[:])
+	return hex.EncodeToString(id[:])
 }
--- /dev/null
+++ b/entry/groups.go
@@ -0,0 +1,218 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/instance"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/ring"
+)
+
+const groupsCapacity = 64
+
+// GroupsConfig is what Groups needs.
+type GroupsConfig struct {
+	Self  instance.Instance
+	Timer port.Timer
+	Store port.Store
+	// Connect returns the maintenance side of a server. It must not block.
+	Connect func(m group.Member) port.Server
+}
+
+// Groups is the duty that runs a Monitor and a Promoter for each group that this instance watches or that its callers
+// use. A group that is neither costs nothing, so that an instance of a large fleet does not ask every server.
+type Groups struct {
+	cfg       GroupsConfig
+	inbox     *ring.Ring[groupsMessage]
+	published atomic.Pointer[map[string]*Monitor]
+
+	// The fields below belong to the loop.
+	document document.Document
+	list     instance.List
+	running  map[string]*runningGroup
+	duties   sync.WaitGroup
+}
+
+// runningGroup is a group whose duties run.
+type runningGroup struct {
+	monitor  *Monitor
+	promoter *Promoter
+	stop     context.CancelFunc
+}
+
+// NewGroups returns Groups that run nothing until Run.
+func NewGroups(cfg GroupsConfig) *Groups {
+	g := &Groups{
+		cfg:     cfg,
+		inbox:   ring.New[groupsMessage](groupsCapacity),
+		running: make(map[string]*runningGroup),
+	}
+	g.published.Store(&map[string]*Monitor{})
+	return g
+}
+
+// groupsMessage is what Groups takes from its ring. It is one of documentTaken, listTaken and groupUsed.
+type groupsMessage interface{ groupsMessage() }
+
+type documentTaken struct{ document document.Document }
+
+type listTaken struct{ list instance.List }
+
+type groupUsed struct {
+	name  string
+	reply *ring.Ring[*Monitor]
+}
+
+func (documentTaken) groupsMessage() {}
+func (listTaken) groupsMessage()     {}
+func (groupUsed) groupsMessage()     {}
+
+// SetDocument gives the document in force. The oldest message that waits is dropped when the ring is full; a document
+// that is dropped is replaced by this one, and a caller whose message is dropped asks again.
+func (g *Groups) SetDocument(d document.Document) { g.inbox.Push(documentTaken{d}) }
+
+// SetList gives the list of instances, from which the watchers of each group follow.
+func (g *Groups) SetList(l instance.List) { g.inbox.Push(listTaken{l}) }
+
+// Monitor returns the monitor of the group, which is started at its first use. It reports false when the document has
+// no such group.
+func (g *Groups) Monitor(ctx context.Context, name string) (*Monitor, bool) {
+	if m, ok := (*g.published.Load())[name]; ok {
+		return m, true
+	}
+	reply := ring.New[*Monitor](1)
+	if g.inbox.Put(ctx, groupUsed{name, reply}) != nil {
+		return nil, false
+	}
+	m, err := reply.Take(ctx)
+	return m, err == nil && m != nil
+}
+
+// Monitors returns the monitors that run, by group.
+func (g *Groups) Monitors() map[string]*Monitor { return maps.Clone(*g.published.Load()) }
+
+// Run runs the groups' duties until ctx ends.
+func (g *Groups) Run(ctx context.Context) {
+	g.loop(ctx)
+	g.duties.Wait()
+}
+
+func (g *Groups) loop(ctx context.Context) {
+	for {
+		message, err := g.inbox.Take(ctx)
+		if err != nil {
+			return
+		}
+		switch m := message.(type) {
+		case documentTaken:
+			g.document = m.document
+			g.reconcile(ctx)
+		case listTaken:
+			g.list = m.list
+			g.reconcile(ctx)
+		case groupUsed:
+			m.reply.Offer(g.use(ctx, m.name))
+		}
+	}
+}
+
+// reconcile starts the groups that this instance watches, stops those that the document no longer has, and passes on
+// members and watchers.
+func (g *Groups) reconcile(ctx context.Context) {
+	for name, running := range g.running {
+		if _, ok := g.document.FindGroup(name); !ok {
+			running.stop()
+			delete(g.running, name)
+		}
+	}
+	for _, described := range g.document.Groups {
+		running, ok := g.running[described.Name]
+		if !ok && g.watches(described.Name) {
+			running, ok = g.start(ctx, described), true
+		}
+		if ok {
+			g.update(ctx, running, described)
+		}
+	}
+	g.publish()
+}
+
+func (g *Groups) use(ctx context.Context, name string) *Monitor {
+	if running, ok := g.running[name]; ok {
+		return running.monitor
+	}
+	described, ok := g.document.FindGroup(name)
+	if !ok {
+		return nil
+	}
+	running := g.start(ctx, described)
+	g.update(ctx, running, described)
+	g.publish()
+	return running.monitor
+}
+
+func (g *Groups) start(ctx context.Context, described document.Group) *runningGroup {
+	ctx, stop := context.WithCancel(ctx)
+	monitor := NewMonitor(MonitorConfig{
+		Group:   described.Name,
+		Members: membersOf(described),
+		Timer:   g.cfg.Timer,
+		Connect: g.cfg.Connect,
+	})
+	promoter := NewPromoter(PromoterConfig{
+		Incarnation: g.cfg.Self.Incarnation,
+		Timer:       g.cfg.Timer,
+		Store:       g.cfg.Store,
+		Monitor:     monitor,
+		Connect:     g.cfg.Connect,
+	})
+	running := &runningGroup{monitor: monitor, promoter: promoter, stop: stop}
+	g.duties.Go(func() { monitor.Run(ctx) })
+	g.duties.Go(func() { promoter.Run(ctx) })
+	g.running[described.Name] = running
+	return running
+}
+
+func (g *Groups) update(ctx context.Context, running *runningGroup, described document.Group) {
+	if running.monitor.SetMembers(ctx, membersOf(described)...) != nil {
+		return
+	}
+	if running.monitor.SetWatching(ctx, g.watches(described.Name)) != nil {
+		return
+	}
+	_ = running.promoter.SetInstances(ctx, g.instances()...)
+}
+
+func (g *Groups) watches(name string) bool {
+	_, ok := instance.WatcherRank(g.cfg.Self.Incarnation, instance.Watchers(name, g.instances()))
+	return ok
+}
+
+// instances returns the listed instances and this one, which the lagging list may lack.
+func (g *Groups) instances() []instance.Instance { return g.list.WithInstance(g.cfg.Self).All() }
+
+func (g *Groups) publish() {
+	monitors := make(map[string]*Monitor, len(g.running))
+	for name, running := range g.running {
+		monitors[name] = running.monitor
+	}
+	g.published.Store(&monitors)
+}
+
+func membersOf(described document.Group) []group.Member {
+	members := make([]group.Member, 0, len(described.Servers))
+	for _, s := range described.Servers {
+		members = append(members, group.Member{
+			Name:       s.Name,
+			Address:    s.Address,
+			DataCentre: s.DataCentre,
+			Departing:  s.Departing,
+		})
+	}
+	return members
+}
