Test the callers' side against a scripted server

Cause: start-up, pool limits, prepared statements, COPY, cancel requests and failures of a server had no test.

--- a/adapter/postgres/fake_test.go
+++ b/adapter/postgres/fake_test.go
@@ -21,11 +21,14 @@
 	mu      sync.Mutex
 	script  func(*fakeConn, string)
 	refused string
+	// thaw, when set, is waited for before a bind is answered.
+	thaw    <-chan struct{}
 	log     []string
 	conns   map[*fakeConn]struct{}
 	cancels int
 	opened  int
 	offset  uint64
+	changed *sync.Cond
 }
 
 // fakeConn is one connection to a fakeServer.
@@ -39,6 +42,8 @@
 	prepared map[string]string
 	portal   string
 	simple   bool
+	// mute makes the server answer a release with nothing but its end.
+	mute bool
 }
 
 func startFake(t *testing.T) *fakeServer {
@@ -46,6 +51,7 @@
 	socket, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := &fakeServer{t: t, socket: socket, conns: make(map[*fakeConn]struct{})}
+	s.changed = sync.NewCond(&s.mu)
 	s.done.Add(1)
 	go s.loop()
 	t.Cleanup(s.stop)
@@ -80,6 +86,12 @@
 	s.refused = message
 }
 
+func (s *fakeServer) freezeBinds(thaw <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.thaw = thaw
+}
+
 func (s *fakeServer) record(c *fakeConn, sql string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -99,6 +111,24 @@
 	return s.opened, s.cancels
 }
 
+// waitClosed waits until every connection that was opened has ended.
+func (s *fakeServer) waitClosed() {
+	s.waitFor(func() bool { return s.opened > 0 && len(s.conns) == 0 })
+}
+
+// waitCancelled waits until a cancel request has come.
+func (s *fakeServer) waitCancelled() {
+	s.waitFor(func() bool { return s.cancels > 0 })
+}
+
+func (s *fakeServer) waitFor(reached func() bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for !reached() {
+		s.changed.Wait()
+	}
+}
+
 func (s *fakeServer) commit() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -136,6 +166,7 @@
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
+	s.changed.Broadcast()
 }
 
 func (c *fakeConn) login() bool {
@@ -148,6 +179,7 @@
 		c.server.mu.Lock()
 		c.server.cancels++
 		c.server.mu.Unlock()
+		c.server.changed.Broadcast()
 		return false
 	}
 	if start.Parameters["user"] != "system" {
@@ -232,6 +264,9 @@
 	case strings.HasPrefix(sql, "SELECT rhubarbwick_release("):
 		c.bound = ""
 		c.prepared = make(map[string]string)
+		if c.mute {
+			return
+		}
 		c.row("released")
 		c.complete("SELECT 1")
 	default:
@@ -248,8 +283,11 @@
 
 func (c *fakeConn) bind(sql string) {
 	c.server.mu.Lock()
-	refused := c.server.refused
+	refused, thaw := c.server.refused, c.server.thaw
 	c.server.mu.Unlock()
+	if thaw != nil {
+		<-thaw
+	}
 	if refused != "" {
 		c.fail("57P03", refused)
 		return
@@ -326,6 +364,7 @@
 type fakeLimit struct {
 	mu      sync.Mutex
 	allowed int
+	wanted  chan int
 }
 
 func (l *fakeLimit) Allowed(string) int {
@@ -334,7 +373,21 @@
 	return l.allowed
 }
 
-func (l *fakeLimit) Want(string, int) {}
+func (l *fakeLimit) Want(_ string, n int) {
+	select {
+	case l.wanted <- n:
+	default:
+	}
+}
+
+// waitWanted waits until the demand for n connections is told.
+func (l *fakeLimit) waitWanted(n int) {
+	for wanted := range l.wanted {
+		if wanted == n {
+			return
+		}
+	}
+}
 
 func (l *fakeLimit) allow(n int) {
 	l.mu.Lock()
--- /dev/null
+++ b/adapter/postgres/pool_test.go
@@ -0,0 +1,214 @@
+package postgres_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/adapter/postgres"
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+// Guards against two transactions that share a server connection, and an organisation that gets another's binding.
+func TestTransactionsNeverMix(t *testing.T) {
+	const callers, transactions = 12, 20
+	server := startFake(t)
+	f := start(t, postgres.ListenerConfig{}, server)
+	var done sync.WaitGroup
+	for i := range callers {
+		organisation := fmt.Sprintf("org%d", i%3)
+		conn := f.connect(organisation, "orders")
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			for j := range transactions {
+				runTransaction(t, conn, organisation, fmt.Sprintf("%d.%d", i, j))
+			}
+		}()
+	}
+	done.Wait()
+	opened, _ := server.counts()
+	require.LessOrEqual(t, opened, f.limit.Allowed(""))
+	requireUnmixed(t, server.statements(), callers*transactions)
+}
+
+func runTransaction(t *testing.T, conn *pgx.Conn, organisation, id string) {
+	tx, err := conn.Begin(context.Background())
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	for _, verb := range []string{"select first", "insert", "select last"} {
+		sql := fmt.Sprintf("%s %s %s", verb, organisation, id)
+		var got string
+		if err := tx.QueryRow(context.Background(), sql).Scan(&got); verb != "insert" && (err != nil || got != sql) {
+			t.Errorf("%s returned %q: %v", sql, got, err)
+		}
+	}
+	if err := tx.Commit(context.Background()); err != nil {
+		t.Error(err)
+	}
+}
+
+// requireUnmixed checks that on each connection the statements between begin and commit belong to one transaction, and
+// to the organisation for which the connection was bound.
+func requireUnmixed(t *testing.T, statements []string, transactions int) {
+	t.Helper()
+	running := make(map[string]string)
+	commits := 0
+	for _, s := range statements {
+		fields := strings.Fields(s)
+		conn, bound, verb := fields[0], fields[1], fields[2]
+		switch verb {
+		case "begin":
+			require.Empty(t, running[conn])
+			running[conn] = "begun"
+		case "commit":
+			require.NotEmpty(t, running[conn])
+			delete(running, conn)
+			commits++
+		default:
+			organisation, id := fields[len(fields)-2], fields[len(fields)-1]
+			require.Equal(t, bound, organisation)
+			require.Contains(t, []string{"begun", id}, running[conn])
+			running[conn] = id
+		}
+	}
+	require.Equal(t, transactions, commits)
+	require.Empty(t, running)
+}
+
+// Guards against answers that reach another request, and connections that are used again in an unknown state.
+func TestConnectionIsNotHandedOn(t *testing.T) {
+	requireReplaced := func(name, route string, script func(*fakeConn, string), use func(*testing.T, *fixture)) {
+		t.Run(name, func(t *testing.T) {
+			server := startFake(t)
+			server.answer(script)
+			f := start(t, postgres.ListenerConfig{}, server)
+			f.limit.allow(1)
+			use(t, f)
+			server.answer(nil)
+			requireRow(t, f.connect("other", route), "select own", pgx.QueryExecModeSimpleProtocol)
+			opened, _ := server.counts()
+			require.Equal(t, 2, opened)
+		})
+	}
+	query := func(t *testing.T, f *fixture) {
+		_, _ = f.connect("acme", "stock").Exec(t.Context(), "select 1", pgx.QueryExecModeSimpleProtocol)
+	}
+	requireReplaced("second ready message", "stock", func(c *fakeConn, sql string) {
+		c.run(sql)
+		c.ready()
+	}, query)
+	requireReplaced("late row", "stock", func(c *fakeConn, sql string) {
+		c.run(sql)
+		c.backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+		c.row("late")
+	}, query)
+	requireReplaced("release without its own answer", "stock", func(c *fakeConn, sql string) {
+		c.run(sql)
+		c.mute = true
+	}, query)
+	requireReplaced("caller leaves in the middle", "orders", nil, func(t *testing.T, f *fixture) {
+		conn := f.connect("acme", "orders")
+		_, err := conn.Begin(t.Context())
+		require.NoError(t, err)
+		require.NoError(t, conn.Close(t.Context()))
+	})
+	running := make(chan struct{}, 1)
+	finish := make(chan struct{})
+	requireReplaced("cancel request", "stock", func(c *fakeConn, sql string) {
+		running <- struct{}{}
+		<-finish
+		c.run(sql)
+	}, func(t *testing.T, f *fixture) {
+		conn := f.connect("acme", "stock")
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _ = conn.Exec(context.Background(), "select 1", pgx.QueryExecModeSimpleProtocol)
+		}()
+		<-running
+		require.NoError(t, conn.PgConn().CancelRequest(t.Context()))
+		f.servers[0].waitCancelled()
+		close(finish)
+		<-done
+	})
+}
+
+// Guards against more connections than allowed, and against callers that wait for ever or out of turn.
+func TestPoolLimit(t *testing.T) {
+	t.Run("nobody waits for ever", func(t *testing.T) {
+		f := start(t, postgres.ListenerConfig{}, startFake(t))
+		f.limit.allow(0)
+		conn := f.connect("acme", "stock")
+		defer f.keepTimeMoving()()
+		_, err := conn.Exec(t.Context(), "select 1")
+		requireState(t, port.NoConnection, err)
+		require.GreaterOrEqual(t, f.clock.Now(), postgres.DefaultWaitLimit)
+	})
+	t.Run("connection of another slot makes room", func(t *testing.T) {
+		server := startFake(t)
+		f := start(t, postgres.ListenerConfig{}, server)
+		f.limit.allow(1)
+		requireRow(t, f.connect("acme", "stock"), "select 1")
+		requireRow(t, f.connect("acme", "menus"), "select 2")
+		requireRow(t, f.connect("acme", "stock"), "select 3")
+		opened, _ := server.counts()
+		require.Equal(t, 3, opened)
+	})
+	t.Run("idle connections above the limit are closed", func(t *testing.T) {
+		server := startFake(t)
+		f := start(t, postgres.ListenerConfig{}, server)
+		requireRow(t, f.connect("acme", "stock"), "select 1")
+		f.limit.allow(0)
+		defer f.keepTimeMoving()()
+		server.waitClosed()
+	})
+	t.Run("departing server gets no new work", func(t *testing.T) {
+		leaving, staying := startFake(t), startFake(t)
+		f := start(t, postgres.ListenerConfig{}, leaving, staying)
+		conn := f.connect("acme", "orders")
+		tx, err := conn.Begin(t.Context())
+		require.NoError(t, err)
+		f.pool.SetDocument(document.Document{}.WithGroup(document.Group{Name: "core", Servers: []document.Server{
+			{Name: "db1", Address: leaving.address(), Departing: true}, {Name: "db2", Address: staying.address()},
+		}}))
+		defer f.keepTimeMoving()()
+		for range 4 {
+			requireRow(t, f.connect("acme", "stock"), "select 1")
+		}
+		require.NoError(t, tx.Commit(t.Context()))
+		leaving.waitClosed()
+		require.Equal(t, []string{"1 acme begin", "1 acme commit"}, leaving.statements())
+	})
+	t.Run("organisations take turns", func(t *testing.T) {
+		server := startFake(t)
+		f := start(t, postgres.ListenerConfig{}, server)
+		f.limit.allow(1)
+		conn := f.connect("big", "orders")
+		tx, err := conn.Begin(t.Context())
+		require.NoError(t, err)
+		var done sync.WaitGroup
+		for i, organisation := range []string{"big", "big", "big", "small"} {
+			waiting := f.connect(organisation, "orders")
+			done.Add(1)
+			go func() {
+				defer done.Done()
+				_, _ = waiting.Exec(context.Background(), "select 1", pgx.QueryExecModeSimpleProtocol)
+			}()
+			f.limit.waitWanted(i + 2)
+		}
+		require.NoError(t, tx.Commit(t.Context()))
+		done.Wait()
+		order := server.statements()[2:]
+		require.Equal(t, []string{"1 big select 1", "1 small select 1", "1 big select 1", "1 big select 1"}, order)
+	})
+}
--- /dev/null
+++ b/adapter/postgres/relay_test.go
@@ -0,0 +1,202 @@
+package postgres_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/adapter/postgres"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/request"
+)
+
+// Guards against prepared statements that are lost when the transaction's server connection changes.
+func TestPreparedStatements(t *testing.T) {
+	first, second := startFake(t), startFake(t)
+	f := start(t, postgres.ListenerConfig{}, first, second)
+	t.Run("used on another connection", func(t *testing.T) {
+		_, frontend := f.login(t, "acme", "stock")
+		parse := &pgproto3.Parse{Name: "s", Query: "select 1"}
+		requireAnswer(t, frontend, "1tTZ", parse, &pgproto3.Describe{ObjectType: 'S', Name: "s"}, &pgproto3.Sync{})
+		execute := []pgproto3.FrontendMessage{
+			&pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Describe{ObjectType: 'P'}, &pgproto3.Execute{}, &pgproto3.Sync{},
+		}
+		requireAnswer(t, frontend, "2TDCZ", execute...)
+		requireAnswer(t, frontend, "2TDCZ", execute...)
+		requireAnswer(t, frontend, "3Z", &pgproto3.Close{ObjectType: 'S', Name: "s"}, &pgproto3.Sync{})
+		requireAnswer(t, frontend, "EZ", execute...)
+	})
+	t.Run("closed and prepared again within a batch", func(t *testing.T) {
+		_, frontend := f.login(t, "acme", "stock")
+		parse := &pgproto3.Parse{Name: "s", Query: "select 1"}
+		requireAnswer(t, frontend, "1Z", parse, &pgproto3.Sync{})
+		requireAnswer(t, frontend, "312Z", &pgproto3.Close{ObjectType: 'S', Name: "s"}, parse,
+			&pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Sync{})
+		requireAnswer(t, frontend, "32Z", &pgproto3.Close{ObjectType: 'P', Name: "s"},
+			&pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Sync{})
+	})
+	t.Run("too many", func(t *testing.T) {
+		_, frontend := f.login(t, "acme", "stock")
+		text := strings.Repeat(" ", request.MaxStatementBytes/2)
+		requireAnswer(t, frontend, "1Z", &pgproto3.Parse{Name: "s1", Query: text}, &pgproto3.Sync{})
+		requireAnswer(t, frontend, "EZ", &pgproto3.Parse{Name: "s2", Query: text}, &pgproto3.Sync{})
+		requireAnswer(t, frontend, "1Z", &pgproto3.Parse{Name: "s2", Query: "select 1"}, &pgproto3.Sync{})
+	})
+}
+
+// Guards against a caller that waits for the answer to a Flush, and against a lost Sync.
+func TestFlush(t *testing.T) {
+	server := startFake(t)
+	f := start(t, postgres.ListenerConfig{}, server)
+	t.Run("answer comes before Sync", func(t *testing.T) {
+		_, frontend := f.login(t, "acme", "orders")
+		requireAnswer(t, frontend, "1", &pgproto3.Parse{Query: "insert 1"}, &pgproto3.Flush{})
+		requireAnswer(t, frontend, "2C", &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Flush{})
+		requireAnswer(t, frontend, "SZ", &pgproto3.Sync{})
+	})
+	t.Run("refused batch is passed over up to Sync", func(t *testing.T) {
+		_, frontend := f.login(t, "acme", "orders")
+		f.gate.refuseWith(port.Failf(port.OverRate, "over the rate"))
+		requireAnswer(t, frontend, "E", &pgproto3.Parse{Query: "insert 2"}, &pgproto3.Flush{})
+		f.gate.refuseWith(nil)
+		requireAnswer(t, frontend, "Z", &pgproto3.Execute{}, &pgproto3.Flush{}, &pgproto3.Sync{})
+		requireAnswer(t, frontend, "TDCZ", &pgproto3.Query{String: "select 1"})
+	})
+	t.Run("pipelined batches are answered in order", func(t *testing.T) {
+		_, frontend := f.login(t, "acme", "stock")
+		var messages []pgproto3.FrontendMessage
+		want := ""
+		for range 20 {
+			messages = append(messages, &pgproto3.Query{String: "select 1"}, &pgproto3.Parse{Query: "select 2"}, &pgproto3.Sync{})
+			want += "TDCZ1Z"
+		}
+		requireAnswer(t, frontend, want, messages...)
+	})
+}
+
+// Guards against a COPY that is carried, runs although it is refused, or leaves the caller waiting.
+func TestCopy(t *testing.T) {
+	server := startFake(t)
+	f := start(t, postgres.ListenerConfig{}, server)
+	for _, sql := range []string{"copy in", "copy out"} {
+		t.Run(sql, func(t *testing.T) {
+			conn := f.connect("acme", "orders")
+			_, err := conn.Exec(t.Context(), sql, pgx.QueryExecModeSimpleProtocol)
+			requireState(t, port.Unsupported, err)
+			requireRow(t, conn, "select 1")
+			_, err = conn.Exec(t.Context(), sql, pgx.QueryExecModeExec)
+			require.Error(t, err)
+			requireRow(t, conn, "select 1")
+		})
+	}
+	t.Run("output that was committed", func(t *testing.T) {
+		server.answer(func(c *fakeConn, sql string) {
+			c.run(sql)
+			c.position()
+		})
+		_, err := f.connect("acme", "orders").Exec(t.Context(), "copy out", pgx.QueryExecModeSimpleProtocol)
+		requireState(t, port.UnknownOutcome, err)
+	})
+}
+
+// Guards against a withdrawn key that goes on working, and a refusal that says "not run" of a statement that ran.
+func TestRefusedStatement(t *testing.T) {
+	server := startFake(t)
+	f := start(t, postgres.ListenerConfig{}, server)
+	t.Run("over the rate", func(t *testing.T) {
+		conn := f.connect("acme", "orders")
+		tx, err := conn.Begin(t.Context())
+		require.NoError(t, err)
+		f.gate.refuseWith(port.Failf(port.OverRate, "over the rate"))
+		_, err = tx.Exec(t.Context(), "insert 1")
+		requireState(t, port.OverRate, err)
+		f.gate.refuseWith(nil)
+		require.NoError(t, tx.Commit(t.Context()))
+		require.Equal(t, []string{"1 acme begin", "1 acme commit"}, server.statements())
+	})
+	t.Run("withdrawn key ends the connection and the transaction", func(t *testing.T) {
+		conn := f.connect("acme", "orders")
+		tx, err := conn.Begin(t.Context())
+		require.NoError(t, err)
+		f.gate.refuseWith(port.Failf(port.KeyRefused, "the key was withdrawn"))
+		defer f.gate.refuseWith(nil)
+		_, err = tx.Exec(t.Context(), "insert 1")
+		requireState(t, port.KeyRefused, err)
+		require.True(t, conn.IsClosed())
+		server.waitClosed()
+	})
+}
+
+// Guards against a caller that waits for ever for a primary that was replaced and does not answer.
+func TestFrozenPrimary(t *testing.T) {
+	t.Run("write in flight becomes unknown", func(t *testing.T) {
+		frozen, next := startFake(t), startFake(t)
+		thaw := make(chan struct{})
+		frozen.answer(func(*fakeConn, string) { <-thaw })
+		defer close(thaw)
+		f := start(t, postgres.ListenerConfig{}, frozen, next)
+		conn := f.connect("acme", "orders")
+		defer f.keepTimeMoving()()
+		_, err := conn.Exec(t.Context(), "insert 1", pgx.QueryExecModeSimpleProtocol)
+		requireState(t, port.UnknownOutcome, err)
+		require.Empty(t, next.statements())
+	})
+	t.Run("bind is placed again", func(t *testing.T) {
+		frozen, next := startFake(t), startFake(t)
+		thaw := make(chan struct{})
+		frozen.freezeBinds(thaw)
+		defer close(thaw)
+		f := start(t, postgres.ListenerConfig{}, frozen, next)
+		conn := f.connect("acme", "orders")
+		defer f.keepTimeMoving()()
+		requireRow(t, conn, "select 1", pgx.QueryExecModeSimpleProtocol)
+		require.Len(t, next.statements(), 1)
+	})
+}
+
+// Guards against a cancel request with a guessed key that takes effect.
+func TestCancel(t *testing.T) {
+	server := startFake(t)
+	running, finish := make(chan struct{}, 1), make(chan struct{})
+	server.answer(func(c *fakeConn, sql string) {
+		running <- struct{}{}
+		<-finish
+		c.run(sql)
+	})
+	f := start(t, postgres.ListenerConfig{}, server)
+	conn := f.connect("acme", "stock")
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "select 1", pgx.QueryExecModeSimpleProtocol)
+		done <- err
+	}()
+	<-running
+	forged := f.dial(t)
+	frontend := pgproto3.NewFrontend(forged, forged)
+	frontend.Send(&pgproto3.CancelRequest{ProcessID: conn.PgConn().PID(), SecretKey: []byte{0, 0, 0, 0}})
+	require.NoError(t, frontend.Flush())
+	_, err := frontend.Receive()
+	require.Error(t, err)
+	close(finish)
+	require.NoError(t, <-done)
+	_, cancels := server.counts()
+	require.Zero(t, cancels)
+}
+
+// requireAnswer sends the messages and checks the types of the answer's messages.
+func requireAnswer(t *testing.T, frontend *pgproto3.Frontend, want string, messages ...pgproto3.FrontendMessage) {
+	t.Helper()
+	for _, m := range messages {
+		frontend.Send(m)
+	}
+	require.NoError(t, frontend.Flush())
+	got := ""
+	for len(got) < len(want) {
+		got += requireMessages(t, frontend, want[len(got)])
+	}
+	require.Equal(t, want, got)
+}
