--- a/standin/server/admin.go
+++ b/standin/server/admin.go
@@ -26,6 +26,7 @@
 	a.mux.HandleFunc("POST /heal/peers", a.cutPeers(false))
 	a.mux.HandleFunc("POST /cut/callers", a.cutCallers(true))
 	a.mux.HandleFunc("POST /heal/callers", a.cutCallers(false))
+	a.mux.HandleFunc("POST /drop", a.drop)
 	a.mux.HandleFunc("POST /lag", a.lag)
 	a.mux.HandleFunc("POST /open-time", a.openTime)
 	return a
@@ -69,6 +70,11 @@
 	}
 }
 
+func (a *Admin) drop(w http.ResponseWriter, _ *http.Request) {
+	a.listener.Drop()
+	reply(w, nil)
+}
+
 func (a *Admin) lag(w http.ResponseWriter, r *http.Request) {
 	d, err := parseMilliseconds(r)
 	if err != nil {
--- a/standin/server/listener.go
+++ b/standin/server/listener.go
@@ -90,12 +90,21 @@
 		l.mu.Lock()
 		l.sockets[c.socket] = struct{}{}
 		l.mu.Unlock()
+		// The listener may have been shut after the socket was accepted and before it was known.
+		if ctx.Err() != nil {
+			_ = c.socket.Close()
+		}
 		l.duties.Go(func() { c.run(ctx) })
 	}
 }
 
 func (l *Listener) shut(listener net.Listener) {
 	_ = listener.Close()
+	l.Drop()
+}
+
+// Drop closes every open connection, those of replicas too.
+func (l *Listener) Drop() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for socket := range l.sockets {
