--- a/cmd/standin/server/server.go
+++ b/cmd/standin/server/server.go
@@ -49,6 +49,8 @@
 }
 
 func run(ctx context.Context, opts *Options) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	timer := clock.NewService()
 	process, err := server.Open(ctx, server.Config{
 		Name:           opts.Name,
@@ -66,6 +68,7 @@
 	var duties sync.WaitGroup
 	duties.Go(func() { timer.Run(ctx) })
 	err = process.Run(ctx)
+	cancel()
 	duties.Wait()
 	return err
 }
