--- a/standin/server/client.go
+++ b/standin/server/client.go
@@ -172,9 +172,7 @@
 
 // handle answers one message. An error ends the connection.
 func (c *client) handle(ctx context.Context, message pgproto3.FrontendMessage) error {
-	switch m := message.(type) {
-	case *pgproto3.Query:
-		return c.query(ctx, m.String)
+	switch message.(type) {
 	case *pgproto3.Sync:
 		return c.sync(ctx)
 	case *pgproto3.Flush:
@@ -183,6 +181,9 @@
 	if c.skipping {
 		return nil
 	}
+	if m, ok := message.(*pgproto3.Query); ok {
+		return c.query(ctx, m.String)
+	}
 	if err := c.extended(ctx, message); err != nil {
 		c.backend.Send(errorResponse(c.fail(ctx, err)))
 		c.skipping = true
--- a/standin/server/client_test.go
+++ b/standin/server/client_test.go
@@ -186,6 +186,23 @@
 	})
 }
 
+// Guards against a commit of a former primary, and against connections that a fence closes.
+func TestFenceOverSockets(t *testing.T) {
+	p := startPrimary(t)
+	conn := connect(t, p, "slot")
+	exec(t, conn, "SELECT rhubarbwick_bind('org', 'n', false)")
+	exec(t, conn, "BEGIN")
+	exec(t, conn, "INSERT INTO kv (key, value) VALUES ('k', 'v')")
+	maintenance := connect(t, p, server.MaintenanceDatabase)
+	require.Equal(t, "SELECT 1", exec(t, maintenance, "SELECT rhubarbwick_fence(2, 'other')"))
+	_, err := maintenance.Exec(t.Context(), "SELECT rhubarbwick_promote(1, 'candidate')")
+	requireSQLState(t, "55000", err)
+	require.ErrorContains(t, err, "order of term 1 was refused")
+	requireExecRefused(t, conn, "25006", "COMMIT")
+	requireText(t, conn, "1", "SELECT 1")
+	requireExecRefused(t, conn, "25006", "INSERT INTO kv (key, value) VALUES ('k', 'v')")
+}
+
 // Guards against a stand-in that lets anybody in, or more connections than its bound.
 func TestLogin(t *testing.T) {
 	p := startPrimary(t)
--- a/standin/server/helper_test.go
+++ b/standin/server/helper_test.go
@@ -62,6 +62,21 @@
 	}
 }
 
+// fence makes servers promise a term and returns the one with the furthest log.
+func fence(t *testing.T, term group.Term, voters ...*server.Server) *server.Server {
+	t.Helper()
+	furthest := voters[0]
+	var last group.Position
+	for _, s := range voters {
+		status, err := s.Fence(t.Context(), term, "candidate")
+		require.NoError(t, err)
+		if status.Last().Compare(last) > 0 {
+			furthest, last = s, status.Last()
+		}
+	}
+	return furthest
+}
+
 // bound returns a connection that works for an organisation.
 func bound(t *testing.T, s *server.Server) *server.Connection {
 	t.Helper()
--- a/standin/server/server_test.go
+++ b/standin/server/server_test.go
@@ -74,6 +74,35 @@
 	})
 }
 
+// Guards against a new primary without a write that a majority held.
+func TestPromotion(t *testing.T) {
+	t.Run("the furthest log of a majority has what a majority held", func(t *testing.T) {
+		g := newTrio(t)
+		elect(t, g.a, 1, servers{g.a, g.b}, servers{g.b, g.c})
+		g.await(t, g.c, write(t, g.a, "k", "first"))
+		require.NoError(t, g.c.SetCut(t.Context(), true))
+		held := write(t, g.a, "k", "held")
+		g.await(t, g.b, held)
+		require.NoError(t, g.a.Freeze(t.Context()))
+		require.NoError(t, g.c.SetCut(t.Context(), false))
+		furthest := fence(t, 2, g.b, g.c)
+		require.Same(t, g.b, furthest)
+		elect(t, furthest, 2, nil, servers{g.c})
+		g.await(t, g.c, held)
+		g.eventually(t, func() bool { return statusOf(t, g.c).Followed == 2 })
+		requireValue(t, g.c, "k", "held")
+		g.a.Thaw()
+	})
+	t.Run("a later term goes before a longer log", func(t *testing.T) {
+		g := newTrio(t)
+		elect(t, g.a, 1, servers{g.a, g.b}, nil)
+		write(t, g.a, "k", "on one server")
+		write(t, g.a, "k", "on one server")
+		elect(t, g.b, 2, servers{g.b, g.c}, nil)
+		require.Same(t, g.b, fence(t, 3, g.a, g.b))
+	})
+}
+
 // Guards against replicas that keep what a new primary does not have, or lose what it has.
 func TestTruncation(t *testing.T) {
 	t.Run("former primary drops what only it had", func(t *testing.T) {
