Correct faults of safety and of liveness in the promotion and the view

Faults found by reading, each with what it caused: - A watcher of rank 0 started a new term at once after its own promotion, because the silence that it had seen was still in its view. A new primary now has SilenceLimit to reach its replicas. - A promote whose answer was lost was followed by another term. The promotion now looks for its primary. - One refusal ended an attempt that still had a majority; two promoters of equal rank could then go on for ever, because rank 0 never waited. The delay after a lost attempt now depends on the candidate. - A promotion that was made anew, or a watcher that came back, could use a term twice with one candidate and so make two primaries of one term. Paused keeps the terms. - A fenced primary counted as primary and as hearing itself, so a promoter that died after fencing it left a group without writes for good. - A server that follows a later term did not stop the primary of an earlier one (a thawed primary after the later one had died), so writes went to it and nothing replaced it. - An observer that was cut off counted old answers against the primary. Answers count for EvidenceLimit. - An answer that waited for a position was dropped when a later question was answered first. - A server with an empty log counted towards the majority that is fenced, and towards Newest, so one that had lost its disk could stand for a write that it no longer held. - A replaced primary proved the age zero for stale reads. Its age now counts from a majority without a later promise. - A write was placed on a primary that no longer answered or had lost its replicas, where it could only end with an unknown outcome. - A history with terms out of order or a gap in front was accepted, and an address that changed kept its log.

Ruled out: keeping PrimaryLost without the instant, because stale evidence cannot be told then.

--- a/group/position.go
+++ b/group/position.go
@@ -82,15 +82,30 @@
 		return h, nil
 	}
 	for _, text := range strings.Split(erasText, ",") {
-		var era Era
-		if _, err := fmt.Sscanf(text, "%d@%d", &era.Term, &era.First); err != nil {
-			return History{}, fmt.Errorf("history %q has an invalid era %q: %w", s, text, err)
+		era, err := parseEra(text)
+		if err != nil {
+			return History{}, fmt.Errorf("history %q: %w", s, err)
+		}
+		if n := len(h.eras); n > 0 && (era.Term <= h.eras[n-1].Term || era.First <= h.eras[n-1].First) {
+			return History{}, fmt.Errorf("history %q has era %q out of order", s, text)
 		}
 		h.eras = append(h.eras, era)
 	}
+	if final := h.eras[len(h.eras)-1]; final.First > h.last+1 {
+		return History{}, fmt.Errorf("history %q ends before its term %d starts", s, final.Term)
+	}
 	return h, nil
 }
 
+func parseEra(s string) (Era, error) {
+	// An era has the text form of a position with another separator.
+	first, err := ParsePosition(strings.Replace(s, "@", ":", 1))
+	if err != nil || !strings.Contains(s, "@") || first.Term == 0 || first.Offset == 0 {
+		return Era{}, fmt.Errorf("era %q is not of the form term@first", s)
+	}
+	return Era{Term: first.Term, First: first.Offset}, nil
+}
+
 // String returns the text form "last;term@first,term@first".
 func (h History) String() string {
 	var b strings.Builder
@@ -136,7 +151,7 @@
 	if p.IsZero() {
 		return true
 	}
-	return p.Offset > 0 && p.Offset <= h.last && h.termAt(p.Offset) == p.Term
+	return p.Term > 0 && p.Offset > 0 && p.Offset <= h.last && h.termAt(p.Offset) == p.Term
 }
 
 // FirstOf returns the position of the first entry of a term. It reports false when the log holds none.
--- a/group/promotion.go
+++ b/group/promotion.go
@@ -1,6 +1,8 @@
 package group
 
 import (
+	"cmp"
+	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
@@ -11,6 +13,10 @@
 	SilenceLimit = time.Second
 	// RankDelay separates the watchers of a group, so that usually one of them acts.
 	RankDelay = 300 * time.Millisecond
+	// RepairPeriod is how often a watcher tells replicas again which primary to follow, and announces it again.
+	RepairPeriod = 500 * time.Millisecond
+	// MaxBackoff bounds the attempts that lengthen the delay of a promoter that lost.
+	MaxBackoff = 4
 	// OrphanLimit is how long a server may stay fenced by a promotion that was not completed.
 	OrphanLimit = 5 * time.Second
 	// AttemptLimit is how long a promotion may take before the promoter starts over with a later term.
@@ -28,7 +34,7 @@
 	Promoting Phase = "promoting"
 )
 
-// Event is what a promoter learns. It is one of Observed, Fenced, Refused and Promoted.
+// Event is what a promoter learns. It is one of Observed, Fenced, Refused, Promoted and Announced.
 type Event interface{ event() }
 
 // Observed says that the view may have changed or that time has passed.
@@ -40,9 +46,10 @@
 	Status Status
 }
 
-// Refused says that a server refused a fence or a promotion of the term because it has promised a later one.
+// Refused says that a server refused a fence or a promotion of the term because it has promised another one.
 type Refused struct {
 	Term     Term
+	Server   string
 	Promised Term
 }
 
@@ -52,10 +59,17 @@
 	Server string
 }
 
-func (Observed) event() {}
-func (Fenced) event()   {}
-func (Refused) event()  {}
-func (Promoted) event() {}
+// Announced says that the fleet was told of the primary of the term, by this promoter or by another.
+type Announced struct {
+	Term    Term
+	Primary string
+}
+
+func (Observed) event()  {}
+func (Fenced) event()    {}
+func (Refused) event()   {}
+func (Promoted) event()  {}
+func (Announced) event() {}
 
 // Order is what a promoter has to do next. It is one of SendFence, SendPromote, SendFollow and Announce.
 type Order interface{ order() }
@@ -100,8 +114,14 @@
 	term      Term
 	since     time.Duration
 	fenced    map[string]Status
-	refused   Term
+	refusing  map[string]bool
+	highest   Term
 	attempts  int
+
+	announced      Announced
+	announcedSince time.Duration
+	repaired       time.Duration
+	settled        time.Duration
 }
 
 // NewPromotion returns the promotion of a watcher. candidate is the incarnation of its instance.
@@ -115,6 +135,13 @@
 	return p
 }
 
+// Paused returns the promotion of a watcher that has stopped watching. It keeps the terms that it used: a candidate that
+// used a term twice could make two primaries of it.
+func (p Promotion) Paused() Promotion {
+	p.attempts = 0
+	return p.stopped()
+}
+
 // Phase returns how far the promotion has come.
 func (p Promotion) Phase() Phase { return p.phase }
 
@@ -133,66 +160,107 @@
 	case Fenced:
 		return p.withFenced(e, v, now)
 	case Refused:
-		return p.withRefused(e, now)
+		return p.withRefused(e, v, now)
 	case Promoted:
-		return p.withPromoted(e, v)
+		return p.withPromoted(e, v, now)
+	case Announced:
+		return p.withAnnounced(e, now), nil
 	}
 	return p, nil
 }
 
 func (p Promotion) withObserved(v View, now time.Duration) (Promotion, []Order) {
 	switch p.phase {
-	case Watching:
-		return p.watch(v, now), p.strays(v)
-	case Suspected:
-		if !v.PrimaryLost() {
-			return p.stopped(), nil
-		}
-		if now-p.since < p.delay() {
-			return p, nil
-		}
-		return p.startFencing(v, now)
+	case Watching, Suspected:
+		return p.watch(v, now)
 	case Fencing, Promoting:
-		if now-p.since < AttemptLimit {
-			return p, nil
+		if primary, term, ok := p.leader(v); ok && term >= p.term {
+			return p.overtaken(primary, term, v, now)
+		}
+		if now-p.since >= AttemptLimit {
+			return p.retried(now), nil
 		}
-		return p.retried(now), nil
 	}
 	return p, nil
 }
 
-func (p Promotion) watch(v View, now time.Duration) Promotion {
-	if !v.PrimaryLost() {
+// watch starts a promotion once the primary is lost and the delay has passed. Meanwhile it brings replicas back that
+// follow no primary.
+func (p Promotion) watch(v View, now time.Duration) (Promotion, []Order) {
+	if !p.primaryLost(v, now) {
 		p.attempts = 0
-		return p
+		return p.stopped().repair(v, now)
 	}
-	p.phase = Suspected
-	p.since = now
-	return p
+	if p.phase == Watching {
+		p.phase = Suspected
+		p.since = now
+	}
+	if now-p.since < p.delay() {
+		return p.repair(v, now)
+	}
+	return p.startFencing(v, now)
+}
+
+// primaryLost gives a primary that was announced or established a moment ago the time to reach its replicas, although
+// this watcher may not see it.
+func (p Promotion) primaryLost(v View, now time.Duration) bool {
+	if p.settled > 0 && now-p.settled < SilenceLimit {
+		return false
+	}
+	if p.announced.Term > v.followed() && now-p.announcedSince < SilenceLimit {
+		return false
+	}
+	return v.PrimaryLost(now)
+}
+
+// leader returns the primary of the highest term that the watcher has seen or was told of.
+func (p Promotion) leader(v View) (string, Term, bool) {
+	if primary, ok := v.Primary(); ok {
+		if term := v.seen[primary.Name].Status.Followed; term >= p.announced.Term {
+			return primary.Name, term, true
+		}
+	}
+	_, member := v.Member(p.announced.Primary)
+	return p.announced.Primary, p.announced.Term, member && p.announced.Term >= v.followed()
 }
 
-// strays orders replicas that follow an older term to follow the current primary.
-func (p Promotion) strays(v View) []Order {
-	primary, ok := v.Primary()
-	if !ok {
-		return nil
+// repair orders servers that have lost their primary to follow the current one, and announces a primary that its
+// promoter did not announce.
+func (p Promotion) repair(v View, now time.Duration) (Promotion, []Order) {
+	primary, term, ok := p.leader(v)
+	if !ok || p.repaired > 0 && now-p.repaired < RepairPeriod {
+		return p, nil
 	}
-	term := v.seen[primary.Name].Status.Followed
 	var orders []Order
 	for _, member := range v.members {
 		o, seen := v.seen[member.Name]
-		if seen && member.Name != primary.Name && o.Status.Followed < term && o.Status.Promised <= term {
-			orders = append(orders, SendFollow{Term: term, Server: member.Name, Primary: primary.Name})
+		if seen && member.Name != primary && o.strays(term) {
+			orders = append(orders, SendFollow{Term: term, Server: member.Name, Primary: primary})
 		}
 	}
-	return orders
+	if term > p.announced.Term {
+		orders = append(orders, Announce{Term: term, Primary: primary})
+	}
+	if len(orders) > 0 {
+		p.repaired = now
+	}
+	return p, orders
+}
+
+// strays reports whether the server has to be told of the primary of the term.
+func (o Observation) strays(term Term) bool {
+	if o.Status.Promised > term {
+		return false
+	}
+	return o.Status.Followed < term || o.Status.Role == Replica && o.Status.PrimarySilence >= SilenceLimit
 }
 
 func (p Promotion) startFencing(v View, now time.Duration) (Promotion, []Order) {
 	p.phase = Fencing
-	p.term = max(v.Term(), p.term, p.refused) + 1
+	p.term = max(v.Term(), p.term, p.highest) + 1
 	p.since = now
 	p.fenced = nil
+	p.refusing = nil
 	p.attempts++
 	return p, []Order{SendFence{Term: p.term, Candidate: p.candidate}}
 }
@@ -207,69 +275,130 @@
 	}
 	fenced[e.Status.Server] = e.Status
 	p.fenced = fenced
-	if len(fenced) < v.Majority() {
+	voters := p.voters(v)
+	if len(voters) == 0 {
 		return p, nil
 	}
 	p.phase = Promoting
 	p.since = now
-	return p, []Order{SendPromote{Term: p.term, Candidate: p.candidate, Server: p.furthest(v)}}
+	return p, []Order{SendPromote{Term: p.term, Candidate: p.candidate, Server: p.furthest(v, voters)}}
 }
 
-// furthest returns the fenced server with the furthest log; among equals, one that is not departing goes first.
-func (p Promotion) furthest(v View) string {
-	names := slices.Sorted(maps.Keys(p.fenced))
-	best := names[0]
-	for _, name := range names[1:] {
-		order := p.fenced[name].Last().Compare(p.fenced[best].Last())
-		if order > 0 || order == 0 && departing(v, best) && !departing(v, name) {
-			best = name
+// voters returns the fenced members among which the new primary is chosen, and none while they are too few. A server
+// with an empty log may have lost acknowledged writes, so it counts only when every member was fenced.
+func (p Promotion) voters(v View) []string {
+	var all, holding []string
+	for _, member := range v.members {
+		status, ok := p.fenced[member.Name]
+		if !ok {
+			continue
+		}
+		all = append(all, member.Name)
+		if !status.Last().IsZero() {
+			holding = append(holding, member.Name)
 		}
 	}
-	return best
+	if len(all) == len(v.members) || len(holding) >= v.Majority() {
+		return all
+	}
+	return nil
 }
 
-func departing(v View, name string) bool {
-	member, ok := v.Member(name)
-	return ok && member.Departing
+// furthest returns the voter with the furthest log; among equals, one that is not departing goes first.
+func (p Promotion) furthest(v View, voters []string) string {
+	return slices.MaxFunc(voters, func(a, b string) int {
+		return cmp.Or(
+			p.fenced[a].Last().Compare(p.fenced[b].Last()),
+			cmp.Compare(staying(v, a), staying(v, b)),
+			cmp.Compare(b, a),
+		)
+	})
+}
+
+func staying(v View, name string) int {
+	if member, ok := v.Member(name); ok && !member.Departing {
+		return 1
+	}
+	return 0
 }
 
-func (p Promotion) withRefused(e Refused, now time.Duration) (Promotion, []Order) {
+// withRefused gives up when the servers that have not refused are no majority, or when the promotion was refused.
+func (p Promotion) withRefused(e Refused, v View, now time.Duration) (Promotion, []Order) {
+	p.highest = max(p.highest, e.Promised)
 	if p.phase != Fencing && p.phase != Promoting || e.Term != p.term {
 		return p, nil
 	}
-	p.refused = max(p.refused, e.Promised)
+	refusing := maps.Clone(p.refusing)
+	if refusing == nil {
+		refusing = make(map[string]bool)
+	}
+	refusing[e.Server] = true
+	p.refusing = refusing
+	if p.phase == Fencing && len(v.members)-len(refusing) >= v.Majority() {
+		return p, nil
+	}
 	return p.retried(now), nil
 }
 
-func (p Promotion) withPromoted(e Promoted, v View) (Promotion, []Order) {
+func (p Promotion) withPromoted(e Promoted, v View, now time.Duration) (Promotion, []Order) {
 	if p.phase != Promoting || e.Term != p.term {
 		return p, nil
 	}
+	return p.overtaken(e.Server, e.Term, v, now)
+}
+
+// overtaken ends the promotion because there is a primary of its term or a later one.
+func (p Promotion) overtaken(primary string, term Term, v View, now time.Duration) (Promotion, []Order) {
 	var orders []Order
 	for _, member := range v.members {
-		if member.Name != e.Server {
-			orders = append(orders, SendFollow{Term: e.Term, Server: member.Name, Primary: e.Server})
+		if member.Name != primary {
+			orders = append(orders, SendFollow{Term: term, Server: member.Name, Primary: primary})
 		}
 	}
-	orders = append(orders, Announce{Term: e.Term, Primary: e.Server})
+	if term > p.announced.Term {
+		orders = append(orders, Announce{Term: term, Primary: primary})
+	}
+	p.settled = now
+	p.repaired = now
 	return p.stopped(), orders
 }
 
-// retried goes back to waiting, with a delay that grows with the attempts so that two promoters part.
+func (p Promotion) withAnnounced(e Announced, now time.Duration) Promotion {
+	if e.Term > p.announced.Term {
+		p.announced = e
+		p.announcedSince = now
+		p.highest = max(p.highest, e.Term)
+	}
+	return p
+}
+
+// retried goes back to waiting.
 func (p Promotion) retried(now time.Duration) Promotion {
 	p.phase = Suspected
 	p.since = now
 	p.fenced = nil
+	p.refusing = nil
 	return p
 }
 
 func (p Promotion) stopped() Promotion {
 	p.phase = Watching
 	p.fenced = nil
+	p.refusing = nil
 	return p
 }
 
-// delay returns how long the promoter waits after suspicion before it acts.
+// delay returns how long the promoter waits after suspicion before it acts. After a lost attempt it also depends on the
+// candidate, because two instances can hold the same rank while their lists of instances differ.
 func (p Promotion) delay() time.Duration {
-	return time.Duration(p.rank*(1+p.attempts)) * RankDelay
+	attempts := min(p.attempts, MaxBackoff)
+	delay := time.Duration(p.rank) * RankDelay
+	if attempts == 0 {
+		return delay
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(p.candidate))
+	_, _ = h.Write([]byte{byte(p.attempts)})
+	spread := h.Sum64() % uint64(time.Duration(attempts)*RankDelay)
+	return delay + time.Duration(spread)
 }
--- a/group/view.go
+++ b/group/view.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -13,6 +14,51 @@
 	Asked time.Duration
 	// Received is when the answer came.
 	Received time.Duration
+
+	// since is when the server was first asked in the state that the status shows: its role and its terms.
+	since time.Duration
+}
+
+// EvidenceLimit is how old the answer of a server may be to count against the primary. An observer that was cut off
+// must not act on what it knew before.
+const EvidenceLimit = 2 * time.Second
+
+// fenced reports whether the server has promised a term that it does not follow, so that it takes no entries.
+func (o Observation) fenced() bool { return o.Status.Promised > o.Status.Followed }
+
+// lasted returns for how long the server has been seen in its state.
+func (o Observation) lasted() time.Duration { return o.Asked - o.since }
+
+// compareProgress orders two statuses of one server by what only grows while it runs.
+func compareProgress(a, b Status) int {
+	return cmp.Or(
+		cmp.Compare(a.Promised, b.Promised),
+		cmp.Compare(a.Followed, b.Followed),
+		a.Last().Compare(b.Last()),
+	)
+}
+
+// after returns what is known of a server when o follows known. Of two answers that were outstanding at the same time
+// the one that shows more progress is the later one, whichever was asked first.
+func (o Observation) after(known Observation) Observation {
+	switch {
+	case o.Asked >= known.Received:
+	case known.Asked >= o.Received:
+		return known
+	default:
+		progress := compareProgress(o.Status, known.Status)
+		if progress < 0 || progress == 0 && o.Asked < known.Asked {
+			known.Asked = max(known.Asked, o.Asked)
+			return known
+		}
+		o.Asked = max(known.Asked, o.Asked)
+	}
+	o.since = o.Asked
+	a, b := o.Status, known.Status
+	if a.Role == b.Role && a.Promised == b.Promised && a.Followed == b.Followed {
+		o.since = known.since
+	}
+	return o
 }
 
 // Member is a server of the group as the document names it.
@@ -34,23 +80,22 @@
 	return View{members: slices.Clone(members)}
 }
 
-// WithMembers returns the view with other members. It keeps what is known of members that stay.
+// WithMembers returns the view with other members. It keeps what is known of members that stay at their address; at
+// another address there may be another log.
 func (v View) WithMembers(members ...Member) View {
 	seen := make(map[string]Observation, len(members))
 	for _, member := range members {
-		if o, ok := v.seen[member.Name]; ok {
+		known, _ := v.Member(member.Name)
+		if o, ok := v.seen[member.Name]; ok && known.Address == member.Address {
 			seen[member.Name] = o
 		}
 	}
 	return View{members: slices.Clone(members), seen: seen}
 }
 
-// WithObservation returns the view after an observation. An observation that was asked earlier than the known
-// one of the same server is ignored, because answers can arrive crossed.
+// WithObservation returns the view after an observation. Answers can arrive crossed; one that is earlier than the known
+// one of the same server changes nothing.
 func (v View) WithObservation(o Observation) View {
-	if known, ok := v.seen[o.Status.Server]; ok && known.Asked > o.Asked {
-		return v
-	}
 	if !slices.ContainsFunc(v.members, func(m Member) bool { return m.Name == o.Status.Server }) {
 		return v
 	}
@@ -58,7 +103,12 @@
 	if seen == nil {
 		seen = make(map[string]Observation, len(v.members))
 	}
-	seen[o.Status.Server] = o
+	if known, ok := seen[o.Status.Server]; ok {
+		seen[o.Status.Server] = o.after(known)
+	} else {
+		o.since = o.Asked
+		seen[o.Status.Server] = o
+	}
 	return View{members: v.members, seen: seen}
 }
 
@@ -91,23 +141,34 @@
 	return term
 }
 
-// Primary returns the primary of the highest term that a known server leads. It reports false when there is none, or
-// when a majority has promised a later term. A promise of fewer servers does not stop the primary.
+// Primary returns the primary of the highest term that a known server leads. It reports false when there is none, when
+// the primary itself has promised a later term, when a server follows a later term, or when a majority has promised
+// one. A promise of fewer servers does not stop the primary.
 func (v View) Primary() (Member, bool) {
 	var primary Member
-	var term Term
+	var leader Observation
 	for _, member := range v.members {
 		o, ok := v.seen[member.Name]
-		if ok && o.Status.Role == Primary && o.Status.Followed > term {
-			primary, term = member, o.Status.Followed
+		if ok && o.Status.Role == Primary && o.Status.Followed > leader.Status.Followed {
+			primary, leader = member, o
 		}
 	}
-	if term == 0 || v.promisedAfter(term) >= v.Majority() {
+	term := leader.Status.Followed
+	if term == 0 || leader.fenced() || v.followed() > term || v.promisedAfter(term) >= v.Majority() {
 		return Member{}, false
 	}
 	return primary, true
 }
 
+// followed returns the highest term that a known server follows. A majority has promised it at some time.
+func (v View) followed() Term {
+	var term Term
+	for _, o := range v.seen {
+		term = max(term, o.Status.Followed)
+	}
+	return term
+}
+
 func (v View) promisedAfter(term Term) int {
 	n := 0
 	for _, o := range v.seen {
@@ -170,9 +231,10 @@
 
 // Newest returns a position that lies at or after every write that was acknowledged before instant since. It
 // reports false until a majority of the servers was asked at since or later. An acknowledged write is in the logs of
-// a majority, so one of the asked servers holds it, and the furthest of their logs does.
+// a majority, so one of the asked servers holds it, and the furthest of their logs does. A server with an empty log may
+// have lost it and counts only when every server was asked.
 func (v View) Newest(since time.Duration) (Position, bool) {
-	asked := 0
+	asked, holding := 0, 0
 	var newest Position
 	for _, member := range v.members {
 		o, ok := v.seen[member.Name]
@@ -180,36 +242,100 @@
 			continue
 		}
 		asked++
-		if last := o.Status.Last(); last.Compare(newest) > 0 {
+		last := o.Status.Last()
+		if !last.IsZero() {
+			holding++
+		}
+		if last.Compare(newest) > 0 {
 			newest = last
 		}
 	}
-	return newest, asked >= v.Majority()
+	return newest, holding >= v.Majority() || asked > 0 && asked == len(v.members)
 }
 
-// AgeAt bounds how old a server's data is at instant now. It reports false when the server cannot tell.
+// AgeAt bounds how old a server's data is at instant now. It reports false when the server cannot tell. A primary
+// that was replaced without its knowledge reports the age zero, so the age of a primary counts from the latest instant
+// at which a majority had not promised a later term.
 func (v View) AgeAt(server string, now time.Duration) (time.Duration, bool) {
 	o, ok := v.seen[server]
 	if !ok || !o.Status.AgeKnown {
 		return 0, false
 	}
-	return o.Status.Age + now - o.Asked, true
+	if o.Status.Role != Primary {
+		return o.Status.Age + now - o.Asked, true
+	}
+	confirmed, ok := v.confirmed(o.Status.Followed)
+	if !ok || o.fenced() {
+		return 0, false
+	}
+	return now - min(confirmed, o.Asked), true
+}
+
+// confirmed returns the latest instant at which a majority was asked and had not promised a term after term. A server
+// with an empty log may have lost its promise.
+func (v View) confirmed(term Term) (time.Duration, bool) {
+	var asked []time.Duration
+	for _, o := range v.seen {
+		if o.Status.Promised <= term && !o.Status.Last().IsZero() {
+			asked = append(asked, o.Asked)
+		}
+	}
+	if len(v.members) == 0 || len(asked) < v.Majority() {
+		return 0, false
+	}
+	slices.Sort(asked)
+	return asked[len(asked)-v.Majority()], true
 }
 
-// PrimaryLost reports whether the primary has to be replaced: a majority of the servers said at their last answer
-// that it has not heard from a current primary for SilenceLimit, or one server has been left with a promise of a later
-// term for OrphanLimit and takes no entries until there is a primary of a later term still.
-func (v View) PrimaryLost() bool {
+// PrimaryLost reports whether the primary has to be replaced at instant now. That is so when a majority of the servers
+// said that it misses a primary, when the primary itself was fenced and left so, or when a server was left with a
+// promise of a later term for OrphanLimit: it takes no entries until there is a primary of a later term still.
+func (v View) PrimaryLost(now time.Duration) bool {
+	top := v.followed()
+	young := v.ledSince(top, now-SilenceLimit)
 	missing := 0
 	for _, member := range v.members {
 		o, ok := v.seen[member.Name]
-		if !ok || o.Status.Role != Replica || o.Status.PrimarySilence < SilenceLimit {
+		if !ok || now-o.Asked > EvidenceLimit {
 			continue
 		}
-		missing++
-		if o.Status.Promised > o.Status.Followed && o.Status.PrimarySilence >= OrphanLimit {
+		if young && o.Status.Promised <= top {
+			continue
+		}
+		if o.fenced() && o.lasted() >= o.patience(top) {
 			return true
 		}
+		if o.missesPrimary(top) {
+			missing++
+		}
+	}
+	return len(v.members) > 0 && missing >= v.Majority()
+}
+
+// ledSince reports whether a known server leads the term and was first seen to do so after the instant. Its replicas may
+// not have heard from it yet.
+func (v View) ledSince(term Term, instant time.Duration) bool {
+	for _, o := range v.seen {
+		if o.Status.Role == Primary && o.Status.Followed == term && !o.fenced() {
+			return o.since > instant
+		}
+	}
+	return false
+}
+
+// patience returns how long the server may be left fenced. The primary of the highest term takes no writes meanwhile.
+func (o Observation) patience(top Term) time.Duration {
+	if o.Status.Role == Primary && o.Status.Followed == top {
+		return SilenceLimit
+	}
+	return OrphanLimit
+}
+
+// missesPrimary reports whether the server has no primary: it has not heard from one, it was left fenced, or it leads
+// an earlier term itself.
+func (o Observation) missesPrimary(top Term) bool {
+	if o.Status.Role == Primary {
+		return o.Status.Followed < top || o.fenced() && o.lasted() >= SilenceLimit
 	}
-	return missing >= v.Majority()
+	return o.Status.PrimarySilence >= SilenceLimit || o.fenced() && o.lasted() >= SilenceLimit
 }
--- a/session/placement.go
+++ b/session/placement.go
@@ -77,7 +77,7 @@
 // Place decides where the session's request goes, given what is known of the group at instant now.
 func Place(r Request, s Session, v group.View, now time.Duration) Placement {
 	if !r.Read {
-		return placeWrite(v)
+		return placeWrite(v, now)
 	}
 	floor, known := s.Floor(r.Group)
 	if !known {
@@ -89,12 +89,17 @@
 	return placeRead(r, v, floor, now)
 }
 
-func placeWrite(v group.View) Placement {
+// placeWrite waits rather than send a write to a primary that has stopped answering or has lost its replicas: a write
+// that has not started can be refused "not run", while one that nobody acknowledges has an unknown outcome.
+func placeWrite(v group.View, now time.Duration) Placement {
 	primary, ok := v.Primary()
-	if !ok {
+	if !ok || v.PrimaryLost(now) {
 		return AwaitPrimary{}
 	}
 	o, _ := v.Observation(primary.Name)
+	if now-o.Asked > ObservationLimit {
+		return AwaitPrimary{}
+	}
 	return ToPrimary{Server: primary.Name, Term: o.Status.Followed}
 }
 
