Add the promoter, the ranks of watchers and relays, and failure tests over a fake group

The promoter feeds group.Promotion with views, answers and the store's status object. One duty for each server carries out orders, one writes the status object, one follows it by watch. Each update of the store is settled by reading the object again, so a lost answer and a rival's update are one case.

The fake group runs under clock.Fake in a synctest bubble: time moves only when every goroutine waits.

--- /dev/null
+++ b/entry/announcer.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/ring"
+)
+
+// announcer is the duty that writes a group's status object. Its ring holds the latest announcement.
+type announcer struct {
+	cfg           PromoterConfig
+	announcements *ring.Ring[GroupStatus]
+	reports       *ring.Ring[promoterMessage]
+}
+
+func (a *announcer) loop(ctx context.Context) {
+	for {
+		status, err := a.announcements.Take(ctx)
+		if err != nil {
+			return
+		}
+		stored, err := a.announce(ctx, status)
+		if err != nil {
+			continue // The promotion orders the announcement again.
+		}
+		if a.reports.Put(ctx, announcedTo{stored}) != nil {
+			return
+		}
+	}
+}
+
+// announce raises the term of the status object and returns what the object holds then. Whatever the store answered to
+// an update, the object is read again, so a lost answer and another promoter's update are settled alike.
+func (a *announcer) announce(ctx context.Context, status GroupStatus) (GroupStatus, error) {
+	data, err := json.Marshal(status)
+	if err != nil {
+		return GroupStatus{}, port.Wrapf(err, port.Internal, "status of group %q cannot be written", status.Group)
+	}
+	for range announceAttempts {
+		var stored GroupStatus
+		var version port.Version
+		stored, version, err = a.read(ctx, status.Group)
+		if err != nil {
+			return GroupStatus{}, err
+		}
+		if stored.Term >= status.Term {
+			return stored, nil
+		}
+		if err = a.put(ctx, status, data, version); err == nil {
+			return status, nil
+		}
+	}
+	return GroupStatus{}, err
+}
+
+func (a *announcer) put(ctx context.Context, status GroupStatus, data []byte, version port.Version) error {
+	ctx, cancel := port.WithTimeout(ctx, a.cfg.Timer, StoreLimit)
+	defer cancel()
+	_, err := a.cfg.Store.Put(ctx, StatusObject(status.Group), data, version)
+	return err
+}
+
+// read returns the status object. An object that cannot be read as one counts as term zero and is replaced.
+func (a *announcer) read(ctx context.Context, groupName string) (GroupStatus, port.Version, error) {
+	ctx, cancel := port.WithTimeout(ctx, a.cfg.Timer, StoreLimit)
+	defer cancel()
+	object, err := a.cfg.Store.Get(ctx, StatusObject(groupName))
+	if err != nil && port.KindOf(err) != port.NotFound {
+		return GroupStatus{}, 0, err
+	}
+	status, _ := ParseGroupStatus(object.Data)
+	return status, object.Version, nil
+}
+
+// statusReader is the duty that follows a group's status object while the instance watches the group.
+type statusReader struct {
+	cfg     PromoterConfig
+	reports *ring.Ring[promoterMessage]
+}
+
+func (r *statusReader) loop(ctx context.Context) {
+	var seen port.Version
+	for {
+		object, changed, err := r.watch(ctx, seen)
+		if err != nil || !changed {
+			// The pause also bounds the calls to a store that answers without waiting.
+			if r.pause(ctx) != nil {
+				return
+			}
+			continue
+		}
+		seen = object.Version
+		status, err := ParseGroupStatus(object.Data)
+		if err != nil {
+			continue
+		}
+		if r.reports.Put(ctx, announcedTo{status}) != nil {
+			return
+		}
+	}
+}
+
+func (r *statusReader) watch(ctx context.Context, seen port.Version) (port.Object, bool, error) {
+	ctx, cancel := port.WithTimeout(ctx, r.cfg.Timer, StatusWait+StoreLimit)
+	defer cancel()
+	return r.cfg.Store.Watch(ctx, StatusObject(r.cfg.Monitor.Group()), seen, StatusWait)
+}
+
+// pause waits before the store is tried again. It returns an error when ctx ends first.
+func (r *statusReader) pause(ctx context.Context) error {
+	waited := ring.New[struct{}](1)
+	stop := r.cfg.Timer.After(StoreRetry, func(time.Duration) { waited.Offer(struct{}{}) })
+	defer stop()
+	_, err := waited.Take(ctx)
+	return err
+}
--- /dev/null
+++ b/entry/failure_test.go
@@ -0,0 +1,362 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/entry"
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/instance"
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+// fleet is three watchers and one instance that serves callers over a fake group.
+type fleet struct {
+	*world
+	ctx      context.Context
+	store    *fakeStore
+	list     []instance.Instance
+	watchers []*watcher
+	monitor  *entry.Monitor
+	director *entry.GroupDirector
+	writes   *writes
+}
+
+// watcher is an instance that watches the group, in the order of the ranks.
+type watcher struct {
+	name     string
+	monitor  *entry.Monitor
+	promoter *entry.Promoter
+	stop     context.CancelFunc
+}
+
+func newFleet(ctx context.Context, w *world, watchers int) *fleet {
+	f := &fleet{world: w, ctx: ctx, store: newFakeStore(w)}
+	for i := range watchers {
+		f.list = append(f.list, instance.Instance{
+			Incarnation: fmt.Sprintf("watcher-%d-%d", w.rng.Uint64(), i), DataCentre: fmt.Sprintf("dc%d", i), State: instance.Live,
+		})
+	}
+	for _, i := range instance.Watchers(testGroup, f.list) {
+		f.watchers = append(f.watchers, f.startWatcher(i.Incarnation))
+	}
+	for _, each := range f.watchers {
+		require.NoError(w.t, each.promoter.SetInstances(ctx, f.list...))
+	}
+	f.monitor = startMonitor(ctx, w, "entry", false)
+	f.director = startDirector(w, f.monitor)
+	f.writes = &writes{acknowledged: map[int]bool{}, discarded: map[int]bool{}}
+	w.elected = append(w.elected, f.checkElected)
+	return f
+}
+
+func (f *fleet) startWatcher(name string) *watcher {
+	ctx, stop := context.WithCancel(f.ctx)
+	m := startMonitor(ctx, f.world, name, false)
+	p := entry.NewPromoter(entry.PromoterConfig{
+		Incarnation: name, Timer: f.timer, Store: f.store, Monitor: m, Connect: f.connect(name),
+	})
+	go p.Run(ctx)
+	return &watcher{name: name, monitor: m, promoter: p, stop: stop}
+}
+
+// writes records what callers were told.
+type writes struct {
+	next         int
+	acknowledged map[int]bool
+	discarded    map[int]bool
+	unknown      int
+	refused      int
+	gap          time.Duration
+	last         time.Duration
+}
+
+// checkElected fails the test when a new primary lacks a write that was acknowledged before. The lock is held.
+func (f *fleet) checkElected(term group.Term, s *fakeServer) {
+	held := s.held()
+	for id := range f.writes.acknowledged {
+		if !held[id] {
+			f.t.Errorf("primary %s of term %d lacks the acknowledged write %d", s.name, term, id)
+		}
+	}
+}
+
+// callers starts n callers that write one after the other until the returned function is called.
+func (f *fleet) callers(n int) (stop func()) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	for range n {
+		go f.caller(ctx)
+	}
+	return func() { cancel(); synctest.Wait() }
+}
+
+func (f *fleet) caller(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.pauseFor(ctx, 20*time.Millisecond)
+		target, err := f.director.Place(ctx, writer())
+		if err != nil {
+			f.locked(func() { f.writes.refused++ })
+			continue
+		}
+		id, p, ok := f.commit(ctx, target.Server)
+		if !ok {
+			continue
+		}
+		f.record(ctx, id, f.director.Acknowledge(ctx, testGroup, p))
+	}
+}
+
+func (f *fleet) record(ctx context.Context, id int, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.locked(func() {
+		switch {
+		case err == nil:
+			f.writes.acknowledged[id] = true
+			now := f.timer.Now()
+			f.writes.gap = max(f.writes.gap, now-f.writes.last)
+			f.writes.last = now
+		case port.KindOf(err) == port.NotKept:
+			f.writes.discarded[id] = true
+		default:
+			f.writes.unknown++
+		}
+	})
+}
+
+// commit sends a write over the network. It reports false when no answer came within a second.
+func (f *fleet) commit(ctx context.Context, server string) (int, group.Position, bool) {
+	ctx, cancel := port.WithTimeout(ctx, f.timer, time.Second)
+	defer cancel()
+	var id int
+	var p group.Position
+	f.locked(func() { f.writes.next++; id = f.writes.next })
+	l := link{w: f.world, from: "entry", to: server}
+	_, err := l.call(ctx, func(s *fakeServer, answer func(error)) {
+		var ok bool
+		if p, ok = s.write(id); ok {
+			f.spread(s)
+		}
+		answer(refusal(ok))
+	})
+	return id, p, err == nil
+}
+
+func (f *fleet) pauseFor(ctx context.Context, d time.Duration) {
+	ctx, cancel := port.WithTimeout(ctx, f.timer, d)
+	defer cancel()
+	<-ctx.Done()
+}
+
+// count returns how many writes were acknowledged.
+func (f *fleet) count() int {
+	n := 0
+	f.locked(func() { n = len(f.writes.acknowledged) })
+	return n
+}
+
+// requireServing fails the test unless writes are acknowledged again within limit.
+func (f *fleet) requireServing(limit time.Duration) {
+	f.t.Helper()
+	before := f.count()
+	f.runUntil(limit, "an acknowledged write", func() bool { return f.count() > before+5 })
+}
+
+// requireKept fails the test unless the last primary holds what was acknowledged and nothing that was reported as
+// discarded.
+func (f *fleet) requireKept() {
+	f.t.Helper()
+	f.locked(func() {
+		var last group.Term
+		for term := range f.primaries {
+			last = max(last, term)
+		}
+		s := f.nodes[f.primaries[last]]
+		held := s.held()
+		for id := range f.writes.acknowledged {
+			require.True(f.t, held[id], "acknowledged write %d is not in the log of %s", id, s.name)
+		}
+		for id := range f.writes.discarded {
+			require.False(f.t, held[id], "write %d was reported as discarded and is in the log of %s", id, s.name)
+		}
+	})
+}
+
+func (f *fleet) lastTerm() group.Term {
+	var last group.Term
+	f.locked(func() {
+		for term := range f.primaries {
+			last = max(last, term)
+		}
+	})
+	return last
+}
+
+// failure is one way of failing. It returns with the fault in place; end, if any, takes the fault back.
+type failure struct {
+	name  string
+	begin func(f *fleet)
+	end   func(f *fleet)
+	// promotes is true when the primary has to be replaced.
+	promotes bool
+}
+
+func onFirstFence(f *fleet, act func(from string, s *fakeServer)) {
+	f.locked(func() {
+		f.onFence = func(from string, _ group.Term, s *fakeServer) {
+			f.onFence = nil
+			act(from, s)
+		}
+	})
+}
+
+func failures() []failure {
+	kill := func(f *fleet) { f.kill("s0") }
+	return []failure{
+		{name: "primary killed", begin: kill, promotes: true},
+		{
+			name: "primary killed and back", begin: kill, promotes: true,
+			end: func(f *fleet) { f.restart("s0", false) },
+		},
+		{
+			name: "primary frozen and thawed", promotes: true,
+			begin: func(f *fleet) { f.freeze("s0") },
+			end:   func(f *fleet) { f.thaw("s0") },
+		},
+		{
+			name: "primary cut from replicas but not from callers", promotes: true,
+			begin: func(f *fleet) { f.cut("s0", "s1", true); f.cut("s0", "s2", true) },
+			end:   func(f *fleet) { f.heal() },
+		},
+		{
+			name:  "primary cut from a watcher only",
+			begin: func(f *fleet) { f.cut(f.watchers[0].name, "s0", true) },
+			end:   func(f *fleet) { f.heal() },
+		},
+		{
+			name: "watcher cut from everything",
+			begin: func(f *fleet) {
+				for _, name := range f.names {
+					f.cut(f.watchers[0].name, name, true)
+				}
+			},
+			end: func(f *fleet) { f.heal() },
+		},
+		{
+			name: "promoter paused midway", promotes: true,
+			begin: func(f *fleet) {
+				onFirstFence(f, func(from string, _ *fakeServer) { f.pause(from) })
+				f.kill("s0")
+			},
+			end: func(f *fleet) {
+				for _, each := range f.watchers {
+					f.resume(each.name)
+				}
+			},
+		},
+		{
+			name: "promoter dies after it fenced one server", promotes: true,
+			begin: func(f *fleet) {
+				onFirstFence(f, func(from string, s *fakeServer) {
+					for _, name := range f.names {
+						f.cuts[[2]string{from, name}] = name != s.name
+					}
+					f.pause(from)
+				})
+				f.kill("s0")
+			},
+		},
+		{
+			name: "two promoters at once", promotes: true,
+			begin: func(f *fleet) {
+				for _, each := range f.watchers {
+					only := instance.Instance{Incarnation: each.name, DataCentre: "dc0", State: instance.Live}
+					require.NoError(f.t, each.promoter.SetInstances(f.ctx, only))
+				}
+				f.kill("s0")
+			},
+		},
+		{
+			name: "store down", promotes: true,
+			begin: func(f *fleet) { f.locked(func() { f.store.down = true }); f.kill("s0") },
+			end:   func(f *fleet) { f.locked(func() { f.store.down = false }) },
+		},
+		{
+			name: "store's answers lost", promotes: true,
+			begin: func(f *fleet) { f.locked(func() { f.store.loseAnswers = true }); f.kill("s0") },
+		},
+		{
+			name: "lagging replica", promotes: true,
+			begin: func(f *fleet) {
+				f.locked(func() { f.lag["s1"] = 2 * time.Second })
+				f.run(3 * time.Second)
+				f.kill("s0")
+			},
+			end: func(f *fleet) { f.locked(func() { f.lag["s1"] = 0 }) },
+		},
+		{
+			name: "replica restarts empty", begin: func(f *fleet) { f.kill("s1") },
+			end: func(f *fleet) { f.restart("s1", true) },
+		},
+		{
+			name: "primary fenced and left", promotes: true,
+			begin: func(f *fleet) { f.locked(func() { f.nodes["s0"].fence(7, "gone") }) },
+		},
+		{
+			name: "replica fenced and left", promotes: true,
+			begin: func(f *fleet) { f.locked(func() { f.nodes["s2"].fence(7, "gone") }) },
+		},
+	}
+}
+
+const seedsPerFailure = 3
+
+// Guards against a group that does not come back after a failure, an acknowledged write that a later primary lacks, an
+// acknowledgment of a discarded write, two primaries of one term, and a promotion without need.
+func TestFailures(t *testing.T) {
+	for _, failure := range failures() {
+		for seed := range uint64(seedsPerFailure) {
+			t.Run(fmt.Sprintf("%s/seed %d", failure.name, seed), func(t *testing.T) {
+				inWorld(t, seed, 3, func(ctx context.Context, w *world) {
+					runFailure(newFleet(ctx, w, 3), failure)
+				})
+			})
+		}
+	}
+}
+
+func runFailure(f *fleet, failure failure) {
+	stop := f.callers(2)
+	f.run(2*time.Second + time.Duration(f.rng.Int64N(int64(time.Second))))
+	f.requireServing(time.Second)
+	failure.begin(f)
+	f.run(10 * time.Second)
+	f.requireServing(5 * time.Second)
+	if failure.end != nil {
+		failure.end(f)
+	}
+	f.run(5 * time.Second)
+	f.requireServing(time.Second)
+	stop()
+	f.requireKept()
+	require.Equal(f.t, failure.promotes, f.lastTerm() > 1, "last term %d", f.lastTerm())
+	f.requireAnnounced()
+}
+
+// requireAnnounced fails the test unless the store names the last primary.
+func (f *fleet) requireAnnounced() {
+	f.t.Helper()
+	last := f.lastTerm()
+	f.locked(func() {
+		status, err := entry.ParseGroupStatus(f.store.objects[entry.StatusObject(testGroup)].Data)
+		require.NoError(f.t, err)
+		require.Equal(f.t, last, status.Term)
+		require.Equal(f.t, f.primaries[last], status.Primary)
+	})
+}
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sort"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/rhubarbwick/rhubarbwick/adapter/clock"
@@ -45,10 +47,10 @@
 
 func (s *serverState) history() group.History {
 	var eras []group.Era
-	for i, e := range s.log {
-		if len(eras) == 0 || eras[len(eras)-1].Term != e.term {
-			eras = append(eras, group.Era{Term: e.term, First: uint64(i + 1)})
-		}
+	for i := 0; i < len(s.log); {
+		term := s.log[i].term
+		eras = append(eras, group.Era{Term: term, First: uint64(i + 1)})
+		i += sort.Search(len(s.log)-i, func(n int) bool { return s.log[i+n].term > term })
 	}
 	return group.NewHistory(uint64(len(s.log)), eras...)
 }
@@ -99,7 +101,7 @@
 	if s.role != group.Primary || s.promised != s.followed {
 		return group.Position{}, false
 	}
-	s.log = append(s.log[:len(s.log):len(s.log)], logEntry{term: s.followed, write: id})
+	s.log = append(s.log, logEntry{term: s.followed, write: id})
 	return group.Position{Term: s.followed, Offset: uint64(len(s.log))}, true
 }
 
@@ -114,14 +116,13 @@
 	s.heard, s.complete, s.ageKnown = now, sent, true
 }
 
-// holds reports whether the log contains the write.
-func (s *serverState) holds(write int) bool {
+// held returns the writes that the log contains.
+func (s *serverState) held() map[int]bool {
+	held := make(map[int]bool, len(s.log))
 	for _, e := range s.log {
-		if e.write == write {
-			return true
-		}
+		held[e.write] = true
 	}
-	return false
+	return held
 }
 
 // fakeServer is a server on the fake network.
@@ -140,11 +141,19 @@
 	t     *testing.T
 	timer *clock.Fake
 	mu    sync.Mutex
+	seed  uint64
+	// rng is for the test's own goroutine; each link draws from its own, so that the order in which goroutines wake does
+	// not change what a seed does.
 	rng   *rand.Rand
+	links map[[2]string]*rand.Rand
 	names []string
 	nodes map[string]*fakeServer
 	cuts  map[[2]string]bool
 	lag   map[string]time.Duration
+	// paused holds what a paused instance would have sent.
+	paused map[string]*[]func()
+	// onFence is called after a server accepted a fence.
+	onFence func(from string, term group.Term, s *fakeServer)
 	// primaries holds the server of each term that was ever primary, with its log at that instant.
 	primaries map[group.Term]string
 	elected   []func(term group.Term, s *fakeServer)
@@ -152,8 +161,8 @@
 
 func newWorld(t *testing.T, seed uint64, servers int) *world {
 	w := &world{
-		t: t, timer: &clock.Fake{}, rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*fakeServer{},
-		cuts: map[[2]string]bool{}, lag: map[string]time.Duration{}, primaries: map[group.Term]string{},
+		t: t, timer: &clock.Fake{}, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), links: map[[2]string]*rand.Rand{}, nodes: map[string]*fakeServer{},
+		cuts: map[[2]string]bool{}, paused: map[string]*[]func(){}, lag: map[string]time.Duration{}, primaries: map[group.Term]string{},
 	}
 	for i := range servers {
 		name := fmt.Sprintf("s%d", i)
@@ -251,13 +260,39 @@
 	})
 }
 
-func (w *world) latency() time.Duration {
-	return fakeLatency + time.Duration(w.rng.Int64N(int64(200*time.Microsecond)))
+// pause holds all that the instance sends until resume. It runs with the lock held.
+func (w *world) pause(from string) { w.paused[from] = &[]func(){} }
+
+func (w *world) resume(from string) {
+	w.locked(func() {
+		held := w.paused[from]
+		delete(w.paused, from)
+		if held == nil {
+			return
+		}
+		for _, f := range *held {
+			f()
+		}
+	})
+}
+
+func (w *world) latency(from, to string) time.Duration {
+	key := [2]string{from, to}
+	rng, ok := w.links[key]
+	if !ok {
+		rng = rand.New(rand.NewPCG(w.seed, xxhash.Sum64String(from+" "+to)))
+		w.links[key] = rng
+	}
+	return fakeLatency + time.Duration(rng.Int64N(int64(200*time.Microsecond)))
 }
 
 // send runs f at the server after the latency, unless the link is cut or the server dead.
 func (w *world) send(from, to string, extra time.Duration, f func(s *fakeServer), lost func()) {
-	w.timer.After(w.latency()+extra, func(time.Duration) {
+	if held, ok := w.paused[from]; ok {
+		*held = append(*held, func() { w.send(from, to, extra, f, lost) })
+		return
+	}
+	w.timer.After(w.latency(from, to)+extra, func(time.Duration) {
 		w.locked(func() { w.deliver(from, to, f, lost) })
 	})
 }
@@ -346,7 +381,7 @@
 func (l link) call(ctx context.Context, f func(s *fakeServer, answer func(error))) (group.Status, error) {
 	answers := ring.New[linkAnswer](1)
 	back := func(a linkAnswer) {
-		l.w.timer.After(l.w.latency(), func(time.Duration) {
+		l.w.timer.After(l.w.latency(l.to, l.from), func(time.Duration) {
 			l.w.locked(func() {
 				if !l.w.cuts[[2]string{l.to, l.from}] {
 					answers.Offer(a)
@@ -400,7 +435,13 @@
 }
 
 func (l link) Fence(ctx context.Context, term group.Term, candidate string) (group.Status, error) {
-	return l.call(ctx, func(s *fakeServer, answer func(error)) { answer(refusal(s.fence(term, candidate))) })
+	return l.call(ctx, func(s *fakeServer, answer func(error)) {
+		ok := s.fence(term, candidate)
+		answer(refusal(ok))
+		if ok && l.w.onFence != nil {
+			l.w.onFence(l.from, term, s)
+		}
+	})
 }
 
 func (l link) Promote(ctx context.Context, term group.Term, candidate string) (group.Status, error) {
--- a/entry/monitor.go
+++ b/entry/monitor.go
@@ -50,7 +50,7 @@
 	ticks       int
 	servers     map[string]*watched
 	waiters     []*waiter
-	subscribers []*ring.Ring[group.View]
+	subscribers []func(group.View)
 	running     sync.WaitGroup
 }
 
@@ -88,7 +88,7 @@
 
 type observed struct{ observation group.Observation }
 
-type subscribed struct{ ring *ring.Ring[group.View] }
+type subscribed struct{ deliver func(group.View) }
 
 func (ticked) monitorMessage()          {}
 func (answered) monitorMessage()        {}
@@ -188,9 +188,9 @@
 	return m.inbox.Put(ctx, observed{o})
 }
 
-// Subscribe puts each later view into r, which drops the oldest when it is full.
-func (m *Monitor) Subscribe(ctx context.Context, r *ring.Ring[group.View]) error {
-	return m.inbox.Put(ctx, subscribed{r})
+// Subscribe calls deliver with each later view. deliver must not block; it puts the view into the ring of its duty.
+func (m *Monitor) Subscribe(ctx context.Context, deliver func(group.View)) error {
+	return m.inbox.Put(ctx, subscribed{deliver})
 }
 
 // Run keeps the view until ctx ends.
@@ -231,7 +231,7 @@
 		m.view = m.view.WithObservation(message.observation)
 		m.publish()
 	case subscribed:
-		m.subscribers = append(m.subscribers, message.ring)
+		m.subscribers = append(m.subscribers, message.deliver)
 	}
 }
 
@@ -317,8 +317,8 @@
 }
 
 func (m *Monitor) notify() {
-	for _, r := range m.subscribers {
-		r.Push(m.view)
+	for _, deliver := range m.subscribers {
+		deliver(m.view)
 	}
 }
 
--- a/entry/monitor_test.go
+++ b/entry/monitor_test.go
@@ -154,8 +154,8 @@
 		p, _ := w.write("s0", 1)
 		_, err := acknowledge(ctx, w, d, p).await(w, 10*fakeLatency)
 		require.NoError(t, err)
-		require.True(t, w.nodes["s1"].holds(1))
-		require.False(t, w.nodes["s2"].holds(1))
+		require.True(t, w.nodes["s1"].held()[1])
+		require.False(t, w.nodes["s2"].held()[1])
 
 		w.kill("s1")
 		p, _ = w.write("s0", 2)
