--- a/document/knowledge.go
+++ b/document/knowledge.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -16,13 +17,16 @@
 	index Index
 	start time.Duration
 	// confirmed is an instant at which no newer document was accepted.
-	confirmed      time.Duration
-	everConfirmed  bool
-	vouched        map[string]time.Duration
-	relaySince     time.Duration
-	relay          bool
-	ownDataCentre  string
-	allDataCentres []string
+	confirmed     time.Duration
+	everConfirmed bool
+	vouched       map[string]time.Duration
+	relay         bool
+	relaySince    time.Duration
+	ownDataCentre string
+	dataCentres   []string
+	// shrunk is the instant at which a data centre left the list, if hasShrunk is true.
+	shrunk    time.Duration
+	hasShrunk bool
 }
 
 // NewKnowledge returns the knowledge of an instance that started at the instant. Confirmations from before the start
@@ -75,9 +79,14 @@
 }
 
 // WithDataCentres returns the knowledge with the data centres that have to vouch for each other while the store is
-// down.
-func (k Knowledge) WithDataCentres(names []string) Knowledge {
-	k.allDataCentres = names
+// down, as the list says at the instant.
+func (k Knowledge) WithDataCentres(names []string, now time.Duration) Knowledge {
+	for _, name := range k.dataCentres {
+		if !slices.Contains(names, name) {
+			k.shrunk, k.hasShrunk = now, true
+		}
+	}
+	k.dataCentres = names
 	return k
 }
 
@@ -131,18 +140,24 @@
 // mayVouch reports whether the instance may vouch for its data centre. A relay may do so only after its document was
 // confirmed since it became a relay: before that, a change may have been offered to its predecessors alone.
 func (k Knowledge) mayVouch() bool {
-	return k.relay && k.everConfirmed && k.confirmed >= k.relaySince
+	return k.relay && k.everConfirmed && k.confirmed >= k.relaySince && k.mayRely()
+}
+
+// mayRely reports whether vouches count. After a data centre left the list they count only once the document was
+// confirmed: the last change may have been accepted there and be known nowhere else but in the store.
+func (k Knowledge) mayRely() bool {
+	return !k.hasShrunk || (k.everConfirmed && k.confirmed >= k.shrunk)
 }
 
 // vouchedAt returns the earliest of the vouches of all data centres. An accepted change is known to the relays of the
 // data centre where it was accepted, so none was accepted before that instant.
 func (k Knowledge) vouchedAt(now time.Duration) (time.Duration, bool) {
-	if len(k.allDataCentres) == 0 {
+	if len(k.dataCentres) == 0 || !k.mayRely() {
 		return 0, false
 	}
 	vouches := k.VouchesAt(now)
 	earliest := now
-	for _, name := range k.allDataCentres {
+	for _, name := range k.dataCentres {
 		at, found := vouches[name]
 		if !found {
 			return 0, false
