Test follower, editor and gate on a fleet with failing links

The fleet runs the duties on one fake clock inside a synctest bubble; each instance has its own zero of time. After every 50 ms step each instance is checked: it never reverts, and while it counts as fresh it has every change that was accepted more than 10 s before.

--- /dev/null
+++ b/entry/document_fleet_test.go
@@ -0,0 +1,503 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/adapter/clock"
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/entry"
+	"github.com/rhubarbwick/rhubarbwick/instance"
+	"github.com/rhubarbwick/rhubarbwick/organisation"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/session"
+)
+
+const fleetStep = 50 * time.Millisecond
+
+// documentFleet is a store and instances that follow the document, on one fake clock. After each step it checks that
+// no instance reverts and that none relies on a document that was replaced longer ago than the limit.
+type documentFleet struct {
+	t     require.TestingT
+	clock *clock.Fake
+	ctx   context.Context
+
+	mu        sync.Mutex
+	objects   map[string]port.Object
+	changed   chan struct{}
+	listed    []instance.Instance
+	cuts      map[[2]string]bool
+	instances map[string]*documentInstance
+	accepted  map[document.Revision]time.Duration
+	seen      map[*documentInstance]document.Revision
+	starts    int
+}
+
+// documentInstance is one instance of the fleet. Its links to the store and to other instances can fail.
+type documentInstance struct {
+	fleet    *documentFleet
+	self     instance.Instance
+	timer    shiftedTimer
+	follower *entry.Follower
+	editor   *entry.Editor
+	stop     context.CancelFunc
+	stopped  sync.WaitGroup
+
+	mu          sync.Mutex
+	dead        bool
+	storeDown   bool
+	watchDown   bool
+	storeDelay  time.Duration
+	answerDelay time.Duration
+	// losePuts makes that many updates take effect without an answer; dropPuts makes them vanish.
+	losePuts, dropPuts int
+	// beforePut runs once before the next update reaches the store.
+	beforePut func()
+	// replays are answered to watches in place of the store's object.
+	replays []port.Object
+	watches int
+}
+
+// shiftedTimer is a monotonic clock whose zero lies elsewhere, as on another machine.
+type shiftedTimer struct {
+	*clock.Fake
+	shift time.Duration
+}
+
+func (s shiftedTimer) Now() time.Duration { return s.Fake.Now() + s.shift }
+
+func inFleet(t *testing.T, dataCentres, perDataCentre int, body func(f *documentFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t.Context(), t, dataCentres, perDataCentre)
+		defer f.close()
+		body(f)
+	})
+}
+
+// startFleet starts instances named "1a", "1b", …, "2a", … in data centres "dc1", "dc2", … with revision 1 in the store.
+func startFleet(ctx context.Context, t require.TestingT, dataCentres, perDataCentre int) *documentFleet {
+	f := &documentFleet{
+		t: t, clock: &clock.Fake{}, ctx: ctx, objects: make(map[string]port.Object), changed: make(chan struct{}),
+		cuts: make(map[[2]string]bool), instances: make(map[string]*documentInstance),
+		accepted: make(map[document.Revision]time.Duration), seen: make(map[*documentInstance]document.Revision),
+	}
+	d, faults := document.Document{}.WithEdit(document.Replace{Document: document.Document{
+		Organisations: []document.Organisation{{Name: "acme", Rate: 5, Burst: 5, Keys: []document.Key{
+			{ID: "k1", SHA256: organisation.HashKey("key-1").String()},
+		}}},
+		Groups: []document.Group{{Name: "g", Slots: []string{"s"}, Servers: []document.Server{
+			{Name: "a", Address: "10.0.0.1:5432", DataCentre: "dc1", Connections: 5},
+		}}},
+		Routes: []document.Route{
+			{Name: "orders", Group: "g", Slot: "s", Kind: document.Write},
+			{Name: "menu", Group: "g", Slot: "s", Kind: document.Read, Open: true, Rate: 5, Burst: 5},
+		},
+	}}, document.Change{ID: "first", Author: "test"})
+	require.Empty(t, faults)
+	data, _ := document.Encode(d)
+	_, err := f.put(entry.DocumentObject, data, 0)
+	require.NoError(t, err)
+	for dc := range dataCentres {
+		for i := range perDataCentre {
+			f.list(fmt.Sprintf("%d%c", dc+1, 'a'+i), instance.Live)
+		}
+	}
+	for _, i := range f.allListed() {
+		f.start(i, false, false)
+	}
+	return f
+}
+
+func (f *documentFleet) close() {
+	for _, i := range f.instances {
+		i.kill()
+	}
+}
+
+// list puts an instance into the platform's list, or changes its state.
+func (f *documentFleet) list(name string, state instance.State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = instance.NewList(f.listed...).WithInstance(instance.Instance{
+		Incarnation: name, Address: name, DataCentre: "dc" + name[:1], State: state,
+	}).All()
+}
+
+func (f *documentFleet) allListed() []instance.Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.listed)
+}
+
+func (f *documentFleet) unlist(names ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = slices.DeleteFunc(slices.Clone(f.listed), func(i instance.Instance) bool { return slices.Contains(names, i.Address) })
+}
+
+func (f *documentFleet) start(self instance.Instance, storeDown, watchDown bool) *documentInstance {
+	f.starts++
+	ctx, cancel := context.WithCancel(f.ctx)
+	i := &documentInstance{fleet: f, self: self, stop: cancel, storeDown: storeDown, watchDown: watchDown}
+	// Two instants before an instance's zero exist, so a missing instant cannot pass for an early one.
+	i.timer = shiftedTimer{Fake: f.clock, shift: time.Duration(f.starts)*time.Hour - 3*time.Hour}
+	i.follower = entry.NewFollower(entry.FollowerConfig{Self: self, Store: i, Relays: i, Timer: i.timer})
+	ids := 0
+	i.editor = entry.NewEditor(entry.EditorConfig{
+		Self: self, Store: i, Relays: i, Follower: i.follower, Timer: i.timer,
+		Wall:  func() time.Time { return time.Unix(0, 0) },
+		NewID: func() string { ids++; return fmt.Sprintf("%s-%d-%d", self.Incarnation, f.starts, ids) },
+	})
+	f.mu.Lock()
+	f.instances[self.Address] = i
+	f.mu.Unlock()
+	i.stopped.Go(func() { i.follower.Run(ctx) })
+	i.stopped.Go(func() { i.editor.Run(ctx) })
+	return i
+}
+
+// restart ends an instance and starts another one at its address, which knows nothing.
+func (f *documentFleet) restart(name string) *documentInstance {
+	old := f.instances[name]
+	old.kill()
+	return f.start(old.self, old.storeDown, old.watchDown)
+}
+
+func (i *documentInstance) kill() {
+	i.set(func() { i.dead = true })
+	i.stop()
+	i.stopped.Wait()
+}
+
+func (i *documentInstance) set(change func()) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	change()
+}
+
+// run lets time pass and checks the fleet after each step.
+func (f *documentFleet) run(d time.Duration) {
+	for end := f.clock.Now() + d; f.clock.Now() < end; {
+		synctest.Wait()
+		f.check()
+		f.clock.Advance(fleetStep)
+	}
+	synctest.Wait()
+	f.check()
+}
+
+// runUntil lets time pass until done is closed.
+func (f *documentFleet) runUntil(done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		default:
+			f.run(fleetStep)
+		}
+	}
+}
+
+func (f *documentFleet) check() {
+	for _, i := range f.instances {
+		rules, fresh := i.follower.Rules()
+		revision := rules.Document().Revision
+		require.GreaterOrEqual(f.t, revision, f.seen[i], "instance %s reverted", i.self.Address)
+		f.seen[i] = revision
+		for r, at := range f.accepted {
+			if fresh && !i.isDead() && f.clock.Now()-at > document.FreshnessLimit {
+				require.GreaterOrEqual(f.t, revision, r, "instance %s relies on a replaced document", i.self.Address)
+			}
+		}
+	}
+}
+
+// apply applies an edit at an instance and lets time pass meanwhile.
+func (f *documentFleet) apply(name string, r entry.EditRequest) (document.Document, error) {
+	var d document.Document
+	var err error
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d, err = f.instances[name].editor.Apply(f.ctx, r)
+		if err == nil {
+			f.mu.Lock()
+			f.accepted[d.Revision] = f.clock.Now()
+			f.mu.Unlock()
+		}
+	}()
+	f.runUntil(done)
+	return d, err
+}
+
+func (f *documentFleet) cut(a, b string, isCut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cuts[[2]string{a, b}] = isCut
+	f.cuts[[2]string{b, a}] = isCut
+}
+
+func (f *documentFleet) storeDown(isDown bool, names ...string) {
+	if len(names) == 0 {
+		names = slices.Sorted(maps.Keys(f.instances))
+	}
+	for _, name := range names {
+		i := f.instances[name]
+		i.set(func() { i.storeDown = isDown })
+	}
+}
+
+// relays returns the names of a data centre's relays, and followers those of its other instances.
+func (f *documentFleet) relays(dc string) []string {
+	var names []string
+	for _, r := range instance.NewList(f.allListed()...).Relays(dc) {
+		names = append(names, r.Address)
+	}
+	return names
+}
+
+func (f *documentFleet) followers(dc string) []string {
+	var names []string
+	for _, i := range f.allListed() {
+		if i.DataCentre == dc && !slices.Contains(f.relays(dc), i.Address) {
+			names = append(names, i.Address)
+		}
+	}
+	return names
+}
+
+// requireState checks that every living instance, or every one of those named, has the revision and is or is not fresh.
+func (f *documentFleet) requireState(r document.Revision, fresh bool, names ...string) {
+	if len(names) == 0 {
+		names = slices.Sorted(maps.Keys(f.instances))
+	}
+	for _, name := range names {
+		i := f.instances[name]
+		if i.isDead() {
+			continue
+		}
+		rules, isFresh := i.follower.Rules()
+		require.Equal(f.t, r, rules.Document().Revision, "revision of %s", name)
+		require.Equal(f.t, fresh, isFresh, "freshness of %s", name)
+	}
+}
+
+func (f *documentFleet) put(name string, data []byte, expected port.Version) (port.Version, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	current := f.objects[name].Version
+	if current != expected {
+		return 0, port.Failf(port.Conflict, "object %s has version %d", name, current)
+	}
+	f.objects[name] = port.Object{Name: name, Version: current + 1, Data: bytes.Clone(data)}
+	close(f.changed)
+	f.changed = make(chan struct{})
+	return current + 1, nil
+}
+
+func (f *documentFleet) object(name string) (port.Object, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.objects[name], f.changed
+}
+
+func (i *documentInstance) isDead() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.dead
+}
+
+// reachStore waits as long as the link to the store takes and fails when it is down.
+func (i *documentInstance) reachStore(ctx context.Context) error {
+	i.mu.Lock()
+	down, delay := i.storeDown || i.dead, i.storeDelay
+	i.mu.Unlock()
+	if down {
+		return port.Failf(port.Unavailable, "store does not answer")
+	}
+	return i.delay(ctx, delay)
+}
+
+// reachWatch is reachStore for watches, which can fail alone.
+func (i *documentInstance) reachWatch(ctx context.Context) error {
+	i.mu.Lock()
+	down := i.watchDown
+	i.mu.Unlock()
+	if down {
+		return port.Failf(port.Unavailable, "watch is not answered")
+	}
+	return i.reachStore(ctx)
+}
+
+func (i *documentInstance) delay(ctx context.Context, d time.Duration) error {
+	if d == 0 {
+		return nil
+	}
+	ctx, cancel := port.WithTimeout(ctx, i.timer, d)
+	defer cancel()
+	<-ctx.Done()
+	if cause := context.Cause(ctx); port.KindOf(cause) != port.Timeout || !strings.Contains(cause.Error(), d.String()) {
+		return port.Wrapf(cause, port.Unavailable, "no answer")
+	}
+	return nil
+}
+
+func (i *documentInstance) Get(ctx context.Context, name string) (port.Object, error) {
+	if err := i.reachStore(ctx); err != nil {
+		return port.Object{}, err
+	}
+	object, _ := i.fleet.object(name)
+	if object.Version == 0 {
+		return port.Object{}, port.Failf(port.NotFound, "no object %s", name)
+	}
+	return object, nil
+}
+
+func (i *documentInstance) Put(ctx context.Context, name string, data []byte, expected port.Version) (port.Version, error) {
+	i.mu.Lock()
+	before, drop, lose := i.beforePut, i.dropPuts > 0, i.losePuts > 0
+	i.beforePut = nil
+	if drop {
+		i.dropPuts--
+	} else if lose {
+		i.losePuts--
+	}
+	i.mu.Unlock()
+	if before != nil {
+		before()
+	}
+	if err := i.reachStore(ctx); err != nil {
+		return 0, err
+	}
+	if drop {
+		return 0, port.Failf(port.Unavailable, "update was lost")
+	}
+	version, err := i.fleet.put(name, data, expected)
+	if lose {
+		return 0, port.Failf(port.Unavailable, "answer was lost")
+	}
+	return version, err
+}
+
+func (i *documentInstance) Delete(context.Context, string, port.Version) error {
+	return port.Failf(port.Unsupported, "the document's duties delete nothing")
+}
+
+func (i *documentInstance) Watch(
+	ctx context.Context, name string, seen port.Version, wait time.Duration,
+) (port.Object, bool, error) {
+	i.set(func() { i.watches++ })
+	over, cancel := port.WithTimeout(ctx, i.timer, wait)
+	defer cancel()
+	for {
+		if replay, ok := i.takeReplay(); ok {
+			return replay, true, nil
+		}
+		object, changed := i.fleet.object(name)
+		if object.Version != seen {
+			return object, true, i.reachWatch(ctx)
+		}
+		select {
+		case <-changed:
+		case <-over.Done():
+			return port.Object{}, false, i.reachWatch(ctx)
+		}
+	}
+}
+
+func (i *documentInstance) takeReplay() (port.Object, bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if len(i.replays) == 0 {
+		return port.Object{}, false
+	}
+	replay := i.replays[0]
+	i.replays = i.replays[1:]
+	return replay, true
+}
+
+func (i *documentInstance) List(context.Context, string) ([]port.Object, error) {
+	return nil, port.Failf(port.Unsupported, "the document's duties list nothing")
+}
+
+func (i *documentInstance) Instances(ctx context.Context) ([]instance.Instance, error) {
+	return i.fleet.allListed(), i.reachStore(ctx)
+}
+
+// peer returns the instance at the address if it can be reached.
+func (i *documentInstance) peer(address string) (*documentInstance, error) {
+	i.fleet.mu.Lock()
+	defer i.fleet.mu.Unlock()
+	other, found := i.fleet.instances[address]
+	if !found || other.isDead() || i.isDead() || i.fleet.cuts[[2]string{i.self.DataCentre, other.self.DataCentre}] {
+		return nil, port.Failf(port.Unavailable, "instance %s does not answer", address)
+	}
+	return other, nil
+}
+
+func (i *documentInstance) Follow(ctx context.Context, address string, poll entry.RelayPoll) (entry.RelayReport, error) {
+	other, err := i.peer(address)
+	if err != nil {
+		return entry.RelayReport{}, err
+	}
+	report := other.follower.Report(ctx, poll)
+	other.mu.Lock()
+	delay := other.answerDelay
+	other.mu.Unlock()
+	return report, i.delay(ctx, delay)
+}
+
+func (i *documentInstance) Offer(ctx context.Context, address string, d document.Document) (document.Revision, error) {
+	other, err := i.peer(address)
+	if err != nil {
+		return 0, err
+	}
+	return other.follower.Take(ctx, d)
+}
+
+// countingLimit is a RateLimit that notes what was taken.
+type countingLimit struct{ taken []string }
+
+func (c *countingLimit) Take(_ context.Context, limit string) error {
+	c.taken = append(c.taken, limit)
+	return nil
+}
+
+func (i *documentInstance) gate(limit entry.RateLimit) *entry.DocumentGate {
+	signer, err := session.NewSigner(make([]byte, session.MinSecret))
+	require.NoError(i.fleet.t, err)
+	return entry.NewDocumentGate(i.follower, signer, limit)
+}
+
+func requireErrorKind(t require.TestingT, want port.Kind, err error) {
+	require.Error(t, err)
+	require.Equal(t, want, port.KindOf(err), err)
+}
+
+func setSeats(n int) entry.EditRequest {
+	return entry.EditRequest{Edit: document.SetSeats{Seats: n}, Author: "ana"}
+}
+
+// changeElsewhere changes the document in the store as an editor does that dies before anything else.
+func (f *documentFleet) changeElsewhere(t *testing.T) {
+	t.Helper()
+	object, _ := f.object(entry.DocumentObject)
+	d, faults := document.Parse(object.Data)
+	require.Empty(t, faults)
+	next, faults := d.WithEdit(document.SetSeats{Seats: d.Seats + 1}, document.Change{ID: "elsewhere", Author: "ben"})
+	require.Empty(t, faults)
+	data, _ := document.Encode(next)
+	_, err := f.put(entry.DocumentObject, data, object.Version)
+	require.NoError(t, err)
+}
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -277,10 +277,11 @@
 	case relayReported:
 		f.state.knowledge = withReport(before.knowledge, e)
 	case listRead:
+		now := f.cfg.Timer.Now()
 		f.state.list = e.list
 		f.state.knowledge = before.knowledge.
-			WithDataCentres(e.list.DataCentres()).
-			WithRelay(e.list.IsRelay(f.cfg.Self), f.cfg.Self.DataCentre, f.cfg.Timer.Now())
+			WithDataCentres(e.list.DataCentres(), now).
+			WithRelay(e.list.IsRelay(f.cfg.Self), f.cfg.Self.DataCentre, now)
 	case documentOffered:
 		f.state.knowledge = before.knowledge.WithDocument(e.document)
 	case documentsWanted:
--- /dev/null
+++ b/entry/follower_test.go
@@ -0,0 +1,309 @@
+package entry_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/entry"
+	"github.com/rhubarbwick/rhubarbwick/instance"
+)
+
+const settled = 6 * time.Second
+
+// Guards against a change that does not reach everyone, and against more store calls than the relays make.
+func TestFollowerSpreadsChanges(t *testing.T) {
+	inFleet(t, 2, 4, func(f *documentFleet) {
+		f.run(settled)
+		f.requireState(1, true)
+		before := f.watches(f.followers("dc2"))
+		_, err := f.apply(f.followers("dc1")[0], setSeats(7))
+		require.NoError(t, err)
+		f.run(time.Second)
+		f.requireState(2, true)
+		f.run(10 * time.Second)
+		require.Equal(t, before, f.watches(f.followers("dc2")), "a follower watches the store beside its relay")
+	})
+}
+
+// Guards against a source that is slow, late, dead or out of order.
+func TestFollowerSources(t *testing.T) {
+	t.Run("slow watch does not make the document look younger", func(t *testing.T) {
+		inFleet(t, 1, 1, func(f *documentFleet) {
+			f.list("2a", instance.Live)
+			f.run(settled)
+			i := f.instances["1a"]
+			i.set(func() { i.storeDelay = 900 * time.Millisecond })
+			f.run(settled)
+			f.requireState(1, true)
+			age, ok := i.follower.Age()
+			require.True(t, ok)
+			require.GreaterOrEqual(t, age, 900*time.Millisecond)
+		})
+	})
+	t.Run("watch without an answer counts as silence", func(t *testing.T) {
+		inFleet(t, 1, 1, func(f *documentFleet) {
+			f.list("2a", instance.Live)
+			f.run(settled)
+			i := f.instances["1a"]
+			i.set(func() { i.storeDelay = time.Hour })
+			f.run(document.FreshnessLimit + settled)
+			f.requireState(1, false)
+		})
+	})
+	t.Run("late relay is left for the other one", func(t *testing.T) {
+		inFleet(t, 1, 4, func(f *documentFleet) {
+			f.run(settled)
+			late := f.instances[f.relays("dc1")[0]]
+			late.set(func() { late.answerDelay = 5 * time.Second })
+			before := f.watches(f.followers("dc1"))
+			_, err := f.apply(f.relays("dc1")[1], setSeats(7))
+			require.NoError(t, err)
+			f.run(settled)
+			f.requireState(2, true)
+			require.Equal(t, before, f.watches(f.followers("dc1")), "a follower watches the store beside a relay")
+		})
+	})
+	t.Run("crossed answers do not revert", func(t *testing.T) {
+		inFleet(t, 1, 1, func(f *documentFleet) {
+			f.run(settled)
+			old, _ := f.object(entry.DocumentObject)
+			_, err := f.apply("1a", setSeats(7))
+			require.NoError(t, err)
+			i := f.instances["1a"]
+			i.set(func() { i.replays = append(i.replays, old) })
+			f.run(settled)
+			f.requireState(2, true)
+		})
+	})
+	t.Run("relays die one after the other", func(t *testing.T) {
+		inFleet(t, 2, 4, func(f *documentFleet) {
+			f.run(settled)
+			f.instances[f.relays("dc1")[0]].kill()
+			f.run(settled)
+			f.requireState(1, true)
+			f.instances[f.relays("dc1")[1]].kill()
+			_, err := f.apply(f.relays("dc2")[0], setSeats(7))
+			require.NoError(t, err)
+			f.run(settled)
+			f.requireState(2, true)
+		})
+	})
+	t.Run("restart beside an old relay", func(t *testing.T) {
+		inFleet(t, 2, 3, func(f *documentFleet) {
+			f.run(settled)
+			name := f.followers("dc1")[0]
+			f.storeDown(true, "1a", "1b", "1c")
+			f.cut("dc1", "dc2", true)
+			_, err := f.apply("2a", setSeats(7))
+			require.NoError(t, err)
+			f.run(document.FreshnessLimit)
+			f.storeDown(false, name)
+			f.run(settled)
+			f.requireState(2, true, name)
+			f.storeDown(true, name)
+			i := f.restart(name)
+			f.run(settled)
+			_, fresh := i.follower.Rules()
+			require.False(t, fresh)
+			f.storeDown(false)
+			f.run(settled)
+			f.requireState(2, true)
+		})
+	})
+}
+
+// Guards against an outage of the store that stops traffic, and against one that lets a withdrawn key work on.
+func TestFollowerStoreDown(t *testing.T) {
+	t.Run("for long without a cut", func(t *testing.T) {
+		inFleet(t, 3, 3, func(f *documentFleet) {
+			f.run(settled)
+			f.storeDown(true)
+			f.run(2 * time.Minute)
+			f.requireState(1, true)
+			f.storeDown(false)
+			_, err := f.apply("3a", setSeats(7))
+			require.NoError(t, err)
+			f.run(settled)
+			f.requireState(2, true)
+		})
+	})
+	t.Run("for long with one data centre cut off", func(t *testing.T) {
+		inFleet(t, 3, 3, func(f *documentFleet) {
+			f.run(settled)
+			f.storeDown(true)
+			f.cut("dc1", "dc3", true)
+			f.cut("dc2", "dc3", true)
+			f.run(document.FreshnessLimit - 6*time.Second)
+			f.requireState(1, true)
+			f.run(10 * time.Second)
+			f.requireState(1, false)
+			f.cut("dc1", "dc3", false)
+			f.cut("dc2", "dc3", false)
+			f.run(settled)
+			f.requireState(1, true)
+		})
+	})
+	t.Run("two data centres hear each other through the third", func(t *testing.T) {
+		inFleet(t, 3, 3, func(f *documentFleet) {
+			f.run(settled)
+			f.storeDown(true)
+			f.cut("dc1", "dc3", true)
+			f.run(time.Minute)
+			f.requireState(1, true)
+		})
+	})
+	t.Run("only one instance, no relay, reaches the store", func(t *testing.T) {
+		inFleet(t, 3, 4, func(f *documentFleet) {
+			f.run(settled)
+			name := f.followers("dc2")[0]
+			f.storeDown(true)
+			f.storeDown(false, name)
+			f.run(30 * time.Second)
+			_, err := f.apply(name, setSeats(7))
+			require.NoError(t, err)
+			f.run(settled)
+			f.requireState(2, true)
+		})
+	})
+	t.Run("a data centre that only the platform hears stops the others", func(t *testing.T) {
+		inFleet(t, 2, 3, func(f *documentFleet) {
+			f.run(settled)
+			f.storeDown(true, "1a", "1b", "1c")
+			f.cut("dc1", "dc2", true)
+			_, err := f.apply("2a", setSeats(7))
+			require.NoError(t, err)
+			f.run(document.FreshnessLimit + settled)
+			f.requireState(1, false, "1a", "1b", "1c")
+			f.requireState(2, true, "2a", "2b", "2c")
+		})
+	})
+	t.Run("relays that were restarted do not vouch for what they forgot", func(t *testing.T) {
+		inFleet(t, 2, 3, func(f *documentFleet) {
+			f.run(settled)
+			name := f.followers("dc1")[0]
+			f.storeDown(true)
+			f.storeDown(false, name)
+			f.cut("dc1", "dc2", true)
+			_, err := f.apply(name, setSeats(7))
+			require.NoError(t, err)
+			f.instances[name].kill()
+			for _, relay := range f.relays("dc1") {
+				i := f.instances[relay]
+				i.set(func() { i.storeDown, i.watchDown = false, true })
+				f.restart(relay)
+			}
+			f.run(time.Second)
+			f.storeDown(true)
+			f.cut("dc1", "dc2", false)
+			f.run(time.Minute)
+			f.requireState(1, false, "2a", "2b", "2c")
+		})
+	})
+	t.Run("a data centre that left the list took its change with it", func(t *testing.T) {
+		inFleet(t, 3, 2, func(f *documentFleet) {
+			f.run(settled)
+			for _, name := range []string{"1a", "1b", "2a", "2b"} {
+				i := f.instances[name]
+				i.set(func() { i.watchDown = true })
+			}
+			f.cut("dc3", "dc1", true)
+			f.cut("dc3", "dc2", true)
+			_, err := f.apply("3a", setSeats(7))
+			require.NoError(t, err)
+			f.instances["3a"].kill()
+			f.instances["3b"].kill()
+			f.unlist("3a", "3b")
+			f.run(time.Minute)
+			f.requireState(1, false)
+		})
+	})
+}
+
+// fleetEvent is one random failure, or one edit, and the time that passes after it.
+type fleetEvent struct {
+	kind    int
+	name    string
+	centres [2]string
+	on      bool
+	delay   time.Duration
+	seats   int
+	pause   time.Duration
+}
+
+func drawEvent(rt *rapid.T) fleetEvent {
+	centre := rapid.SampledFrom([]string{"dc1", "dc2", "dc3"})
+	return fleetEvent{
+		kind:    rapid.IntRange(0, 6).Draw(rt, "kind"),
+		name:    rapid.SampledFrom([]string{"1a", "1b", "1c", "2a", "2b", "2c", "3a", "3b", "3c"}).Draw(rt, "name"),
+		centres: [2]string{centre.Draw(rt, "from"), centre.Draw(rt, "to")},
+		on:      rapid.Bool().Draw(rt, "on"),
+		delay:   time.Duration(rapid.IntRange(0, 3000).Draw(rt, "delay")) * time.Millisecond,
+		seats:   rapid.IntRange(1, 100).Draw(rt, "seats"),
+		pause:   time.Duration(rapid.IntRange(0, 15).Draw(rt, "pause")) * time.Second,
+	}
+}
+
+func (e fleetEvent) happen(f *documentFleet) {
+	i := f.instances[e.name]
+	switch e.kind {
+	case 0:
+		f.storeDown(e.on, e.name)
+	case 1:
+		f.storeDown(e.on)
+	case 2:
+		f.cut(e.centres[0], e.centres[1], e.on)
+	case 3:
+		f.restart(e.name)
+	case 4:
+		i.set(func() { i.storeDelay, i.answerDelay = e.delay, e.delay/2 })
+	default:
+		_, _ = f.apply(e.name, setSeats(e.seats))
+	}
+	f.run(e.pause)
+}
+
+// fleetFailure carries a failed check out of the bubble of a fleet.
+type fleetFailure struct{ text string }
+
+func (r *fleetFailure) Errorf(format string, args ...any) { r.text += fmt.Sprintf(format, args...) }
+
+func (r *fleetFailure) FailNow() { panic(r) }
+
+// Guards against a document that reverts, or is relied on after it was replaced, under any order of failures.
+func TestFollowerUnderRandomFailures(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		events := rapid.SliceOfN(rapid.Custom(drawEvent), 1, 15).Draw(rt, "events")
+		var failure fleetFailure
+		synctest.Test(t, func(t *testing.T) {
+			f := startFleet(t.Context(), &failure, 3, 3)
+			defer f.close()
+			defer func() {
+				if r := recover(); r != nil && r != any(&failure) {
+					panic(r)
+				}
+			}()
+			f.run(settled)
+			for _, e := range events {
+				e.happen(f)
+			}
+		})
+		if failure.text != "" {
+			rt.Fatal(failure.text)
+		}
+	})
+}
+
+func (f *documentFleet) watches(names []string) int {
+	n := 0
+	for _, name := range names {
+		i := f.instances[name]
+		i.set(func() { n += i.watches })
+	}
+	return n
+}
--- /dev/null
+++ b/entry/gate_test.go
@@ -0,0 +1,132 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/entry"
+	"github.com/rhubarbwick/rhubarbwick/organisation"
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+var (
+	keyed    = entry.Credentials{Organisation: "acme", Key: "key-1", Route: "orders", Token: "new"}
+	withdraw = entry.EditRequest{Edit: document.WithdrawKey{Organisation: "acme", KeyID: "k1"}, Author: "ana"}
+)
+
+// Guards against a connection that goes on after its key was withdrawn or its route changed.
+func TestGateOpenConnection(t *testing.T) {
+	t.Run("key withdrawn", func(t *testing.T) {
+		inFleet(t, 2, 2, func(f *documentFleet) {
+			gate, caller := f.admit("2b")
+			_, err := f.apply("1a", withdraw)
+			require.NoError(t, err)
+			f.run(time.Second)
+			_, err = gate.Spend(t.Context(), caller)
+			requireErrorKind(t, port.KeyRefused, err)
+		})
+	})
+	t.Run("key withdrawn while only another data centre reaches the store", func(t *testing.T) {
+		inFleet(t, 2, 3, func(f *documentFleet) {
+			gate, caller := f.admit("2b")
+			f.storeDown(true, "2a", "2b", "2c")
+			f.run(30 * time.Second)
+			caller, err := gate.Spend(t.Context(), caller)
+			require.NoError(t, err)
+			_, err = f.apply("1a", withdraw)
+			require.NoError(t, err)
+			f.run(settled)
+			_, err = gate.Spend(t.Context(), caller)
+			requireErrorKind(t, port.KeyRefused, err)
+		})
+	})
+	t.Run("key withdrawn behind a cut", func(t *testing.T) {
+		inFleet(t, 2, 3, func(f *documentFleet) {
+			gate, caller := f.admit("2b")
+			f.storeDown(true, "2a", "2b", "2c")
+			f.cut("dc1", "dc2", true)
+			_, err := f.apply("1a", withdraw)
+			require.NoError(t, err)
+			f.run(document.FreshnessLimit)
+			_, err = gate.Spend(t.Context(), caller)
+			requireErrorKind(t, port.NotFresh, err)
+			_, err = gate.Admit(t.Context(), keyed)
+			requireErrorKind(t, port.NotFresh, err)
+			open, err := gate.Admit(t.Context(), entry.Credentials{Route: "menu"})
+			require.NoError(t, err)
+			_, err = gate.Spend(t.Context(), open)
+			require.NoError(t, err)
+		})
+	})
+	t.Run("another key under the same id", func(t *testing.T) {
+		inFleet(t, 1, 1, func(f *documentFleet) {
+			gate, caller := f.admit("1a")
+			_, err := f.apply("1a", withdraw)
+			require.NoError(t, err)
+			_, err = f.apply("1a", entry.EditRequest{Author: "ana", Edit: document.GrantKey{
+				Organisation: "acme", Key: document.Key{ID: "k1", SHA256: organisation.HashKey("key-2").String()},
+			}})
+			require.NoError(t, err)
+			_, err = gate.Spend(t.Context(), caller)
+			requireErrorKind(t, port.KeyRefused, err)
+		})
+	})
+	t.Run("write route becomes a read route", func(t *testing.T) {
+		inFleet(t, 1, 1, func(f *documentFleet) {
+			gate, caller := f.admit("1a")
+			require.False(t, caller.Read)
+			_, err := f.apply("1a", entry.EditRequest{Author: "ana", Edit: document.PutRoute{
+				Route: document.Route{Name: "orders", Group: "g", Slot: "s", Kind: document.Read},
+			}})
+			require.NoError(t, err)
+			caller, err = gate.Spend(t.Context(), caller)
+			require.NoError(t, err)
+			require.True(t, caller.Read)
+		})
+	})
+}
+
+// Guards against a session or a statement that counts for someone else.
+func TestGateAdmits(t *testing.T) {
+	inFleet(t, 1, 1, func(f *documentFleet) {
+		f.run(settled)
+		var limit countingLimit
+		gate := f.instances["1a"].gate(&limit)
+		caller, err := gate.Admit(t.Context(), keyed)
+		require.NoError(t, err)
+		token := gate.Token(caller.Session)
+		_, err = gate.Spend(t.Context(), caller)
+		require.NoError(t, err)
+		open, err := gate.Admit(t.Context(), entry.Credentials{Organisation: "acme", Key: "key-1", Route: "menu"})
+		require.NoError(t, err)
+		require.Equal(t, document.OpenOrganisation, open.Organisation)
+		_, known := open.Session.Floor("g")
+		require.True(t, known)
+		_, err = gate.Spend(t.Context(), open)
+		require.NoError(t, err)
+		require.Equal(t, []string{"rate/acme", "rate_open/menu"}, limit.taken)
+		_, err = gate.Admit(t.Context(), entry.Credentials{Route: "menu", Token: token})
+		requireErrorKind(t, port.BadToken, err)
+		readOnly := keyed
+		readOnly.Token, readOnly.ReadOnly = token, true
+		caller, err = gate.Admit(t.Context(), readOnly)
+		require.NoError(t, err)
+		caller, err = gate.Spend(t.Context(), caller)
+		require.NoError(t, err)
+		require.True(t, caller.Read)
+		_, err = gate.Spend(t.Context(), entry.Caller{Organisation: "acme", Route: caller.Route})
+		requireErrorKind(t, port.KeyRefused, err)
+	})
+}
+
+// admit lets the fleet settle and admits a caller with a key at the instance.
+func (f *documentFleet) admit(name string) (*entry.DocumentGate, entry.Caller) {
+	f.run(settled)
+	gate := f.instances[name].gate(&countingLimit{})
+	caller, err := gate.Admit(f.ctx, keyed)
+	require.NoError(f.t, err)
+	return gate, caller
+}
