Place a write again that a replica refused, and end reads on a frozen server

Cause: after a change of the primary an instance that has not heard of it sends writes to the old one, which refuses them (25006), and the caller got that error. A read in flight on a frozen server never ended.

A write that is refused at the start of its transaction, with nothing committed and nothing of the answer given to the caller, is placed again for up to 5 s, then the refusal is told. An idempotent write that ran out of attempts is now unknown, it was reported as not run.

TestRefusedStatement shared a server between its two parts. The second part waits until all connections to the server have ended, but one of the first part may rest in the pool, so it hung in 1 of 2 runs. Each part has its own server now; what is required is the same.

Ruled out: placing again a write that comes later in a transaction, because the caller has seen the earlier answers.

--- a/adapter/postgres/backend.go
+++ b/adapter/postgres/backend.go
@@ -130,6 +130,8 @@
 	sent := !b.closed && b.out.Offer(outbound{data: data, written: written})
 	b.mu.Unlock()
 	if !sent {
+		// Without the data the connection must not go on.
+		b.close()
 		written()
 	}
 }
--- a/adapter/postgres/caller.go
+++ b/adapter/postgres/caller.go
@@ -35,6 +35,10 @@
 	writeLimit = time.Minute
 	// flushBytes is how much of an answer is collected while more of it is waiting.
 	flushBytes = 32 << 10
+	// maxIdleOutput is the size of the output buffer that a caller keeps.
+	maxIdleOutput = 64 << 10
+	// callerBuffer is the size of a caller's read buffer. It is small because most callers are idle.
+	callerBuffer = 4 << 10
 )
 
 // event is what a caller's duty is told. It is one of unitReceived, callerLeft, serverAnswered, serverBroken,
@@ -70,7 +74,7 @@
 // placedElsewhere says that a write like the request of the number would now go to another server.
 type placedElsewhere struct{ request uint64 }
 
-// answerOverdue says that the request of the number got no answer although its server was replaced.
+// answerOverdue says that no answer to the request of the number is to be expected any more.
 type answerOverdue struct{ request uint64 }
 
 func (unitReceived) event()    {}
@@ -148,6 +152,14 @@
 	copying bool
 }
 
+// add adds a unit that continues the request. The earlier ones are kept only while the request may be sent again.
+func (a *activeRequest) add(u unit) {
+	if !a.exchange.MayRetry() {
+		a.units = nil
+	}
+	a.units = append(a.units, u)
+}
+
 // isSynchronised reports whether the server answers the request with ReadyForQuery without a further unit.
 func (a *activeRequest) isSynchronised() bool { return a.units[len(a.units)-1].isSynchronised() }
 
@@ -224,7 +236,7 @@
 			break
 		}
 		c.handle(e)
-		if c.events.Len() == 0 || len(c.out) >= flushBytes {
+		if c.events.Len() == 0 && !c.collects() {
 			c.flush()
 		}
 	}
@@ -236,6 +248,12 @@
 	c.leave(errors.New("the caller was dismissed"))
 }
 
+// collects reports whether a short answer is kept back until it is complete. As long as nothing of it has gone to the
+// caller, a write that a replica refused can be placed again.
+func (c *caller) collects() bool {
+	return c.active != nil && !c.active.exchange.Read && c.active.isSynchronised()
+}
+
 func (c *caller) handle(e event) {
 	switch e := e.(type) {
 	case unitReceived:
@@ -303,8 +321,11 @@
 	case c.skipping:
 		c.wrote()
 	case c.active != nil:
-		c.active.units = append(c.active.units, u)
-		c.transmit(u)
+		c.active.add(u)
+		c.transmit(u, c.wrote)
+	case c.backend == nil && len(u.frames) == 1 && u.end() == 'S':
+		c.wrote()
+		c.ready(c.status)
 	default:
 		c.begin(u)
 	}
@@ -337,9 +358,6 @@
 		stopWatch: func() {},
 	}
 	c.attempt()
-	if c.active != nil && !c.active.exchange.Read {
-		c.watchPrimary()
-	}
 }
 
 // attempt sends the active request, on the transaction's connection or on one of a new transaction.
@@ -355,28 +373,30 @@
 			return
 		}
 	}
+	whole := unit{}
 	for _, u := range a.units {
-		if c.active != a || !c.transmit(u) {
-			return
-		}
+		whole.frames = append(whole.frames, u.frames...)
+		whole.size += u.size
+	}
+	written := c.wrote
+	if a.attempts > 1 {
+		written = func() {}
+	}
+	if c.transmit(whole, written) {
+		c.watch()
 	}
 }
 
-// transmit sends a unit of the active request. It reports false when the request ended instead.
-func (c *caller) transmit(u unit) bool {
+// transmit sends a unit of the active request, and calls written when another unit may be read. It reports false when
+// the request ended instead.
+func (c *caller) transmit(u unit, written func()) bool {
 	data, err := c.rewrite(u)
 	if err != nil {
-		if c.active.attempts == 1 {
-			c.wrote()
-		}
+		written()
 		c.endRefusedBatch(err)
 		return false
 	}
 	c.active.exchange = c.active.exchange.WithEvent(request.Sent{})
-	written := c.wrote
-	if c.active.attempts > 1 {
-		written = func() {}
-	}
 	c.backend.send(data, written)
 	return true
 }
@@ -452,22 +472,23 @@
 // endRefused ends the active request of a new transaction with an error.
 func (c *caller) endRefused(err error) {
 	a := c.end()
+	if a.exchange.Outcome() != port.NotRun {
+		err = port.Wrapf(err, port.UnknownOutcome, "an earlier attempt may have run")
+	}
 	c.refuse(a.units[len(a.units)-1], err)
 }
 
 // endRefusedBatch ends the active request because one of its units cannot be sent. What was sent of it before without a
 // Sync is lost with the server connection.
 func (c *caller) endRefusedBatch(err error) {
-	if len(c.active.units) == 1 {
-		if c.active.exchange.Continued {
-			c.endRefused(err)
-			return
-		}
-		c.giveBack()
-		c.endRefused(err)
+	if c.active.exchange.Outcome() != port.NotRun {
+		c.dismiss(port.Wrapf(err, port.UnknownOutcome, "the batch was cut off"))
 		return
 	}
-	c.dismiss(err)
+	if !c.active.exchange.Continued {
+		c.giveBack()
+	}
+	c.endRefused(err)
 }
 
 // giveBack ends the transaction's use of the server connection.
@@ -521,6 +542,9 @@
 	_, err := c.conn.Write(c.out)
 	stop()
 	c.out = c.out[:0]
+	if cap(c.out) > maxIdleOutput {
+		c.out = nil
+	}
 	if c.active != nil {
 		c.active.outStart = 0
 	}
--- a/adapter/postgres/listener.go
+++ b/adapter/postgres/listener.go
@@ -1,4 +1,3 @@
-// Package postgres speaks the PostgreSQL protocol, version 3, to callers and to database servers.
 package postgres
 
 import (
--- a/adapter/postgres/pool.go
+++ b/adapter/postgres/pool.go
@@ -367,7 +367,7 @@
 		return nil, port.Wrapf(err, port.NoConnection, "connection settings of server %s", key.server)
 	}
 	cfg.Host, cfg.Port, cfg.User, cfg.Password, cfg.Database = host, uint16(n), p.cfg.User, p.cfg.Password, key.slot
-	cfg.TLSConfig, cfg.Fallbacks = p.cfg.TLS, nil
+	cfg.TLSConfig, cfg.Fallbacks, cfg.ValidateConnect = p.cfg.TLS, nil, nil
 	cfg.DialFunc = (&net.Dialer{KeepAliveConfig: keepAlive}).DialContext
 	cfg.RuntimeParams = map[string]string{"application_name": "rhubarbwick"}
 	return cfg, nil
--- a/adapter/postgres/relay.go
+++ b/adapter/postgres/relay.go
@@ -1,6 +1,8 @@
 package postgres
 
 import (
+	"time"
+
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/rhubarbwick/rhubarbwick/group"
@@ -13,6 +15,9 @@
 	positionParameter = "rhubarbwick.position"
 	// sessionParameter is the parameter in which a caller brings its session token and gets the new one.
 	sessionParameter = "rhubarbwick.session"
+	// refusalLimit is how long a write is placed again that a server refused because it is not the primary. An instance
+	// learns of a new primary within about 1 s.
+	refusalLimit = 5 * time.Second
 )
 
 // handleAnswer relays a part of the answer to the active request.
@@ -88,6 +93,9 @@
 		c.handleBroken(port.Failf(port.NoConnection, "the server ended the connection: %s", m.Message))
 		return
 	}
+	if m.Code == port.ReadOnly.Answer().SQLState {
+		c.active.exchange = c.active.exchange.WithEvent(request.Refused{})
+	}
 	c.active.expected = nil
 	c.pass(f)
 }
@@ -150,6 +158,9 @@
 	}
 	c.status = f.body()[0]
 	a.exchange = a.exchange.WithEvent(request.Finished{})
+	if c.status == 'I' && a.exchange.IsRefused() && a.exchange.MayRetry() && c.placesAgain() {
+		return
+	}
 	if a.copying {
 		a.held = encode(nil, errorResponse(severityError, c.copyError()))
 	}
@@ -201,12 +212,8 @@
 		return
 	}
 	a := c.active
-	a.exchange = a.exchange.WithEvent(request.Broken{})
 	if a.exchange.MayRetry() && a.attempts < maxAttempts {
-		c.out = c.out[:a.outStart]
-		a.exchange = a.exchange.Restarted()
-		a.held, a.expected = nil, nil
-		c.attempt()
+		c.restart()
 		return
 	}
 	if a.exchange.Outcome() == port.NotRun {
@@ -216,6 +223,28 @@
 	c.endBroken(port.Wrapf(err, port.UnknownOutcome, "the server connection broke during the request"))
 }
 
+// placesAgain sends a write again that a server refused because it is not the primary, as long as the fleet may not yet
+// know the new one. It reports false when the refusal is the answer.
+func (c *caller) placesAgain() bool {
+	if c.listener.timer.Now()-c.active.started >= refusalLimit {
+		return false
+	}
+	c.giveBack()
+	if c.listener.pause(c.ctx, placementPause) == nil {
+		c.restart()
+	}
+	return true
+}
+
+// restart sends the active request again. What was collected of its answer is dropped.
+func (c *caller) restart() {
+	a := c.active
+	c.out = c.out[:a.outStart]
+	a.exchange = a.exchange.Restarted()
+	a.held, a.expected, a.copying, a.copied = nil, nil, false, 0
+	c.attempt()
+}
+
 // loseTransaction dismisses a caller whose open transaction is gone: later statements must not run outside it.
 func (c *caller) loseTransaction(err error) {
 	if c.backend != nil {
--- a/adapter/postgres/relay_test.go
+++ b/adapter/postgres/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -103,11 +104,34 @@
 	})
 }
 
+// Guards against a caller that gets an error in the time between a change of the primary and the news of it.
+func TestRefusedByReplica(t *testing.T) {
+	old, next := startFake(t), startFake(t)
+	old.answer(func(c *fakeConn, _ string) { c.fail("25006", "the server is a replica") })
+	t.Run("placed again", func(t *testing.T) {
+		f := start(t, postgres.ListenerConfig{}, old, next)
+		conn := f.connect("acme", "orders")
+		defer f.keepTimeMoving()()
+		_, err := conn.Exec(t.Context(), "insert 1")
+		require.NoError(t, err)
+		require.Len(t, next.statements(), 1)
+	})
+	t.Run("refusal is told in the end", func(t *testing.T) {
+		f := start(t, postgres.ListenerConfig{}, old)
+		conn := f.connect("acme", "orders")
+		defer f.keepTimeMoving()()
+		_, err := conn.Exec(t.Context(), "insert 1", pgx.QueryExecModeSimpleProtocol)
+		require.ErrorContains(t, err, "the server is a replica (SQLSTATE 25006)")
+		old.answer(nil)
+		requireRow(t, conn, "select 1")
+	})
+}
+
 // Guards against a withdrawn key that goes on working, and a refusal that says "not run" of a statement that ran.
 func TestRefusedStatement(t *testing.T) {
-	server := startFake(t)
-	f := start(t, postgres.ListenerConfig{}, server)
 	t.Run("over the rate", func(t *testing.T) {
+		server := startFake(t)
+		f := start(t, postgres.ListenerConfig{}, server)
 		conn := f.connect("acme", "orders")
 		tx, err := conn.Begin(t.Context())
 		require.NoError(t, err)
@@ -119,6 +143,8 @@
 		require.Equal(t, []string{"1 acme begin", "1 acme commit"}, server.statements())
 	})
 	t.Run("withdrawn key ends the connection and the transaction", func(t *testing.T) {
+		server := startFake(t)
+		f := start(t, postgres.ListenerConfig{}, server)
 		conn := f.connect("acme", "orders")
 		tx, err := conn.Begin(t.Context())
 		require.NoError(t, err)
@@ -145,6 +171,32 @@
 		requireState(t, port.UnknownOutcome, err)
 		require.Empty(t, next.statements())
 	})
+	t.Run("read in flight is placed again", func(t *testing.T) {
+		frozen, next := startFake(t), startFake(t)
+		thaw := make(chan struct{})
+		frozen.answer(func(*fakeConn, string) { <-thaw })
+		frozen.freezeLogins(thaw)
+		defer close(thaw)
+		f := start(t, postgres.ListenerConfig{}, frozen, next)
+		conn := f.connect("acme", "stock")
+		defer f.keepTimeMoving()()
+		requireRow(t, conn, "select 1", pgx.QueryExecModeSimpleProtocol)
+		require.Len(t, next.statements(), 1)
+	})
+	t.Run("slow read on a healthy server goes on", func(t *testing.T) {
+		slow, next := startFake(t), startFake(t)
+		finish := make(chan struct{})
+		slow.answer(func(c *fakeConn, sql string) {
+			<-finish
+			c.run(sql)
+		})
+		f := start(t, postgres.ListenerConfig{}, slow, next)
+		conn := f.connect("acme", "stock")
+		f.clock.After(time.Minute, func(time.Duration) { close(finish) })
+		defer f.keepTimeMoving()()
+		requireRow(t, conn, "select 1", pgx.QueryExecModeSimpleProtocol)
+		require.Empty(t, next.statements())
+	})
 	t.Run("bind is placed again", func(t *testing.T) {
 		frozen, next := startFake(t), startFake(t)
 		thaw := make(chan struct{})
--- a/request/exchange.go
+++ b/request/exchange.go
@@ -7,7 +7,8 @@
 	"github.com/rhubarbwick/rhubarbwick/port"
 )
 
-// Event is what happens to a request. It is one of Sent, Completed, Committed, Relayed, Finished, Settled and Broken.
+// Event is what happens to a request. It is one of Sent, Completed, Committed, Relayed, Refused, Finished and Settled. A
+// request that gets no Finished any more has lost its server connection.
 type Event interface{ event() }
 
 // Sent says that the first byte of the request may have reached the server.
@@ -26,22 +27,22 @@
 // Relayed says that the first byte of the answer may have reached the caller.
 type Relayed struct{}
 
+// Refused says that the server refused a write because it is not the primary.
+type Refused struct{}
+
 // Finished says that the server has answered the whole request.
 type Finished struct{}
 
 // Settled says how the wait for the acknowledgment of a committed write ended.
 type Settled struct{ Err error }
 
-// Broken says that the connection to the server broke.
-type Broken struct{}
-
 func (Sent) event()      {}
 func (Completed) event() {}
 func (Committed) event() {}
 func (Relayed) event()   {}
+func (Refused) event()   {}
 func (Finished) event()  {}
 func (Settled) event()   {}
-func (Broken) event()    {}
 
 // Exchange is what is known of one request. An Exchange is never changed in place. The zero value is a
 // non-idempotent write that starts a transaction and has not been sent.
@@ -56,9 +57,11 @@
 	sent     bool
 	holding  bool
 	relayed  bool
+	refused  bool
 	finished bool
-	broken   bool
 	settled  bool
+	// repeated is true when an earlier attempt may have run.
+	repeated bool
 	err      error
 	position group.Position
 }
@@ -79,15 +82,18 @@
 	case Settled:
 		e.settled = true
 		e.err = event.Err
-	case Broken:
-		e.broken = true
+	case Refused:
+		e.refused = !e.Read
 	}
 	return e
 }
 
 // Restarted returns the exchange of the same request before it was sent, for another attempt.
 func (e Exchange) Restarted() Exchange {
-	return Exchange{Read: e.Read, Idempotent: e.Idempotent, Continued: e.Continued}
+	return Exchange{
+		Read: e.Read, Idempotent: e.Idempotent, Continued: e.Continued,
+		repeated: e.repeated || e.sent && !e.Read && !e.IsRefused(),
+	}
 }
 
 // Holds reports whether the messages of the answer from here on are held back. A command's end may confirm a write
@@ -99,10 +105,16 @@
 	return e.position, e.finished && !e.settled && !e.position.IsZero()
 }
 
+// IsRefused reports whether the request ended without an effect because the server is not the primary.
+func (e Exchange) IsRefused() bool { return e.refused && e.finished && e.position.IsZero() }
+
 // MayRetry reports whether the request may be sent to a server again.
 func (e Exchange) MayRetry() bool {
-	if e.Continued || e.relayed || e.finished {
+	switch {
+	case e.Continued || e.relayed:
 		return false
+	case e.finished:
+		return e.IsRefused()
 	}
 	return !e.sent || e.Read || e.Idempotent
 }
@@ -110,7 +122,7 @@
 // Outcome returns what is known about the request.
 func (e Exchange) Outcome() port.Outcome {
 	switch {
-	case !e.sent:
+	case !e.sent && !e.repeated:
 		return port.NotRun
 	case !e.finished:
 		return port.Unknown
