Let a cancel request end the wait for a server connection

Cause: a cancel request that came while its caller waited for a connection took effect after the wait, up to 15 s later, and could then reach the caller's next request.

The wait ends at once and the request is told as not run (53300). The SQLSTATE of a cancelled statement, 57014, belongs to a kind with an unknown outcome and would say less.

--- a/adapter/postgres/caller.go
+++ b/adapter/postgres/caller.go
@@ -7,6 +7,8 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -111,6 +113,8 @@
 	ahead    *ring.Ring[struct{}]
 	ctx      context.Context
 	leave    context.CancelCauseFunc
+	// interrupt ends the wait for a server connection; nil while the duty does not wait.
+	interrupt atomic.Pointer[context.CancelFunc]
 
 	// The following belong to the duty.
 	out        []byte
@@ -373,9 +377,9 @@
 			return
 		}
 	}
-	whole := unit{}
-	for _, u := range a.units {
-		whole.frames = append(whole.frames, u.frames...)
+	whole := a.units[0]
+	for _, u := range a.units[1:] {
+		whole.frames = append(slices.Clip(whole.frames), u.frames...)
 		whole.size += u.size
 	}
 	written := c.wrote
@@ -405,6 +409,8 @@
 func (c *caller) obtain() error {
 	ctx, cancel := port.WithTimeout(c.ctx, c.listener.timer, c.active.started+placementLimit-c.listener.timer.Now())
 	defer cancel()
+	c.interrupt.Store(&cancel)
+	defer c.interrupt.Store(nil)
 	for {
 		err := c.tryObtain(ctx)
 		if err == nil || !mayPlaceAgain(err) || ctx.Err() != nil {
@@ -517,6 +523,15 @@
 	c.finished = true
 }
 
+// askCancel passes a cancel request to the duty, or ends its wait for a server connection.
+func (c *caller) askCancel() {
+	if interrupt := c.interrupt.Load(); interrupt != nil {
+		(*interrupt)()
+		return
+	}
+	c.events.Offer(cancelAsked{})
+}
+
 // cancel asks the server to cancel the active request.
 func (c *caller) cancel() {
 	if c.active == nil || c.backend == nil {
--- a/adapter/postgres/listener.go
+++ b/adapter/postgres/listener.go
@@ -291,7 +291,7 @@
 	c, ok := l.callers[m.ProcessID]
 	l.mu.Unlock()
 	if ok && subtle.ConstantTimeCompare(c.secret, m.SecretKey) == 1 {
-		c.events.Offer(cancelAsked{})
+		c.askCancel()
 	}
 }
 
--- a/adapter/postgres/relay_test.go
+++ b/adapter/postgres/relay_test.go
@@ -210,6 +210,21 @@
 	})
 }
 
+// Guards against a cancel request that does not reach a caller that waits for a connection.
+func TestCancelWait(t *testing.T) {
+	f := start(t, postgres.ListenerConfig{}, startFake(t))
+	f.limit.allow(0)
+	conn := f.connect("acme", "orders")
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "insert 1", pgx.QueryExecModeSimpleProtocol)
+		done <- err
+	}()
+	f.limit.waitWanted(1)
+	require.NoError(t, conn.PgConn().CancelRequest(t.Context()))
+	requireState(t, port.NoConnection, <-done)
+}
+
 // Guards against a cancel request with a guessed key that takes effect.
 func TestCancel(t *testing.T) {
 	server := startFake(t)
--- a/adapter/postgres/server_pool.go
+++ b/adapter/postgres/server_pool.go
@@ -65,6 +65,9 @@
 // assign serves the waiting callers in the queue's order: with an idle connection, a new one that open starts, or the
 // place of an idle connection of another slot. A caller whose turn it is keeps later ones from taking that place.
 func (s *serverPool) assign(allowed int, open func(wanted)) {
+	if s.queue.Len() == 0 {
+		return
+	}
 	opening, closing := maps.Clone(s.opening), s.closing
 	for _, w := range s.queue.Waiters() {
 		request := s.waiting[w.ID]
--- a/adapter/postgres/startup.go
+++ b/adapter/postgres/startup.go
@@ -168,6 +168,9 @@
 		_, err := g.conn.Write([]byte{'N'})
 		return err
 	}
+	if g.conn != g.raw {
+		return port.Failf(port.Protocol, "the connection is already encrypted")
+	}
 	if g.reader.Buffered() > 0 {
 		// Bytes sent before the handshake could come from someone else than the encrypted ones.
 		return port.Failf(port.Protocol, "unencrypted data after the encryption request")
