--- a/adapter/postgres/listener.go
+++ b/adapter/postgres/listener.go
@@ -1,4 +1,3 @@
-// Package postgres speaks the PostgreSQL protocol, version 3, to callers and to database servers.
 package postgres
 
 import (
@@ -292,7 +291,7 @@
 	c, ok := l.callers[m.ProcessID]
 	l.mu.Unlock()
 	if ok && subtle.ConstantTimeCompare(c.secret, m.SecretKey) == 1 {
-		c.events.Offer(cancelAsked{})
+		c.askCancel()
 	}
 }
 
