Log only when a source falls silent or answers again

A trial of nine instances over HTTP against the stand-in of the store (scratch copy) logged each of the failed polls of an outage, about one line a second and instance. The follower now logs the change; the editor logs once for each revision whose audit record has to wait.

--- a/entry/document_fleet_test.go
+++ b/entry/document_fleet_test.go
@@ -45,6 +45,8 @@
 
 // documentInstance is one instance of the fleet. Its links to the store and to other instances can fail.
 type documentInstance struct {
+	port.Store // The document's duties call neither List nor Delete.
+
 	fleet    *documentFleet
 	self     instance.Instance
 	timer    shiftedTimer
@@ -76,12 +78,19 @@
 
 func (s shiftedTimer) Now() time.Duration { return s.Fake.Now() + s.shift }
 
-func inFleet(t *testing.T, dataCentres, perDataCentre int, body func(f *documentFleet)) {
+// settled is long enough for every instance to know its role, to be fresh and to complete audit records.
+const settled = 6 * time.Second
+
+// inFleet runs one case in a fleet that has settled.
+func inFleet(t *testing.T, name string, dataCentres, perDataCentre int, body func(t *testing.T, f *documentFleet)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleet(t.Context(), t, dataCentres, perDataCentre)
-		defer f.close()
-		body(f)
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := startFleet(t.Context(), t, dataCentres, perDataCentre)
+			defer f.close()
+			f.run(settled)
+			body(t, f)
+		})
 	})
 }
 
@@ -390,10 +399,6 @@
 	return version, err
 }
 
-func (i *documentInstance) Delete(context.Context, string, port.Version) error {
-	return port.Failf(port.Unsupported, "the document's duties delete nothing")
-}
-
 func (i *documentInstance) Watch(
 	ctx context.Context, name string, seen port.Version, wait time.Duration,
 ) (port.Object, bool, error) {
@@ -427,10 +432,6 @@
 	return replay, true
 }
 
-func (i *documentInstance) List(context.Context, string) ([]port.Object, error) {
-	return nil, port.Failf(port.Unsupported, "the document's duties list nothing")
-}
-
 func (i *documentInstance) Instances(ctx context.Context) ([]instance.Instance, error) {
 	return i.fleet.allListed(), i.reachStore(ctx)
 }
--- a/entry/editor.go
+++ b/entry/editor.go
@@ -114,6 +114,7 @@
 	if err := e.cfg.Follower.Subscribe(ctx, func(d document.Document) { documents.Push(d) }); err != nil {
 		return
 	}
+	var logged document.Revision
 	for {
 		d, err := documents.Take(ctx)
 		if err != nil {
@@ -123,10 +124,15 @@
 		if !e.cfg.Follower.List().IsFirstRelay(e.cfg.Self) {
 			continue
 		}
-		if err := e.CompleteAudit(ctx, d); err != nil && ctx.Err() == nil {
+		err = e.CompleteAudit(ctx, d)
+		if err == nil {
+			continue
+		}
+		if logged != d.Revision {
+			logged = d.Revision
 			e.log(fmt.Sprintf("the audit records up to revision %d are completed later: %s", d.Revision, err))
-			documents.Offer(d)
 		}
+		documents.Offer(d)
 	}
 }
 
--- a/entry/editor_test.go
+++ b/entry/editor_test.go
@@ -16,182 +16,141 @@
 
 // Guards against an operator who overwrites another's change, or is not told what it was.
 func TestEditorConflicts(t *testing.T) {
-	t.Run("form of an older revision", func(t *testing.T) {
-		inFleet(t, 1, 2, func(f *documentFleet) {
-			f.run(settled)
-			_, err := f.apply("1a", entry.EditRequest{Edit: document.SetSeats{Seats: 7}, Base: 1, Author: "ana"})
-			require.NoError(t, err)
-			_, err = f.apply("1b", entry.EditRequest{Edit: document.SetSeats{Seats: 8}, Base: 1, Author: "ben"})
-			requireErrorKind(t, port.Conflict, err)
-			require.ErrorContains(t, err, "revision 2 by ana: seats: 32 to 7")
-			f.requireAudit("first", "1a-2-1")
-		})
+	inFleet(t, "form of an older revision", 1, 2, func(t *testing.T, f *documentFleet) {
+		_, err := f.apply("1a", entry.EditRequest{Edit: document.SetSeats{Seats: 7}, Base: 1, Author: "ana"})
+		require.NoError(t, err)
+		_, err = f.apply("1b", entry.EditRequest{Edit: document.SetSeats{Seats: 8}, Base: 1, Author: "ben"})
+		requireErrorKind(t, port.Conflict, err)
+		require.ErrorContains(t, err, "revision 2 by ana: seats: 32 to 7")
+		f.requireAudit("first", "1a-2-1")
 	})
-	t.Run("two operators at once", func(t *testing.T) {
-		inFleet(t, 1, 2, func(f *documentFleet) {
-			f.run(settled)
-			i := f.instances["1b"]
-			i.set(func() { i.beforePut = func() { f.changeElsewhere(t) } })
-			_, err := f.apply("1b", setSeats(8))
-			requireErrorKind(t, port.Conflict, err)
-			require.ErrorContains(t, err, "revision 2 by ben: seats: 32 to 33")
-			f.run(settled)
-			f.requireState(2, true)
-		})
+	inFleet(t, "two operators at once", 1, 2, func(t *testing.T, f *documentFleet) {
+		i := f.instances["1b"]
+		i.set(func() { i.beforePut = func() { f.changeElsewhere(t) } })
+		_, err := f.apply("1b", setSeats(8))
+		requireErrorKind(t, port.Conflict, err)
+		require.ErrorContains(t, err, "revision 2 by ben: seats: 32 to 33")
+		f.run(settled)
+		f.requireState(2, true)
 	})
-	t.Run("faults are all told and nothing is stored", func(t *testing.T) {
-		inFleet(t, 1, 1, func(f *documentFleet) {
-			f.run(settled)
-			_, err := f.apply("1a", entry.EditRequest{Edit: document.PutOrganisation{Name: "open", Rate: 0, Burst: 1}, Author: "ana"})
-			requireErrorKind(t, port.Invalid, err)
-			var faults entry.EditFaults
-			require.ErrorAs(t, err, &faults)
-			require.Len(t, faults, 2)
-			f.run(settled)
-			f.requireState(1, true)
-		})
+	inFleet(t, "faults are all told and nothing is stored", 1, 1, func(t *testing.T, f *documentFleet) {
+		_, err := f.apply("1a", entry.EditRequest{Edit: document.PutOrganisation{Name: "open", Rate: 0, Burst: 1}, Author: "ana"})
+		requireErrorKind(t, port.Invalid, err)
+		var faults entry.EditFaults
+		require.ErrorAs(t, err, &faults)
+		require.Len(t, faults, 2)
+		f.run(settled)
+		f.requireState(1, true)
 	})
 }
 
 // Guards against an operator who is told the wrong outcome when the store's answer does not come.
 func TestEditorLostAnswers(t *testing.T) {
-	t.Run("the update took effect", func(t *testing.T) {
-		inFleet(t, 1, 2, func(f *documentFleet) {
-			f.run(settled)
-			i := f.instances["1a"]
-			i.set(func() { i.losePuts = 1 })
-			d, err := f.apply("1a", setSeats(7))
-			require.NoError(t, err)
-			require.Equal(t, document.Revision(2), d.Revision)
-			f.run(settled)
-			f.requireState(2, true)
-			f.requireAudit("first", d.Change.ID)
-		})
+	inFleet(t, "the update took effect", 1, 2, func(t *testing.T, f *documentFleet) {
+		i := f.instances["1a"]
+		i.set(func() { i.losePuts = 1 })
+		d, err := f.apply("1a", setSeats(7))
+		require.NoError(t, err)
+		require.Equal(t, document.Revision(2), d.Revision)
+		f.run(settled)
+		f.requireState(2, true)
+		f.requireAudit("first", d.Change.ID)
 	})
-	t.Run("the update was lost", func(t *testing.T) {
-		inFleet(t, 1, 2, func(f *documentFleet) {
-			f.run(settled)
-			i := f.instances["1a"]
-			i.set(func() { i.dropPuts = 2 })
-			d, err := f.apply("1a", setSeats(7))
-			require.NoError(t, err)
-			f.requireAudit("first", d.Change.ID)
-		})
+	inFleet(t, "the update was lost", 1, 2, func(t *testing.T, f *documentFleet) {
+		i := f.instances["1a"]
+		i.set(func() { i.dropPuts = 2 })
+		d, err := f.apply("1a", setSeats(7))
+		require.NoError(t, err)
+		f.requireAudit("first", d.Change.ID)
 	})
-	t.Run("another operator changed it meanwhile", func(t *testing.T) {
-		inFleet(t, 1, 2, func(f *documentFleet) {
-			f.run(settled)
-			i := f.instances["1a"]
-			i.set(func() { i.dropPuts = 1; i.beforePut = func() { f.changeElsewhere(t) } })
-			_, err := f.apply("1a", setSeats(7))
-			requireErrorKind(t, port.Conflict, err)
-			require.ErrorContains(t, err, "revision 2 by ben")
-		})
+	inFleet(t, "another operator changed it meanwhile", 1, 2, func(t *testing.T, f *documentFleet) {
+		i := f.instances["1a"]
+		i.set(func() { i.dropPuts = 1; i.beforePut = func() { f.changeElsewhere(t) } })
+		_, err := f.apply("1a", setSeats(7))
+		requireErrorKind(t, port.Conflict, err)
+		require.ErrorContains(t, err, "revision 2 by ben")
 	})
-	t.Run("another operator changed it after it took effect", func(t *testing.T) {
-		inFleet(t, 1, 2, func(f *documentFleet) {
-			f.run(settled)
-			i := f.instances["1a"]
-			i.set(func() { i.losePuts = 1 })
-			done := make(chan error, 1)
-			go func() {
-				_, err := i.editor.Apply(f.ctx, setSeats(7))
-				done <- err
-			}()
-			f.run(fleetStep)
-			f.changeElsewhere(t)
-			f.run(settled)
-			require.NoError(t, <-done)
-			f.requireState(3, true)
-		})
+	inFleet(t, "another operator changed it after it took effect", 1, 2, func(t *testing.T, f *documentFleet) {
+		i := f.instances["1a"]
+		i.set(func() { i.losePuts = 1 })
+		done := make(chan error, 1)
+		go func() {
+			_, err := i.editor.Apply(f.ctx, setSeats(7))
+			done <- err
+		}()
+		f.run(fleetStep)
+		f.changeElsewhere(t)
+		f.run(settled)
+		require.NoError(t, <-done)
+		f.requireState(3, true)
 	})
-	t.Run("the store stays silent", func(t *testing.T) {
-		inFleet(t, 1, 2, func(f *documentFleet) {
-			f.run(settled)
-			i := f.instances["1a"]
-			i.set(func() { i.beforePut = func() { i.set(func() { i.storeDown = true }) } })
-			_, err := f.apply("1a", setSeats(7))
-			requireErrorKind(t, port.Unavailable, err)
-			require.ErrorContains(t, err, "it is not known whether change 1a-2-1 was stored")
-			f.requireAudit("first")
-		})
+	inFleet(t, "the store stays silent", 1, 2, func(t *testing.T, f *documentFleet) {
+		i := f.instances["1a"]
+		i.set(func() { i.beforePut = func() { i.set(func() { i.storeDown = true }) } })
+		_, err := f.apply("1a", setSeats(7))
+		requireErrorKind(t, port.Unavailable, err)
+		require.ErrorContains(t, err, "it is not known whether change 1a-2-1 was stored")
+		f.requireAudit("first")
 	})
-	t.Run("no data centre confirms it", func(t *testing.T) {
-		inFleet(t, 2, 2, func(f *documentFleet) {
-			f.run(settled)
-			f.list("1a", instance.Departing)
-			f.list("1b", instance.Departing)
-			f.instances["2a"].kill()
-			_, err := f.apply("1b", setSeats(7))
-			requireErrorKind(t, port.Unavailable, err)
-			require.ErrorContains(t, err, "revision 2 is stored")
-			f.run(settled)
-			f.requireState(2, true)
-		})
+	inFleet(t, "no data centre confirms it", 2, 2, func(t *testing.T, f *documentFleet) {
+		f.list("1a", instance.Departing)
+		f.list("1b", instance.Departing)
+		f.instances["2a"].kill()
+		_, err := f.apply("1b", setSeats(7))
+		requireErrorKind(t, port.Unavailable, err)
+		require.ErrorContains(t, err, "revision 2 is stored")
+		f.run(settled)
+		f.requireState(2, true)
 	})
-	t.Run("a dead relay in the list does not hold a change up", func(t *testing.T) {
-		inFleet(t, 2, 2, func(f *documentFleet) {
-			f.run(settled)
-			f.instances["1a"].kill()
-			_, err := f.apply("1b", setSeats(7))
-			require.NoError(t, err)
-		})
+	inFleet(t, "a dead relay in the list does not hold a change up", 2, 2, func(t *testing.T, f *documentFleet) {
+		f.instances["1a"].kill()
+		_, err := f.apply("1b", setSeats(7))
+		require.NoError(t, err)
 	})
 }
 
 // Guards against an audit record that is lost, or that tells of a change that did not happen.
 func TestEditorAudit(t *testing.T) {
-	t.Run("the writer died before its record", func(t *testing.T) {
-		inFleet(t, 1, 2, func(f *documentFleet) {
-			f.run(settled)
-			f.changeElsewhere(t)
-			f.requireAudit("first")
-			f.run(entry.AuditDelay + settled)
-			f.requireAudit("first", "elsewhere")
-		})
+	inFleet(t, "the writer died before its record", 1, 2, func(t *testing.T, f *documentFleet) {
+		f.changeElsewhere(t)
+		f.requireAudit("first")
+		f.run(entry.AuditDelay + settled)
+		f.requireAudit("first", "elsewhere")
 	})
-	t.Run("the next editor completes it", func(t *testing.T) {
-		inFleet(t, 1, 2, func(f *documentFleet) {
-			f.run(settled)
-			f.changeElsewhere(t)
-			d, err := f.apply("1b", setSeats(9))
-			require.NoError(t, err)
-			f.requireAudit("first", "elsewhere", d.Change.ID)
-		})
+	inFleet(t, "the next editor completes it", 1, 2, func(t *testing.T, f *documentFleet) {
+		f.changeElsewhere(t)
+		d, err := f.apply("1b", setSeats(9))
+		require.NoError(t, err)
+		f.requireAudit("first", "elsewhere", d.Change.ID)
 	})
-	t.Run("a writer that dies midway leaves no gap", func(t *testing.T) {
-		inFleet(t, 1, 2, func(f *documentFleet) {
-			f.list("1a", instance.Departing)
-			f.list("1b", instance.Departing)
-			f.run(settled)
-			f.changeElsewhere(t)
-			f.changeElsewhere(t)
-			f.run(time.Second)
-			i := f.instances["1a"]
-			puts := 0
-			var count func()
-			count = func() {
-				puts++
-				i.set(func() { i.storeDown = puts > 2; i.beforePut = count })
-			}
-			i.set(func() { i.beforePut = count })
-			require.Error(t, i.editor.CompleteAudit(f.ctx, i.follower.Document()))
-			f.requireAudit("first", "elsewhere")
-			i.set(func() { i.storeDown, i.beforePut = false, nil })
-			require.NoError(t, i.editor.CompleteAudit(f.ctx, i.follower.Document()))
-			f.requireAudit("first", "elsewhere", "elsewhere")
-		})
+	inFleet(t, "a writer that dies midway leaves no gap", 1, 2, func(t *testing.T, f *documentFleet) {
+		f.list("1a", instance.Departing)
+		f.list("1b", instance.Departing)
+		f.run(settled)
+		f.changeElsewhere(t)
+		f.changeElsewhere(t)
+		f.run(time.Second)
+		i := f.instances["1a"]
+		puts := 0
+		var count func()
+		count = func() {
+			puts++
+			i.set(func() { i.storeDown = puts > 1; i.beforePut = count })
+		}
+		i.set(func() { i.beforePut = count })
+		require.Error(t, i.editor.CompleteAudit(f.ctx, i.follower.Document()))
+		f.requireAudit("first", "elsewhere")
+		i.set(func() { i.storeDown, i.beforePut = false, nil })
+		require.NoError(t, i.editor.CompleteAudit(f.ctx, i.follower.Document()))
+		f.requireAudit("first", "elsewhere", "elsewhere")
 	})
-	t.Run("a refused change leaves none", func(t *testing.T) {
-		inFleet(t, 1, 2, func(f *documentFleet) {
-			f.run(settled)
-			i := f.instances["1a"]
-			i.set(func() { i.beforePut = func() { f.changeElsewhere(t) } })
-			_, err := f.apply("1a", setSeats(9))
-			requireErrorKind(t, port.Conflict, err)
-			f.run(entry.AuditDelay + settled)
-			f.requireAudit("first", "elsewhere")
-		})
+	inFleet(t, "a refused change leaves none", 1, 2, func(t *testing.T, f *documentFleet) {
+		i := f.instances["1a"]
+		i.set(func() { i.beforePut = func() { f.changeElsewhere(t) } })
+		_, err := f.apply("1a", setSeats(9))
+		requireErrorKind(t, port.Conflict, err)
+		f.run(entry.AuditDelay + settled)
+		f.requireAudit("first", "elsewhere")
 	})
 }
 
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -156,7 +156,9 @@
 
 // Run follows the document until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	poller := &documentPoller{follower: f, sources: instance.NewSources(f.cfg.Self, f.cfg.Seeds...)}
+	poller := &documentPoller{
+		follower: f, sources: instance.NewSources(f.cfg.Self, f.cfg.Seeds...), silent: make(map[instance.Source]bool),
+	}
 	asker := &peerAsker{follower: f, sources: instance.NewSources(f.cfg.Self)}
 	reader := &listReader{follower: f}
 	var running sync.WaitGroup
--- a/entry/follower_duties.go
+++ b/entry/follower_duties.go
@@ -14,6 +14,8 @@
 
 const (
 	minListPeriod = 2 * time.Second
+	// maxSilent bounds the sources that are remembered for the log. Relays change their addresses over time.
+	maxSilent = 32
 	// listPeriodPerInstance keeps the fleet at 40 reads of the list a second, whatever its size.
 	listPeriodPerInstance = 25 * time.Millisecond
 )
@@ -25,6 +27,8 @@
 	// seen is the version of the store's document, and revision the revision that it has.
 	seen     port.Version
 	revision document.Revision
+	// silent holds the sources whose failure was logged.
+	silent map[instance.Source]bool
 }
 
 func (p *documentPoller) loop(ctx context.Context) {
@@ -35,8 +39,11 @@
 		before := p.follower.Document().Revision
 		source := p.sources.Next(began)
 		err := p.poll(ctx, source)
-		if err != nil && ctx.Err() == nil {
-			p.follower.log(fmt.Sprintf("%s gives no fresh document: %s", describe(source), err))
+		if ctx.Err() != nil {
+			return
+		}
+		p.logChange(source, err)
+		if err != nil {
 			p.sources = p.sources.WithFailure(source, timer.Now())
 			sleep(ctx, timer, pauseAfter(source))
 			continue
@@ -49,6 +56,21 @@
 	}
 }
 
+// logChange logs when a source falls silent and when it answers again.
+func (p *documentPoller) logChange(source instance.Source, err error) {
+	if len(p.silent) > maxSilent {
+		clear(p.silent)
+	}
+	switch {
+	case err != nil && !p.silent[source]:
+		p.follower.log(fmt.Sprintf("%s gives no fresh document: %s", describe(source), err))
+		p.silent[source] = true
+	case err == nil && p.silent[source]:
+		p.follower.log(fmt.Sprintf("%s gives fresh documents again", describe(source)))
+		delete(p.silent, source)
+	}
+}
+
 func (p *documentPoller) poll(ctx context.Context, source instance.Source) error {
 	switch source := source.(type) {
 	case instance.FromRelay:
@@ -168,14 +190,19 @@
 func (q *peerQuestion) run(ctx context.Context) { q.err = q.follower.ask(ctx, q.address, 0) }
 
 // listReader is the duty that reads the platform's list of instances.
-type listReader struct{ follower *Follower }
+type listReader struct {
+	follower *Follower
+	silent   bool
+}
 
 func (r *listReader) loop(ctx context.Context) {
 	timer := r.follower.cfg.Timer
 	for ctx.Err() == nil {
-		if err := r.read(ctx); err != nil && ctx.Err() == nil {
+		err := r.read(ctx)
+		if err != nil && !r.silent {
 			r.follower.log(fmt.Sprintf("the list of instances cannot be read: %s", err))
 		}
+		r.silent = err != nil
 		period := time.Duration(r.follower.List().Len()) * listPeriodPerInstance
 		sleep(ctx, timer, max(period, minListPeriod))
 	}
--- a/entry/follower_test.go
+++ b/entry/follower_test.go
@@ -14,12 +14,9 @@
 	"github.com/rhubarbwick/rhubarbwick/instance"
 )
 
-const settled = 6 * time.Second
-
 // Guards against a change that does not reach everyone, and against more store calls than the relays make.
 func TestFollowerSpreadsChanges(t *testing.T) {
-	inFleet(t, 2, 4, func(f *documentFleet) {
-		f.run(settled)
+	inFleet(t, "everyone within a second", 2, 4, func(t *testing.T, f *documentFleet) {
 		f.requireState(1, true)
 		before := f.watches(f.followers("dc2"))
 		_, err := f.apply(f.followers("dc1")[0], setSeats(7))
@@ -33,211 +30,181 @@
 
 // Guards against a source that is slow, late, dead or out of order.
 func TestFollowerSources(t *testing.T) {
-	t.Run("slow watch does not make the document look younger", func(t *testing.T) {
-		inFleet(t, 1, 1, func(f *documentFleet) {
-			f.list("2a", instance.Live)
-			f.run(settled)
-			i := f.instances["1a"]
-			i.set(func() { i.storeDelay = 900 * time.Millisecond })
-			f.run(settled)
-			f.requireState(1, true)
-			age, ok := i.follower.Age()
-			require.True(t, ok)
-			require.GreaterOrEqual(t, age, 900*time.Millisecond)
-		})
+	inFleet(t, "slow watch does not make the document look younger", 1, 1, func(t *testing.T, f *documentFleet) {
+		f.list("2a", instance.Live)
+		f.run(settled)
+		i := f.instances["1a"]
+		i.set(func() { i.storeDelay = 900 * time.Millisecond })
+		f.run(settled)
+		f.requireState(1, true)
+		age, ok := i.follower.Age()
+		require.True(t, ok)
+		require.GreaterOrEqual(t, age, 900*time.Millisecond)
 	})
-	t.Run("watch without an answer counts as silence", func(t *testing.T) {
-		inFleet(t, 1, 1, func(f *documentFleet) {
-			f.list("2a", instance.Live)
-			f.run(settled)
-			i := f.instances["1a"]
-			i.set(func() { i.storeDelay = time.Hour })
-			f.run(document.FreshnessLimit + settled)
-			f.requireState(1, false)
-			i.set(func() { i.storeDelay = 0 })
-			f.run(settled)
-			f.requireState(1, true)
-		})
+	inFleet(t, "watch without an answer counts as silence", 1, 1, func(_ *testing.T, f *documentFleet) {
+		f.list("2a", instance.Live)
+		f.run(settled)
+		i := f.instances["1a"]
+		i.set(func() { i.storeDelay = time.Hour })
+		f.run(document.FreshnessLimit + settled)
+		f.requireState(1, false)
+		i.set(func() { i.storeDelay = 0 })
+		f.run(settled)
+		f.requireState(1, true)
 	})
-	t.Run("late relay is left for the other one", func(t *testing.T) {
-		inFleet(t, 1, 4, func(f *documentFleet) {
-			f.run(settled)
-			late := f.instances[f.relays("dc1")[0]]
-			late.set(func() { late.answerDelay = time.Hour })
-			before := f.watches(f.followers("dc1"))
-			_, err := f.apply(f.relays("dc1")[1], setSeats(7))
-			require.NoError(t, err)
-			f.run(settled)
-			f.requireState(2, true)
-			require.Equal(t, before, f.watches(f.followers("dc1")), "a follower watches the store beside a relay")
-		})
+	inFleet(t, "late relay is left for the other one", 1, 4, func(t *testing.T, f *documentFleet) {
+		self := f.instances[f.followers("dc1")[0]].self
+		list := instance.NewList(f.allListed()...)
+		used, _ := instance.NewSources(self).WithList(list).Next(0).(instance.FromRelay)
+		late := f.instances[used.Address]
+		late.set(func() { late.answerDelay = time.Hour })
+		before := f.watches(f.followers("dc1"))
+		_, err := f.apply(f.relays("dc1")[0], setSeats(7))
+		require.NoError(t, err)
+		f.run(settled)
+		f.requireState(2, true)
+		require.Equal(t, before, f.watches(f.followers("dc1")), "a follower watches the store beside a relay")
 	})
-	t.Run("late answer does not make the document look younger", func(t *testing.T) {
-		inFleet(t, 2, 3, func(f *documentFleet) {
+	inFleet(t, "late answer does not make the document look younger", 2, 3, func(t *testing.T, f *documentFleet) {
+		follower := f.instances[f.followers("dc1")[0]].follower
+		for _, name := range f.relays("dc1") {
+			i := f.instances[name]
+			i.set(func() { i.storeDown, i.answerDelay = true, 900*time.Millisecond })
+		}
+		for range 30 {
+			f.run(fleetStep)
+			youngest := time.Hour
 			for _, name := range f.relays("dc1") {
-				i := f.instances[name]
-				i.set(func() { i.answerDelay = 900 * time.Millisecond })
+				age, _ := f.instances[name].follower.Age()
+				youngest = min(youngest, age)
 			}
-			f.run(settled)
-			f.requireState(1, true)
-			age, ok := f.instances[f.followers("dc1")[0]].follower.Age()
-			require.True(t, ok)
-			require.GreaterOrEqual(t, age, 900*time.Millisecond)
-		})
+			age, _ := follower.Age()
+			require.GreaterOrEqual(t, age, youngest)
+		}
 	})
-	t.Run("crossed answers do not revert", func(t *testing.T) {
-		inFleet(t, 1, 1, func(f *documentFleet) {
-			f.run(settled)
-			old, _ := f.object(entry.DocumentObject)
-			_, err := f.apply("1a", setSeats(7))
-			require.NoError(t, err)
-			i := f.instances["1a"]
-			i.set(func() { i.replays = append(i.replays, old) })
-			f.run(settled)
-			f.requireState(2, true)
-		})
+	inFleet(t, "crossed answers do not revert", 1, 1, func(t *testing.T, f *documentFleet) {
+		old, _ := f.object(entry.DocumentObject)
+		_, err := f.apply("1a", setSeats(7))
+		require.NoError(t, err)
+		i := f.instances["1a"]
+		i.set(func() { i.replays = append(i.replays, old) })
+		f.run(settled)
+		f.requireState(2, true)
 	})
-	t.Run("relays die one after the other", func(t *testing.T) {
-		inFleet(t, 2, 4, func(f *documentFleet) {
-			f.run(settled)
-			f.instances[f.relays("dc1")[0]].kill()
-			f.run(settled)
-			f.requireState(1, true)
-			f.instances[f.relays("dc1")[1]].kill()
-			_, err := f.apply(f.relays("dc2")[0], setSeats(7))
-			require.NoError(t, err)
-			f.run(settled)
-			f.requireState(2, true)
-		})
+	inFleet(t, "relays die one after the other", 2, 4, func(t *testing.T, f *documentFleet) {
+		f.instances[f.relays("dc1")[0]].kill()
+		f.run(settled)
+		f.requireState(1, true)
+		f.instances[f.relays("dc1")[1]].kill()
+		_, err := f.apply(f.relays("dc2")[0], setSeats(7))
+		require.NoError(t, err)
+		f.run(settled)
+		f.requireState(2, true)
 	})
-	t.Run("restart beside an old relay", func(t *testing.T) {
-		inFleet(t, 2, 3, func(f *documentFleet) {
-			f.run(settled)
-			name := f.followers("dc1")[0]
-			f.storeDown(true, "1a", "1b", "1c")
-			f.cut("dc1", "dc2", true)
-			_, err := f.apply("2a", setSeats(7))
-			require.NoError(t, err)
-			f.run(document.FreshnessLimit)
-			f.storeDown(false, name)
-			f.run(settled)
-			f.requireState(2, true, name)
-			f.storeDown(true, name)
-			i := f.restart(name)
-			f.run(settled)
-			_, fresh := i.follower.Rules()
-			require.False(t, fresh)
-			f.storeDown(false)
-			f.run(settled)
-			f.requireState(2, true)
-		})
+	inFleet(t, "restart beside an old relay", 2, 3, func(t *testing.T, f *documentFleet) {
+		name := f.followers("dc1")[0]
+		f.storeDown(true, "1a", "1b", "1c")
+		f.cut("dc1", "dc2", true)
+		_, err := f.apply("2a", setSeats(7))
+		require.NoError(t, err)
+		f.run(document.FreshnessLimit)
+		f.storeDown(false, name)
+		f.run(settled)
+		f.requireState(2, true, name)
+		f.storeDown(true, name)
+		i := f.restart(name)
+		f.run(settled)
+		_, fresh := i.follower.Rules()
+		require.False(t, fresh)
+		f.storeDown(false)
+		f.run(settled)
+		f.requireState(2, true)
 	})
 }
 
 // Guards against an outage of the store that stops traffic, and against one that lets a withdrawn key work on.
 func TestFollowerStoreDown(t *testing.T) {
-	t.Run("for long without a cut", func(t *testing.T) {
-		inFleet(t, 3, 3, func(f *documentFleet) {
-			f.run(settled)
-			f.storeDown(true)
-			f.run(2 * time.Minute)
-			f.requireState(1, true)
-			f.storeDown(false)
-			_, err := f.apply("3a", setSeats(7))
-			require.NoError(t, err)
-			f.run(settled)
-			f.requireState(2, true)
-		})
+	inFleet(t, "for long without a cut", 3, 3, func(t *testing.T, f *documentFleet) {
+		f.storeDown(true)
+		f.run(2 * time.Minute)
+		f.requireState(1, true)
+		f.storeDown(false)
+		_, err := f.apply("3a", setSeats(7))
+		require.NoError(t, err)
+		f.run(settled)
+		f.requireState(2, true)
 	})
-	t.Run("for long with one data centre cut off", func(t *testing.T) {
-		inFleet(t, 3, 3, func(f *documentFleet) {
-			f.run(settled)
-			f.storeDown(true)
-			f.cut("dc1", "dc3", true)
-			f.cut("dc2", "dc3", true)
-			f.run(document.FreshnessLimit - 6*time.Second)
-			f.requireState(1, true)
-			f.run(10 * time.Second)
-			f.requireState(1, false)
-			f.cut("dc1", "dc3", false)
-			f.cut("dc2", "dc3", false)
-			f.run(settled)
-			f.requireState(1, true)
-		})
+	inFleet(t, "for long with one data centre cut off", 3, 3, func(_ *testing.T, f *documentFleet) {
+		f.storeDown(true)
+		f.cut("dc1", "dc3", true)
+		f.cut("dc2", "dc3", true)
+		f.run(document.FreshnessLimit - 6*time.Second)
+		f.requireState(1, true)
+		f.run(10 * time.Second)
+		f.requireState(1, false)
+		f.cut("dc1", "dc3", false)
+		f.cut("dc2", "dc3", false)
+		f.run(settled)
+		f.requireState(1, true)
 	})
-	t.Run("two data centres hear each other through the third", func(t *testing.T) {
-		inFleet(t, 3, 3, func(f *documentFleet) {
-			f.run(settled)
-			f.storeDown(true)
-			f.cut("dc1", "dc3", true)
-			f.run(time.Minute)
-			f.requireState(1, true)
-		})
+	inFleet(t, "two data centres hear each other through the third", 3, 3, func(_ *testing.T, f *documentFleet) {
+		f.storeDown(true)
+		f.cut("dc1", "dc3", true)
+		f.run(time.Minute)
+		f.requireState(1, true)
 	})
-	t.Run("only one instance, no relay, reaches the store", func(t *testing.T) {
-		inFleet(t, 3, 4, func(f *documentFleet) {
-			f.run(settled)
-			name := f.followers("dc2")[0]
-			f.storeDown(true)
-			f.storeDown(false, name)
-			f.run(30 * time.Second)
-			_, err := f.apply(name, setSeats(7))
-			require.NoError(t, err)
-			f.run(settled)
-			f.requireState(2, true)
-		})
+	inFleet(t, "only one instance, no relay, reaches the store", 3, 4, func(t *testing.T, f *documentFleet) {
+		name := f.followers("dc2")[0]
+		f.storeDown(true)
+		f.storeDown(false, name)
+		f.run(30 * time.Second)
+		_, err := f.apply(name, setSeats(7))
+		require.NoError(t, err)
+		f.run(settled)
+		f.requireState(2, true)
 	})
-	t.Run("a data centre that only the platform hears stops the others", func(t *testing.T) {
-		inFleet(t, 2, 3, func(f *documentFleet) {
-			f.run(settled)
-			f.storeDown(true, "1a", "1b", "1c")
-			f.cut("dc1", "dc2", true)
-			_, err := f.apply("2a", setSeats(7))
-			require.NoError(t, err)
-			f.run(document.FreshnessLimit + settled)
-			f.requireState(1, false, "1a", "1b", "1c")
-			f.requireState(2, true, "2a", "2b", "2c")
-		})
+	inFleet(t, "a data centre that only the platform hears stops the others", 2, 3, func(t *testing.T, f *documentFleet) {
+		f.storeDown(true, "1a", "1b", "1c")
+		f.cut("dc1", "dc2", true)
+		_, err := f.apply("2a", setSeats(7))
+		require.NoError(t, err)
+		f.run(document.FreshnessLimit + settled)
+		f.requireState(1, false, "1a", "1b", "1c")
+		f.requireState(2, true, "2a", "2b", "2c")
 	})
-	t.Run("relays that were restarted do not vouch for what they forgot", func(t *testing.T) {
-		inFleet(t, 2, 3, func(f *documentFleet) {
-			f.run(settled)
-			name := f.followers("dc1")[0]
-			f.storeDown(true)
-			f.storeDown(false, name)
-			f.cut("dc1", "dc2", true)
-			_, err := f.apply(name, setSeats(7))
-			require.NoError(t, err)
-			f.instances[name].kill()
-			for _, relay := range f.relays("dc1") {
-				i := f.instances[relay]
-				i.set(func() { i.storeDown, i.watchDown = false, true })
-				f.restart(relay)
-			}
-			f.run(time.Second)
-			f.storeDown(true)
-			f.cut("dc1", "dc2", false)
-			f.run(time.Minute)
-			f.requireState(1, false, "2a", "2b", "2c")
-		})
+	inFleet(t, "relays that were restarted do not vouch for what they forgot", 2, 3, func(t *testing.T, f *documentFleet) {
+		name := f.followers("dc1")[0]
+		f.storeDown(true)
+		f.storeDown(false, name)
+		f.cut("dc1", "dc2", true)
+		_, err := f.apply(name, setSeats(7))
+		require.NoError(t, err)
+		f.instances[name].kill()
+		for _, relay := range f.relays("dc1") {
+			i := f.instances[relay]
+			i.set(func() { i.storeDown, i.watchDown = false, true })
+			f.restart(relay)
+		}
+		f.run(time.Second)
+		f.storeDown(true)
+		f.cut("dc1", "dc2", false)
+		f.run(time.Minute)
+		f.requireState(1, false, "2a", "2b", "2c")
 	})
-	t.Run("a data centre that left the list took its change with it", func(t *testing.T) {
-		inFleet(t, 3, 2, func(f *documentFleet) {
-			f.run(settled)
-			for _, name := range []string{"1a", "1b", "2a", "2b"} {
-				i := f.instances[name]
-				i.set(func() { i.watchDown = true })
-			}
-			f.cut("dc3", "dc1", true)
-			f.cut("dc3", "dc2", true)
-			_, err := f.apply("3a", setSeats(7))
-			require.NoError(t, err)
-			f.instances["3a"].kill()
-			f.instances["3b"].kill()
-			f.unlist("3a", "3b")
-			f.run(time.Minute)
-			f.requireState(1, false)
-		})
+	inFleet(t, "a data centre that left the list took its change with it", 3, 2, func(t *testing.T, f *documentFleet) {
+		for _, name := range []string{"1a", "1b", "2a", "2b"} {
+			i := f.instances[name]
+			i.set(func() { i.watchDown = true })
+		}
+		f.cut("dc3", "dc1", true)
+		f.cut("dc3", "dc2", true)
+		_, err := f.apply("3a", setSeats(7))
+		require.NoError(t, err)
+		f.instances["3a"].kill()
+		f.instances["3b"].kill()
+		f.unlist("3a", "3b")
+		f.run(time.Minute)
+		f.requireState(1, false)
 	})
 }
 
--- a/entry/gate_test.go
+++ b/entry/gate_test.go
@@ -19,80 +19,69 @@
 
 // Guards against a connection that goes on after its key was withdrawn or its route changed.
 func TestGateOpenConnection(t *testing.T) {
-	t.Run("key withdrawn", func(t *testing.T) {
-		inFleet(t, 2, 2, func(f *documentFleet) {
-			gate, caller := f.admit("2b")
-			_, err := f.apply("1a", withdraw)
-			require.NoError(t, err)
-			f.run(time.Second)
-			_, err = gate.Spend(t.Context(), caller)
-			requireErrorKind(t, port.KeyRefused, err)
-		})
+	inFleet(t, "key withdrawn", 2, 2, func(t *testing.T, f *documentFleet) {
+		gate, caller := f.admit("2b")
+		_, err := f.apply("1a", withdraw)
+		require.NoError(t, err)
+		f.run(time.Second)
+		_, err = gate.Spend(t.Context(), caller)
+		requireErrorKind(t, port.KeyRefused, err)
 	})
-	t.Run("key withdrawn while only another data centre reaches the store", func(t *testing.T) {
-		inFleet(t, 2, 3, func(f *documentFleet) {
-			gate, caller := f.admit("2b")
-			f.storeDown(true, "2a", "2b", "2c")
-			f.run(30 * time.Second)
-			caller, err := gate.Spend(t.Context(), caller)
-			require.NoError(t, err)
-			_, err = f.apply("1a", withdraw)
-			require.NoError(t, err)
-			f.run(settled)
-			_, err = gate.Spend(t.Context(), caller)
-			requireErrorKind(t, port.KeyRefused, err)
-		})
+	inFleet(t, "key withdrawn while only another data centre reaches the store", 2, 3, func(t *testing.T, f *documentFleet) {
+		gate, caller := f.admit("2b")
+		f.storeDown(true, "2a", "2b", "2c")
+		f.run(30 * time.Second)
+		caller, err := gate.Spend(t.Context(), caller)
+		require.NoError(t, err)
+		_, err = f.apply("1a", withdraw)
+		require.NoError(t, err)
+		f.run(settled)
+		_, err = gate.Spend(t.Context(), caller)
+		requireErrorKind(t, port.KeyRefused, err)
 	})
-	t.Run("key withdrawn behind a cut", func(t *testing.T) {
-		inFleet(t, 2, 3, func(f *documentFleet) {
-			gate, caller := f.admit("2b")
-			f.storeDown(true, "2a", "2b", "2c")
-			f.cut("dc1", "dc2", true)
-			_, err := f.apply("1a", withdraw)
-			require.NoError(t, err)
-			f.run(document.FreshnessLimit)
-			_, err = gate.Spend(t.Context(), caller)
-			requireErrorKind(t, port.NotFresh, err)
-			_, err = gate.Admit(t.Context(), keyed)
-			requireErrorKind(t, port.NotFresh, err)
-			open, err := gate.Admit(t.Context(), entry.Credentials{Route: "menu"})
-			require.NoError(t, err)
-			_, err = gate.Spend(t.Context(), open)
-			require.NoError(t, err)
-		})
+	inFleet(t, "key withdrawn behind a cut", 2, 3, func(t *testing.T, f *documentFleet) {
+		gate, caller := f.admit("2b")
+		f.storeDown(true, "2a", "2b", "2c")
+		f.cut("dc1", "dc2", true)
+		_, err := f.apply("1a", withdraw)
+		require.NoError(t, err)
+		f.run(document.FreshnessLimit)
+		_, err = gate.Spend(t.Context(), caller)
+		requireErrorKind(t, port.NotFresh, err)
+		_, err = gate.Admit(t.Context(), keyed)
+		requireErrorKind(t, port.NotFresh, err)
+		open, err := gate.Admit(t.Context(), entry.Credentials{Route: "menu"})
+		require.NoError(t, err)
+		_, err = gate.Spend(t.Context(), open)
+		require.NoError(t, err)
 	})
-	t.Run("another key under the same id", func(t *testing.T) {
-		inFleet(t, 1, 1, func(f *documentFleet) {
-			gate, caller := f.admit("1a")
-			_, err := f.apply("1a", withdraw)
-			require.NoError(t, err)
-			_, err = f.apply("1a", entry.EditRequest{Author: "ana", Edit: document.GrantKey{
-				Organisation: "acme", Key: document.Key{ID: "k1", SHA256: organisation.HashKey("key-2").String()},
-			}})
-			require.NoError(t, err)
-			_, err = gate.Spend(t.Context(), caller)
-			requireErrorKind(t, port.KeyRefused, err)
-		})
+	inFleet(t, "another key under the same id", 1, 1, func(t *testing.T, f *documentFleet) {
+		gate, caller := f.admit("1a")
+		_, err := f.apply("1a", withdraw)
+		require.NoError(t, err)
+		_, err = f.apply("1a", entry.EditRequest{Author: "ana", Edit: document.GrantKey{
+			Organisation: "acme", Key: document.Key{ID: "k1", SHA256: organisation.HashKey("key-2").String()},
+		}})
+		require.NoError(t, err)
+		_, err = gate.Spend(t.Context(), caller)
+		requireErrorKind(t, port.KeyRefused, err)
 	})
-	t.Run("write route becomes a read route", func(t *testing.T) {
-		inFleet(t, 1, 1, func(f *documentFleet) {
-			gate, caller := f.admit("1a")
-			require.False(t, caller.Read)
-			_, err := f.apply("1a", entry.EditRequest{Author: "ana", Edit: document.PutRoute{
-				Route: document.Route{Name: "orders", Group: "g", Slot: "s", Kind: document.Read},
-			}})
-			require.NoError(t, err)
-			caller, err = gate.Spend(t.Context(), caller)
-			require.NoError(t, err)
-			require.True(t, caller.Read)
-		})
+	inFleet(t, "write route becomes a read route", 1, 1, func(t *testing.T, f *documentFleet) {
+		gate, caller := f.admit("1a")
+		require.False(t, caller.Read)
+		_, err := f.apply("1a", entry.EditRequest{Author: "ana", Edit: document.PutRoute{
+			Route: document.Route{Name: "orders", Group: "g", Slot: "s", Kind: document.Read},
+		}})
+		require.NoError(t, err)
+		caller, err = gate.Spend(t.Context(), caller)
+		require.NoError(t, err)
+		require.True(t, caller.Read)
 	})
 }
 
 // Guards against a session or a statement that counts for someone else.
 func TestGateAdmits(t *testing.T) {
-	inFleet(t, 1, 1, func(f *documentFleet) {
-		f.run(settled)
+	inFleet(t, "keyed, open and read-only callers", 1, 1, func(t *testing.T, f *documentFleet) {
 		var limit countingLimit
 		gate := f.instances["1a"].gate(&limit)
 		caller, err := gate.Admit(t.Context(), keyed)
@@ -122,9 +111,8 @@
 	})
 }
 
-// admit lets the fleet settle and admits a caller with a key at the instance.
+// admit admits a caller with a key at the instance.
 func (f *documentFleet) admit(name string) (*entry.DocumentGate, entry.Caller) {
-	f.run(settled)
 	gate := f.instances[name].gate(&countingLimit{})
 	caller, err := gate.Admit(f.ctx, keyed)
 	require.NoError(f.t, err)
