Change each byte of a token to every other character in the test

The strict decoding of base64 survived being taken out: only a few of the 64 last characters of a signature differ in their unused bits, and the three replacement characters had met none of them.

--- a/session/token_test.go
+++ b/session/token_test.go
@@ -64,7 +64,7 @@
 	t.Run("too long", func(t *testing.T) { requireRefused(t, s, token+strings.Repeat("A", session.MaxToken), "acme") })
 	t.Run("any changed byte", func(t *testing.T) {
 		for i := range token {
-			for _, b := range []byte("A.z") {
+			for _, b := range []byte("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_.=") {
 				changed := []byte(token)
 				changed[i] = b
 				if string(changed) != token {
