Give the instances of the failover tests an address

Cause: the list of instances leaves out one without an address, so the promoter saw none and the tests had no watchers. Ruled out: a list that keeps them; nobody can reach them.

--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -39,7 +39,8 @@
 	f := &fleet{world: w, ctx: ctx, store: newFakeStore(w)}
 	for i := range watchers {
 		f.list = append(f.list, instance.Instance{
-			Incarnation: fmt.Sprintf("watcher-%d-%d", w.rng.Uint64(), i), DataCentre: fmt.Sprintf("dc%d", i), State: instance.Live,
+			Incarnation: fmt.Sprintf("watcher-%d-%d", w.rng.Uint64(), i), Address: fmt.Sprintf("10.0.0.%d:6433", i),
+			DataCentre: fmt.Sprintf("dc%d", i), State: instance.Live,
 		})
 	}
 	for _, i := range instance.NewList(f.list...).Watchers(testGroup) {
@@ -276,7 +277,7 @@
 			name: "two promoters at once", promotes: true,
 			begin: func(f *fleet) {
 				for _, each := range f.watchers {
-					only := instance.Instance{Incarnation: each.name, DataCentre: "dc0", State: instance.Live}
+					only := instance.Instance{Incarnation: each.name, Address: "10.0.0.1:6433", DataCentre: "dc0", State: instance.Live}
 					require.NoError(f.t, each.promoter.SetInstances(f.ctx, only))
 				}
 				f.kill("s0")
