Stop the timer service after the duties that bound their stop by it

Cause: the keeper gives its shares back with a time limit on the timer service, which had stopped already; with the store down the stop would not have ended. Ruled out: a limit on the wall clock. Conclusion: the timer has a context of its own.

--- a/cmd/serve/process.go
+++ b/cmd/serve/process.go
@@ -51,9 +51,9 @@
 }
 
 // newProcess opens the sockets and assembles the parts.
-func newProcess(cfg settings.Settings, incarnation string, log *zap.Logger) (*process, error) {
+func newProcess(ctx context.Context, cfg settings.Settings, incarnation string, log *zap.Logger) (*process, error) {
 	p := &process{cfg: cfg, log: log, timer: clock.NewService()}
-	if err := p.listen(); err != nil {
+	if err := p.listen(ctx); err != nil {
 		return nil, err
 	}
 	p.self = instance.Instance{
@@ -76,8 +76,9 @@
 	return p, p.assembleCallers()
 }
 
-func (p *process) listen() error {
-	for _, open := range []struct {
+func (p *process) listen(ctx context.Context) error {
+	var open net.ListenConfig
+	for _, l := range []struct {
 		socket  *net.Listener
 		key     string
 		address string
@@ -86,11 +87,11 @@
 		{&p.peer, "peer_listen", p.cfg.Instance.PeerListen},
 		{&p.operator, "admin_listen", p.cfg.Instance.AdminListen},
 	} {
-		socket, err := net.Listen("tcp", open.address)
+		socket, err := open.Listen(ctx, "tcp", l.address)
 		if err != nil {
-			return port.Wrapf(err, port.Invalid, "[instance] %s = %q cannot be opened", open.key, open.address)
+			return port.Wrapf(err, port.Invalid, "[instance] %s = %q cannot be opened", l.key, l.address)
 		}
-		*open.socket = socket
+		*l.socket = socket
 	}
 	return nil
 }
@@ -208,9 +209,15 @@
 func (p *process) run(ctx context.Context, out io.Writer) error {
 	duties, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopDuties()
+	// The timer service stops last, because the other duties bound their own stop by it.
+	timing, stopTimer := context.WithCancel(context.WithoutCancel(ctx))
+	var timer sync.WaitGroup
+	timer.Go(func() { p.timer.Run(timing) })
+	defer timer.Wait()
+	defer stopTimer()
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context){
-		p.timer.Run, p.follower.Run, p.editor.Run, p.keeper.Run, p.groups.Run, p.pool.Run,
+		p.follower.Run, p.editor.Run, p.keeper.Run, p.groups.Run, p.pool.Run,
 	} {
 		running.Go(func() { run(duties) })
 	}
