Close connections before they are given back

Cause: an instance that used all its connections gave none back when others wanted some, because open connections stay counted until they are closed. Keeper.Allowed now falls to the fair number first; when the pool reports fewer open connections by Keeper.Hold, the rest goes back to the ledger.

Ruled out: giving back at once, which lets the fleet hold more connections than the server takes.

Conclusion: a connection pool should call Hold after each open and close. Without it, as many as Want said count as open.

--- a/allotment/policy.go
+++ b/allotment/policy.go
@@ -99,11 +99,11 @@
 	Target Amount
 	// Tokens is how many tokens it takes from the pool.
 	Tokens Statements
+	// Units is how many connections the holder may use from now on. It is less than the target while connections that
+	// have to be closed are still open.
+	Units int64
 }
 
-// Short reports whether the share is less than what is wanted and due.
-func (p Plan) Short(share Amount) bool { return !share.Covers(p.Wanted.Min(p.Target)) }
-
 // Decide returns the plan of a holder that has an entry in the ledger. The ledger holds what the others want.
 func Decide(l Ledger, holder string, d Demand) Plan {
 	entry, _ := l.Find(holder)
@@ -124,12 +124,13 @@
 		target.Burst = max(target.Burst, min(room, l.Limit.Total.Burst))
 	}
 	// Connections that are open cannot be given back before they are closed.
+	units := target.Units
 	target.Units = max(target.Units, min(d.Held, entry.Share.Units))
 	tokens := max(target.Burst-entry.Share.Burst, 0)
 	if d.Waiting > 0 {
 		tokens = max(tokens, Statements(d.Waiting+1)*Statement-d.Tokens)
 	}
-	return Plan{Wanted: wanted, Target: target, Tokens: tokens}
+	return Plan{Wanted: wanted, Target: target, Tokens: tokens, Units: units}
 }
 
 // starved reports whether a holder other than the named one has much less rate than it wants and than is fair.
--- a/entry/account.go
+++ b/entry/account.go
@@ -40,6 +40,8 @@
 	written  bool
 	// quietUntil is when unmet demand is looked at again after nothing could be had.
 	quietUntil time.Duration
+	// ceiling is how many connections are due to this holder.
+	ceiling int64
 	// misses counts the looks since the last update that brought something.
 	misses int
 	alarm  func()
@@ -205,6 +207,8 @@
 		return nothing
 	case a.held && (now-a.synced >= renewEvery || h.Lapsed() || len(a.attempts) > 0 || d.IsIdle()):
 		return owed
+	case a.held && h.Share().Units > max(a.ceiling, d.Held):
+		return owed
 	case a.held && a.currentLimit().Revision > a.base.Limit.Revision:
 		return owed
 	case a.held && len(a.callers) > 0:
@@ -275,6 +279,7 @@
 	}
 	view := a.view()
 	plan := allotment.Decide(view, a.cfg.Holder, d)
+	a.setCeiling(plan)
 	share := allotment.Amount{}
 	if e, ok := view.Find(a.cfg.Holder); ok {
 		share = e.Share
@@ -294,7 +299,10 @@
 	case why == asked && !give.IsZero(), get.Helps(share), pool, !a.held && why == unmet:
 		return a.writeIn(gap)
 	case why == asked:
-		a.callers = nil
+		// Connections above the ceiling are given back for these callers once they are closed.
+		if plan.Units >= share.Units {
+			a.callers = nil
+		}
 		return rest{}
 	default:
 		quiet := a.backOff()
@@ -320,6 +328,11 @@
 	return d.Waiting > 0 && d.Tokens+l.Tokens >= allotment.Statement
 }
 
+func (a *account) setCeiling(plan allotment.Plan) {
+	a.ceiling = plan.Units
+	a.limiter.setCeiling(plan.Units)
+}
+
 func (a *account) writeIn(gap time.Duration) move {
 	if gap > 0 {
 		return wait{d: gap}
@@ -427,6 +440,7 @@
 	}
 	entry, _ := p.ledger.Find(a.cfg.Holder)
 	p.apply(allotment.Want{Holder: a.cfg.Holder, Wanted: plan.Wanted})
+	a.setCeiling(plan)
 	give := entry.Share.Minus(plan.Target)
 	// The tokens are taken from the bucket before they are given, by way of the stash.
 	low := entry
--- a/entry/limiter.go
+++ b/entry/limiter.go
@@ -43,6 +43,8 @@
 	head  *waiter
 	// granted is the limit under which the holding was granted or to which it shrank.
 	granted allotment.Limit
+	// ceiling is the number of connections that is due, which may be less than the share.
+	ceiling int
 	stop    func()
 	meter   meter
 }
@@ -183,7 +185,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.holding = l.holding.At(l.timer.Now())
-	return l.holding.Allowed()
+	return min(l.holding.Allowed(), l.ceiling)
+}
+
+// setCeiling bounds the connections that may be held, so that some are closed before they are given back.
+func (l *limiter) setCeiling(units int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ceiling = int(units)
 }
 
 // withhold lowers the holding to an entry that an update will write, and returns all tokens that were withheld for
@@ -242,6 +251,7 @@
 	defer l.mu.Unlock()
 	now := l.timer.Now()
 	l.holding = l.holding.WithFixedShare(now, share)
+	l.ceiling = int(share.Units)
 	l.serve(now)
 }
 
