--- a/standin/server/client.go
+++ b/standin/server/client.go
@@ -269,12 +269,16 @@
 }
 
 func (c *client) parse(m *pgproto3.Parse) error {
-	prepared, err := Parse(Split(m.Query)[0])
+	parts := Split(m.Query)
+	if len(parts) > 1 {
+		return failf(codeSyntax, "prepared statement has %d commands, one is allowed", len(parts))
+	}
+	prepared, err := Parse(parts[0])
 	if err != nil {
 		return err
 	}
 	if _, ok := c.statements[m.Name]; ok && m.Name != "" {
-		return failf("42P05", "prepared statement %q already exists", m.Name)
+		return failf(codeDuplicate, "prepared statement %q already exists", m.Name)
 	}
 	c.statements[m.Name] = prepared
 	c.backend.Send(&pgproto3.ParseComplete{})
--- a/standin/server/client_test.go
+++ b/standin/server/client_test.go
@@ -134,6 +134,8 @@
 		requireText(t, conn, "x y", "SHOW application_name")
 		require.NoError(t, conn.Ping(t.Context()))
 		requireExecRefused(t, conn, "42501", "SET rhubarbwick.position = '9:9'")
+		_, err := conn.Prepare(t.Context(), "two", "SELECT 1; SELECT 1")
+		requireSQLState(t, "42601", err)
 	})
 	t.Run("cancel ends a statement that waits", func(t *testing.T) {
 		slept := make(chan error, 1)
--- a/standin/server/statement.go
+++ b/standin/server/statement.go
@@ -134,6 +134,7 @@
 	codeProtocol      = "08P01"
 	codeNoStatement   = "26000"
 	codeNoPortal      = "34000"
+	codeDuplicate     = "42P05"
 	codeInternalError = "XX000"
 )
 
