Choose the new primary without the one that was lost, and measure the failover gap

Cause: a primary that is cut off from its replicas but not from the promoter has the furthest log, with its own unacknowledged writes, and was promoted again at each attempt. A promoter now waits 300 ms for a majority without the lost primary; any majority is as safe as another.

Cause: an instance that does not watch asked once a second until a caller waited, so it found the new primary up to 1 s late. It now asks every 250 ms while the primary does not answer or a replica has not heard from it for 0.5 s.

Unit tests cover the faults corrected before.

--- a/entry/asker.go
+++ b/entry/asker.go
@@ -43,7 +43,7 @@
 	asked := a.timer.Now()
 	status, err := a.server.Status(ctx, q.await, q.maxWait)
 	if err == nil && status.Server != a.member.Name {
-		// An address that leads to another server would let that server count twice in a majority.
+		// The address leads to another server, so the answer says nothing of this member.
 		err = port.Failf(port.Invalid, "server %q answered at the address of %q", status.Server, a.member.Name)
 	}
 	o := group.Observation{Status: status, Asked: asked, Received: a.timer.Now()}
--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -50,7 +50,7 @@
 	}
 	f.monitor = startMonitor(ctx, w, "entry", false)
 	f.director = startDirector(w, f.monitor)
-	f.writes = &writes{acknowledged: map[int]bool{}, discarded: map[int]bool{}}
+	f.writes = &writes{acknowledged: map[int]bool{}, discarded: map[int]bool{}, lease: map[int]bool{}}
 	w.elected = append(w.elected, f.checkElected)
 	return f
 }
@@ -72,8 +72,11 @@
 	discarded    map[int]bool
 	unknown      int
 	refused      int
-	gap          time.Duration
-	last         time.Duration
+	// lease holds what a rule would confirm that looks only at a lease of the primary.
+	lease map[int]bool
+	// cost holds how long each acknowledgment took after the commit was reported, and last the instant of the latest.
+	cost []time.Duration
+	last time.Duration
 }
 
 // checkElected fails the test when a new primary lacks a write that was acknowledged before. The lock is held.
@@ -107,21 +110,29 @@
 		if !ok {
 			continue
 		}
-		f.record(ctx, id, f.director.Acknowledge(ctx, testGroup, p))
+		began := f.timer.Now()
+		lease := f.leaseHolds(target.Server)
+		f.record(ctx, id, began, lease, f.director.Acknowledge(ctx, testGroup, p))
 	}
 }
 
-func (f *fleet) record(ctx context.Context, id int, err error) {
+// leaseHolds is the baseline for the cost of an acknowledgment: the primary was heard of as such within SilenceLimit.
+func (f *fleet) leaseHolds(server string) bool {
+	o, ok := f.monitor.View().Observation(server)
+	return ok && o.Status.Role == group.Primary && f.timer.Now()-o.Asked < group.SilenceLimit
+}
+
+func (f *fleet) record(ctx context.Context, id int, began time.Duration, lease bool, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	f.locked(func() {
+		f.writes.lease[id] = lease
 		switch {
 		case err == nil:
 			f.writes.acknowledged[id] = true
-			now := f.timer.Now()
-			f.writes.gap = max(f.writes.gap, now-f.writes.last)
-			f.writes.last = now
+			f.writes.last = f.timer.Now()
+			f.writes.cost = append(f.writes.cost, f.writes.last-began)
 		case port.KindOf(err) == port.NotKept:
 			f.writes.discarded[id] = true
 		default:
@@ -360,3 +371,19 @@
 		require.Equal(f.t, f.primaries[last], status.Primary)
 	})
 }
+
+// Guards against a term that falls in the store, and against a promoter that uses a term that only others saw.
+func TestStatusObjectNeverFalls(t *testing.T) {
+	inWorld(t, 1, 3, func(ctx context.Context, w *world) {
+		f := newFleet(ctx, w, 3)
+		name := entry.StatusObject(testGroup)
+		data := []byte(`{"group":"formula-core","term":50,"primary":"gone","address":"gone"}`)
+		f.locked(func() { f.store.objects[name] = port.Object{Name: name, Version: 1, Data: data} })
+		f.run(3 * time.Second)
+		require.Equal(t, data, f.store.objects[name].Data)
+		f.kill("s0")
+		f.run(5 * time.Second)
+		require.GreaterOrEqual(t, f.lastTerm(), group.Term(51))
+		f.requireAnnounced()
+	})
+}
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -157,6 +158,9 @@
 	// primaries holds the server of each term that was ever primary, with its log at that instant.
 	primaries map[group.Term]string
 	elected   []func(term group.Term, s *fakeServer)
+	// fenceSent and electedAt are the instants of the first fence and of the last primary.
+	fenceSent time.Duration
+	electedAt time.Duration
 }
 
 func newWorld(t *testing.T, seed uint64, servers int) *world {
@@ -435,6 +439,7 @@
 }
 
 func (l link) Fence(ctx context.Context, term group.Term, candidate string) (group.Status, error) {
+	l.w.locked(func() { l.w.fenceSent = cmp.Or(l.w.fenceSent, l.w.timer.Now()) })
 	return l.call(ctx, func(s *fakeServer, answer func(error)) {
 		ok := s.fence(term, candidate)
 		answer(refusal(ok))
@@ -465,6 +470,7 @@
 	}
 	if _, ok := w.primaries[term]; !ok {
 		w.primaries[term] = s.name
+		w.electedAt = w.timer.Now()
 		for _, f := range w.elected {
 			f(term, s)
 		}
--- a/entry/monitor.go
+++ b/entry/monitor.go
@@ -128,7 +128,9 @@
 	poller   *asker
 	awaiter  *asker
 	awaiting bool
-	stop     context.CancelFunc
+	// failed is true when the last question got no answer.
+	failed bool
+	stop   context.CancelFunc
 }
 
 // Group returns the name of the group.
@@ -239,13 +241,29 @@
 func (m *Monitor) tick() {
 	m.ticks++
 	m.serve()
-	if m.watching || len(m.waiters) > 0 || m.ticks%IdleTicks == 0 {
+	if m.watching || len(m.waiters) > 0 || m.uneasy() || m.ticks%IdleTicks == 0 {
 		m.askAll()
 	}
 	m.askPositions()
 	m.notify()
 }
 
+// uneasy reports whether the primary may be about to be replaced, so that the next one is found as soon as a watcher
+// would find it.
+func (m *Monitor) uneasy() bool {
+	primary, ok := m.view.Primary()
+	if !ok || m.servers[primary.Name] == nil || m.servers[primary.Name].failed {
+		return true
+	}
+	for _, member := range m.view.Members() {
+		o, seen := m.view.Observation(member.Name)
+		if seen && o.Status.PrimarySilence >= group.SilenceLimit/2 {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *Monitor) take(a answered) {
 	w, ok := m.servers[a.by.member.Name]
 	if !ok || a.by != w.poller && a.by != w.awaiter {
@@ -254,7 +272,8 @@
 	if a.by == w.awaiter {
 		w.awaiting = false
 	}
-	if a.err != nil {
+	w.failed = a.err != nil
+	if w.failed {
 		return
 	}
 	m.view = m.view.WithObservation(a.observation)
--- a/entry/monitor_test.go
+++ b/entry/monitor_test.go
@@ -149,7 +149,8 @@
 // Guards against an acknowledgment that waits for a lagging replica, or that comes without a majority.
 func TestAcknowledgmentByMajority(t *testing.T) {
 	inWorld(t, 4, 3, func(ctx context.Context, w *world) {
-		d := startDirector(w, startMonitor(ctx, w, "entry", false))
+		m := startMonitor(ctx, w, "entry", false)
+		d := startDirector(w, m)
 		w.lag["s2"] = 10 * time.Second
 		p, _ := w.write("s0", 1)
 		_, err := acknowledge(ctx, w, d, p).await(w, 10*fakeLatency)
@@ -162,6 +163,8 @@
 		waiting := acknowledge(ctx, w, d, p)
 		w.run(5 * time.Second)
 		require.False(t, waiting.done)
+		_, err = newest(ctx, w, m).await(w, 3*fakeLatency)
+		require.NoError(t, err, "a question that waits for a position holds up another")
 		w.restart("s1", false)
 		w.locked(func() { w.nodes["s1"].primary = "s0" })
 		_, err = waiting.await(w, time.Second)
@@ -169,6 +172,41 @@
 	})
 }
 
+// Guards against a server that counts twice because two addresses lead to it.
+func TestWrongAddress(t *testing.T) {
+	inWorld(t, 5, 3, func(ctx context.Context, w *world) {
+		m := startMonitor(ctx, w, "entry", false)
+		members := w.members()
+		members[1].Address = "s0"
+		require.NoError(t, m.SetMembers(ctx, members...))
+		w.kill("s2")
+		w.run(time.Second)
+		_, seen := m.View().Observation("s1")
+		require.False(t, seen)
+	})
+}
+
+// Guards against a read that waits for a newest position that was discarded.
+func TestNewestThatWasDiscarded(t *testing.T) {
+	inWorld(t, 6, 3, func(ctx context.Context, w *world) {
+		m := startMonitor(ctx, w, "entry", false)
+		members := w.members()
+		members[0].Departing = true
+		require.NoError(t, m.SetMembers(ctx, members...))
+		w.cut("s0", "s1", true)
+		w.cut("s0", "s2", true)
+		w.freeze("s2")
+		w.write("s0", 1)
+		waiting := place(ctx, w, startDirector(w, m), reader(session.New("north")))
+		w.run(200 * time.Millisecond)
+		require.False(t, waiting.done)
+		w.kill("s0")
+		w.thaw("s2")
+		_, err := waiting.await(w, 2*time.Second)
+		require.NoError(t, err)
+	})
+}
+
 func requireKind(t *testing.T, want port.Kind, err error) {
 	t.Helper()
 	require.Error(t, err)
--- a/group/promotion.go
+++ b/group/promotion.go
@@ -17,6 +17,9 @@
 	RepairPeriod = 500 * time.Millisecond
 	// MaxBackoff bounds the attempts that lengthen the delay of a promoter that lost.
 	MaxBackoff = 4
+	// AlternativeLimit is how long a promoter waits for a majority without the lost primary. A primary that is cut off
+	// from its replicas has the furthest log, so it would be promoted again and again.
+	AlternativeLimit = 300 * time.Millisecond
 	// OrphanLimit is how long a server may stay fenced by a promotion that was not completed.
 	OrphanLimit = 5 * time.Second
 	// AttemptLimit is how long a promotion may take before the promoter starts over with a later term.
@@ -113,6 +116,7 @@
 	phase     Phase
 	term      Term
 	since     time.Duration
+	lost      string
 	fenced    map[string]Status
 	refusing  map[string]bool
 	highest   Term
@@ -129,6 +133,9 @@
 	return Promotion{candidate: candidate, rank: rank}
 }
 
+// Candidate returns the name under which servers promise terms to the promoter.
+func (p Promotion) Candidate() string { return p.candidate }
+
 // WithRank returns the promotion of the same watcher at another rank.
 func (p Promotion) WithRank(rank int) Promotion {
 	p.rank = rank
@@ -180,6 +187,7 @@
 		if now-p.since >= AttemptLimit {
 			return p.retried(now), nil
 		}
+		return p.choose(v, now)
 	}
 	return p, nil
 }
@@ -261,6 +269,7 @@
 	p.since = now
 	p.fenced = nil
 	p.refusing = nil
+	p.lost = v.lastPrimary()
 	p.attempts++
 	return p, []Order{SendFence{Term: p.term, Candidate: p.candidate}}
 }
@@ -275,7 +284,15 @@
 	}
 	fenced[e.Status.Server] = e.Status
 	p.fenced = fenced
-	voters := p.voters(v)
+	return p.choose(v, now)
+}
+
+// choose orders the promotion once enough servers are fenced.
+func (p Promotion) choose(v View, now time.Duration) (Promotion, []Order) {
+	if p.phase != Fencing {
+		return p, nil
+	}
+	voters := p.voters(v, now)
 	if len(voters) == 0 {
 		return p, nil
 	}
@@ -286,19 +303,26 @@
 
 // voters returns the fenced members among which the new primary is chosen, and none while they are too few. A server
 // with an empty log may have lost acknowledged writes, so it counts only when every member was fenced.
-func (p Promotion) voters(v View) []string {
-	var all, holding []string
+func (p Promotion) voters(v View, now time.Duration) []string {
+	var all, holding, others []string
 	for _, member := range v.members {
 		status, ok := p.fenced[member.Name]
 		if !ok {
 			continue
 		}
 		all = append(all, member.Name)
-		if !status.Last().IsZero() {
-			holding = append(holding, member.Name)
+		if status.Last().IsZero() {
+			continue
+		}
+		holding = append(holding, member.Name)
+		if member.Name != p.lost {
+			others = append(others, member.Name)
 		}
 	}
-	if len(all) == len(v.members) || len(holding) >= v.Majority() {
+	switch {
+	case len(others) >= v.Majority():
+		return others
+	case len(all) == len(v.members), len(holding) >= v.Majority() && now-p.since >= AlternativeLimit:
 		return all
 	}
 	return nil
--- a/group/view.go
+++ b/group/view.go
@@ -169,6 +169,17 @@
 	return term
 }
 
+// lastPrimary returns the server that led the highest term that a known server follows. It is empty when none does.
+func (v View) lastPrimary() string {
+	top := v.followed()
+	for name, o := range v.seen {
+		if o.Status.Role == Primary && o.Status.Followed == top {
+			return name
+		}
+	}
+	return ""
+}
+
 func (v View) promisedAfter(term Term) int {
 	n := 0
 	for _, o := range v.seen {
--- /dev/null
+++ b/session/placement_test.go
@@ -0,0 +1,56 @@
+package session_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/session"
+)
+
+func view(asked, silence time.Duration) group.View {
+	v := group.NewView(group.Member{Name: "a"}, group.Member{Name: "b"}, group.Member{Name: "c"})
+	log := group.NewHistory(9, group.Era{Term: 1, First: 1})
+	for _, name := range []string{"a", "b", "c"} {
+		s := group.Status{Server: name, Role: group.Replica, Promised: 1, Followed: 1, History: log, PrimarySilence: silence}
+		if name == "a" {
+			s.Role, s.PrimarySilence, s.AgeKnown = group.Primary, 0, true
+		}
+		v = v.WithObservation(group.Observation{Status: s, Asked: 0, Received: 0})
+		v = v.WithObservation(group.Observation{Status: s, Asked: asked, Received: asked})
+	}
+	return v
+}
+
+func requirePlacement(t *testing.T, want session.Placement, r session.Request, s session.Session, v group.View, now time.Duration) {
+	t.Helper()
+	require.Equal(t, want, session.Place(r, s, v, now))
+}
+
+// Guards against writes that can only end with an unknown outcome, and against stale reads.
+func TestPlace(t *testing.T) {
+	const asked = 9 * time.Second
+	t.Run("write", func(t *testing.T) {
+		requirePlacement(t, session.ToPrimary{Server: "a", Term: 1}, session.Request{}, session.Session{}, view(asked, 0), asked)
+	})
+	t.Run("write while replicas miss the primary", func(t *testing.T) {
+		requirePlacement(t, session.AwaitPrimary{}, session.Request{}, session.Session{}, view(asked, 2*time.Second), asked)
+	})
+	t.Run("write while the primary does not answer", func(t *testing.T) {
+		requirePlacement(t, session.AwaitPrimary{}, session.Request{}, session.Session{}, view(asked, 0), asked+3*time.Second)
+	})
+	read := session.Request{Read: true, AcceptedAge: time.Second}
+	t.Run("aged read without a floor", func(t *testing.T) {
+		requirePlacement(t, session.AwaitNewest{}, read, session.New("north"), view(asked, 0), asked)
+	})
+	t.Run("aged read of a new session", func(t *testing.T) {
+		requirePlacement(t, session.ToServer{Server: "a"}, read, session.Fresh("north"), view(asked, 0), asked)
+		requirePlacement(t, session.AwaitServer{}, read, session.Fresh("north"), view(asked, 0), asked+2*time.Second)
+	})
+	t.Run("newest position that was discarded", func(t *testing.T) {
+		gone := session.Request{Read: true}.WithNewest(group.Position{Term: 1, Offset: 10})
+		requirePlacement(t, session.AwaitServer{}, gone, session.New("north"), view(asked, 0), asked)
+	})
+}
