Check the form of the answer to a bind and a release

The answer has to consist of exactly the messages of one row, or of one error; otherwise the connection is closed. Tests were added for late rows, for the last error of a server, for portals and statements of one name, and for the quoting of organisations' names.

--- a/adapter/postgres/backend.go
+++ b/adapter/postgres/backend.go
@@ -24,6 +24,9 @@
 	// bindLimit is how long a server may take to bind a connection. A frozen server does not answer, and the request can
 	// still be placed elsewhere.
 	bindLimit = time.Second
+	// answerKinds and refusalKinds are the types of the messages that answer a command of the proxy, without the end.
+	answerKinds  = "TDC"
+	refusalKinds = "E"
 )
 
 // holder is who receives what a server connection reads. It is one of resting, asking and lent.
@@ -34,9 +37,10 @@
 
 // asking waits for the answer to one command of the proxy itself.
 type asking struct {
-	commands int
-	err      error
-	done     func(err error)
+	// kinds are the types of the answer's messages so far.
+	kinds []byte
+	err   error
+	done  func(err error)
 }
 
 // lent passes everything to a caller.
@@ -160,22 +164,25 @@
 // collect takes the answer to the proxy's own command.
 func (b *backend) collect(h *asking, frames []frame) {
 	for i, f := range frames {
-		switch f.kind() {
-		case 'C':
-			h.commands++
-		case 'E':
-			h.err = serverError(f)
-		case 'Z':
+		switch {
+		case isAsynchronous(f):
+			continue
+		case f.kind() == 'Z':
 			b.finishAsking(h, f, frames[i+1:])
 			return
+		case f.kind() == 'E':
+			h.err = serverError(f)
 		}
+		h.kinds = append(h.kinds, f.kind())
 	}
 }
 
 func (b *backend) finishAsking(h *asking, ready frame, rest []frame) {
 	err := h.err
+	idle := len(ready.body()) == 1 && ready.body()[0] == 'I'
 	switch {
-	case len(ready.body()) != 1 || ready.body()[0] != 'I', err == nil && h.commands != 1:
+	case !idle, string(h.kinds) != answerKinds && string(h.kinds) != refusalKinds:
+		// An answer of another form may be that of an earlier statement.
 		err = port.Failf(port.Internal, "server %s did not complete a command of the proxy", b.key.server)
 	case err != nil:
 		err = &refusedError{cause: err}
--- a/adapter/postgres/failure_test.go
+++ b/adapter/postgres/failure_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 
 	"github.com/rhubarbwick/rhubarbwick/adapter/postgres"
@@ -24,6 +25,21 @@
 		requireRow(t, f.connect("acme", "stock"), "select 1", pgx.QueryExecModeSimpleProtocol)
 		require.Len(t, bad.statements(), 1)
 	})
+	t.Run("with a last error", func(t *testing.T) {
+		bad, good := startFake(t), startFake(t)
+		bad.answer(func(c *fakeConn, _ string) {
+			c.backend.Send(&pgproto3.ErrorResponse{Severity: "FATAL", Code: "57P01", Message: "shutting down"})
+			_ = c.backend.Flush()
+			_ = c.conn.Close()
+		})
+		f := start(t, postgres.ListenerConfig{}, bad, good)
+		requireRow(t, f.connect("acme", "stock"), "select 1", pgx.QueryExecModeSimpleProtocol)
+		f.director.startOver()
+		conn := f.connect("acme", "orders")
+		_, err := conn.Exec(t.Context(), "insert 1", pgx.QueryExecModeSimpleProtocol)
+		requireState(t, port.UnknownOutcome, err)
+		requireRow(t, conn, "select 1", pgx.QueryExecModeSimpleProtocol)
+	})
 	t.Run("read after the first byte is unknown", func(t *testing.T) {
 		bad, good := startFake(t), startFake(t)
 		seen := make(chan struct{})
@@ -203,6 +219,13 @@
 	return stopped
 }
 
+// startOver places the next transaction on the first server.
+func (d *fakeDirector) startOver() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.placed = 0
+}
+
 func (d *fakeDirector) acknowledgeWith(f func(context.Context, group.Position) error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/adapter/postgres/fake_test.go
+++ b/adapter/postgres/fake_test.go
@@ -44,8 +44,8 @@
 	prepared map[string]string
 	portal   string
 	simple   bool
-	// mute makes the server answer a release with nothing but its end.
-	mute bool
+	// release replaces the answer to a release.
+	release func(*fakeConn)
 }
 
 func startFake(t *testing.T) *fakeServer {
@@ -231,6 +231,11 @@
 			c.ready()
 			c.simple = false
 		case *pgproto3.Parse:
+			if _, ok := c.prepared[m.Name]; ok && m.Name != "" {
+				c.fail("42P05", "prepared statement already exists")
+				failed = true
+				break
+			}
 			c.prepared[m.Name] = m.Query
 			c.backend.Send(&pgproto3.ParseComplete{})
 		case *pgproto3.Describe:
@@ -247,7 +252,9 @@
 		case *pgproto3.Execute:
 			c.query(c.portal)
 		case *pgproto3.Close:
-			delete(c.prepared, m.Name)
+			if m.ObjectType == 'S' {
+				delete(c.prepared, m.Name)
+			}
 			c.backend.Send(&pgproto3.CloseComplete{})
 		case *pgproto3.Flush:
 			_ = c.backend.Flush()
@@ -284,7 +291,8 @@
 	case strings.HasPrefix(sql, "SELECT rhubarbwick_release("):
 		c.bound = ""
 		c.prepared = make(map[string]string)
-		if c.mute {
+		if c.release != nil {
+			c.release(c)
 			return
 		}
 		c.row("released")
@@ -312,7 +320,8 @@
 		c.fail("57P03", refused)
 		return
 	}
-	c.bound = strings.SplitN(sql, "'", 3)[1]
+	c.bound = strings.Split(strings.TrimPrefix(sql, "SELECT rhubarbwick_bind("), ", ")[0]
+	c.bound = strings.TrimSuffix(strings.TrimPrefix(c.bound, "'"), "'")
 	if strings.HasSuffix(sql, "true)") {
 		c.bound += "/read"
 	}
--- a/adapter/postgres/pool_test.go
+++ b/adapter/postgres/pool_test.go
@@ -114,8 +114,33 @@
 	}, query)
 	requireReplaced("release without its own answer", "stock", func(c *fakeConn, sql string) {
 		c.run(sql)
-		c.mute = true
+		c.release = func(*fakeConn) {}
 	}, query)
+	requireReplaced("late row before the answer to the release", "stock", func(c *fakeConn, sql string) {
+		c.run(sql)
+		c.release = func(c *fakeConn) {
+			c.row("late")
+			c.row("released")
+			c.complete("SELECT 1")
+		}
+	}, query)
+	requireReplaced("late row after the release", "stock", func(c *fakeConn, sql string) {
+		c.run(sql)
+		c.release = func(c *fakeConn) {
+			c.row("released")
+			c.complete("SELECT 1")
+			c.ready()
+			c.row("late")
+		}
+	}, query)
+	requireReplaced("late row while the acknowledgment is awaited", "orders", func(c *fakeConn, sql string) {
+		c.run(sql)
+		c.ready()
+		c.row("late")
+		c.release = func(*fakeConn) {}
+	}, func(t *testing.T, f *fixture) {
+		_, _ = f.connect("acme", "orders").Exec(t.Context(), "insert 1", pgx.QueryExecModeSimpleProtocol)
+	})
 	requireReplaced("caller leaves in the middle", "orders", nil, func(t *testing.T, f *fixture) {
 		conn := f.connect("acme", "orders")
 		_, err := conn.Begin(t.Context())
--- a/adapter/postgres/relay_test.go
+++ b/adapter/postgres/relay_test.go
@@ -37,9 +37,20 @@
 		requireAnswer(t, frontend, "1Z", parse, &pgproto3.Sync{})
 		requireAnswer(t, frontend, "312Z", &pgproto3.Close{ObjectType: 'S', Name: "s"}, parse,
 			&pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Sync{})
-		requireAnswer(t, frontend, "32Z", &pgproto3.Close{ObjectType: 'P', Name: "s"},
+		requireAnswer(t, frontend, "3", &pgproto3.Close{ObjectType: 'P', Name: "s"}, &pgproto3.Flush{})
+		requireAnswer(t, frontend, "2Z", &pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Sync{})
+		requireAnswer(t, frontend, "3EZ", &pgproto3.Close{ObjectType: 'S', Name: "s"},
 			&pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Sync{})
 	})
+	t.Run("portal with the name of a statement is closed", func(t *testing.T) {
+		_, frontend := f.login(t, "acme", "stock")
+		requireAnswer(t, frontend, "1Z", &pgproto3.Parse{Name: "s", Query: "select 1"}, &pgproto3.Sync{})
+		bind := &pgproto3.Bind{PreparedStatement: "s", DestinationPortal: "s"}
+		frontend.Send(bind)
+		frontend.Send(&pgproto3.Close{ObjectType: 'P', Name: "s"})
+		frontend.Send(&pgproto3.Flush{})
+		requireAnswer(t, frontend, "232Z", bind, &pgproto3.Sync{})
+	})
 	t.Run("too many", func(t *testing.T) {
 		_, frontend := f.login(t, "acme", "stock")
 		text := strings.Repeat(" ", request.MaxStatementBytes/2)
--- a/adapter/postgres/startup_test.go
+++ b/adapter/postgres/startup_test.go
@@ -50,6 +50,15 @@
 	})
 }
 
+// Guards against an organisation's name that ends the literal in the bind command.
+func TestQuoting(t *testing.T) {
+	server := startFake(t)
+	f := start(t, postgres.ListenerConfig{}, server)
+	_, frontend := f.login(t, `o'b\c`, "stock")
+	requireAnswer(t, frontend, "TDCZ", &pgproto3.Query{String: "select 1"})
+	require.Equal(t, []string{`1 E'o''b\\c/read select 1`}, server.statements())
+}
+
 // Guards against a malformed or half-open connection that harms other callers.
 func TestMalformed(t *testing.T) {
 	f := start(t, postgres.ListenerConfig{}, startFake(t))
