--- a/adapter/postgres/relay_test.go
+++ b/adapter/postgres/relay_test.go
@@ -37,9 +37,20 @@
 		requireAnswer(t, frontend, "1Z", parse, &pgproto3.Sync{})
 		requireAnswer(t, frontend, "312Z", &pgproto3.Close{ObjectType: 'S', Name: "s"}, parse,
 			&pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Sync{})
-		requireAnswer(t, frontend, "32Z", &pgproto3.Close{ObjectType: 'P', Name: "s"},
+		requireAnswer(t, frontend, "3", &pgproto3.Close{ObjectType: 'P', Name: "s"}, &pgproto3.Flush{})
+		requireAnswer(t, frontend, "2Z", &pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Sync{})
+		requireAnswer(t, frontend, "3EZ", &pgproto3.Close{ObjectType: 'S', Name: "s"},
 			&pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Sync{})
 	})
+	t.Run("portal with the name of a statement is closed", func(t *testing.T) {
+		_, frontend := f.login(t, "acme", "stock")
+		requireAnswer(t, frontend, "1Z", &pgproto3.Parse{Name: "s", Query: "select 1"}, &pgproto3.Sync{})
+		bind := &pgproto3.Bind{PreparedStatement: "s", DestinationPortal: "s"}
+		frontend.Send(bind)
+		frontend.Send(&pgproto3.Close{ObjectType: 'P', Name: "s"})
+		frontend.Send(&pgproto3.Flush{})
+		requireAnswer(t, frontend, "232Z", bind, &pgproto3.Sync{})
+	})
 	t.Run("too many", func(t *testing.T) {
 		_, frontend := f.login(t, "acme", "stock")
 		text := strings.Repeat(" ", request.MaxStatementBytes/2)
@@ -175,7 +186,7 @@
 		frozen, next := startFake(t), startFake(t)
 		thaw := make(chan struct{})
 		frozen.answer(func(*fakeConn, string) { <-thaw })
-		frozen.freezeLogins(thaw)
+		frozen.set(func(b *behaviour) { b.loginThaw = thaw })
 		defer close(thaw)
 		f := start(t, postgres.ListenerConfig{}, frozen, next)
 		conn := f.connect("acme", "stock")
@@ -200,7 +211,7 @@
 	t.Run("bind is placed again", func(t *testing.T) {
 		frozen, next := startFake(t), startFake(t)
 		thaw := make(chan struct{})
-		frozen.freezeBinds(thaw)
+		frozen.set(func(b *behaviour) { b.bindThaw = thaw })
 		defer close(thaw)
 		f := start(t, postgres.ListenerConfig{}, frozen, next)
 		conn := f.connect("acme", "orders")
