Test that patches are used and fit only their base

Three guards survived being taken out: the base revision (the test's other revision had another change as well), the use of a patch by the follower and its decoding (the whole document, asked for instead, hid both).

--- a/adapter/peer/peer_test.go
+++ b/adapter/peer/peer_test.go
@@ -37,6 +37,12 @@
 		require.Equal(t, 2*time.Millisecond, got.Age)
 		require.Equal(t, time.Millisecond, got.Held)
 	})
+	t.Run("patch", func(t *testing.T) {
+		patch := document.Patch{Base: 1, BaseID: "1", Revision: 2, Seats: 4, RemovedRoutes: []string{"w"}}
+		got, err := connect(t, &fakeRelay{report: entry.RelayReport{Revision: 2, Patch: patch}}).follow(t, entry.RelayPoll{Known: 1})
+		require.NoError(t, err)
+		require.Equal(t, patch, got.Patch)
+	})
 	t.Run("never confirmed", func(t *testing.T) {
 		got, err := connect(t, &fakeRelay{}).follow(t, entry.RelayPoll{})
 		require.NoError(t, err)
--- a/document/document_test.go
+++ b/document/document_test.go
@@ -141,9 +141,10 @@
 	next, _ := valid().WithEdit(document.SetSeats{Seats: 5}, change)
 	patch, ok := valid().PatchTo(next)
 	require.True(t, ok)
-	forked := valid()
+	forked, later := valid(), valid()
 	forked.Change.ID = "other"
-	for name, d := range map[string]document.Document{"other revision": next, "other change of the same revision": forked} {
+	later.Revision++
+	for name, d := range map[string]document.Document{"other revision": later, "other change of the same revision": forked} {
 		t.Run(name, func(t *testing.T) {
 			_, faults := d.WithPatch(patch)
 			requireFault(t, faults, "base", "")
--- a/entry/document_fleet_test.go
+++ b/entry/document_fleet_test.go
@@ -67,7 +67,8 @@
 	beforePut func()
 	// replays are answered to watches in place of the store's object.
 	replays []port.Object
-	watches int
+	// watches and wholes count its polls at the store and the whole documents that instances sent it.
+	watches, wholes int
 }
 
 // shiftedTimer is a monotonic clock whose zero lies elsewhere, as on another machine.
@@ -453,6 +454,9 @@
 		return entry.RelayReport{}, err
 	}
 	report := other.follower.Report(ctx, poll)
+	if report.Document.Revision > 0 {
+		i.set(func() { i.wholes++ })
+	}
 	other.mu.Lock()
 	delay := other.answerDelay
 	other.mu.Unlock()
--- a/entry/follower_test.go
+++ b/entry/follower_test.go
@@ -19,10 +19,13 @@
 	inFleet(t, "everyone within a second", 2, 4, func(t *testing.T, f *documentFleet) {
 		f.requireState(1, true)
 		before := f.watches(f.followers("dc2"))
+		follower := f.instances[f.followers("dc2")[0]]
+		wholes := follower.wholes
 		_, err := f.apply(f.followers("dc1")[0], setSeats(7))
 		require.NoError(t, err)
 		f.run(time.Second)
 		f.requireState(2, true)
+		require.Equal(t, wholes, follower.wholes, "the whole document is sent for one change")
 		f.run(10 * time.Second)
 		require.Equal(t, before, f.watches(f.followers("dc2")), "a follower watches the store beside its relay")
 	})
