--- a/entry/follower_test.go
+++ b/entry/follower_test.go
@@ -19,10 +19,13 @@
 	inFleet(t, "everyone within a second", 2, 4, func(t *testing.T, f *documentFleet) {
 		f.requireState(1, true)
 		before := f.watches(f.followers("dc2"))
+		follower := f.instances[f.followers("dc2")[0]]
+		wholes := follower.wholes
 		_, err := f.apply(f.followers("dc1")[0], setSeats(7))
 		require.NoError(t, err)
 		f.run(time.Second)
 		f.requireState(2, true)
+		require.Equal(t, wholes, follower.wholes, "the whole document is sent for one change")
 		f.run(10 * time.Second)
 		require.Equal(t, before, f.watches(f.followers("dc2")), "a follower watches the store beside its relay")
 	})
@@ -91,6 +94,20 @@
 		f.run(settled)
 		f.requireState(2, true)
 	})
+	inFleet(t, "patch that does not fit is replaced by the whole document", 1, 3, func(t *testing.T, f *documentFleet) {
+		follower := f.instances[f.followers("dc1")[0]].follower
+		fork, faults := follower.Document().WithEdit(document.SetSeats{Seats: 99}, document.Change{ID: "fork", Author: "ben"})
+		require.Empty(t, faults)
+		_, err := follower.Take(t.Context(), fork)
+		require.NoError(t, err)
+		for _, seats := range []int{7, 8} {
+			_, err := f.apply(f.relays("dc1")[0], setSeats(seats))
+			require.NoError(t, err)
+		}
+		f.run(settled)
+		f.requireState(3, true)
+		require.Equal(t, f.instances[f.relays("dc1")[0]].follower.Document(), follower.Document())
+	})
 	inFleet(t, "relays die one after the other", 2, 4, func(t *testing.T, f *documentFleet) {
 		f.instances[f.relays("dc1")[0]].kill()
 		f.run(settled)
