Measure the slopes of one instance

Cause: docs/CAPACITY.md needs slopes from runs. script/measure-capacity samples processor time, memory and bytes of an instance by groups watched, organisations, idle callers and statements; script/fleet.sh is what it shares with the demo. The test of ranks speaks to instance.List now, with the same checks, because the second set of rank functions is gone.

Ruled out: figures from go test -bench alone, which miss the sockets. Figures: trial runs only, on a machine that is shared with other work; the page follows from a run on a quiet machine.

--- a/cmd/rhubarbwick-standin/main.go
+++ b/cmd/rhubarbwick-standin/main.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/rhubarbwick/rhubarbwick/cmd/standin/call"
+	"github.com/rhubarbwick/rhubarbwick/cmd/standin/load"
 	"github.com/rhubarbwick/rhubarbwick/cmd/standin/platform"
 	"github.com/rhubarbwick/rhubarbwick/cmd/standin/server"
 	"github.com/rhubarbwick/rhubarbwick/port"
@@ -25,7 +26,7 @@
 	root := &cli.Command{
 		Name:     "rhubarbwick-standin",
 		Usage:    "stand-ins for tests",
-		Commands: []*cli.Command{platform.New(os.Stdout), server.New(os.Stdout), call.New(os.Stdout)},
+		Commands: []*cli.Command{platform.New(os.Stdout), server.New(os.Stdout), call.New(os.Stdout), load.New(os.Stdout)},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/instance/rank_test.go
+++ b/instance/rank_test.go
@@ -9,16 +9,6 @@
 	"github.com/rhubarbwick/rhubarbwick/instance"
 )
 
-func fleet(n, dataCentres int) []instance.Instance {
-	var all []instance.Instance
-	for i := range n {
-		all = append(all, instance.Instance{
-			Incarnation: fmt.Sprintf("i%d", i), DataCentre: fmt.Sprintf("dc%d", i%dataCentres), State: instance.Live,
-		})
-	}
-	return all
-}
-
 func dataCentres(chosen []instance.Instance) int {
 	seen := map[string]bool{}
 	for _, i := range chosen {
@@ -29,25 +19,35 @@
 
 // Guards against watchers that fail together, roles that move without need, and roles of departing instances.
 func TestRoles(t *testing.T) {
-	all := fleet(19, 4)
-	moved := 0
-	for g := range 100 {
-		name := fmt.Sprintf("g%d", g)
-		chosen := instance.Watchers(name, all)
-		require.Len(t, chosen, instance.WatcherCount)
-		require.Equal(t, 3, dataCentres(chosen))
-		if _, was := instance.RankOf("i18", chosen); !was {
-			require.Equal(t, chosen, instance.Watchers(name, all[:18]))
-		} else {
-			moved++
+	all := fleet(4, 5).All()[:19]
+	list := instance.NewList(all...)
+	last := all[18]
+	t.Run("only the watchers that left are replaced", func(t *testing.T) {
+		moved := 0
+		for g := range 100 {
+			name := fmt.Sprintf("g%d", g)
+			chosen := list.Watchers(name)
+			require.Len(t, chosen, instance.WatchersPerGroup)
+			require.Equal(t, 3, dataCentres(chosen))
+			if _, was := list.WatcherRank(name, last.Incarnation); was {
+				moved++
+				continue
+			}
+			require.Equal(t, chosen, instance.NewList(all[:18]...).Watchers(name))
 		}
-	}
-	require.InDelta(t, 100*3/19, moved, 12)
-	require.Len(t, instance.Watchers("g", fleet(3, 1)), 3)
-	require.Len(t, instance.Watchers("g", fleet(2, 1)), 2)
-	gone, _ := instance.RankOf(instance.Watchers("g", all)[0].Incarnation, all)
-	all[gone] = all[gone].WithState(instance.Departing)
-	require.NotContains(t, instance.Watchers("g", all), all[gone])
-	require.Len(t, instance.Relays("dc1", all), instance.RelayCount)
-	require.Equal(t, 1, dataCentres(instance.Relays("dc1", all)))
+		require.InDelta(t, 100*3/19, moved, 12)
+	})
+	t.Run("a small fleet watches with all it has", func(t *testing.T) {
+		require.Len(t, fleet(1, 3).Watchers("g"), 3)
+		require.Len(t, fleet(1, 2).Watchers("g"), 2)
+	})
+	t.Run("a departing instance does not watch", func(t *testing.T) {
+		gone := list.Watchers("g")[0].WithState(instance.Departing)
+		require.NotContains(t, list.WithInstance(gone).Watchers("g"), gone)
+	})
+	t.Run("relays are in their data centre", func(t *testing.T) {
+		relays := list.Relays("dc1")
+		require.Len(t, relays, instance.RelaysPerDataCentre)
+		require.Equal(t, 1, dataCentres(relays))
+	})
 }
--- /dev/null
+++ b/script/fleet.sh
@@ -0,0 +1,100 @@
+# Functions that start stand-ins and instances on loopback for scripts; to be sourced. Ports are chosen by the system.
+# Everything that was started is stopped at exit.
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
+go build -o bin/ ./cmd/rhubarbwick ./cmd/rhubarbwick-standin
+proxy=$PWD/bin/rhubarbwick
+standin=$PWD/bin/rhubarbwick-standin
+work=$(mktemp -d)
+pids=()
+key=demo-key-for-clinic
+password=demo-operator
+
+stop() {
+	[ ${#pids[@]} -gt 0 ] && kill "${pids[@]}" 2>/dev/null
+	wait 2>/dev/null
+	rm -rf "$work"
+}
+trap stop EXIT
+
+# start NAME COMMAND… runs a process in the background and waits for the line that tells its addresses.
+start() {
+	local name=$1
+	shift
+	"$@" >"$work/$name.out" 2>"$work/$name.log" &
+	pids+=($!)
+	for _ in $(seq 200); do
+		grep -q "listens on" "$work/$name.out" && return
+		sleep 0.05
+	done
+	echo "$name did not start:" >&2
+	cat "$work/$name.log" >&2
+	exit 1
+}
+
+# stand_in NAME prints the address on which a stand-in listens.
+stand_in() { sed -n '1s/.*listens on \([0-9.:]*\).*/\1/p' "$work/$1.out"; }
+
+# socket NAME USERS prints the address of an instance for callers, instances or operators.
+socket() { sed -n "1s/.* \([0-9.:]*\) for $2.*/\1/p" "$work/$1.out"; }
+
+# wait_ready URL waits until the instance is ready for callers.
+wait_ready() {
+	for _ in $(seq 200); do
+		curl -fs "$1/ready" >/dev/null && return
+		sleep 0.05
+	done
+	echo "$1 is not ready" >&2
+	cat "$work"/*.log >&2
+	exit 1
+}
+
+hash() { printf %s "$1" | sha256sum | cut -d' ' -f1; }
+
+# write_settings NAME STORE writes the settings of an instance and prints their path.
+write_settings() {
+	cat >"$work/$1.ini" <<INI
+[instance]
+data_centre = kigali-1
+caller_listen = 127.0.0.1:0
+peer_listen = 127.0.0.1:0
+admin_listen = 127.0.0.1:0
+[platform]
+store_url = $2
+[servers]
+user = system
+password = system
+[session]
+token_secret = demo-secret-of-at-least-thirty-two-bytes
+[console]
+password_sha256 = $(hash "$password")
+INI
+	echo "$work/$1.ini"
+}
+
+# start_platform starts the stand-in platform and sets store.
+start_platform() {
+	start platform "$standin" platform
+	store=http://$(stand_in platform)
+}
+
+# start_servers GROUP starts three stand-in servers and sets servers to their part of the document.
+start_servers() {
+	servers=""
+	local name
+	for name in a b c; do
+		start "$1-$name" "$standin" server --name "$name"
+		servers+="${servers:+,}{\"name\":\"$name\",\"address\":\"$(stand_in "$1-$name")\",\"data_centre\":\"kigali-1\",\"connections\":50,\"departing\":false}"
+	done
+}
+
+# start_instances NAME… starts entry instances and lists them at the platform.
+start_instances() {
+	local name list=""
+	for name in "$@"; do
+		start "$name" "$proxy" serve --settings "$(write_settings "$name" "$store")" --incarnation "demo-$name"
+		list+="${list:+,}{\"id\":\"demo-$name\",\"address\":\"$(socket "$name" instances)\",\"data_centre\":\"kigali-1\",\"state\":\"live\"}"
+	done
+	curl -fsS -X PUT --data "[$list]" "$store/admin/instances"
+	export RHUBARBWICK_PASSWORD=$password
+	export RHUBARBWICK_INSTANCE=http://$(socket "$1" operators)
+}
