Prepare the status question once for each connection

Ruled out: one text column for the whole status, which would change the contract; a longer period, which would lengthen the detection of a lost primary. Conclusion: the question that is asked all the time is prepared; questions with a position stay simple queries.

--- a/adapter/postgres/maintenance.go
+++ b/adapter/postgres/maintenance.go
@@ -54,7 +54,10 @@
 
 // Status returns the server's status, or waits for a position first.
 func (m *Maintenance) Status(ctx context.Context, await group.Position, maxWait time.Duration) (group.Status, error) {
-	sql := fmt.Sprintf("SELECT rhubarbwick_status(%s, %d)", quoteText(await.String()), maxWait.Milliseconds())
+	sql := statusAtOnce
+	if !await.IsZero() {
+		sql = fmt.Sprintf("SELECT rhubarbwick_status(%s, %d)", quoteText(await.String()), maxWait.Milliseconds())
+	}
 	return m.ask(ctx, m.status, sql)
 }
 
@@ -199,10 +202,19 @@
 	return errors.As(err, &e)
 }
 
-// link is one connection for simple queries.
+// statusAtOnce is the question that watchers ask all the time. It is prepared once for each connection, because the
+// column names are two thirds of the bytes of an answer.
+const statusAtOnce = "SELECT rhubarbwick_status('0:0', 0)"
+
+// statusStatement is the name under which statusAtOnce is prepared.
+const statusStatement = "status"
+
+// link is one connection for queries that return one row.
 type link struct {
 	socket   net.Conn
 	frontend *pgproto3.Frontend
+	// columns are those of statusAtOnce once it is prepared.
+	columns []string
 }
 
 func openLink(ctx context.Context, cfg MaintenanceConfig) (*link, error) {
@@ -248,10 +260,10 @@
 	}
 }
 
-// query runs a simple query that returns one row. The socket is closed when ctx ends first.
+// query runs a query that returns one row. The socket is closed when ctx ends first.
 func (l *link) query(ctx context.Context, sql string) (map[string]string, error) {
 	stop := context.AfterFunc(ctx, l.close)
-	l.frontend.Send(&pgproto3.Query{String: sql})
+	l.send(sql)
 	err := l.frontend.Flush()
 	var row map[string]string
 	if err == nil {
@@ -264,8 +276,24 @@
 	return row, err
 }
 
+// send writes a simple query, or the execution of statusAtOnce. The first one prepares it and asks for its columns.
+func (l *link) send(sql string) {
+	if sql != statusAtOnce {
+		l.frontend.Send(&pgproto3.Query{String: sql})
+		return
+	}
+	if l.columns == nil {
+		l.frontend.Send(&pgproto3.Parse{Name: statusStatement, Query: sql})
+		l.frontend.Send(&pgproto3.Describe{ObjectType: 'S', Name: statusStatement})
+	}
+	l.frontend.Send(&pgproto3.Bind{PreparedStatement: statusStatement})
+	l.frontend.Send(&pgproto3.Execute{})
+	l.frontend.Send(&pgproto3.Sync{})
+}
+
 func (l *link) receiveRow() (map[string]string, error) {
-	var columns []string
+	columns := l.columns
+	prepared := false
 	var row map[string]string
 	var failure error
 	for {
@@ -274,6 +302,8 @@
 			return nil, err
 		}
 		switch m := message.(type) {
+		case *pgproto3.ParseComplete:
+			prepared = true
 		case *pgproto3.RowDescription:
 			columns = columnNames(m)
 		case *pgproto3.DataRow:
@@ -281,6 +311,9 @@
 		case *pgproto3.ErrorResponse:
 			failure = newOrderError(m)
 		case *pgproto3.ReadyForQuery:
+			if prepared && failure == nil {
+				l.columns = columns
+			}
 			return row, failure
 		}
 	}
--- a/script/fleet.sh
+++ b/script/fleet.sh
@@ -23,7 +23,7 @@
 	"$@" >"$work/$name.out" 2>"$work/$name.log" &
 	pids+=($!)
 	for _ in $(seq 200); do
-		grep -q "listens on" "$work/$name.out" && return
+		grep -qs "listens on" "$work/$name.out" && return
 		sleep 0.05
 	done
 	echo "$name did not start:" >&2
