Leave room in the bucket for tokens that are on their way

Cause: a holder with a full share that took tokens from the pool without burst, and whose answer was lost, could fill its bucket meanwhile and then hold the tokens on top. Until the update is settled its burst is now smaller by those tokens. Found while writing the argument in docs/allotments.md, not by a test: a flood keeps buckets empty. TestHolding has a case for it.

Also: the stop of a Keeper no longer races with SetDocument, failed exchanges are reported to a callback, the pool's credit has tests of its own, the random test lets several holders spend at once, and a holder that wakes is hit by 100 statements at once.

Ruled out: a random test with one spender at a time; it passed with a moved share that started full, and was made stronger.

--- a/allotment/holding.go
+++ b/allotment/holding.go
@@ -68,6 +68,14 @@
 	return h.At(now)
 }
 
+// Pending returns the entry as it counts for its holder until an update is known to have taken effect. The burst has
+// room for the tokens that are on their way; otherwise the bucket could fill up meanwhile and hold them on top.
+func (e Entry) Pending(taken Statements) Entry {
+	e.Share.Burst = max(e.Share.Burst-taken, 0)
+	e.Standing = e.Standing.Min(e.Share)
+	return e
+}
+
 // WithReturned returns the holding with tokens that an update was to give away and did not.
 func (h Holding) WithReturned(now time.Duration, tokens Statements) Holding {
 	h.bucket = h.bucket.WithTokens(now, tokens)
--- a/allotment/ledger_test.go
+++ b/allotment/ledger_test.go
@@ -119,12 +119,20 @@
 	m.buckets[holder] = m.buckets[holder].WithShare(m.now, seat.Share)
 }
 
+// spend lets a random set of holders spend what they have at once.
 func (m *model) spend(t *rapid.T) {
-	holder := fmt.Sprint("h", rapid.IntRange(0, 5).Draw(t, "spender"))
-	for range rapid.IntRange(0, 30).Draw(t, "statements") {
-		bucket, ok := m.buckets[holder].Take(m.now, allotment.Statement)
-		m.buckets[holder] = bucket
-		if ok {
+	spenders := rapid.IntRange(0, 63).Draw(t, "spenders")
+	for h := range 6 {
+		if spenders&(1<<h) == 0 {
+			continue
+		}
+		holder := fmt.Sprint("h", h)
+		for {
+			bucket, ok := m.buckets[holder].Take(m.now, allotment.Statement)
+			m.buckets[holder] = bucket
+			if !ok {
+				break
+			}
 			m.spent = append(m.spent, m.now)
 		}
 	}
@@ -186,6 +194,33 @@
 	})
 }
 
+// Guards against a pool that is filled up twice for the same time, or for a time in which others had its rate.
+func TestLedgerFill(t *testing.T) {
+	four := allotment.Amount{Burst: 4 * allotment.Statement}
+	take := allotment.Take{Holder: "a", Tokens: four.Burst}
+	full := apply(t, allotment.Ledger{}, allotment.Relimit{Limit: limit(10, 20, 0, 1)},
+		allotment.Claim{Holder: "a"}, allotment.Take{Holder: "a", Ask: four, Tokens: four.Burst})
+	early := allotment.Sightings{}.WithLedger(0, full)
+	empty := apply(t, full, take, take, take, take)
+	requireTokens := func(t *testing.T, want allotment.Statements, s allotment.Sightings, at time.Duration) {
+		t.Helper()
+		fill, ok := s.Fill(at, empty)
+		require.True(t, ok)
+		require.Equal(t, want, apply(t, empty, fill).Tokens)
+	}
+	t.Run("what was taken since counts", func(t *testing.T) { requireTokens(t, 0, early, time.Second) })
+	t.Run("the newest sighting tells more", func(t *testing.T) {
+		requireTokens(t, 10*allotment.Statement, early.WithLedger(time.Second, empty), 2*time.Second)
+	})
+	t.Run("an epoch ends when the rate changes", func(t *testing.T) {
+		changed := apply(t, empty, allotment.Take{Holder: "a", Ask: allotment.Amount{Rate: allotment.Statement}})
+		_, ok := early.Fill(time.Second, changed)
+		require.False(t, ok)
+		_, _, err := changed.Apply(allotment.Fill{Epoch: empty.Epoch, Elapsed: time.Second})
+		require.ErrorIs(t, err, allotment.ErrOldEpoch)
+	})
+}
+
 // Guards against a lapsed share that is taken too early, or while its holder lives.
 func TestSightings(t *testing.T) {
 	l := apply(t, allotment.Ledger{}, allotment.Relimit{Limit: limit(100, 100, 0, 1)},
@@ -228,6 +263,12 @@
 	t.Run("tokens above the standing burst are gone", func(t *testing.T) {
 		require.LessOrEqual(t, h.At(31*time.Second).Tokens(), total.Standing().Burst)
 	})
+	t.Run("a bucket leaves room for tokens that are on their way", func(t *testing.T) {
+		empty, _ := h.WithShareAtMost(2*time.Second, allotment.Entry{})
+		empty = empty.WithEntry(2*time.Second, 2*time.Second, entry, 0)
+		low, _ := empty.WithShareAtMost(2*time.Second, entry.Pending(30*allotment.Statement))
+		require.Equal(t, 70*allotment.Statement, low.At(20*time.Second).Tokens())
+	})
 	t.Run("a share that is given back goes with its tokens", func(t *testing.T) {
 		low, out := h.WithShareAtMost(2*time.Second, allotment.Entry{Share: limit(30, 30, 3, 1).Total})
 		require.Equal(t, 70*allotment.Statement, out)
--- a/entry/account.go
+++ b/entry/account.go
@@ -120,7 +120,7 @@
 
 // run keeps the ledger until ctx ends, then gives everything back.
 func (a *account) run(ctx context.Context) {
-	if _, fixed := allotment.Fixed(a.cfg.Policy, a.limit); fixed {
+	if _, fixed := allotment.Fixed(a.cfg.Policy, a.currentLimit()); fixed {
 		return
 	}
 	stop := a.cfg.Timer.Every(beat, func(time.Duration) { a.nudge() })
@@ -159,6 +159,7 @@
 	a.down = err != nil
 	if a.down {
 		a.failed = a.cfg.Timer.Now()
+		a.cfg.Report(a.limiter.name, err)
 	}
 	a.follow(ctx)
 }
@@ -466,7 +467,7 @@
 	t := attempt{version: a.version, ledger: p.ledger, taken: p.tokens, given: given, gained: p.gained}
 	t.entry, _ = p.ledger.Find(a.cfg.Holder)
 	a.lease = max(a.lease, t.entry.Lease)
-	a.limiter.withhold(t.entry)
+	a.limiter.withhold(t.entry.Pending(t.taken))
 	return t, nil
 }
 
--- a/entry/keeper.go
+++ b/entry/keeper.go
@@ -25,6 +25,8 @@
 	Holder string
 	// Policy defaults to allotment.ByDemand.
 	Policy allotment.Policy
+	// Report is told of each exchange with the store that failed. It must not block; nil means that nobody is told.
+	Report func(limit string, err error)
 }
 
 // Keeper holds this instance's part of the limits of the whole fleet. It implements RateLimit and ConnectionLimit.
@@ -44,6 +46,9 @@
 	if cfg.Policy == nil {
 		cfg.Policy = allotment.ByDemand{}
 	}
+	if cfg.Report == nil {
+		cfg.Report = func(string, error) {}
+	}
 	return &Keeper{cfg: cfg, accounts: make(map[string]*account)}
 }
 
@@ -56,6 +61,9 @@
 	}
 	k.mu.Unlock()
 	<-ctx.Done()
+	k.mu.Lock()
+	k.ctx = nil
+	k.mu.Unlock()
 	k.running.Wait()
 }
 
@@ -83,10 +91,8 @@
 }
 
 func (k *Keeper) start(a *account) {
-	if k.ctx.Err() != nil {
-		return
-	}
-	k.running.Go(func() { a.run(k.ctx) })
+	ctx := k.ctx
+	k.running.Go(func() { a.run(ctx) })
 }
 
 // Take takes one statement from a limit.
--- a/entry/keeper_failure_test.go
+++ b/entry/keeper_failure_test.go
@@ -61,7 +61,11 @@
 		f.load(12*time.Second, nyanza, flood, f.keepers...)
 		f.keepers[0].timer.pause()
 		f.load(45*time.Second, nyanza, flood, f.keepers[1:]...)
+		// Its bucket has filled up meanwhile, by its own clock.
 		f.keepers[0].timer.resume()
+		for range 100 {
+			f.send(f.keepers[0], nyanza)
+		}
 		f.load(20*time.Second, nyanza, flood, f.keepers...)
 	})
 	testFleet(t, "a holder is paused between check and use", 3, func(_ *testing.T, f *fleet) {
--- a/entry/keeper_measure_test.go
+++ b/entry/keeper_measure_test.go
@@ -182,17 +182,16 @@
 	}
 	sizes, length := []int{4}, 15*time.Second
 	if *measureFull {
-		sizes, length = []int{16, 19}, 60*time.Second
+		sizes, length = []int{4, 8, 16, 19, 32}, 60*time.Second
 	}
 	for _, n := range sizes {
 		for _, k := range kinds {
 			for _, p := range []allotment.Policy{allotment.ByDemand{}, allotment.EqualSplit{Holders: n}, allotment.Unshared{}} {
-				name := fmt.Sprintf("%d %s %s", n, k.name, policyName(p))
-				t.Run(name, func(t *testing.T) {
+				t.Run(fmt.Sprintf("%d %s %s", n, k.name, policyName(p)), func(t *testing.T) {
 					r := measure(t, n, p, k.kind, 0.8, length)
-					t.Logf("| %d | %s | %s | %.3f %% | %.3f %% | %.0f | %.1f | %.1f | %.1f |", n, k.name, policyName(p),
+					t.Logf("| %d | %s | %s | %.2f %% | %.1f %% | %.0f | %.1f | %.1f | %.1f |", n, k.name, policyName(p),
 						100*float64(r.wrong)/float64(r.inside), 100*r.worst, r.overshoot, r.reads, r.writes, r.watches)
-					if _, shared := p.(allotment.Unshared); !shared {
+					if _, unshared := p.(allotment.Unshared); !unshared {
 						require.LessOrEqual(t, r.overshoot, 1e-6)
 					}
 				})
