Synchronise a new server connection before it is taken over

Cause: pgconn starts to read in the background when a write takes more than 15 ms.

pgconn offers SyncConn for this; it costs a round trip only when the background read was started. COPY with data from the caller in the extended protocol is now told as not run when nothing before it in the request was completed. The tests of frozen servers share one arrangement.

--- a/adapter/postgres/copy.go
+++ b/adapter/postgres/copy.go
@@ -6,6 +6,8 @@
 	"github.com/rhubarbwick/rhubarbwick/port"
 )
 
+var errCopy = port.Failf(port.Unsupported, "COPY is not supported")
+
 // refuseCopy begins to refuse a COPY, which is not carried. Data for the server is answered with CopyFail; data from the
 // server is passed over until the request ends.
 func (c *caller) refuseCopy(f frame) {
@@ -19,9 +21,14 @@
 		return
 	}
 	// In the extended protocol the server passes over the Sync that was sent with the batch while it waits for data, or
-	// fails at another message of the batch. Which of the two happened cannot be told, so the connection is given up.
+	// fails at another message of the batch. Which of the two happened cannot be told, so the connection is given up. A
+	// COPY without the end of its data is rolled back.
+	err := c.copyError()
+	if !a.exchange.Holds() {
+		err = errCopy
+	}
 	c.drop()
-	c.endBroken(c.copyError())
+	c.endBroken(err)
 }
 
 // passOver drops a message of a refused COPY.
@@ -43,7 +50,7 @@
 func (c *caller) copyError() error {
 	x := c.active.exchange
 	if x.LeftNoEffect(c.status == 'I' && c.backend != nil) {
-		return port.Failf(port.Unsupported, "COPY is not supported")
+		return errCopy
 	}
 	return port.Failf(port.UnknownOutcome, "COPY is not supported and its output was lost")
 }
--- a/adapter/postgres/failure_test.go
+++ b/adapter/postgres/failure_test.go
@@ -213,6 +213,9 @@
 	}
 }
 
+// advanceTo moves the clock on to an instant, so that what waits for it on a server ends.
+func (f *fixture) advanceTo(instant time.Duration) { f.clock.Advance(max(0, instant-f.clock.Now())) }
+
 func (f *fixture) stop() <-chan error {
 	stopped := make(chan error, 1)
 	go func() { stopped <- f.listener.Stop(context.Background()) }()
--- a/adapter/postgres/fake_test.go
+++ b/adapter/postgres/fake_test.go
@@ -252,6 +252,8 @@
 // query runs one statement: bind, release, or what the script says.
 func (c *fakeConn) query(sql string) {
 	switch {
+	case sql == "-- ping":
+		c.backend.Send(&pgproto3.EmptyQueryResponse{})
 	case strings.HasPrefix(sql, "SELECT rhubarbwick_bind("):
 		c.bind(sql)
 	case strings.HasPrefix(sql, "SELECT rhubarbwick_release("):
--- a/adapter/postgres/pool.go
+++ b/adapter/postgres/pool.go
@@ -339,6 +339,11 @@
 		p.log.Warn("could not open a connection", zap.String("server", key.server), zap.Error(err))
 		return nil, port.Failf(port.NoConnection, "server %s cannot be reached", key.server)
 	}
+	// After a slow write pgconn reads in the background and would take the answer to the first bind.
+	if err := conn.SyncConn(ctx); err != nil {
+		_ = conn.Close(ctx)
+		return nil, port.Wrapf(err, port.NoConnection, "server %s did not become ready", key.server)
+	}
 	hijacked, err := conn.Hijack()
 	if err != nil {
 		return nil, port.Wrapf(err, port.NoConnection, "server %s did not become ready", key.server)
--- a/adapter/postgres/relay_test.go
+++ b/adapter/postgres/relay_test.go
@@ -97,12 +97,11 @@
 	for _, sql := range []string{"copy in", "copy out"} {
 		t.Run(sql, func(t *testing.T) {
 			conn := f.connect("acme", "orders")
-			_, err := conn.Exec(t.Context(), sql, pgx.QueryExecModeSimpleProtocol)
-			requireState(t, port.Unsupported, err)
-			requireRow(t, conn, "select 1")
-			_, err = conn.Exec(t.Context(), sql, pgx.QueryExecModeExec)
-			require.Error(t, err)
-			requireRow(t, conn, "select 1")
+			for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec} {
+				_, err := conn.Exec(t.Context(), sql, mode)
+				requireState(t, port.Unsupported, err)
+				requireRow(t, conn, "select 1")
+			}
 		})
 	}
 	t.Run("output that was committed", func(t *testing.T) {
@@ -168,57 +167,44 @@
 	})
 }
 
-// Guards against a caller that waits for ever for a primary that was replaced and does not answer.
-func TestFrozenPrimary(t *testing.T) {
-	t.Run("write in flight becomes unknown", func(t *testing.T) {
-		frozen, next := startFake(t), startFake(t)
-		thaw := make(chan struct{})
-		frozen.answer(func(*fakeConn, string) { <-thaw })
-		defer close(thaw)
-		f := start(t, postgres.ListenerConfig{}, frozen, next)
-		conn := f.connect("acme", "orders")
-		defer f.keepTimeMoving()()
+// Guards against a caller that waits for ever for a server that does not answer, and a long read that is cut.
+func TestFrozenServer(t *testing.T) {
+	query := func(name, route string, freeze func(*behaviour, chan struct{}), check func(*testing.T, *pgx.Conn, *fakeServer)) {
+		t.Run(name, func(t *testing.T) {
+			frozen, next := startFake(t), startFake(t)
+			thaw := make(chan struct{})
+			frozen.set(func(b *behaviour) { freeze(b, thaw) })
+			f := start(t, postgres.ListenerConfig{}, frozen, next)
+			conn := f.connect("acme", route)
+			f.clock.After(time.Minute, func(time.Duration) { close(thaw) })
+			defer f.advanceTo(time.Minute)
+			defer f.keepTimeMoving()()
+			check(t, conn, next)
+		})
+	}
+	statement := func(b *behaviour, thaw chan struct{}) {
+		b.script = func(c *fakeConn, sql string) {
+			<-thaw
+			c.run(sql)
+		}
+	}
+	requireServed := func(served int) func(*testing.T, *pgx.Conn, *fakeServer) {
+		return func(t *testing.T, conn *pgx.Conn, next *fakeServer) {
+			requireRow(t, conn, "select 1", pgx.QueryExecModeSimpleProtocol)
+			require.Len(t, next.statements(), served)
+		}
+	}
+	query("write in flight becomes unknown", "orders", statement, func(t *testing.T, conn *pgx.Conn, next *fakeServer) {
 		_, err := conn.Exec(t.Context(), "insert 1", pgx.QueryExecModeSimpleProtocol)
 		requireState(t, port.UnknownOutcome, err)
 		require.Empty(t, next.statements())
 	})
-	t.Run("read in flight is placed again", func(t *testing.T) {
-		frozen, next := startFake(t), startFake(t)
-		thaw := make(chan struct{})
-		frozen.answer(func(*fakeConn, string) { <-thaw })
-		frozen.set(func(b *behaviour) { b.loginThaw = thaw })
-		defer close(thaw)
-		f := start(t, postgres.ListenerConfig{}, frozen, next)
-		conn := f.connect("acme", "stock")
-		defer f.keepTimeMoving()()
-		requireRow(t, conn, "select 1", pgx.QueryExecModeSimpleProtocol)
-		require.Len(t, next.statements(), 1)
-	})
-	t.Run("slow read on a healthy server goes on", func(t *testing.T) {
-		slow, next := startFake(t), startFake(t)
-		finish := make(chan struct{})
-		slow.answer(func(c *fakeConn, sql string) {
-			<-finish
-			c.run(sql)
-		})
-		f := start(t, postgres.ListenerConfig{}, slow, next)
-		conn := f.connect("acme", "stock")
-		f.clock.After(time.Minute, func(time.Duration) { close(finish) })
-		defer f.keepTimeMoving()()
-		requireRow(t, conn, "select 1", pgx.QueryExecModeSimpleProtocol)
-		require.Empty(t, next.statements())
-	})
-	t.Run("bind is placed again", func(t *testing.T) {
-		frozen, next := startFake(t), startFake(t)
-		thaw := make(chan struct{})
-		frozen.set(func(b *behaviour) { b.bindThaw = thaw })
-		defer close(thaw)
-		f := start(t, postgres.ListenerConfig{}, frozen, next)
-		conn := f.connect("acme", "orders")
-		defer f.keepTimeMoving()()
-		requireRow(t, conn, "select 1", pgx.QueryExecModeSimpleProtocol)
-		require.Len(t, next.statements(), 1)
-	})
+	query("bind is placed again", "orders", func(b *behaviour, thaw chan struct{}) { b.bindThaw = thaw }, requireServed(1))
+	query("read in flight is placed again", "stock", func(b *behaviour, thaw chan struct{}) {
+		statement(b, thaw)
+		b.loginThaw = thaw
+	}, requireServed(1))
+	query("slow read on a healthy server goes on", "stock", statement, requireServed(0))
 }
 
 // Guards against a cancel request that does not reach a caller that waits for a connection.
