Shorten the tests of the callers' side

Common arrangements are functions now, and one result of a cancelled statement that was ignored is checked.

--- a/adapter/postgres/caller_test.go
+++ b/adapter/postgres/caller_test.go
@@ -6,16 +6,13 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
-
-	"github.com/rhubarbwick/rhubarbwick/adapter/postgres"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // Guards against a driver in its default mode that cannot work over transaction pooling.
 func TestQueries(t *testing.T) {
-	server := startFake(t)
-	f := start(t, postgres.ListenerConfig{}, server)
+	f, _ := startOne(t)
 	t.Run("simple", func(t *testing.T) {
 		requireRow(t, f.connect("acme", "stock"), "select 1", pgx.QueryExecModeSimpleProtocol)
 	})
@@ -29,9 +26,8 @@
 	})
 	t.Run("transaction", func(t *testing.T) {
 		conn := f.connect("acme", "orders")
-		tx, err := conn.Begin(t.Context())
-		require.NoError(t, err)
-		_, err = tx.Exec(t.Context(), "insert 1")
+		tx := begin(t, conn)
+		_, err := tx.Exec(t.Context(), "insert 1")
 		require.NoError(t, err)
 		require.NoError(t, tx.Commit(t.Context()))
 		require.Equal(t, "acme@map[core:1:2]", conn.PgConn().ParameterStatus("rhubarbwick.session"))
--- a/adapter/postgres/failure_test.go
+++ b/adapter/postgres/failure_test.go
@@ -36,8 +36,7 @@
 		requireRow(t, f.connect("acme", "stock"), "select 1", pgx.QueryExecModeSimpleProtocol)
 		f.director.startOver()
 		conn := f.connect("acme", "orders")
-		_, err := conn.Exec(t.Context(), "insert 1", pgx.QueryExecModeSimpleProtocol)
-		requireState(t, port.UnknownOutcome, err)
+		requireState(t, port.UnknownOutcome, <-execute(conn, "insert 1"))
 		requireRow(t, conn, "select 1", pgx.QueryExecModeSimpleProtocol)
 	})
 	t.Run("read after the first byte is unknown", func(t *testing.T) {
@@ -70,13 +69,11 @@
 		require.Len(t, append(bad.statements(), good.statements()...), 1)
 	})
 	t.Run("open transaction ends the connection", func(t *testing.T) {
-		server := startFake(t)
-		f := start(t, postgres.ListenerConfig{}, server)
+		f, server := startOne(t)
 		conn := f.connect("acme", "orders")
-		tx, err := conn.Begin(t.Context())
-		require.NoError(t, err)
+		tx := begin(t, conn)
 		server.closeConns()
-		_, err = tx.Exec(t.Context(), "insert 1")
+		_, err := tx.Exec(t.Context(), "insert 1")
 		require.Error(t, err)
 		require.Equal(t, []string{"1 acme begin"}, server.statements())
 	})
@@ -86,16 +83,14 @@
 		f := start(t, postgres.ListenerConfig{}, server)
 		conn := f.connect("acme", "orders")
 		defer f.keepTimeMoving()()
-		_, err := conn.Exec(t.Context(), "insert 1", pgx.QueryExecModeSimpleProtocol)
-		requireState(t, port.NoConnection, err)
+		requireState(t, port.NoConnection, <-execute(conn, "insert 1"))
 		require.Empty(t, server.statements())
 	})
 }
 
 // Guards against a confirmation that goes out before a majority has the write, and against a wrong outcome after it.
 func TestAcknowledgment(t *testing.T) {
-	server := startFake(t)
-	f := start(t, postgres.ListenerConfig{}, server)
+	f, server := startOne(t)
 	t.Run("confirmation is held", func(t *testing.T) {
 		asked, allow := make(chan group.Position, 1), make(chan struct{})
 		f.director.acknowledgeWith(func(_ context.Context, p group.Position) error {
@@ -104,11 +99,7 @@
 			return nil
 		})
 		conn := f.connect("acme", "orders")
-		done := make(chan error, 1)
-		go func() {
-			_, err := conn.Exec(context.Background(), "insert 1", pgx.QueryExecModeSimpleProtocol)
-			done <- err
-		}()
+		done := execute(conn, "insert 1")
 		require.Equal(t, group.Position{Term: 1, Offset: 1}, <-asked)
 		require.Empty(t, done)
 		close(allow)
@@ -134,8 +125,7 @@
 			c.complete("SELECT 1")
 		})
 		conn := f.connect("acme", "orders")
-		_, err := conn.Exec(t.Context(), "insert 1", pgx.QueryExecModeSimpleProtocol)
-		requireState(t, port.UnknownOutcome, err)
+		requireState(t, port.UnknownOutcome, <-execute(conn, "insert 1"))
 	})
 }
 
@@ -151,11 +141,7 @@
 		})
 		f := start(t, postgres.ListenerConfig{}, server)
 		busy, idle := f.connect("acme", "orders"), f.connect("acme", "orders")
-		done := make(chan error, 1)
-		go func() {
-			_, err := busy.Exec(context.Background(), "insert 1", pgx.QueryExecModeSimpleProtocol)
-			done <- err
-		}()
+		done := execute(busy, "insert 1")
 		<-running
 		stopped := f.stop()
 		_, err := idle.WaitForNotification(t.Context())
@@ -168,21 +154,18 @@
 		require.Len(t, server.statements(), 1)
 	})
 	t.Run("open transaction finishes", func(t *testing.T) {
-		server := startFake(t)
-		f := start(t, postgres.ListenerConfig{}, server)
+		f, _ := startOne(t)
 		conn := f.connect("acme", "orders")
-		tx, err := conn.Begin(t.Context())
-		require.NoError(t, err)
+		tx := begin(t, conn)
 		stopped := f.stop()
-		_, err = tx.Exec(t.Context(), "insert 1", pgx.QueryExecModeSimpleProtocol)
+		_, err := tx.Exec(t.Context(), "insert 1", pgx.QueryExecModeSimpleProtocol)
 		require.NoError(t, err)
 		require.NoError(t, tx.Commit(t.Context()))
 		defer f.keepTimeMoving()()
 		require.NoError(t, <-stopped)
 	})
 	t.Run("idle transaction is closed at the limit", func(t *testing.T) {
-		server := startFake(t)
-		f := start(t, postgres.ListenerConfig{}, server)
+		f, _ := startOne(t)
 		tx, err := f.connect("acme", "orders").Begin(t.Context())
 		require.NoError(t, err)
 		stopped := f.stop()
--- a/adapter/postgres/fake_test.go
+++ b/adapter/postgres/fake_test.go
@@ -239,8 +239,6 @@
 		case *pgproto3.Sync:
 			failed = false
 			c.ready()
-		case *pgproto3.Terminate:
-			return
 		}
 	}
 }
--- a/adapter/postgres/helper_test.go
+++ b/adapter/postgres/helper_test.go
@@ -124,18 +124,17 @@
 	return f
 }
 
+func startOne(t *testing.T) (*fixture, *fakeServer) {
+	t.Helper()
+	server := startFake(t)
+	return start(t, postgres.ListenerConfig{}, server), server
+}
+
 func (f *fixture) serve(socket net.Listener) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var duties sync.WaitGroup
-	duties.Add(2)
-	go func() {
-		defer duties.Done()
-		f.pool.Run(ctx)
-	}()
-	go func() {
-		defer duties.Done()
-		_ = f.listener.Serve(ctx, socket)
-	}()
+	duties.Go(func() { f.pool.Run(ctx) })
+	duties.Go(func() { _ = f.listener.Serve(ctx, socket) })
 	f.t.Cleanup(func() {
 		cancel()
 		_ = f.listener.Stop(ctx)
@@ -156,6 +155,23 @@
 	return conn
 }
 
+func begin(t *testing.T, conn *pgx.Conn) pgx.Tx {
+	t.Helper()
+	tx, err := conn.Begin(t.Context())
+	require.NoError(t, err)
+	return tx
+}
+
+// execute runs a simple query and delivers its error.
+func execute(conn *pgx.Conn, sql string) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), sql, pgx.QueryExecModeSimpleProtocol)
+		done <- err
+	}()
+	return done
+}
+
 func requireRow(t *testing.T, conn *pgx.Conn, sql string, mode ...any) {
 	t.Helper()
 	var got string
--- a/adapter/postgres/pool_test.go
+++ b/adapter/postgres/pool_test.go
@@ -19,19 +19,16 @@
 // Guards against two transactions that share a server connection, and an organisation that gets another's binding.
 func TestTransactionsNeverMix(t *testing.T) {
 	const callers, transactions = 12, 20
-	server := startFake(t)
-	f := start(t, postgres.ListenerConfig{}, server)
+	f, server := startOne(t)
 	var done sync.WaitGroup
 	for i := range callers {
 		organisation := fmt.Sprintf("org%d", i%3)
 		conn := f.connect(organisation, "orders")
-		done.Add(1)
-		go func() {
-			defer done.Done()
+		done.Go(func() {
 			for j := range transactions {
 				runTransaction(t, conn, organisation, fmt.Sprintf("%d.%d", i, j))
 			}
-		}()
+		})
 	}
 	done.Wait()
 	opened, _ := server.counts()
@@ -156,23 +153,19 @@
 		c.run(sql)
 	}, func(t *testing.T, f *fixture) {
 		conn := f.connect("acme", "stock")
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			_, _ = conn.Exec(context.Background(), "select 1", pgx.QueryExecModeSimpleProtocol)
-		}()
+		done := execute(conn, "select 1")
 		<-running
 		require.NoError(t, conn.PgConn().CancelRequest(t.Context()))
 		f.servers[0].waitCancelled()
 		close(finish)
-		<-done
+		require.NoError(t, <-done)
 	})
 }
 
 // Guards against more connections than allowed, and against callers that wait for ever or out of turn.
 func TestPoolLimit(t *testing.T) {
 	t.Run("nobody waits for ever", func(t *testing.T) {
-		f := start(t, postgres.ListenerConfig{}, startFake(t))
+		f, _ := startOne(t)
 		f.limit.allow(0)
 		conn := f.connect("acme", "stock")
 		defer f.keepTimeMoving()()
@@ -181,8 +174,7 @@
 		require.GreaterOrEqual(t, f.clock.Now(), postgres.DefaultWaitLimit)
 	})
 	t.Run("connection of another slot makes room", func(t *testing.T) {
-		server := startFake(t)
-		f := start(t, postgres.ListenerConfig{}, server)
+		f, server := startOne(t)
 		f.limit.allow(1)
 		requireRow(t, f.connect("acme", "stock"), "select 1")
 		requireRow(t, f.connect("acme", "menus"), "select 2")
@@ -191,8 +183,7 @@
 		require.Equal(t, 3, opened)
 	})
 	t.Run("idle connections above the limit are closed", func(t *testing.T) {
-		server := startFake(t)
-		f := start(t, postgres.ListenerConfig{}, server)
+		f, server := startOne(t)
 		requireRow(t, f.connect("acme", "stock"), "select 1")
 		f.limit.allow(0)
 		defer f.keepTimeMoving()()
@@ -202,8 +193,7 @@
 		leaving, staying := startFake(t), startFake(t)
 		f := start(t, postgres.ListenerConfig{}, leaving, staying)
 		conn := f.connect("acme", "orders")
-		tx, err := conn.Begin(t.Context())
-		require.NoError(t, err)
+		tx := begin(t, conn)
 		f.pool.SetDocument(document.Document{}.WithGroup(document.Group{Name: "core", Servers: []document.Server{
 			{Name: "db1", Address: leaving.address(), Departing: true}, {Name: "db2", Address: staying.address()},
 		}}))
@@ -216,24 +206,19 @@
 		require.Equal(t, []string{"1 acme begin", "1 acme commit"}, leaving.statements())
 	})
 	t.Run("organisations take turns", func(t *testing.T) {
-		server := startFake(t)
-		f := start(t, postgres.ListenerConfig{}, server)
+		f, server := startOne(t)
 		f.limit.allow(1)
 		conn := f.connect("big", "orders")
-		tx, err := conn.Begin(t.Context())
-		require.NoError(t, err)
-		var done sync.WaitGroup
+		tx := begin(t, conn)
+		var done []<-chan error
 		for i, organisation := range []string{"big", "big", "big", "small"} {
-			waiting := f.connect(organisation, "orders")
-			done.Add(1)
-			go func() {
-				defer done.Done()
-				_, _ = waiting.Exec(context.Background(), "select 1", pgx.QueryExecModeSimpleProtocol)
-			}()
+			done = append(done, execute(f.connect(organisation, "orders"), "select 1"))
 			f.limit.waitWanted(i + 2)
 		}
 		require.NoError(t, tx.Commit(t.Context()))
-		done.Wait()
+		for _, d := range done {
+			require.NoError(t, <-d)
+		}
 		order := server.statements()[2:]
 		require.Equal(t, []string{"1 big select 1", "1 small select 1", "1 big select 1", "1 big select 1"}, order)
 	})
--- a/adapter/postgres/relay_test.go
+++ b/adapter/postgres/relay_test.go
@@ -1,7 +1,6 @@
 package postgres_test
 
 import (
-	"context"
 	"strings"
 	"testing"
 	"time"
@@ -62,8 +61,7 @@
 
 // Guards against a caller that waits for the answer to a Flush, and against a lost Sync.
 func TestFlush(t *testing.T) {
-	server := startFake(t)
-	f := start(t, postgres.ListenerConfig{}, server)
+	f, _ := startOne(t)
 	t.Run("answer comes before Sync", func(t *testing.T) {
 		_, frontend := f.login(t, "acme", "orders")
 		requireAnswer(t, frontend, "1", &pgproto3.Parse{Query: "insert 1"}, &pgproto3.Flush{})
@@ -92,8 +90,7 @@
 
 // Guards against a COPY that is carried, runs although it is refused, or leaves the caller waiting.
 func TestCopy(t *testing.T) {
-	server := startFake(t)
-	f := start(t, postgres.ListenerConfig{}, server)
+	f, server := startOne(t)
 	for _, sql := range []string{"copy in", "copy out"} {
 		t.Run(sql, func(t *testing.T) {
 			conn := f.connect("acme", "orders")
@@ -140,27 +137,23 @@
 // Guards against a withdrawn key that goes on working, and a refusal that says "not run" of a statement that ran.
 func TestRefusedStatement(t *testing.T) {
 	t.Run("over the rate", func(t *testing.T) {
-		server := startFake(t)
-		f := start(t, postgres.ListenerConfig{}, server)
+		f, server := startOne(t)
 		conn := f.connect("acme", "orders")
-		tx, err := conn.Begin(t.Context())
-		require.NoError(t, err)
+		tx := begin(t, conn)
 		f.gate.refuseWith(port.Failf(port.OverRate, "over the rate"))
-		_, err = tx.Exec(t.Context(), "insert 1")
+		_, err := tx.Exec(t.Context(), "insert 1")
 		requireState(t, port.OverRate, err)
 		f.gate.refuseWith(nil)
 		require.NoError(t, tx.Commit(t.Context()))
 		require.Equal(t, []string{"1 acme begin", "1 acme commit"}, server.statements())
 	})
 	t.Run("withdrawn key ends the connection and the transaction", func(t *testing.T) {
-		server := startFake(t)
-		f := start(t, postgres.ListenerConfig{}, server)
+		f, server := startOne(t)
 		conn := f.connect("acme", "orders")
-		tx, err := conn.Begin(t.Context())
-		require.NoError(t, err)
+		tx := begin(t, conn)
 		f.gate.refuseWith(port.Failf(port.KeyRefused, "the key was withdrawn"))
 		defer f.gate.refuseWith(nil)
-		_, err = tx.Exec(t.Context(), "insert 1")
+		_, err := tx.Exec(t.Context(), "insert 1")
 		requireState(t, port.KeyRefused, err)
 		require.True(t, conn.IsClosed())
 		server.waitClosed()
@@ -195,8 +188,7 @@
 		}
 	}
 	query("write in flight becomes unknown", "orders", statement, func(t *testing.T, conn *pgx.Conn, next *fakeServer) {
-		_, err := conn.Exec(t.Context(), "insert 1", pgx.QueryExecModeSimpleProtocol)
-		requireState(t, port.UnknownOutcome, err)
+		requireState(t, port.UnknownOutcome, <-execute(conn, "insert 1"))
 		require.Empty(t, next.statements())
 	})
 	query("bind is placed again", "orders", func(b *behaviour, thaw chan struct{}) { b.bindThaw = thaw }, requireServed(1))
@@ -209,14 +201,10 @@
 
 // Guards against a cancel request that does not reach a caller that waits for a connection.
 func TestCancelWait(t *testing.T) {
-	f := start(t, postgres.ListenerConfig{}, startFake(t))
+	f, _ := startOne(t)
 	f.limit.allow(0)
 	conn := f.connect("acme", "orders")
-	done := make(chan error, 1)
-	go func() {
-		_, err := conn.Exec(context.Background(), "insert 1", pgx.QueryExecModeSimpleProtocol)
-		done <- err
-	}()
+	done := execute(conn, "insert 1")
 	f.limit.waitWanted(1)
 	require.NoError(t, conn.PgConn().CancelRequest(t.Context()))
 	requireState(t, port.NoConnection, <-done)
@@ -233,11 +221,7 @@
 	})
 	f := start(t, postgres.ListenerConfig{}, server)
 	conn := f.connect("acme", "stock")
-	done := make(chan error, 1)
-	go func() {
-		_, err := conn.Exec(context.Background(), "select 1", pgx.QueryExecModeSimpleProtocol)
-		done <- err
-	}()
+	done := execute(conn, "select 1")
 	<-running
 	forged := f.dial(t)
 	frontend := pgproto3.NewFrontend(forged, forged)
--- a/adapter/postgres/startup_test.go
+++ b/adapter/postgres/startup_test.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
 	"io"
-	"math/big"
 	"net"
+	"net/http/httptest"
 	"testing"
-	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -23,7 +19,7 @@
 
 // Guards against a caller that gets in without its key, and against start-up parameters that are lost.
 func TestStartUp(t *testing.T) {
-	f := start(t, postgres.ListenerConfig{}, startFake(t))
+	f, _ := startOne(t)
 	refused := func(name string, kind port.Kind, url string) {
 		t.Run(name, func(t *testing.T) {
 			_, err := pgx.Connect(t.Context(), url)
@@ -52,8 +48,7 @@
 
 // Guards against an organisation's name that ends the literal in the bind command.
 func TestQuoting(t *testing.T) {
-	server := startFake(t)
-	f := start(t, postgres.ListenerConfig{}, server)
+	f, server := startOne(t)
 	_, frontend := f.login(t, `o'b\c`, "stock")
 	requireAnswer(t, frontend, "TDCZ", &pgproto3.Query{String: "select 1"})
 	require.Equal(t, []string{`1 E'o''b\\c/read select 1`}, server.statements())
@@ -61,7 +56,7 @@
 
 // Guards against a malformed or half-open connection that harms other callers.
 func TestMalformed(t *testing.T) {
-	f := start(t, postgres.ListenerConfig{}, startFake(t))
+	f, _ := startOne(t)
 	good := f.connect("acme", "stock")
 	malformed := func(name string, bytes []byte) {
 		t.Run(name, func(t *testing.T) {
@@ -110,7 +105,7 @@
 
 // Guards against a driver of a later protocol version that cannot connect.
 func TestLaterVersion(t *testing.T) {
-	f := start(t, postgres.ListenerConfig{}, startFake(t))
+	f, _ := startOne(t)
 	conn := f.dial(t)
 	frontend := pgproto3.NewFrontend(conn, conn)
 	parameters := map[string]string{"user": "acme", "database": "stock", "_pq_.later": "1"}
@@ -126,11 +121,13 @@
 
 // Guards against a certificate that is set but not used, and a key that is sent in clear text although it is set.
 func TestTLS(t *testing.T) {
-	certificate, roots := selfSigned(t)
-	f := start(t, postgres.ListenerConfig{TLS: &tls.Config{Certificates: []tls.Certificate{certificate}}}, startFake(t))
+	certified := httptest.NewTLSServer(nil)
+	defer certified.Close()
+	f := start(t, postgres.ListenerConfig{TLS: &tls.Config{Certificates: certified.TLS.Certificates}}, startFake(t))
 	cfg, err := pgx.ParseConfig(f.url("acme", "stock", ""))
 	require.NoError(t, err)
-	cfg.TLSConfig = &tls.Config{RootCAs: roots, ServerName: "127.0.0.1"}
+	cfg.TLSConfig = &tls.Config{RootCAs: x509.NewCertPool(), ServerName: "127.0.0.1"}
+	cfg.TLSConfig.RootCAs.AddCert(certified.Certificate())
 	conn, err := pgx.ConnectConfig(t.Context(), cfg)
 	require.NoError(t, err)
 	defer func() { _ = conn.Close(context.Background()) }()
@@ -140,22 +137,6 @@
 	requireState(t, port.Protocol, err)
 }
 
-func selfSigned(t *testing.T) (tls.Certificate, *x509.CertPool) {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, NotAfter: time.Now().Add(time.Hour),
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	require.NoError(t, err)
-	leaf, err := x509.ParseCertificate(der)
-	require.NoError(t, err)
-	roots := x509.NewCertPool()
-	roots.AddCert(leaf)
-	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, roots
-}
-
 func (f *fixture) dial(t *testing.T) net.Conn {
 	t.Helper()
 	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", f.address)
