Read an account's limit under its lock when its duty starts

Cause: a new revision could change the limit while the duty of an account started; the race detector reported it in the first test that runs a whole instance in one process and changes its document at once. Conclusion: the duty takes the limit through currentLimit like every other reader.

--- a/entry/account.go
+++ b/entry/account.go
@@ -103,7 +103,7 @@
 
 // run keeps the ledger until ctx ends, then gives everything back.
 func (a *account) run(ctx context.Context) {
-	if _, fixed := allotment.Fixed(a.cfg.Policy, a.limit); fixed {
+	if _, fixed := allotment.Fixed(a.cfg.Policy, a.currentLimit()); fixed {
 		return
 	}
 	stop := a.cfg.Timer.Every(beat, func(time.Duration) { a.nudge() })
