Add the console of forms on the operators' listener

Cause: operators had only the command line. Each form carries the revision it was made from and yields one edit through entry.Editor. Faults are shown at their fields; after a lost race the form shows the values in force beside the operator's. Sign-ins are signed cookies, so any instance of the fleet accepts them and none keeps a list. Ruled out: a redirect after a change, because a new key is shown on the answer itself; sending such a page again is refused by the revision of its form.

--- a/cmd/serve/process.go
+++ b/cmd/serve/process.go
@@ -15,6 +15,7 @@
 
 	"github.com/rhubarbwick/rhubarbwick/adapter/admin"
 	"github.com/rhubarbwick/rhubarbwick/adapter/clock"
+	"github.com/rhubarbwick/rhubarbwick/adapter/console"
 	"github.com/rhubarbwick/rhubarbwick/adapter/operator"
 	"github.com/rhubarbwick/rhubarbwick/adapter/peer"
 	"github.com/rhubarbwick/rhubarbwick/adapter/platform"
@@ -78,8 +79,8 @@
 }
 
 func (p *process) listen(ctx context.Context) error {
-	var sockets net.ListenConfig
-	for _, open := range []struct {
+	var open net.ListenConfig
+	for _, l := range []struct {
 		socket  *net.Listener
 		key     string
 		address string
@@ -88,11 +89,11 @@
 		{&p.peer, "peer_listen", p.cfg.Instance.PeerListen},
 		{&p.operator, "admin_listen", p.cfg.Instance.AdminListen},
 	} {
-		socket, err := sockets.Listen(ctx, "tcp", open.address)
+		socket, err := open.Listen(ctx, "tcp", l.address)
 		if err != nil {
-			return port.Wrapf(err, port.Invalid, "[instance] %s = %q cannot be opened", open.key, open.address)
+			return port.Wrapf(err, port.Invalid, "[instance] %s = %q cannot be opened", l.key, l.address)
 		}
-		*open.socket = socket
+		*l.socket = socket
 	}
 	return nil
 }
@@ -195,6 +196,17 @@
 		Explainer:      explainer,
 		PasswordSHA256: p.cfg.Console.PasswordSHA256,
 	}).Handler())
+	p.admin.Handle(console.Root, console.New(console.Config{
+		Follower:       p.follower,
+		Editor:         p.editor,
+		Groups:         p.groups,
+		Survey:         p.survey,
+		Timer:          p.timer,
+		Wall:           time.Now,
+		PasswordSHA256: p.cfg.Console.PasswordSHA256,
+		Secret:         []byte(p.cfg.Session.TokenSecret),
+		Log:            p.log,
+	}))
 }
 
 func (p *process) connect(m group.Member) port.Server {
--- a/entry/editor.go
+++ b/entry/editor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -27,6 +28,10 @@
 	auditPrefix = "audit/"
 )
 
+// ErrNothingChanged is in the chain of an error of Apply that is certain to have changed nothing, although its kind
+// leaves that open.
+var ErrNothingChanged = errors.New("nothing was changed")
+
 // EditRequest is a change that an operator asks for.
 type EditRequest struct {
 	Edit document.Edit
@@ -83,7 +88,7 @@
 func (e *Editor) Apply(ctx context.Context, r EditRequest) (document.Document, error) {
 	current, err := e.read(ctx)
 	if err != nil {
-		return document.Document{}, port.Wrapf(err, port.KindOf(err), "nothing was changed")
+		return document.Document{}, port.Wrapf(fmt.Errorf("%w: %w", ErrNothingChanged, err), port.KindOf(err), "the document was not read")
 	}
 	if r.Base != 0 && r.Base != current.document.Revision {
 		return document.Document{}, conflict(r.Base, current.document)
--- a/entry/survey.go
+++ b/entry/survey.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 	MaxSurveyed = 256
 
 	surveyDuties = 16
+	// surveyPause lies between two rounds of questions while a change spreads.
+	surveyPause = 200 * time.Millisecond
 )
 
 // Standing is an instance of the list with the revision in force there.
@@ -95,3 +98,23 @@
 	standing.Age, standing.AgeKnown = report.Age, report.Confirmed
 	return standing
 }
+
+// Await asks until the revision is in force at every instance that answers, for up to limit.
+func (s *Survey) Await(ctx context.Context, r document.Revision, limit time.Duration) []Standing {
+	ends := s.cfg.Timer.Now() + limit
+	for {
+		standings := s.Standings(ctx)
+		if ctx.Err() != nil || s.cfg.Timer.Now() >= ends || !isAwaited(standings, r) {
+			return standings
+		}
+		sleep(ctx, s.cfg.Timer, surveyPause)
+	}
+}
+
+// isAwaited reports whether an instance that answers still has an earlier revision.
+func isAwaited(standings []Standing, r document.Revision) bool {
+	return slices.ContainsFunc(standings, func(s Standing) bool { return s.Answered && s.Revision < r })
+}
+
+// Pause waits for d on the timer service, or until ctx ends.
+func Pause(ctx context.Context, timer port.Timer, d time.Duration) { sleep(ctx, timer, d) }
