--- a/cmd/serve/process.go
+++ b/cmd/serve/process.go
@@ -15,6 +15,7 @@
 
 	"github.com/rhubarbwick/rhubarbwick/adapter/admin"
 	"github.com/rhubarbwick/rhubarbwick/adapter/clock"
+	"github.com/rhubarbwick/rhubarbwick/adapter/console"
 	"github.com/rhubarbwick/rhubarbwick/adapter/operator"
 	"github.com/rhubarbwick/rhubarbwick/adapter/peer"
 	"github.com/rhubarbwick/rhubarbwick/adapter/platform"
@@ -40,6 +41,7 @@
 	store    port.Store
 	follower *entry.Follower
 	editor   *entry.Editor
+	survey   *entry.Survey
 	keeper   *entry.Keeper
 	groups   *entry.Groups
 	pool     *postgres.Pool
@@ -121,6 +123,12 @@
 		NewID:    newIncarnation,
 		Log:      func(line string) { log.Info(line) },
 	})
+	p.survey = entry.NewSurvey(entry.SurveyConfig{
+		Self:     p.self,
+		Follower: p.follower,
+		Relays:   relays,
+		Timer:    p.timer,
+	})
 	p.peers, err = peer.NewServer(p.follower, secret)
 	return err
 }
@@ -166,13 +174,39 @@
 		IdleLimit:    settings.Milliseconds(p.cfg.Callers.IdleDrainMS),
 		TLS:          certificate,
 	}, gate, director, p.pool, p.timer, p.log)
+	p.assembleOperators(signer)
+	return nil
+}
+
+// assembleOperators makes what operators and the platform reach.
+func (p *process) assembleOperators(signer session.Signer) {
+	explainer := entry.NewExplainer(entry.ExplainerConfig{
+		DataCentre: p.self.DataCentre,
+		Follower:   p.follower,
+		Signer:     signer,
+		Timer:      p.timer,
+		Monitor:    p.groups.Monitor,
+	})
 	p.admin = admin.NewServer(admin.Config{Follower: p.follower, Log: p.log})
 	p.admin.Handle(operator.NewServer(operator.Config{
 		Follower:       p.follower,
 		Editor:         p.editor,
+		Groups:         p.groups,
+		Survey:         p.survey,
+		Explainer:      explainer,
 		PasswordSHA256: p.cfg.Console.PasswordSHA256,
 	}).Handler())
-	return nil
+	p.admin.Handle(console.Root, console.New(console.Config{
+		Follower:       p.follower,
+		Editor:         p.editor,
+		Groups:         p.groups,
+		Survey:         p.survey,
+		Timer:          p.timer,
+		Wall:           time.Now,
+		PasswordSHA256: p.cfg.Console.PasswordSHA256,
+		Secret:         []byte(p.cfg.Session.TokenSecret),
+		Log:            p.log,
+	}))
 }
 
 func (p *process) connect(m group.Member) port.Server {
