Have the primary hold the floor before a transaction that writes

Cause: on a write route every statement went to the primary that the instance knew. A primary that was cut from its replicas and replaced within the last second still answers, so a SELECT on a write route could miss the session's own write, which was acknowledged by the new primary (found by reading session.Place against the promise of read-your-writes). Ruled out: holding each answer until a majority confirms the term; large answers would exceed the bound on held bytes. Conclusion: reads before a write see the session's writes too.

--- a/session/placement.go
+++ b/session/placement.go
@@ -76,9 +76,6 @@
 
 // Place decides where the session's request goes, given what is known of the group at instant now.
 func Place(r Request, s Session, v group.View, now time.Duration) Placement {
-	if !r.Read {
-		return placeWrite(v, now)
-	}
 	floor, known := s.Floor(r.Group)
 	if !known {
 		if !r.newestKnown {
@@ -86,18 +83,23 @@
 		}
 		floor = r.newest
 	}
-	return placeRead(r, v, floor, now)
+	if r.Read {
+		return placeRead(r, v, floor, now)
+	}
+	return placeWrite(v, floor, now)
 }
 
 // placeWrite waits rather than send a write to a primary that has stopped answering or has lost its replicas: a write
-// that has not started can be refused "not run", while one that nobody acknowledges has an unknown outcome.
-func placeWrite(v group.View, now time.Duration) Placement {
+// that has not started can be refused "not run", while one that nobody acknowledges has an unknown outcome. The primary
+// has to hold the floor as well, because a transaction that writes may read first, and a primary that was replaced
+// without its knowledge would answer with old data.
+func placeWrite(v group.View, floor group.Position, now time.Duration) Placement {
 	primary, ok := v.Primary()
 	if !ok || v.PrimaryLost(now) {
 		return AwaitPrimary{}
 	}
 	o, _ := v.Observation(primary.Name)
-	if now-o.Asked > ObservationLimit {
+	if now-o.Asked > ObservationLimit || !o.Status.History.Contains(floor) {
 		return AwaitPrimary{}
 	}
 	return ToPrimary{Server: primary.Name, Term: o.Status.Followed}
--- a/session/placement_test.go
+++ b/session/placement_test.go
@@ -32,14 +32,27 @@
 // Guards against writes that can only end with an unknown outcome, and against stale reads.
 func TestPlace(t *testing.T) {
 	const asked = 9 * time.Second
+	fresh := session.Fresh("north")
 	t.Run("write", func(t *testing.T) {
-		requirePlacement(t, session.ToPrimary{Server: "a", Term: 1}, session.Request{}, session.Session{}, view(asked, 0), asked)
+		requirePlacement(t, session.ToPrimary{Server: "a", Term: 1}, session.Request{}, fresh, view(asked, 0), asked)
 	})
 	t.Run("write while replicas miss the primary", func(t *testing.T) {
-		requirePlacement(t, session.AwaitPrimary{}, session.Request{}, session.Session{}, view(asked, 2*time.Second), asked)
+		requirePlacement(t, session.AwaitPrimary{}, session.Request{}, fresh, view(asked, 2*time.Second), asked)
 	})
 	t.Run("write while the primary does not answer", func(t *testing.T) {
-		requirePlacement(t, session.AwaitPrimary{}, session.Request{}, session.Session{}, view(asked, 0), asked+3*time.Second)
+		requirePlacement(t, session.AwaitPrimary{}, session.Request{}, fresh, view(asked, 0), asked+3*time.Second)
+	})
+	t.Run("write without a floor", func(t *testing.T) {
+		newest := session.Request{}.WithNewest(group.Position{Term: 1, Offset: 9})
+		requirePlacement(t, session.AwaitNewest{}, session.Request{}, session.New("north"), view(asked, 0), asked)
+		requirePlacement(t, session.ToPrimary{Server: "a", Term: 1}, newest, session.New("north"), view(asked, 0), asked)
+	})
+	t.Run("write at a primary that was replaced without its knowledge", func(t *testing.T) {
+		later := group.Position{Term: 2, Offset: 11}
+		newest := session.Request{}.WithNewest(later)
+		carried := session.Carried("north", map[string]group.Position{"g": later})
+		requirePlacement(t, session.AwaitPrimary{}, newest, session.New("north"), view(asked, 0), asked)
+		requirePlacement(t, session.AwaitPrimary{}, session.Request{Group: "g"}, carried, view(asked, 0), asked)
 	})
 	read := session.Request{Read: true, AcceptedAge: time.Second}
 	t.Run("aged read without a floor", func(t *testing.T) {
