--- a/entry/editor.go
+++ b/entry/editor.go
@@ -85,6 +85,11 @@
 	if err != nil {
 		return document.Document{}, port.Wrapf(err, port.KindOf(err), "nothing was changed")
 	}
+	if inForce := e.cfg.Follower.Document(); document.Succeeds(inForce, current.document) {
+		// The store lost updates. What is in force stays, and this edit brings it back to the store.
+		e.log(fmt.Sprintf("the store holds revision %d, revision %d is in force", current.document.Revision, inForce.Revision))
+		current.document = inForce
+	}
 	if r.Base != 0 && r.Base != current.document.Revision {
 		return document.Document{}, conflict(r.Base, current.document)
 	}
