Test late answers that come before their connection is given back

A late row is now sent while the acknowledgment is awaited, and a portal and its statement's name are used in one batch.

--- a/adapter/postgres/pool_test.go
+++ b/adapter/postgres/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -13,6 +14,7 @@
 
 	"github.com/rhubarbwick/rhubarbwick/adapter/postgres"
 	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/group"
 	"github.com/rhubarbwick/rhubarbwick/port"
 )
 
@@ -131,14 +133,6 @@
 			c.row("late")
 		}
 	}, query)
-	requireReplaced("late row while the acknowledgment is awaited", "orders", func(c *fakeConn, sql string) {
-		c.run(sql)
-		c.ready()
-		c.row("late")
-		c.release = func(*fakeConn) {}
-	}, func(t *testing.T, f *fixture) {
-		_, _ = f.connect("acme", "orders").Exec(t.Context(), "insert 1", pgx.QueryExecModeSimpleProtocol)
-	})
 	requireReplaced("caller leaves in the middle", "orders", nil, func(t *testing.T, f *fixture) {
 		conn := f.connect("acme", "orders")
 		_, err := conn.Begin(t.Context())
@@ -162,6 +156,30 @@
 	})
 }
 
+// Guards against a late answer that ends the caller's own connection or stays with the server connection. The late row is
+// sent while the acknowledgment is awaited, so it arrives before the connection is given back.
+func TestLateAnswer(t *testing.T) {
+	f, server := startOne(t)
+	var late *fakeConn
+	server.answer(func(c *fakeConn, sql string) {
+		late = c
+		c.run(sql)
+	})
+	conn, other := f.connect("acme", "orders"), f.connect("acme", "stock")
+	f.director.acknowledgeWith(func(context.Context, group.Position) error {
+		server.answer(nil)
+		_, err := late.conn.Write(encodeMessage(t, &pgproto3.DataRow{}))
+		for range 10 {
+			err = errors.Join(err, <-execute(other, "select 1"))
+		}
+		return err
+	})
+	require.NoError(t, <-execute(conn, "insert 1"))
+	server.waitFor(func() bool { _, open := server.conns[late]; return !open })
+	defer f.keepTimeMoving()()
+	requireRow(t, conn, "select 1", pgx.QueryExecModeSimpleProtocol)
+}
+
 // Guards against more connections than allowed, and against callers that wait for ever or out of turn.
 func TestPoolLimit(t *testing.T) {
 	t.Run("nobody waits for ever", func(t *testing.T) {
--- a/adapter/postgres/relay_test.go
+++ b/adapter/postgres/relay_test.go
@@ -36,8 +36,8 @@
 		requireAnswer(t, frontend, "1Z", parse, &pgproto3.Sync{})
 		requireAnswer(t, frontend, "312Z", &pgproto3.Close{ObjectType: 'S', Name: "s"}, parse,
 			&pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Sync{})
-		requireAnswer(t, frontend, "3", &pgproto3.Close{ObjectType: 'P', Name: "s"}, &pgproto3.Flush{})
-		requireAnswer(t, frontend, "2Z", &pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Sync{})
+		requireAnswer(t, frontend, "32Z", &pgproto3.Close{ObjectType: 'P', Name: "s"}, &pgproto3.Flush{},
+			&pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Sync{})
 		requireAnswer(t, frontend, "3EZ", &pgproto3.Close{ObjectType: 'S', Name: "s"},
 			&pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Sync{})
 	})
