--- /dev/null
+++ b/allotment/policy.go
@@ -0,0 +1,184 @@
+package allotment
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Policy decides how a limit is divided.
+type Policy interface{ policy() }
+
+// ByDemand lets shares follow the measured demand.
+type ByDemand struct{}
+
+// EqualSplit gives each of a fixed number of holders the same part. It is a baseline for comparison.
+type EqualSplit struct{ Holders int }
+
+// Unshared gives each holder the whole limit. It is a baseline for comparison.
+type Unshared struct{}
+
+func (ByDemand) policy()   {}
+func (EqualSplit) policy() {}
+func (Unshared) policy()   {}
+
+// Fixed returns the share that a policy gives without a ledger, and false when it needs one.
+func Fixed(p Policy, l Limit) (Amount, bool) {
+	switch policy := p.(type) {
+	case EqualSplit:
+		return l.Total.part(1, int64(max(policy.Holders, 1))), true
+	case Unshared:
+		return l.Total, true
+	default:
+		return Amount{}, false
+	}
+}
+
+// Demand is what a holder has measured.
+type Demand struct {
+	// Rate is the mean number of statements a second that were asked for.
+	Rate Statements
+	// Tokens are in the bucket now.
+	Tokens Statements
+	// Waiting is the number of statements that wait for a token.
+	Waiting int
+	// Units is the number of connections that could be used now.
+	Units int64
+	// Held is the number of connections that are open now.
+	Held int64
+	// Idle is the time since the last demand.
+	Idle time.Duration
+	// Full reports that the bucket has as many tokens as it holds.
+	Full bool
+}
+
+// Times after which a share without demand is given back: soon when its bucket is full, so that no tokens are lost in
+// the pool, which does not fill.
+const (
+	idleWhenFull = 5 * time.Second
+	idleAnyway   = 60 * time.Second
+)
+
+// IsIdle reports whether the share should be given back.
+func (d Demand) IsIdle() bool {
+	if d.Waiting > 0 || d.Units > 0 || d.Held > 0 {
+		return false
+	}
+	return d.Idle >= idleAnyway || d.Full && d.Idle >= idleWhenFull
+}
+
+// Wanted returns what a holder with the demand could use.
+func (d Demand) Wanted(l Limit) Amount {
+	// A quarter more than the mean keeps ordinary fluctuation from emptying the bucket.
+	const spare = 4
+	// Waiting statements are to be served within a quarter of a second.
+	const turns = 4
+	waiting := Statements(d.Waiting) * Statement
+	wanted := Amount{
+		Rate:  d.Rate + d.Rate/spare + turns*waiting,
+		Burst: Statement + waiting + fluctuation(d.Rate),
+		Units: max(d.Units, d.Held),
+	}
+	return wanted.Min(l.Total)
+}
+
+// fluctuation returns by how many statements independent arrivals at a rate vary in a second: twice the standard
+// deviation, for those above the single one that every holder wants.
+func fluctuation(rate Statements) Statements {
+	n := rate.Float()
+	return ToStatements(min(2*math.Sqrt(n), n))
+}
+
+// Plan is what a holder does at its next update.
+type Plan struct {
+	// Wanted is what it writes as its wish.
+	Wanted Amount
+	// Target is the share that it should come to have. Where Target is less than the share the rest is given back;
+	// where it is more the rest is taken, as far as the pool has it.
+	Target Amount
+	// Tokens is how many tokens it takes from the pool.
+	Tokens Statements
+	// Units is how many connections the holder may use from now on. It is less than the target while connections that
+	// have to be closed are still open.
+	Units int64
+}
+
+// Decide returns the plan of a holder that has an entry in the ledger. The ledger holds what the others want.
+func Decide(l Ledger, holder string, d Demand) Plan {
+	entry, _ := l.Find(holder)
+	wanted := d.Wanted(l.Limit)
+	if next, _, err := l.Apply(Want{Holder: holder, Wanted: wanted}); err == nil {
+		l = next
+	}
+	target := l.Fair(holder)
+	if !l.Falling() && !l.Short(holder) {
+		target = target.Max(entry.Share).near(entry.Share)
+	}
+	if near := target.near(entry.Share); !l.Falling() && !l.starved(holder) {
+		target = near
+	}
+	if d.Waiting > 0 && !l.Falling() {
+		// The bucket has room for a token for each statement that waits.
+		room := Statements(d.Waiting) * Statement
+		target.Burst = max(target.Burst, min(room, l.Limit.Total.Burst))
+	}
+	// Connections that are open cannot be given back before they are closed.
+	units := target.Units
+	target.Units = max(target.Units, min(d.Held, entry.Share.Units))
+	tokens := max(target.Burst-entry.Share.Burst, 0)
+	if d.Waiting > 0 {
+		tokens = max(tokens, Statements(d.Waiting+1)*Statement-d.Tokens)
+	}
+	return Plan{Wanted: wanted, Target: target, Tokens: tokens, Units: units}
+}
+
+// starved reports whether a holder other than the named one has much less rate than it wants and than is fair.
+func (l Ledger) starved(except string) bool {
+	return slices.ContainsFunc(l.Entries, func(e Entry) bool {
+		return e.Holder != except && l.Fair(e.Holder).Min(e.Wanted).Minus(e.Share).Helps(e.Share)
+	})
+}
+
+// near returns the rate and burst of share where they differ little from the amount's. Small changes are not worth it:
+// each ends an epoch of the pool.
+func (a Amount) near(share Amount) Amount {
+	const least = 5
+	if a.Rate > share.Rate-share.Rate/least && a.Rate < share.Rate+share.Rate/least {
+		a.Rate = share.Rate
+	}
+	if a.Burst > share.Burst-share.Burst/least && a.Burst < share.Burst+share.Burst/least {
+		a.Burst = share.Burst
+	}
+	return a
+}
+
+// Givers returns the holders that can spare most, as many as it takes to bring up what is missing. Fewer holders that
+// write at once means fewer conflicts.
+func Givers(l Ledger, holder string, missing Amount) []string {
+	type giver struct {
+		holder string
+		spare  Amount
+		size   float64
+	}
+	if entry, _ := l.Find(holder); !missing.Helps(entry.Share) {
+		return nil
+	}
+	var givers []giver
+	for _, e := range l.Entries {
+		spare := e.Share.Minus(l.Fair(e.Holder)).Min(missing)
+		if e.Holder != holder && !spare.IsZero() {
+			givers = append(givers, giver{holder: e.Holder, spare: spare, size: spare.partOf(missing)})
+		}
+	}
+	slices.SortStableFunc(givers, func(a, b giver) int { return cmp.Compare(b.size, a.size) })
+	var names []string
+	for _, g := range givers {
+		if missing.IsZero() {
+			break
+		}
+		names = append(names, g.holder)
+		missing = missing.Minus(g.spare)
+	}
+	return names
+}
--- /dev/null
+++ b/entry/limiter.go
@@ -0,0 +1,319 @@
+package entry
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/allotment"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/ring"
+)
+
+const (
+	// takeWait is how long a statement waits for a token.
+	takeWait = 250 * time.Millisecond
+	// maxWaiting bounds the statements that wait for one limit; a further one is refused at once.
+	maxWaiting = 1024
+	// maxCheckTime is less than the time between the end of a lease and its reclaim. A statement whose check took
+	// longer may have been checked in a lease that others have taken since.
+	maxCheckTime = time.Second
+	// meterSlot is the period over which demand is counted, meterSlots how many count as new.
+	meterSlot  = 100 * time.Millisecond
+	meterSlots = 5
+	// meterWeight is the part of a slot in the mean, which follows a change by half in 1.4 s.
+	meterWeight = 0.05
+	// maxMeterSteps is how many slots without demand make the mean zero.
+	maxMeterSteps = 300
+)
+
+// limiter admits statements from the local holding of one limit. Its lock is never held over a message.
+type limiter struct {
+	name  string
+	timer port.Timer
+	// need is called when a statement found no token. It must not block.
+	need func()
+
+	mu      sync.Mutex
+	holding allotment.Holding
+	// stash are the tokens of updates whose outcome is not known.
+	stash allotment.Statements
+	queue *ring.Ring[*pendingTake]
+	head  *pendingTake
+	// granted is the limit under which the holding was granted or to which it shrank.
+	granted allotment.Limit
+	// ceiling is the number of connections that is due, which may be less than the share.
+	ceiling int
+	stop    func()
+	meter   meter
+}
+
+// pendingTake is a statement that waits for a token.
+type pendingTake struct {
+	deadline time.Duration
+	// admitted is the instant at which a token was taken.
+	admitted time.Duration
+	outcome  chan error
+	gone     bool
+}
+
+func newLimiter(name string, timer port.Timer, need func()) *limiter {
+	return &limiter{name: name, timer: timer, need: need, queue: ring.New[*pendingTake](maxWaiting)}
+}
+
+// take takes one token, or waits for one in order of arrival.
+func (l *limiter) take(ctx context.Context) error {
+	l.mu.Lock()
+	now := l.timer.Now()
+	l.meter.count(now)
+	if l.waitingLocked() == 0 && l.spend(now) {
+		l.mu.Unlock()
+		return l.confirm(now)
+	}
+	w := &pendingTake{deadline: now + takeWait, outcome: make(chan error, 1)}
+	if !l.queue.Offer(w) {
+		l.mu.Unlock()
+		return l.refusal("too many statements wait")
+	}
+	l.serve(now)
+	l.mu.Unlock()
+	l.need()
+	return l.await(ctx, w)
+}
+
+// confirm refuses a statement whose check took so long that its lease may have ended and been taken by others.
+func (l *limiter) confirm(checked time.Duration) error {
+	if l.timer.Now()-checked >= maxCheckTime {
+		return l.refusal("check was interrupted")
+	}
+	return nil
+}
+
+func (l *limiter) await(ctx context.Context, w *pendingTake) error {
+	select {
+	case err := <-w.outcome:
+		if err == nil {
+			err = l.confirm(w.admitted)
+		}
+		return err
+	case <-ctx.Done():
+		l.mu.Lock()
+		w.gone = true
+		l.mu.Unlock()
+		return l.refusal("caller left")
+	}
+}
+
+func (l *limiter) refusal(why string) error {
+	return port.Failf(port.OverRate, "limit %s: %s", l.name, why)
+}
+
+func (l *limiter) spend(now time.Duration) bool {
+	holding, ok := l.holding.Take(now)
+	l.holding = holding
+	return ok
+}
+
+// serve admits the waiting statements for which there are tokens, refuses those that waited too long, and sets the
+// timer for the next one. The lock is held.
+func (l *limiter) serve(now time.Duration) {
+	for l.next() {
+		switch {
+		case l.head.gone:
+		case now >= l.head.deadline:
+			l.head.outcome <- l.refusal("rate is used up")
+		case l.spend(now):
+			l.head.admitted = now
+			l.head.outcome <- nil
+		default:
+			l.wait(now)
+			return
+		}
+		l.head = nil
+	}
+}
+
+func (l *limiter) next() bool {
+	if l.head == nil {
+		l.head, _ = l.queue.TryTake()
+	}
+	return l.head != nil
+}
+
+func (l *limiter) wait(now time.Duration) {
+	d := l.head.deadline - now
+	if next, ok := l.holding.Next(); ok {
+		d = min(d, next)
+	}
+	if l.stop != nil {
+		l.stop()
+	}
+	l.stop = l.timer.After(max(d, time.Microsecond), l.ring)
+}
+
+// ring reads the clock itself: the instant of a delivered timer is old when the process was paused.
+func (l *limiter) ring(time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stop = nil
+	l.serve(l.timer.Now())
+}
+
+func (l *limiter) waitingLocked() int {
+	n := l.queue.Len()
+	if l.head != nil {
+		n++
+	}
+	return n
+}
+
+// demand returns what was measured, and the holding.
+func (l *limiter) demand(now time.Duration) (allotment.Demand, allotment.Holding) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holding = l.holding.At(now)
+	d := l.meter.demand(now)
+	d.Waiting = l.waitingLocked()
+	d.Tokens = l.holding.Tokens()
+	d.Full = l.holding.Tokens() >= l.holding.Share().Burst
+	return d, l.holding
+}
+
+// allowed returns the connections that may be held now.
+func (l *limiter) allowed() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holding = l.holding.At(l.timer.Now())
+	return min(l.holding.Allowed(), l.ceiling)
+}
+
+// setCeiling bounds the connections that may be held, so that some are closed before they are given back.
+func (l *limiter) setCeiling(units int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ceiling = int(units)
+}
+
+// withhold lowers the holding to an entry that an update will write, and returns all tokens that were withheld for
+// updates without an answer.
+func (l *limiter) withhold(e allotment.Entry) allotment.Statements {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	holding, tokens := l.holding.WithShareAtMost(l.timer.Now(), e)
+	l.holding = holding
+	l.stash += tokens
+	return l.stash
+}
+
+// restore puts withheld tokens back after the updates that were to give them away are known to have failed.
+func (l *limiter) restore() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.timer.Now()
+	l.holding = l.holding.At(now).WithReturned(now, l.takeStash())
+	l.serve(now)
+}
+
+// grant takes over an update that is known to have taken effect.
+func (l *limiter) grant(t attempt) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.timer.Now()
+	l.holding = l.holding.At(now)
+	back := max(l.takeStash()-t.given, 0)
+	l.holding = l.holding.WithEntry(now, t.sent, t.entry, t.taken+back)
+	l.granted = t.ledger.Limit
+	l.serve(now)
+}
+
+// takeStash empties the stash. The tokens of a holder whose lease has ended count as spent.
+func (l *limiter) takeStash() allotment.Statements {
+	stash := l.stash
+	l.stash = 0
+	if l.holding.Lapsed() {
+		return 0
+	}
+	return stash
+}
+
+// empty leaves nothing, because the ledger has neither an entry nor a seat for this holder.
+func (l *limiter) empty() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holding = allotment.Holding{}
+	l.stash = 0
+}
+
+// fix sets a share that depends on no ledger.
+func (l *limiter) fix(share allotment.Amount) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.timer.Now()
+	l.holding = l.holding.WithFixedShare(now, share)
+	l.ceiling = int(share.Units)
+	l.serve(now)
+}
+
+// shrink lowers the share in proportion when the limit falls below the one under which the share was granted.
+func (l *limiter) shrink(limit allotment.Limit) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if limit.Revision <= l.granted.Revision {
+		return
+	}
+	now := l.timer.Now()
+	holding, tokens := l.holding.WithLimitAtMost(now, l.granted.Total, limit.Total)
+	l.holding = holding
+	l.stash += tokens
+	l.granted = limit
+}
+
+// meter counts demand in slots.
+type meter struct {
+	start  time.Duration
+	last   time.Duration
+	any    bool
+	counts [meterSlots]int
+	// mean is the mean demand in statements a second.
+	mean float64
+}
+
+func (m *meter) count(now time.Duration) {
+	m.roll(now)
+	m.counts[0]++
+	m.last, m.any = now, true
+}
+
+func (m *meter) roll(now time.Duration) {
+	for steps := 0; now-m.start >= meterSlot; steps++ {
+		if steps > maxMeterSteps {
+			m.start, m.mean = now, 0
+			break
+		}
+		m.mean += meterWeight * (float64(m.counts[0])/meterSlot.Seconds() - m.mean)
+		copy(m.counts[1:], m.counts[:meterSlots-1])
+		m.counts[0] = 0
+		m.start += meterSlot
+	}
+}
+
+// demand returns the mean, moved to where the newest slots leave no doubt that it has changed.
+func (m *meter) demand(now time.Duration) allotment.Demand {
+	m.roll(now)
+	n := 0
+	for _, c := range m.counts {
+		n += c
+	}
+	span := (meterSlots * meterSlot).Seconds()
+	deviation := 2 * math.Sqrt(float64(n)+1)
+	low, high := (float64(n)-deviation)/span, (float64(n)+deviation)/span
+	idle := now - m.last
+	if !m.any {
+		idle = now
+	}
+	return allotment.Demand{
+		Rate: allotment.ToStatements(min(max(m.mean, low), high)),
+		Idle: idle,
+	}
+}
--- /dev/null
+++ b/instance/rank_test.go
@@ -0,0 +1,53 @@
+package instance_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/instance"
+)
+
+func dataCentres(chosen []instance.Instance) int {
+	seen := map[string]bool{}
+	for _, i := range chosen {
+		seen[i.DataCentre] = true
+	}
+	return len(seen)
+}
+
+// Guards against watchers that fail together, roles that move without need, and roles of departing instances.
+func TestRoles(t *testing.T) {
+	all := fleet(4, 5).All()[:19]
+	list := instance.NewList(all...)
+	last := all[18]
+	t.Run("only the watchers that left are replaced", func(t *testing.T) {
+		moved := 0
+		for g := range 100 {
+			name := fmt.Sprintf("g%d", g)
+			chosen := list.Watchers(name)
+			require.Len(t, chosen, instance.WatchersPerGroup)
+			require.Equal(t, 3, dataCentres(chosen))
+			if _, was := list.WatcherRank(name, last.Incarnation); was {
+				moved++
+				continue
+			}
+			require.Equal(t, chosen, instance.NewList(all[:18]...).Watchers(name))
+		}
+		require.InDelta(t, 100*3/19, moved, 12)
+	})
+	t.Run("a small fleet watches with all it has", func(t *testing.T) {
+		require.Len(t, fleet(1, 3).Watchers("g"), 3)
+		require.Len(t, fleet(1, 2).Watchers("g"), 2)
+	})
+	t.Run("a departing instance does not watch", func(t *testing.T) {
+		gone := list.Watchers("g")[0].WithState(instance.Departing)
+		require.NotContains(t, list.WithInstance(gone).Watchers("g"), gone)
+	})
+	t.Run("relays are in their data centre", func(t *testing.T) {
+		relays := list.Relays("dc1")
+		require.Len(t, relays, instance.RelaysPerDataCentre)
+		require.Equal(t, 1, dataCentres(relays))
+	})
+}
