Replace a departing primary, and keep room for acknowledgments among the waiting callers

A departing primary kept all writes until it failed. When a majority of the servers that stay is at hand, watchers now promote one of them; the lost-primary rule of the choice keeps the departing one out. Writes that are on the old primary only are reported as not kept.

Placements fill at most half of the 4096 waiting places of a monitor: a refused placement has not run, a refused acknowledgment leaves an unknown outcome.

--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -165,6 +165,14 @@
 	<-ctx.Done()
 }
 
+func (f *fleet) monitors() []*entry.Monitor {
+	var monitors []*entry.Monitor
+	for _, each := range f.watchers {
+		monitors = append(monitors, each.monitor)
+	}
+	return monitors
+}
+
 // count returns how many writes were acknowledged.
 func (f *fleet) count() int {
 	n := 0
@@ -326,6 +334,16 @@
 			name: "primary fenced and left", promotes: true,
 			begin: func(f *fleet) { f.locked(func() { f.nodes["s0"].fence(7, "gone") }) },
 		},
+		{
+			name: "primary departs", promotes: true,
+			begin: func(f *fleet) {
+				members := f.members()
+				members[0].Departing = true
+				for _, m := range append([]*entry.Monitor{f.monitor}, f.monitors()...) {
+					require.NoError(f.t, m.SetMembers(f.ctx, members...))
+				}
+			},
+		},
 		{
 			name: "replica fenced and left", promotes: true,
 			begin: func(f *fleet) { f.locked(func() { f.nodes["s2"].fence(7, "gone") }) },
--- a/entry/monitor.go
+++ b/entry/monitor.go
@@ -20,7 +20,8 @@
 	AnswerLimit = time.Second
 	// PositionWait is how long a server is asked to wait for a position before it answers without it.
 	PositionWait = time.Second
-	// MaxWaiters bounds the callers that wait at one monitor.
+	// MaxWaiters bounds the callers that wait at one monitor. Half of them may wait for something else than a position: a
+	// placement that is refused has not run, while an acknowledgment that is refused leaves an unknown outcome.
 	MaxWaiters = 4096
 
 	monitorCapacity = 256
@@ -290,11 +291,15 @@
 		w.reply.Offer(reply{view: m.view})
 		return
 	}
-	if len(m.waiters) >= MaxWaiters {
+	limit := MaxWaiters
+	if w.position.IsZero() {
+		limit = MaxWaiters / 2
+	}
+	if len(m.waiters) >= limit {
 		m.serve()
 	}
-	if len(m.waiters) >= MaxWaiters {
-		w.reply.Offer(reply{err: port.Failf(port.Unavailable, "more than %d callers wait for group %q", MaxWaiters, m.cfg.Group)})
+	if len(m.waiters) >= limit {
+		w.reply.Offer(reply{err: port.Failf(port.Unavailable, "more than %d callers wait for group %q", limit, m.cfg.Group)})
 		return
 	}
 	m.waiters = append(m.waiters, w)
--- a/entry/monitor_test.go
+++ b/entry/monitor_test.go
@@ -172,6 +172,23 @@
 	})
 }
 
+// Guards against waiting placements that leave no room for acknowledgments, and against waiters without bound.
+func TestWaitersAreBounded(t *testing.T) {
+	inWorld(t, 7, 3, func(ctx context.Context, w *world) {
+		m := startMonitor(ctx, w, "entry", false)
+		never := func(group.View) bool { return false }
+		for range entry.MaxWaiters / 2 {
+			go func() { _, _ = m.Await(ctx, never) }()
+		}
+		synctest.Wait()
+		_, err := m.Await(ctx, never)
+		requireKind(t, port.Unavailable, err)
+		p, _ := w.write("s0", 1)
+		_, err = acknowledge(ctx, w, startDirector(w, m), p).await(w, time.Second)
+		require.NoError(t, err)
+	})
+}
+
 // Guards against a server that counts twice because two addresses lead to it.
 func TestWrongAddress(t *testing.T) {
 	inWorld(t, 5, 3, func(ctx context.Context, w *world) {
--- a/entry/store_test.go
+++ b/entry/store_test.go
@@ -2,16 +2,15 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
-	"github.com/rhubarbwick/rhubarbwick/instance"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/ring"
 )
 
-// fakeStore is a port.Store in memory over the fake network's time.
+// fakeStore is a port.Store in memory over the fake network's time. Methods that no duty here calls are left out.
 type fakeStore struct {
+	port.Store
 	w       *world
 	objects map[string]port.Object
 	// down makes every call wait until its context ends.
@@ -22,8 +21,6 @@
 	watching    map[*ring.Ring[struct{}]]bool
 }
 
-var _ port.Store = (*fakeStore)(nil)
-
 func newFakeStore(w *world) *fakeStore {
 	return &fakeStore{w: w, objects: map[string]port.Object{}, watching: map[*ring.Ring[struct{}]]bool{}}
 }
@@ -75,10 +72,6 @@
 	return expected + 1, nil
 }
 
-func (s *fakeStore) Delete(context.Context, string, port.Version) error {
-	return port.Failf(port.Unsupported, "not used")
-}
-
 func (s *fakeStore) Watch(
 	ctx context.Context, name string, seen port.Version, wait time.Duration,
 ) (port.Object, bool, error) {
@@ -101,17 +94,3 @@
 		}
 	}
 }
-
-func (s *fakeStore) List(_ context.Context, prefix string) ([]port.Object, error) {
-	var listed []port.Object
-	s.w.locked(func() {
-		for name, o := range s.objects {
-			if strings.HasPrefix(name, prefix) {
-				listed = append(listed, port.Object{Name: o.Name, Version: o.Version})
-			}
-		}
-	})
-	return listed, nil
-}
-
-func (s *fakeStore) Instances(context.Context) ([]instance.Instance, error) { return nil, nil }
--- a/group/promotion.go
+++ b/group/promotion.go
@@ -218,7 +218,7 @@
 	if p.announced.Term > v.followed() && now-p.announcedSince < SilenceLimit {
 		return false
 	}
-	return v.PrimaryLost(now)
+	return v.PrimaryLost(now) || v.primaryDeparts(now)
 }
 
 // leader returns the primary of the highest term that the watcher has seen or was told of.
--- a/group/view.go
+++ b/group/view.go
@@ -323,6 +323,22 @@
 	return len(v.members) > 0 && missing >= v.Majority()
 }
 
+// primaryDeparts reports whether the primary is to leave and a majority of servers that stay can do without it.
+func (v View) primaryDeparts(now time.Duration) bool {
+	primary, ok := v.Primary()
+	if !ok || !primary.Departing {
+		return false
+	}
+	staying := 0
+	for _, member := range v.members {
+		o, seen := v.seen[member.Name]
+		if seen && !member.Departing && now-o.Asked <= EvidenceLimit && !o.fenced() && !o.Status.Last().IsZero() {
+			staying++
+		}
+	}
+	return staying >= v.Majority()
+}
+
 // ledSince reports whether a known server leads the term and was first seen to do so after the instant. Its replicas may
 // not have heard from it yet.
 func (v View) ledSince(term Term, instant time.Duration) bool {
