Serve metrics of requests, placements, groups, connections and store calls

Cause: nothing told the share of reads that replicas serve, or which requests are refused. Decorators of entry.Gate, entry.Director and port.Store count; outcomes and connections come through a small interface of the listener and the pool, because a write's director is also asked while it runs and would be counted twice. Labels come from closed lists and from the document; series of what the document no longer has are removed.

--- a/adapter/postgres/caller.go
+++ b/adapter/postgres/caller.go
@@ -349,6 +349,7 @@
 	admitted, err := c.listener.gate.Spend(c.ctx, c.entry)
 	if err != nil {
 		c.wrote()
+		c.listener.cfg.Observer.RequestEnded(port.NotRun)
 		c.refuse(u, err)
 		return
 	}
@@ -453,6 +454,7 @@
 
 // refuse answers a unit of which nothing was sent.
 func (c *caller) refuse(u unit, err error) {
+	c.listener.cfg.Observer.RequestRefused(port.KindOf(err))
 	switch port.KindOf(err) {
 	case port.KeyRefused, port.UnknownRoute:
 		c.dismiss(err)
@@ -472,6 +474,7 @@
 	a := c.active
 	c.active = nil
 	a.stopWatch()
+	c.listener.cfg.Observer.RequestEnded(a.exchange.Outcome())
 	return a
 }
 
--- a/adapter/postgres/listener.go
+++ b/adapter/postgres/listener.go
@@ -50,6 +50,8 @@
 	IdleLimit time.Duration
 	// TLS is offered to callers when it is set.
 	TLS *tls.Config
+	// Observer takes the outcomes of requests. It may be nil.
+	Observer Observer
 }
 
 func (cfg ListenerConfig) withDefaults() ListenerConfig {
@@ -68,6 +70,9 @@
 	if cfg.IdleLimit == 0 {
 		cfg.IdleLimit = DefaultIdleLimit
 	}
+	if cfg.Observer == nil {
+		cfg.Observer = unobserved{}
+	}
 	return cfg
 }
 
--- a/adapter/postgres/pool.go
+++ b/adapter/postgres/pool.go
@@ -45,6 +45,8 @@
 	OpenLimit time.Duration
 	// QueueLimit is the number of callers that may wait for one server; zero means allotment.DefaultQueueLimit.
 	QueueLimit int
+	// Observer takes the number of connections. It may be nil.
+	Observer Observer
 }
 
 // poolKey says what a server connection can be used for.
@@ -125,6 +127,9 @@
 	if cfg.OpenLimit == 0 {
 		cfg.OpenLimit = DefaultOpenLimit
 	}
+	if cfg.Observer == nil {
+		cfg.Observer = unobserved{}
+	}
 	if log == nil {
 		log = zap.NewNop()
 	}
@@ -292,6 +297,7 @@
 	allowed := p.limit.Allowed(s.name)
 	s.assign(allowed, func(w wanted) { p.open(s, w) })
 	s.shrink(allowed)
+	p.cfg.Observer.PoolChanged(s.name, s.total, s.queue.Len())
 }
 
 func (p *Pool) open(s *serverPool, w wanted) {
--- a/cmd/serve/process.go
+++ b/cmd/serve/process.go
@@ -16,6 +16,7 @@
 	"github.com/rhubarbwick/rhubarbwick/adapter/admin"
 	"github.com/rhubarbwick/rhubarbwick/adapter/clock"
 	"github.com/rhubarbwick/rhubarbwick/adapter/console"
+	"github.com/rhubarbwick/rhubarbwick/adapter/metrics"
 	"github.com/rhubarbwick/rhubarbwick/adapter/operator"
 	"github.com/rhubarbwick/rhubarbwick/adapter/peer"
 	"github.com/rhubarbwick/rhubarbwick/adapter/platform"
@@ -38,6 +39,7 @@
 	self     instance.Instance
 	log      *zap.Logger
 	timer    *clock.Service
+	metrics  *metrics.Metrics
 	store    port.Store
 	follower *entry.Follower
 	editor   *entry.Editor
@@ -54,7 +56,7 @@
 
 // newProcess opens the sockets and assembles the parts.
 func newProcess(ctx context.Context, cfg settings.Settings, incarnation string, log *zap.Logger) (*process, error) {
-	p := &process{cfg: cfg, log: log, timer: clock.NewService()}
+	p := &process{cfg: cfg, log: log, timer: clock.NewService(), metrics: metrics.New()}
 	if err := p.listen(ctx); err != nil {
 		return nil, err
 	}
@@ -71,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.store = store
+	p.store = p.metrics.Store(store)
 	if err := p.assembleDocument(); err != nil {
 		return nil, err
 	}
@@ -156,6 +158,7 @@
 		Password:  p.cfg.Servers.Password,
 		WaitLimit: settings.Milliseconds(p.cfg.Servers.WaitMS),
 		OpenLimit: settings.Milliseconds(p.cfg.Servers.ConnectMS),
+		Observer:  p.metrics,
 	}, p.keeper, p.timer, p.log)
 	director := entry.NewGroupDirector(entry.GroupDirectorConfig{
 		DataCentre: p.self.DataCentre,
@@ -173,7 +176,8 @@
 		StartupLimit: settings.Milliseconds(p.cfg.Callers.StartUpMS),
 		IdleLimit:    settings.Milliseconds(p.cfg.Callers.IdleDrainMS),
 		TLS:          certificate,
-	}, gate, director, p.pool, p.timer, p.log)
+		Observer:     p.metrics,
+	}, p.metrics.Gate(gate), p.metrics.Director(director), p.pool, p.timer, p.log)
 	p.assembleOperators(signer)
 	return nil
 }
@@ -207,6 +211,12 @@
 		Secret:         []byte(p.cfg.Session.TokenSecret),
 		Log:            p.log,
 	}))
+	p.metrics.Watch(metrics.State{
+		Document:    p.follower.Document,
+		DocumentAge: p.follower.Age,
+		Groups:      p.groups.Overviews,
+	})
+	p.admin.Handle("GET /metrics", p.metrics.Handler())
 }
 
 func (p *process) connect(m group.Member) port.Server {
