--- a/entry/keeper_failure_test.go
+++ b/entry/keeper_failure_test.go
@@ -154,7 +154,7 @@
 // Guards against a statement that was checked in a lease and goes on after others have taken the share.
 func TestKeeperInterruptedCheck(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 1, limited(1, 1, 100), allotment.ByDemand{})
+		f := newKeepers(t, 1, limited(1, 1, 100), allotment.ByDemand{})
 		defer f.finish()
 		f.send(f.keepers[0], nyanza)
 		f.advance(time.Second)
@@ -175,7 +175,7 @@
 func TestKeeperLateGiveBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		// The rate is low, so that tokens that count twice are not hidden by what accrues.
-		f := newFleet(t, 2, limited(1, 1, 100), allotment.ByDemand{})
+		f := newKeepers(t, 2, limited(1, 1, 100), allotment.ByDemand{})
 		defer f.finish()
 		f.send(f.keepers[0], nyanza)
 		f.advance(time.Second)
@@ -215,7 +215,7 @@
 	})
 	t.Run("the store is down", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(t, 3, limited(1, 100, 100), allotment.ByDemand{})
+			f := newKeepers(t, 3, limited(1, 100, 100), allotment.ByDemand{})
 			defer f.finish()
 			f.load(12*time.Second, nyanza, flood, f.keepers...)
 			f.store.setDown(true)
--- a/spec/failover.go
+++ b/spec/failover.go
@@ -40,20 +40,6 @@
 	afterDelays = time.Hour
 )
 
-// logEntry is the term of an entry and the number of the write in it; zero is the first entry of a term.
-type logEntry struct {
-	term  group.Term
-	write int
-}
-
-type modelServer struct {
-	promised  group.Term
-	candidate string
-	followed  group.Term
-	role      group.Role
-	log       []logEntry
-}
-
 // modelMessage is on its way. A message may be late for ever, which is how losses are modelled.
 type modelMessage struct {
 	promoter int
@@ -132,20 +118,6 @@
 	return string(append(b, s.broken...))
 }
 
-func appendServer(b []byte, server modelServer) []byte {
-	b = append(b, byte(server.promised), byte(server.followed), server.role[0])
-	b = append(b, server.candidate...)
-	return appendLog(b, server.log)
-}
-
-func appendLog(b []byte, log []logEntry) []byte {
-	b = append(b, byte(len(log)))
-	for _, entry := range log {
-		b = append(b, byte(entry.term), byte(entry.write))
-	}
-	return b
-}
-
 // appendMessages writes the messages in an order that does not depend on when they were sent.
 func (s failoverState) appendMessages(b []byte) []byte {
 	messages := make([]string, len(s.messages))
@@ -427,73 +399,6 @@
 	return "nothing arrives", nil
 }
 
-func (s *failoverState) fence(i int, o group.SendFence) group.Event {
-	server := &s.servers[i]
-	same := o.Term == server.promised && (o.Candidate == server.candidate || s.faults.PromiseTwice)
-	if o.Term < server.promised || o.Term == server.promised && !same {
-		return group.Refused{Term: o.Term, Promised: server.promised}
-	}
-	server.promised = o.Term
-	server.candidate = o.Candidate
-	server.role = group.Replica
-	return group.Fenced{Term: o.Term, Status: s.status(i)}
-}
-
-func (s *failoverState) promote(i int, o group.SendPromote) group.Event {
-	server := &s.servers[i]
-	if (server.promised != o.Term || server.candidate != o.Candidate) && !s.faults.PromoteAnyPromise {
-		return group.Refused{Term: o.Term, Promised: server.promised}
-	}
-	if leader, led := s.leaders[o.Term]; led && leader != i {
-		s.broken = fmt.Sprintf("s%d and s%d are both primary of term %d", leader, i, o.Term)
-	}
-	if server.followed != o.Term {
-		server.log = append(slices.Clone(server.log), logEntry{term: o.Term})
-		s.written[o.Term] = server.log
-	}
-	server.promised, server.followed, server.role = o.Term, o.Term, group.Primary
-	s.leaders[o.Term] = i
-	return group.Promoted{Term: o.Term, Server: serverName(i)}
-}
-
-func (s *failoverState) follow(i int, o group.SendFollow) {
-	server := &s.servers[i]
-	if o.Term < server.promised || o.Term <= server.followed {
-		return
-	}
-	sent := s.written[o.Term]
-	common := 0
-	for common < len(sent) && common < len(server.log) && sent[common] == server.log[common] {
-		common++
-	}
-	server.log = slices.Clone(server.log[:common])
-	server.promised, server.followed, server.role = o.Term, o.Term, group.Replica
-	server.candidate = ""
-}
-
-func (s failoverState) status(i int) group.Status {
-	server := s.servers[i]
-	return group.Status{
-		Server:    serverName(i),
-		Role:      server.role,
-		Promised:  server.promised,
-		Candidate: server.candidate,
-		Followed:  server.followed,
-		History:   historyOf(server.log),
-	}
-}
-
-func historyOf(log []logEntry) group.History {
-	var h group.History
-	for i, entry := range log {
-		if i == 0 || log[i-1].term != entry.term {
-			h = h.WithEra(entry.term)
-		}
-		h = group.NewHistory(uint64(i)+1, h.Eras()...)
-	}
-	return h
-}
-
 func eventName(e group.Event) string {
 	return strings.ToLower(strings.TrimPrefix(fmt.Sprintf("%T", e), "group."))
 }
--- a/standin/server/client_test.go
+++ b/standin/server/client_test.go
@@ -143,9 +143,10 @@
 			_, err := conn.Exec(context.Background(), "SELECT pg_sleep(60)")
 			slept <- err
 		}()
+		// A cancel request that comes before the statement has no effect, so it is sent again until one arrives in time.
+		// Each request waits for the server's answer, which paces the loop.
 		for len(slept) == 0 {
 			require.NoError(t, conn.PgConn().CancelRequest(t.Context()))
-			time.Sleep(time.Millisecond)
 		}
 		requireSQLState(t, "57014", <-slept)
 	})
