Name other instances in the settings for a start while the store is down

Cause: an instance that starts during an outage of the store has no document; the follower can ask seeds, which no setting named. Ruled out: a copy on disk (instances have none). Conclusion: [instance] seeds, checked as IP and port.

--- a/adapter/settings/load.go
+++ b/adapter/settings/load.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"reflect"
 	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -134,10 +135,10 @@
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("ini") })
 	rules := map[string]validator.Func{
-		"name": func(fl validator.FieldLevel) bool { return namePattern.MatchString(fl.Field().String()) },
-		"ip_port": func(fl validator.FieldLevel) bool {
-			_, err := netip.ParseAddrPort(fl.Field().String())
-			return err == nil
+		"name":    func(fl validator.FieldLevel) bool { return namePattern.MatchString(fl.Field().String()) },
+		"ip_port": func(fl validator.FieldLevel) bool { return isAddress(fl.Field().String()) },
+		"ip_ports": func(fl validator.FieldLevel) bool {
+			return !slices.ContainsFunc(Instance{Seeds: fl.Field().String()}.SeedList(), isNoAddress)
 		},
 	}
 	for tag, rule := range rules {
@@ -148,6 +149,13 @@
 	return v
 }
 
+func isAddress(s string) bool {
+	_, err := netip.ParseAddrPort(s)
+	return err == nil
+}
+
+func isNoAddress(s string) bool { return !isAddress(s) }
+
 func check(s Settings) []Fault {
 	err := newValidator().Struct(s)
 	var invalid validator.ValidationErrors
@@ -185,6 +193,8 @@
 		return "must be a lower-case name of at most 63 letters, digits, _ and -"
 	case "ip_port":
 		return "must be an IP address and a port, such as 127.0.0.1:6432"
+	case "ip_ports":
+		return "must be IP addresses and ports separated by commas"
 	case "url":
 		return "must be a URL, such as http://127.0.0.1:7000"
 	case "min":
--- a/adapter/settings/settings.go
+++ b/adapter/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"strings"
 	"time"
 )
 
@@ -26,6 +27,8 @@
 	AdminListen  string `ini:"admin_listen" validate:"required,ip_port"`
 	// PeerAdvertise is the address at which other instances reach PeerListen; empty means PeerListen itself.
 	PeerAdvertise string `ini:"peer_advertise" validate:"omitempty,ip_port"`
+	// Seeds are addresses of other instances, separated by commas, that are asked at the start while the store is down.
+	Seeds string `ini:"seeds" validate:"ip_ports"`
 }
 
 // Platform says how the platform's store is reached.
@@ -103,5 +106,10 @@
 	}
 }
 
+// SeedList returns the addresses in Seeds.
+func (i Instance) SeedList() []string {
+	return strings.FieldsFunc(i.Seeds, func(r rune) bool { return r == ',' || r == ' ' })
+}
+
 // Milliseconds converts a setting in milliseconds.
 func Milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/adapter/settings/settings_test.go
+++ b/adapter/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -36,6 +37,12 @@
 			`[callers] start_up_ms = "5": must be at least 100 ms`,
 			`[session] token_secret = "(hidden)": must be at least 32 bytes long`)
 	})
+	t.Run("seeds are a list of addresses", func(t *testing.T) {
+		with := strings.Replace(complete, "[platform]", "seeds = 127.0.0.1:1, 127.0.0.2:2\n[platform]", 1)
+		require.Equal(t, []string{"127.0.0.1:1", "127.0.0.2:2"}, requireFaults(t, with).Instance.SeedList())
+		requireFaults(t, strings.Replace(with, "127.0.0.2:2", "host", 1),
+			`[instance] seeds = "127.0.0.1:1, host": must be IP addresses and ports separated by commas`)
+	})
 	t.Run("missing values are reported", func(t *testing.T) {
 		requireFaults(t, "",
 			`[instance] data_centre = "": must be set`,
--- a/cmd/serve/process.go
+++ b/cmd/serve/process.go
@@ -110,6 +110,7 @@
 	log := p.log.Named("document")
 	p.follower = entry.NewFollower(entry.FollowerConfig{
 		Self:   p.self,
+		Seeds:  p.cfg.Instance.SeedList(),
 		Store:  p.store,
 		Relays: relays,
 		Timer:  p.timer,
