Tell the keeper how many server connections are open

Cause: the keeper takes as many connections for open as Want last said. The pool says what it could use, which is less than what is open while connections rest, so the keeper could give one away that was not yet closed.

The pool tells each change of its total through Hold, where the limit has it. A total read by the keeper just before a connection is opened can still be one short until the pool's next look, 200 ms later at the latest, when the surplus idle connection is closed.

--- a/adapter/postgres/fake_test.go
+++ b/adapter/postgres/fake_test.go
@@ -361,6 +361,7 @@
 	mu      sync.Mutex
 	allowed int
 	wanted  chan int
+	held    chan int
 }
 
 func (l *fakeLimit) Allowed(string) int {
@@ -376,12 +377,16 @@
 	}
 }
 
+func (l *fakeLimit) Hold(_ string, n int) {
+	select {
+	case l.held <- n:
+	default:
+	}
+}
+
 // waitWanted waits until the demand for n connections is told.
 func (l *fakeLimit) waitWanted(n int) {
-	for wanted := range l.wanted {
-		if wanted == n {
-			return
-		}
+	for <-l.wanted != n {
 	}
 }
 
--- a/adapter/postgres/helper_test.go
+++ b/adapter/postgres/helper_test.go
@@ -103,7 +103,7 @@
 func start(t *testing.T, cfg postgres.ListenerConfig, servers ...*fakeServer) *fixture {
 	t.Helper()
 	f := &fixture{
-		t: t, servers: servers, clock: &clock.Fake{}, director: &fakeDirector{}, limit: &fakeLimit{allowed: 4, wanted: make(chan int, 1000)},
+		t: t, servers: servers, clock: &clock.Fake{}, director: &fakeDirector{}, limit: &fakeLimit{allowed: 4, wanted: make(chan int, 1000), held: make(chan int, 1000)},
 		gate: &fakeGate{routes: map[string]document.Route{
 			"orders": {Name: "orders", Group: "core", Slot: "one", Kind: document.Write},
 			"stock":  {Name: "stock", Group: "core", Slot: "one", Kind: document.Read},
--- a/adapter/postgres/pool_test.go
+++ b/adapter/postgres/pool_test.go
@@ -202,10 +202,12 @@
 	})
 	t.Run("idle connections above the limit are closed", func(t *testing.T) {
 		f, server := startOne(t)
-		requireRow(t, f.connect("acme", "stock"), "select 1")
+		requireRow(t, f.connect("acme", "stock"), "select 1", pgx.QueryExecModeSimpleProtocol)
+		require.Equal(t, 1, <-f.limit.held)
 		f.limit.allow(0)
 		defer f.keepTimeMoving()()
 		server.waitClosed()
+		require.Equal(t, 0, <-f.limit.held)
 	})
 	t.Run("departing server gets no new work", func(t *testing.T) {
 		leaving, staying := startFake(t), startFake(t)
--- a/adapter/postgres/server_pool.go
+++ b/adapter/postgres/server_pool.go
@@ -25,6 +25,8 @@
 	// peak is the greatest demand since the limit was last checked, told the demand that the limit knows.
 	peak int
 	told int
+	// held is the total that the limit knows.
+	held int
 }
 
 func newServerPool(name string, queueLimit int) *serverPool {
