Send no write to a primary that its replicas have not heard from for half a second

A write that hung at a frozen primary was tried there again, because the answers of its replicas were at most a second old. Such a write now waits. While a caller waits, the monitor asks every 100 ms instead of 250 ms.

--- a/entry/gap_test.go
+++ b/entry/gap_test.go
@@ -64,8 +64,8 @@
 // Guards against a failover gap that grows, and prints the gap and its parts for each way of failing.
 func TestFailoverGap(t *testing.T) {
 	const limit = 8 * time.Second
-	// An instance that asks once a second meanwhile finds the new primary later than this.
-	const killedLimit = 1600 * time.Millisecond
+	// The worst of 200 runs was 1.34 s; an instance that asks as seldom as at other times takes longer.
+	const killedLimit = 1400 * time.Millisecond
 	t.Logf("ms, median / worst of %d runs", *gapSeeds)
 	t.Logf("| way of failing | detection | agreement | catching up | gap | writes lost: majority | lease only |")
 	for _, way := range failures() {
--- a/entry/monitor.go
+++ b/entry/monitor.go
@@ -12,10 +12,14 @@
 )
 
 const (
-	// WatchPeriod is how often a watcher asks each server, and any instance while a caller waits.
-	WatchPeriod = 250 * time.Millisecond
-	// IdleTicks is the number of watch periods between two questions of an instance that does not watch the group.
-	IdleTicks = 4
+	// TickPeriod is the time between two ticks of a monitor.
+	TickPeriod = 50 * time.Millisecond
+	// WaitingTicks is the number of ticks between two questions to a server while a caller waits: 100 ms.
+	WaitingTicks = 2
+	// WatchTicks is the number of ticks between two questions of a watcher: 250 ms.
+	WatchTicks = 5
+	// IdleTicks is the number of ticks between two questions of any other instance: 1 s.
+	IdleTicks = 20
 	// AnswerLimit is how long a server may take to answer a question, apart from the time it was asked to wait.
 	AnswerLimit = time.Second
 	// PositionWait is how long a server is asked to wait for a position before it answers without it.
@@ -200,7 +204,7 @@
 func (m *Monitor) Run(ctx context.Context) { m.loop(ctx) }
 
 func (m *Monitor) loop(ctx context.Context) {
-	stop := m.cfg.Timer.Every(WatchPeriod, func(time.Duration) { m.inbox.Offer(ticked{}) })
+	stop := m.cfg.Timer.Every(TickPeriod, func(time.Duration) { m.inbox.Offer(ticked{}) })
 	defer stop()
 	defer m.running.Wait()
 	m.connect(ctx)
@@ -241,14 +245,25 @@
 // tick asks the servers when it is time. It looks at the waiters too, because what they wait for may depend on time.
 func (m *Monitor) tick() {
 	m.ticks++
-	m.serve()
-	if m.watching || len(m.waiters) > 0 || m.uneasy() || m.ticks%IdleTicks == 0 {
-		m.askAll()
+	if m.ticks%m.ticksBetween() != 0 {
+		return
 	}
+	m.serve()
+	m.askAll()
 	m.askPositions()
 	m.notify()
 }
 
+func (m *Monitor) ticksBetween() int {
+	switch {
+	case len(m.waiters) > 0:
+		return WaitingTicks
+	case m.watching || m.uneasy():
+		return WatchTicks
+	}
+	return IdleTicks
+}
+
 // uneasy reports whether the primary may be about to be replaced, so that the next one is found as soon as a watcher
 // would find it.
 func (m *Monitor) uneasy() bool {
--- a/group/view.go
+++ b/group/view.go
@@ -323,6 +323,22 @@
 	return len(v.members) > 0 && missing >= v.Majority()
 }
 
+// PrimaryDoubted reports whether a majority of the servers has not heard from the primary for half of SilenceLimit, so
+// that a write would wait for its acknowledgment, perhaps in vain. Heartbeats have to come more often than that.
+func (v View) PrimaryDoubted(now time.Duration) bool {
+	if v.ledSince(v.followed(), now-SilenceLimit) {
+		return false
+	}
+	silent := 0
+	for _, o := range v.seen {
+		fresh := now-o.Asked <= EvidenceLimit
+		if fresh && o.Status.Role == Replica && o.Status.PrimarySilence >= SilenceLimit/2 {
+			silent++
+		}
+	}
+	return silent >= v.Majority()
+}
+
 // primaryDeparts reports whether the primary is to leave and a majority of servers that stay can do without it.
 func (v View) primaryDeparts(now time.Duration) bool {
 	primary, ok := v.Primary()
--- a/session/placement.go
+++ b/session/placement.go
@@ -12,6 +12,11 @@
 // answering is not chosen.
 const ObservationLimit = 2500 * time.Millisecond
 
+// PrimaryLimit is how old the last answer of the primary may be for a write to go there. It is little more than the
+// period of an instance that does not watch the group, so a write seldom waits for a primary that is well, and does not
+// hang at one that is frozen.
+const PrimaryLimit = 1250 * time.Millisecond
+
 // Request is what the placement has to know of a statement. The zero value is a write.
 type Request struct {
 	// Group is the name of the group that the route leads to.
@@ -93,11 +98,11 @@
 // that has not started can be refused "not run", while one that nobody acknowledges has an unknown outcome.
 func placeWrite(v group.View, now time.Duration) Placement {
 	primary, ok := v.Primary()
-	if !ok || v.PrimaryLost(now) {
+	if !ok || v.PrimaryLost(now) || v.PrimaryDoubted(now) {
 		return AwaitPrimary{}
 	}
 	o, _ := v.Observation(primary.Name)
-	if now-o.Asked > ObservationLimit {
+	if now-o.Asked > PrimaryLimit {
 		return AwaitPrimary{}
 	}
 	return ToPrimary{Server: primary.Name, Term: o.Status.Followed}
--- a/session/placement_test.go
+++ b/session/placement_test.go
@@ -38,8 +38,11 @@
 	t.Run("write while replicas miss the primary", func(t *testing.T) {
 		requirePlacement(t, session.AwaitPrimary{}, session.Request{}, session.Session{}, view(asked, 2*time.Second), asked)
 	})
+	t.Run("write while replicas have not heard from the primary of late", func(t *testing.T) {
+		requirePlacement(t, session.AwaitPrimary{}, session.Request{}, session.Session{}, view(asked, time.Second/2), asked)
+	})
 	t.Run("write while the primary does not answer", func(t *testing.T) {
-		requirePlacement(t, session.AwaitPrimary{}, session.Request{}, session.Session{}, view(asked, 0), asked+3*time.Second)
+		requirePlacement(t, session.AwaitPrimary{}, session.Request{}, session.Session{}, view(asked, 0), asked+1500*time.Millisecond)
 	})
 	read := session.Request{Read: true, AcceptedAge: time.Second}
 	t.Run("aged read without a floor", func(t *testing.T) {
