--- a/session/placement.go
+++ b/session/placement.go
@@ -12,6 +12,11 @@
 // answering is not chosen.
 const ObservationLimit = 2500 * time.Millisecond
 
+// PrimaryLimit is how old the last answer of the primary may be for a write to go there. It is little more than the
+// period of an instance that does not watch the group, so a write seldom waits for a primary that is well, and does not
+// hang at one that is frozen.
+const PrimaryLimit = 1250 * time.Millisecond
+
 // Request is what the placement has to know of a statement. The zero value is a write.
 type Request struct {
 	// Group is the name of the group that the route leads to.
@@ -95,11 +100,11 @@
 // without its knowledge would answer with old data.
 func placeWrite(v group.View, floor group.Position, now time.Duration) Placement {
 	primary, ok := v.Primary()
-	if !ok || v.PrimaryLost(now) {
+	if !ok || v.PrimaryLost(now) || v.PrimaryDoubted(now) {
 		return AwaitPrimary{}
 	}
 	o, _ := v.Observation(primary.Name)
-	if now-o.Asked > ObservationLimit || !o.Status.History.Contains(floor) {
+	if now-o.Asked > PrimaryLimit || !o.Status.History.Contains(floor) {
 		return AwaitPrimary{}
 	}
 	return ToPrimary{Server: primary.Name, Term: o.Status.Followed}
--- a/session/placement_test.go
+++ b/session/placement_test.go
@@ -39,8 +39,11 @@
 	t.Run("write while replicas miss the primary", func(t *testing.T) {
 		requirePlacement(t, session.AwaitPrimary{}, session.Request{}, fresh, view(asked, 2*time.Second), asked)
 	})
+	t.Run("write while replicas have not heard from the primary of late", func(t *testing.T) {
+		requirePlacement(t, session.AwaitPrimary{}, session.Request{}, fresh, view(asked, time.Second/2), asked)
+	})
 	t.Run("write while the primary does not answer", func(t *testing.T) {
-		requirePlacement(t, session.AwaitPrimary{}, session.Request{}, fresh, view(asked, 0), asked+3*time.Second)
+		requirePlacement(t, session.AwaitPrimary{}, session.Request{}, fresh, view(asked, 0), asked+1500*time.Millisecond)
 	})
 	t.Run("write without a floor", func(t *testing.T) {
 		newest := session.Request{}.WithNewest(group.Position{Term: 1, Offset: 9})
