--- a/entry/monitor.go
+++ b/entry/monitor.go
@@ -133,9 +133,7 @@
 	poller   *asker
 	awaiter  *asker
 	awaiting bool
-	// failed is true when the last question got no answer.
-	failed bool
-	stop   context.CancelFunc
+	stop     context.CancelFunc
 }
 
 // Group returns the name of the group.
@@ -258,28 +256,12 @@
 	switch {
 	case len(m.waiters) > 0:
 		return WaitingTicks
-	case m.watching || m.uneasy():
+	case m.watching:
 		return WatchTicks
 	}
 	return IdleTicks
 }
 
-// uneasy reports whether the primary may be about to be replaced, so that the next one is found as soon as a watcher
-// would find it.
-func (m *Monitor) uneasy() bool {
-	primary, ok := m.view.Primary()
-	if !ok || m.servers[primary.Name] == nil || m.servers[primary.Name].failed {
-		return true
-	}
-	for _, member := range m.view.Members() {
-		o, seen := m.view.Observation(member.Name)
-		if seen && o.Status.PrimarySilence >= group.SilenceLimit/2 {
-			return true
-		}
-	}
-	return false
-}
-
 func (m *Monitor) take(a answered) {
 	w, ok := m.servers[a.by.member.Name]
 	if !ok || a.by != w.poller && a.by != w.awaiter {
@@ -288,8 +270,7 @@
 	if a.by == w.awaiter {
 		w.awaiting = false
 	}
-	w.failed = a.err != nil
-	if w.failed {
+	if a.err != nil {
 		return
 	}
 	m.view = m.view.WithObservation(a.observation)
