Serve reads without a token by replicas that hold every acknowledged write

Cause: with both replicas 2 s behind, replicas served 26 % of the reads without a token, because the newest position was the furthest of the logs and the primary's log was asked most of the time. An acknowledged write is on a majority, so with all three servers asked the second furthest log holds it. Reads with a token that has just been issued went to the primary because the instance's last answers of the replicas were older than the write.

Ruled out: waiting for all servers without limit (a dead replica would hold up every read); a wait of 10 ms for servers that answered lately is used for reads only.

Conclusion: the primary is spared without giving up read-your-writes.

--- a/entry/director.go
+++ b/entry/director.go
@@ -16,6 +16,8 @@
 	PlacementLimit = 15 * time.Second
 	// SettlementLimit is how long the acknowledgment of a write may take.
 	SettlementLimit = 15 * time.Second
+	// AllWait is how long a read waits for the answers of all servers before the answers of a majority will do.
+	AllWait = 10 * time.Millisecond
 	// NewestLimit is how long a read waits for a server that holds the newest position before it asks for the newest
 	// position again. The first answer may include a write that was discarded since.
 	NewestLimit = 500 * time.Millisecond
@@ -72,7 +74,7 @@
 		case session.ToServer:
 			return target(r, v, p.Server, p.Replica, 0), nil
 		case session.AwaitNewest:
-			newest, err := m.Newest(ctx)
+			newest, err := m.Newest(ctx, waitForAll(r))
 			if err != nil {
 				return Target{}, err
 			}
@@ -91,6 +93,14 @@
 	}
 }
 
+// waitForAll returns how long the newest position may wait for all servers. A write goes to the primary in any case.
+func waitForAll(r session.Request) time.Duration {
+	if r.Read {
+		return AllWait
+	}
+	return 0
+}
+
 var errAskAgain = errors.New("no server holds the newest position")
 
 // await waits until the request can be placed. A read that needs the newest position gives up after NewestLimit with
--- a/entry/explainer.go
+++ b/entry/explainer.go
@@ -109,7 +109,7 @@
 	}
 	reasons := []string{describeRequest(r, s)}
 	if _, known := s.Floor(r.Group); r.Read && !known {
-		newest, err := m.Newest(ctx)
+		newest, err := m.Newest(ctx, waitForAll(r))
 		if err != nil {
 			return Explanation{ExpectWait{}, append(reasons, "No majority of the group's servers answers, so the newest data is not known.")}
 		}
--- a/entry/monitor.go
+++ b/entry/monitor.go
@@ -164,9 +164,16 @@
 	return answer.view, answer.err
 }
 
-// Newest returns a position that lies at or after every write that was acknowledged before the call.
-func (m *Monitor) Newest(ctx context.Context) (group.Position, error) {
+// Newest returns a position that lies at or after every write that was acknowledged before the call. It waits up to
+// wait for all servers, because the position then lies further back and more replicas hold it, and without limit for a
+// majority.
+func (m *Monitor) Newest(ctx context.Context, wait time.Duration) (group.Position, error) {
 	since := m.cfg.Timer.Now()
+	if wait > 0 {
+		if p, ok := m.newestOfAll(ctx, since, wait); ok {
+			return p, nil
+		}
+	}
 	v, err := m.Await(ctx, func(v group.View) bool {
 		_, known := v.Newest(since)
 		return known
@@ -178,6 +185,19 @@
 	return newest, nil
 }
 
+func (m *Monitor) newestOfAll(ctx context.Context, since, wait time.Duration) (group.Position, bool) {
+	ctx, cancel := port.WithTimeout(ctx, m.cfg.Timer, wait)
+	defer cancel()
+	v, err := m.Await(ctx, func(v group.View) bool {
+		_, known := v.Newest(since)
+		return known && v.AskedAll(since, since-AnswerLimit)
+	})
+	if err != nil {
+		return group.Position{}, false
+	}
+	return v.Newest(since)
+}
+
 // SetMembers replaces the members of the group.
 func (m *Monitor) SetMembers(ctx context.Context, members ...group.Member) error {
 	return m.inbox.Put(ctx, membersChanged{members})
--- a/entry/monitor_test.go
+++ b/entry/monitor_test.go
@@ -102,7 +102,7 @@
 }
 
 func newest(ctx context.Context, w *world, m *entry.Monitor) *outcome[group.Position] {
-	return start(w, func() (group.Position, error) { return m.Newest(ctx) })
+	return start(w, func() (group.Position, error) { return m.Newest(ctx, 0) })
 }
 
 // Guards against a server that holds up the callers of others, and against an answer for the newest position without a
--- a/group/view.go
+++ b/group/view.go
@@ -240,28 +240,50 @@
 	return Unsettled
 }
 
-// Newest returns a position that lies at or after every write that was acknowledged before instant since. It
-// reports false until a majority of the servers was asked at since or later. An acknowledged write is in the logs of
-// a majority, so one of the asked servers holds it, and the furthest of their logs does. A server with an empty log may
-// have lost it and counts only when every server was asked.
+// Newest returns a position that lies at or after every write that was acknowledged before instant since, so that each
+// log that holds the position holds those writes. It reports false until a majority of the servers was asked at since or
+// later.
+//
+// An acknowledged write is in the logs of a majority, so when n of the servers were asked, at least majority - (members -
+// n) of them hold it. The log that is as many places from the furthest holds it too: logs of one term are prefixes of
+// each other, and a log of a later term begins with all that was acknowledged in earlier ones. With one server missing of
+// three that is the furthest log, with none missing the second. A server with an empty log may have lost the write; then
+// the furthest log is taken, and the empty one counts only when every server was asked.
 func (v View) Newest(since time.Duration) (Position, bool) {
-	asked, holding := 0, 0
-	var newest Position
+	var lasts []Position
+	empty := 0
 	for _, member := range v.members {
 		o, ok := v.seen[member.Name]
 		if !ok || o.Asked < since {
 			continue
 		}
-		asked++
 		last := o.Status.Last()
-		if !last.IsZero() {
-			holding++
+		if last.IsZero() {
+			empty++
 		}
-		if last.Compare(newest) > 0 {
-			newest = last
+		lasts = append(lasts, last)
+	}
+	asked, holding := len(lasts), len(lasts)-empty
+	if asked == 0 || holding < v.Majority() && asked < len(v.members) {
+		return Position{}, false
+	}
+	slices.SortFunc(lasts, func(a, b Position) int { return b.Compare(a) })
+	place := v.Majority() - (len(v.members) - asked)
+	if empty > 0 || place < 1 {
+		place = 1
+	}
+	return lasts[place-1], true
+}
+
+// AskedAll reports whether every server that has answered at recent or later was asked at since or later.
+func (v View) AskedAll(since, recent time.Duration) bool {
+	for _, member := range v.members {
+		o, ok := v.seen[member.Name]
+		if ok && o.Received >= recent && o.Asked < since {
+			return false
 		}
 	}
-	return newest, holding >= v.Majority() || asked > 0 && asked == len(v.members)
+	return true
 }
 
 // AgeAt bounds how old a server's data is at instant now. It reports false when the server cannot tell. A primary
--- a/session/placement.go
+++ b/session/placement.go
@@ -17,6 +17,10 @@
 // hang at one that is frozen.
 const PrimaryLimit = 1250 * time.Millisecond
 
+// RefreshAge is how old the answer of a replica may be before a read that only the primary could serve has the servers
+// asked again. One round of questions costs less than a read at the primary.
+const RefreshAge = 5 * time.Millisecond
+
 // Request is what the placement has to know of a statement. The zero value is a write.
 type Request struct {
 	// Group is the name of the group that the route leads to.
@@ -64,7 +68,8 @@
 	Replica bool
 }
 
-// AwaitNewest asks for the group's newest position before the read is placed again.
+// AwaitNewest asks for the group's newest position, and so for fresh answers of its servers, before the request is
+// placed again.
 type AwaitNewest struct{}
 
 // AwaitPrimary waits until the group has a primary.
@@ -116,11 +121,23 @@
 		return AwaitServer{}
 	}
 	best := slices.MinFunc(fitting, func(a, b group.Member) int { return comparePreference(r, v, a, b) })
+	if isPrimary(v, best) == 1 && !r.newestKnown && staleReplica(v, now) {
+		return AwaitNewest{}
+	}
 	fitting = slices.DeleteFunc(fitting, func(m group.Member) bool { return comparePreference(r, v, m, best) != 0 })
 	chosen := fitting[r.Spread%uint64(len(fitting))]
 	return ToServer{Server: chosen.Name, Replica: isPrimary(v, chosen) == 0}
 }
 
+// staleReplica reports whether a replica that answers may hold more by now than its last answer tells.
+func staleReplica(v group.View, now time.Duration) bool {
+	return slices.ContainsFunc(v.Members(), func(m group.Member) bool {
+		o, ok := v.Observation(m.Name)
+		age := now - o.Asked
+		return ok && !m.Departing && o.Status.Role == group.Replica && age > RefreshAge && age <= ObservationLimit
+	})
+}
+
 // fits reports whether the member may serve a read that has to see floor.
 func fits(r Request, v group.View, m group.Member, floor group.Position, now time.Duration) bool {
 	o, ok := v.Observation(m.Name)
--- a/session/placement_test.go
+++ b/session/placement_test.go
@@ -70,3 +70,18 @@
 		requirePlacement(t, session.AwaitServer{}, gone, session.New("north"), view(asked, 0), asked)
 	})
 }
+
+// Guards against reads that the primary serves although a replica has caught up since its last answer.
+func TestPlaceAsksAgain(t *testing.T) {
+	const asked = 9 * time.Second
+	v := view(asked, 0)
+	p := group.Position{Term: 1, Offset: 10}
+	o, _ := v.Observation("a")
+	o.Status.History = group.NewHistory(10, group.Era{Term: 1, First: 1})
+	v = v.WithObservation(o)
+	carried := session.Carried("north", map[string]group.Position{"g": p})
+	read := session.Request{Group: "g", Read: true}
+	requirePlacement(t, session.ToServer{Server: "a"}, read, carried, v, asked)
+	requirePlacement(t, session.AwaitNewest{}, read, carried, v, asked+session.RefreshAge+1)
+	requirePlacement(t, session.ToServer{Server: "a"}, read.WithNewest(p), carried, v, asked+session.RefreshAge+1)
+}
