--- a/adapter/postgres/caller.go
+++ b/adapter/postgres/caller.go
@@ -3,11 +3,8 @@
 import (
 	"bufio"
 	"context"
-	"crypto/rand"
 	"errors"
-	"io"
 	"net"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -97,9 +94,6 @@
 	size   int
 }
 
-// end returns the type of the last message.
-func (u unit) end() byte { return u.frames[len(u.frames)-1].kind() }
-
 // isSynchronised reports whether the server answers the unit with ReadyForQuery.
 func (u unit) isSynchronised() bool { return u.end() != 'H' }
 
@@ -177,63 +171,6 @@
 	}
 }
 
-// run reads the caller's messages until the connection ends.
-func (c *caller) run() {
-	for {
-		u, err := c.readUnit()
-		if err != nil {
-			c.readFailed(err)
-			return
-		}
-		if c.ahead.Put(c.ctx, struct{}{}) != nil {
-			return
-		}
-		if c.events.Put(c.ctx, unitReceived{unit: u}) != nil {
-			return
-		}
-	}
-}
-
-// readFailed ends the duty at once when the caller has gone. When the caller broke the protocol, the duty still
-// answers.
-func (c *caller) readFailed(err error) {
-	var told *port.Error
-	if !errors.As(err, &told) {
-		c.leave(errors.New("the caller left"))
-		return
-	}
-	_ = c.events.Put(c.ctx, callerLeft{err: err})
-}
-
-func (c *caller) readUnit() (unit, error) {
-	var u unit
-	for {
-		f, err := readFrame(c.reader, c.listener.cfg.MessageLimit)
-		if err != nil {
-			return unit{}, err
-		}
-		u.size += len(f)
-		if u.size > maxUnitMessages*c.listener.cfg.MessageLimit {
-			return unit{}, port.Failf(port.TooLarge, "batch exceeds %d bytes", maxUnitMessages*c.listener.cfg.MessageLimit)
-		}
-		switch f.kind() {
-		case 'P', 'B', 'D', 'E', 'C':
-			u.frames = append(u.frames, f)
-		case 'Q', 'S', 'H':
-			u.frames = append(u.frames, f)
-			return u, nil
-		case 'd', 'c', 'f':
-			// The caller sent COPY data before it learned that COPY was refused.
-		case 'X':
-			return unit{}, io.EOF
-		case 'F':
-			return unit{}, port.Failf(port.Unsupported, "function calls are not supported")
-		default:
-			return unit{}, port.Failf(port.Protocol, "message of unknown type %q", f.kind())
-		}
-	}
-}
-
 // loop serves the caller until it leaves or is dismissed.
 func (c *caller) loop() {
 	for !c.finished {
@@ -343,185 +280,6 @@
 // isLent reports whether the connection lent under the nonce is the one that the caller has now.
 func (c *caller) isLent(nonce string) bool { return c.backend != nil && c.nonce == nonce }
 
-// begin starts a request. Nothing of the caller's earlier answers is left unsent, so that the output of this request can
-// be dropped when it is sent again.
-func (c *caller) begin(u unit) {
-	c.flush()
-	c.requests++
-	admitted, err := c.listener.gate.Spend(c.ctx, c.entry)
-	if err != nil {
-		c.wrote()
-		c.listener.cfg.Observer.RequestEnded(port.NotRun)
-		c.refuse(u, err)
-		return
-	}
-	c.entry = admitted
-	c.active = &activeRequest{
-		exchange: request.Exchange{
-			Read: c.entry.Read, Idempotent: c.entry.Route.Idempotent, Continued: c.backend != nil,
-		},
-		units:     []unit{u},
-		started:   c.listener.timer.Now(),
-		stopWatch: func() {},
-	}
-	c.attempt()
-}
-
-// attempt sends the active request, on the transaction's connection or on one of a new transaction.
-func (c *caller) attempt() {
-	a := c.active
-	a.attempts++
-	if c.backend == nil {
-		if err := c.obtain(); err != nil {
-			if a.attempts == 1 {
-				c.wrote()
-			}
-			c.endRefused(err)
-			return
-		}
-	}
-	whole := a.units[0]
-	for _, u := range a.units[1:] {
-		whole.frames = append(slices.Clip(whole.frames), u.frames...)
-		whole.size += u.size
-	}
-	written := c.wrote
-	if a.attempts > 1 {
-		written = func() {}
-	}
-	if c.transmit(whole, written) {
-		c.watch()
-	}
-}
-
-// transmit sends a unit of the active request, and calls written when another unit may be read. It reports false when
-// the request ended instead.
-func (c *caller) transmit(u unit, written func()) bool {
-	data, err := c.rewrite(u)
-	if err != nil {
-		written()
-		c.endRefusedBatch(err)
-		return false
-	}
-	c.active.exchange = c.active.exchange.WithEvent(request.Sent{})
-	c.backend.send(data, written)
-	return true
-}
-
-// obtain gets a bound server connection for a new transaction. Nothing of the request has been sent when it fails.
-func (c *caller) obtain() error {
-	ctx, cancel := port.WithTimeout(c.ctx, c.listener.timer, c.active.started+placementLimit-c.listener.timer.Now())
-	defer cancel()
-	c.interrupt.Store(&cancel)
-	defer c.interrupt.Store(nil)
-	for attempt := 1; ; attempt++ {
-		err := c.tryObtain(ctx)
-		if err == nil || !mayPlaceAgain(err) || ctx.Err() != nil {
-			return err
-		}
-		if attempt > promptAttempts && c.listener.pause(ctx, placementPause) != nil {
-			return err
-		}
-	}
-}
-
-// mayPlaceAgain reports whether another server could serve what this one did not.
-func mayPlaceAgain(err error) bool {
-	switch port.KindOf(err) {
-	case port.NoConnection, port.Unavailable, port.Conflict:
-		return true
-	default:
-		return false
-	}
-}
-
-func (c *caller) tryObtain(ctx context.Context) error {
-	target, err := c.listener.director.Place(ctx, c.entry)
-	if err != nil {
-		return refusal(err)
-	}
-	b, err := c.listener.pool.checkout(ctx, target, c.entry.Route.Slot, c.entry.Organisation)
-	if err != nil {
-		return refusal(err)
-	}
-	nonce := rand.Text()
-	if err := b.bind(ctx, c.entry, lent{ctx: c.ctx, nonce: nonce, events: c.events}); err != nil {
-		return refusal(err)
-	}
-	c.backend, c.target, c.nonce = b, target, nonce
-	c.prepared = make(map[string]bool)
-	c.cancelled = false
-	return nil
-}
-
-// refuse answers a unit of which nothing was sent.
-func (c *caller) refuse(u unit, err error) {
-	c.listener.cfg.Observer.RequestRefused(port.KindOf(err))
-	switch port.KindOf(err) {
-	case port.KeyRefused, port.UnknownRoute:
-		c.dismiss(err)
-		return
-	default:
-	}
-	c.send(errorResponse(severityError, err))
-	if !u.isSynchronised() {
-		c.skipping = true
-		return
-	}
-	c.ready(c.status)
-}
-
-// end ends the active request and returns it.
-func (c *caller) end() *activeRequest {
-	a := c.active
-	c.active = nil
-	a.stopWatch()
-	c.listener.cfg.Observer.RequestEnded(a.exchange.Outcome())
-	return a
-}
-
-// endRefused ends the active request of a new transaction with an error.
-func (c *caller) endRefused(err error) {
-	a := c.end()
-	if a.exchange.Outcome() != port.NotRun {
-		err = port.Wrapf(err, port.UnknownOutcome, "an earlier attempt may have run")
-	}
-	c.refuse(a.units[len(a.units)-1], err)
-}
-
-// endRefusedBatch ends the active request because one of its units cannot be sent. What was sent of it before without a
-// Sync is lost with the server connection.
-func (c *caller) endRefusedBatch(err error) {
-	if c.active.exchange.Outcome() != port.NotRun {
-		c.dismiss(port.Wrapf(err, port.UnknownOutcome, "the batch was cut off"))
-		return
-	}
-	if !c.active.exchange.Continued {
-		c.giveBack()
-	}
-	c.endRefused(err)
-}
-
-// giveBack ends the transaction's use of the server connection.
-func (c *caller) giveBack() {
-	b := c.backend
-	c.backend = nil
-	c.status = 'I'
-	if c.cancelled {
-		// No message says which statement a cancel request reaches, so the next transaction might be hit.
-		b.close()
-		return
-	}
-	b.release(c.nonce)
-}
-
-// drop closes the server connection; the server rolls back what was not committed.
-func (c *caller) drop() {
-	c.backend.close()
-	c.backend = nil
-	c.status = 'I'
-}
-
 // dismiss sends a last error and ends the duty.
 func (c *caller) dismiss(err error) {
 	c.send(errorResponse(severityFatal, err))
