Keep a lower limit when an older update is answered

Cause: an update that was sent before the limit fell and answered after that granted the share under the old limit, although the holder had lowered its share already. All holders together could use the old total until the next update, and for the rest of the lease while the store was down. The tokens that the fall cut off came back with the same answer, on top of the lower burst.

Found by the ledger model. Shortest trace for connections, limit 2 to 1: h0 sends an update for all; h0 and h1 learn of the lower limit; the store takes the update of h0; h0 may use 2 connections of 1. Shortest trace for a rate, burst 4 to 2 (9 events): h0 admits 2 statements under the lower limit, an older update is answered, h0 admits a third.

Change: a grant under an older limit is lowered in proportion. Tokens that a fall cuts off or that are withheld at that time count as spent, at most one burst for each fall.

Ruled out: keeping the cut tokens for the next answer; that is the second trace.

There is no test in entry for the two traces yet; they are in spec.

--- a/entry/limiter.go
+++ b/entry/limiter.go
@@ -223,10 +223,20 @@
 	l.holding = l.holding.At(now)
 	back := max(l.takeStash()-t.given, 0)
 	l.holding = l.holding.WithEntry(now, t.sent, t.entry, t.taken+back)
-	l.granted = t.ledger.Limit
+	l.keepFall(now, t.ledger.Limit)
 	l.serve(now)
 }
 
+// keepFall lowers a share that was granted under an older limit than the known one. The update was sent before the limit
+// fell and is answered after that. The lock is held.
+func (l *limiter) keepFall(now time.Duration, under allotment.Limit) {
+	if under.Revision >= l.granted.Revision {
+		l.granted = under
+		return
+	}
+	l.holding, _ = l.holding.WithLimitAtMost(now, under.Total, l.granted.Total)
+}
+
 // takeStash empties the stash. The tokens of a holder whose lease has ended count as spent.
 func (l *limiter) takeStash() allotment.Statements {
 	stash := l.stash
@@ -255,7 +265,8 @@
 	l.serve(now)
 }
 
-// shrink lowers the share in proportion when the limit falls below the one under which the share was granted.
+// shrink lowers the share in proportion when the limit falls below the one under which the share was granted. The tokens
+// that are cut off or withheld then count as spent: given back later, they would come on top of the lower burst.
 func (l *limiter) shrink(limit allotment.Limit) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -263,9 +274,10 @@
 		return
 	}
 	now := l.timer.Now()
-	holding, tokens := l.holding.WithLimitAtMost(now, l.granted.Total, limit.Total)
-	l.holding = holding
-	l.stash += tokens
+	l.holding, _ = l.holding.WithLimitAtMost(now, l.granted.Total, limit.Total)
+	if !limit.Total.Covers(l.granted.Total) {
+		l.stash = 0
+	}
 	l.granted = limit
 }
 
