Add a model of ledgers

Cause: the division of rates and connections had no exploration of lost answers, late updates and lapsed leases.

Late checks, tokens of reclaimed shares and forgotten attempts have no test without their guard: at the rate of the model, the burst fills up again before a share is reclaimed.

--- /dev/null
+++ b/spec/ledger.go
@@ -0,0 +1,571 @@
+package spec
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/allotment"
+)
+
+// LedgerBounds limits the exploration of the ledger model. A holder that is paused, dead or cut off is one that takes
+// no step, and a store that is down is one that takes no update, so neither has a bound of its own.
+type LedgerBounds struct {
+	// Holders is the number of instances. One that takes its first step late replaces one that died.
+	Holders int
+	// Ticks is the number of short times that pass.
+	Ticks int
+	// Silences is the number of times of an hour that pass.
+	Silences int
+	// Updates is the number of updates that all holders together send to the store.
+	Updates int
+	// Checks is the number of statements that are interrupted between the reading of the clock and the check.
+	Checks int
+	// Fall makes the limit fall to half.
+	Fall bool
+}
+
+// LedgerFaults takes guards out of the store and of the holders, to show that the invariants need them.
+type LedgerFaults struct {
+	// IgnoreVersion lets the store take an update that was built on another version.
+	IgnoreVersion bool
+	// ReclaimWithoutMargin takes a share back after the time of a lease by the observer's own clock.
+	ReclaimWithoutMargin bool
+	// ReclaimStanding reserves no seat for a holder whose share is taken back.
+	ReclaimStanding bool
+	// GiveWithoutWithholding leaves the holder its share until the update that gives it back is answered.
+	GiveWithoutWithholding bool
+	// IgnoreFall keeps the share of a holder that has learned of a lower limit.
+	IgnoreFall bool
+	// GrantOldLimit grants a share under the limit of an update that was sent before the limit fell.
+	GrantOldLimit bool
+	// KeepCutTokens returns the tokens that a lower limit cut off with the next answer.
+	KeepCutTokens bool
+	// OpenAboveBound lets the database server take more connections than its bound.
+	OpenAboveBound bool
+}
+
+// Times of the ledger model. The clocks of two holders run at speeds that differ by less than the 10 % that the
+// reclaim allows for, so that the third tick lies between the ends of a lease by the two clocks.
+const (
+	slowTick    = 9900 * time.Millisecond
+	fastTick    = 10800 * time.Millisecond
+	slowSilence = 3300 * time.Second
+	fastSilence = 3600 * time.Second
+	// maxCheckTime is the time from which the limiter refuses a statement, because its check took too long.
+	maxCheckTime = time.Second
+)
+
+// ledgerAttempt is an update whose outcome the holder does not know.
+type ledgerAttempt struct {
+	version uint64
+	sent    time.Duration
+	ledger  allotment.Ledger
+	entry   allotment.Entry
+	taken   allotment.Statements
+	given   allotment.Statements
+}
+
+// ledgerHolder is an instance. Its fields are those of the product's account and limiter.
+type ledgerHolder struct {
+	holding   allotment.Holding
+	sightings allotment.Sightings
+	lease     uint64
+	held      bool
+	attempts  []ledgerAttempt
+	stash     allotment.Statements
+	// limit is the limit that the holder knows, granted the one under which it got or lowered its share.
+	limit   allotment.Limit
+	granted allotment.Limit
+	// checking is true while a statement is between the reading of the clock at checked and its check.
+	checking bool
+	checked  time.Duration
+	open     int
+	// ceiling is the number of connections that is due, which may be less than the share.
+	ceiling int
+}
+
+// allowed returns the connections that the holder may have at an instant of its clock.
+func (h ledgerHolder) allowed(now time.Duration) int {
+	return min(h.holding.At(now).Allowed(), h.ceiling)
+}
+
+// ledgerMessage is an update on its way to the store.
+type ledgerMessage struct {
+	holder  int
+	attempt ledgerAttempt
+}
+
+// ledgerState is one ledger in the store and its holders.
+type ledgerState struct {
+	bounds   LedgerBounds
+	faults   LedgerFaults
+	before   allotment.Limit
+	after    allotment.Limit
+	ledger   allotment.Ledger
+	version  uint64
+	holders  []ledgerHolder
+	messages []ledgerMessage
+	ticks    int
+	silences int
+	updates  int
+	checks   int
+	// allowance is the number of statements that may be admitted now, counted apart from the product.
+	allowance int64
+	broken    string
+}
+
+// NewRateLedger returns the initial state of a ledger of a rate: nobody has a share.
+func NewRateLedger(bounds LedgerBounds, faults LedgerFaults) State {
+	const burst = 4
+	total := allotment.Amount{Rate: allotment.Statement / 10, Burst: burst * allotment.Statement}
+	return newLedger(bounds, faults, total)
+}
+
+// NewConnectionLedger returns the initial state of a ledger of connections: nobody has a share.
+func NewConnectionLedger(bounds LedgerBounds, faults LedgerFaults) State {
+	const connections = 2
+	return newLedger(bounds, faults, allotment.Amount{Units: connections})
+}
+
+func newLedger(bounds LedgerBounds, faults LedgerFaults, total allotment.Amount) State {
+	half := allotment.Amount{Rate: total.Rate / 2, Burst: total.Burst / 2, Units: total.Units / 2}
+	s := ledgerState{
+		bounds: bounds, faults: faults, allowance: int64(total.Burst),
+		before: allotment.Limit{Name: "limit", Total: total, Seats: 1, Revision: 1},
+		after:  allotment.Limit{Name: "limit", Total: half, Seats: 1, Revision: 2},
+	}
+	for range bounds.Holders {
+		s.holders = append(s.holders, ledgerHolder{limit: s.before})
+	}
+	return s
+}
+
+func holderName(i int) string { return fmt.Sprintf("h%d", i) }
+
+// now is the instant by the holder's own clock. The first holder's clock is slow.
+func (s ledgerState) now(holder int) time.Duration {
+	if holder == 0 {
+		return time.Duration(s.ticks)*slowTick + time.Duration(s.silences)*slowSilence
+	}
+	return time.Duration(s.ticks)*fastTick + time.Duration(s.silences)*fastSilence
+}
+
+func (s ledgerState) countsConnections() bool { return s.before.Total.Units > 0 }
+
+// Key identifies the state.
+func (s ledgerState) Key() string {
+	messages := make([]string, len(s.messages))
+	for i, m := range s.messages {
+		messages[i] = fmt.Sprint(m)
+	}
+	slices.Sort(messages)
+	return fmt.Sprint(s.ledger, s.version, s.holders, messages, s.ticks, s.silences, s.updates, s.checks, s.allowance,
+		s.broken)
+}
+
+// Violation describes the broken invariant.
+func (s ledgerState) Violation() string {
+	if s.broken != "" {
+		return s.broken
+	}
+	total := s.totalInForce()
+	allowed, open := 0, 0
+	for i, h := range s.holders {
+		allowed += h.allowed(s.now(i))
+		open += h.open
+	}
+	if allowed > int(total.Units) {
+		return fmt.Sprintf("holders may use %d connections of %d", allowed, total.Units)
+	}
+	if open > int(s.before.Total.Units) {
+		return fmt.Sprintf("holders have %d connections open of %d", open, s.before.Total.Units)
+	}
+	return ""
+}
+
+// totalInForce is the lower total as soon as every holder knows it.
+func (s ledgerState) totalInForce() allotment.Amount {
+	for _, h := range s.holders {
+		if h.limit.Revision < s.after.Revision {
+			return s.before.Total
+		}
+	}
+	return s.after.Total
+}
+
+// Next returns the states after one event.
+func (s ledgerState) Next() []Step {
+	steps := s.times()
+	for i := range s.holders {
+		steps = append(steps, s.syncs(i)...)
+		steps = append(steps, s.statements(i)...)
+		steps = append(steps, s.connections(i)...)
+		steps = append(steps, s.falls(i)...)
+	}
+	return append(steps, s.deliveries()...)
+}
+
+// clone copies what the steps change in place.
+func (s ledgerState) clone() ledgerState {
+	s.holders = slices.Clone(s.holders)
+	s.messages = slices.Clone(s.messages)
+	return s
+}
+
+// times lets time pass.
+func (s ledgerState) times() []Step {
+	var steps []Step
+	if s.ticks < s.bounds.Ticks {
+		n := s.clone()
+		n.ticks++
+		n.allow(fastTick)
+		steps = append(steps, Step{"10 s pass", n})
+	}
+	if s.silences < s.bounds.Silences {
+		n := s.clone()
+		n.silences++
+		n.allow(fastSilence)
+		steps = append(steps, Step{"an hour passes", n})
+	}
+	return steps
+}
+
+// allow adds what the rate brings in a time, up to the burst.
+func (s *ledgerState) allow(d time.Duration) {
+	total := s.totalInForce()
+	s.allowance = min(int64(total.Burst), s.allowance+int64(total.Rate)*d.Milliseconds()/time.Second.Milliseconds())
+}
+
+// statements lets a holder check a statement, at once or with an interruption after it has read its clock.
+func (s ledgerState) statements(i int) []Step {
+	if s.countsConnections() {
+		return nil
+	}
+	var steps []Step
+	h := s.holders[i]
+	if h.checking {
+		n := s.clone()
+		n.holders[i].checking = false
+		n.admit(i, h.checked)
+		return append(steps, Step{fmt.Sprintf("%s ends the check it began at %s", holderName(i), h.checked), n})
+	}
+	if s.checks < s.bounds.Checks && h.held {
+		n := s.clone()
+		n.checks++
+		n.holders[i].checking, n.holders[i].checked = true, s.now(i)
+		steps = append(steps, Step{holderName(i) + " is interrupted after it has read its clock", n})
+	}
+	if _, ok := h.holding.Take(s.now(i)); ok {
+		n := s.clone()
+		n.admit(i, s.now(i))
+		steps = append(steps, Step{holderName(i) + " admits a statement", n})
+	}
+	return steps
+}
+
+// admit checks a statement with the instant that the holder has read, and refuses it when that took too long. A
+// statement counts at the check: the instant of the clock when it is in time, and the present one when it is late.
+func (s *ledgerState) admit(i int, checked time.Duration) {
+	holding, ok := s.holders[i].holding.Take(checked)
+	s.holders[i].holding = holding
+	if !ok || s.now(i)-checked >= maxCheckTime {
+		return
+	}
+	s.allowance -= int64(allotment.Statement)
+	if s.allowance < 0 {
+		s.broken = fmt.Sprintf("statement of %s is above the rate and burst", holderName(i))
+	}
+}
+
+// connections lets a holder open a connection as far as it is allowed to, or close one. A connection stays open when
+// the share falls, because a transaction may run on it or the holder may be paused.
+func (s ledgerState) connections(i int) []Step {
+	var steps []Step
+	open := 0
+	for _, h := range s.holders {
+		open += h.open
+	}
+	room := open < int(s.before.Total.Units) || s.faults.OpenAboveBound
+	if s.holders[i].open < s.holders[i].allowed(s.now(i)) && room {
+		n := s.clone()
+		n.holders[i].open++
+		steps = append(steps, Step{holderName(i) + " opens a connection", n})
+	}
+	if s.holders[i].open > 0 {
+		n := s.clone()
+		n.holders[i].open--
+		steps = append(steps, Step{holderName(i) + " closes a connection", n})
+	}
+	return steps
+}
+
+// falls lets a holder learn of the lower limit.
+func (s ledgerState) falls(i int) []Step {
+	if !s.bounds.Fall || s.holders[i].limit.Revision >= s.after.Revision {
+		return nil
+	}
+	n := s.clone()
+	h := &n.holders[i]
+	h.limit = s.after
+	if !s.faults.IgnoreFall {
+		h.shrink(s.now(i), s.after, s.faults.KeepCutTokens)
+	}
+	n.allow(0)
+	return []Step{{holderName(i) + " learns of the lower limit", n}}
+}
+
+// shrink is what the product's limiter does with a lower limit. The tokens that it cuts off count as spent.
+func (h *ledgerHolder) shrink(now time.Duration, limit allotment.Limit, keepTokens bool) {
+	holding, tokens := h.holding.WithLimitAtMost(now, h.granted.Total, limit.Total)
+	h.holding, h.stash = holding, h.stash+tokens
+	if !keepTokens && !limit.Total.Covers(h.granted.Total) {
+		h.stash = 0
+	}
+	h.granted = limit
+}
+
+// deliveries lets the store take an update, whose answer is heard or lost. An update that is built on an older version
+// can no longer take effect, and its answer tells the holder nothing.
+func (s ledgerState) deliveries() []Step {
+	var steps []Step
+	for k, m := range s.messages {
+		n := s.clone()
+		n.messages = slices.Delete(n.messages, k, k+1)
+		n.store(m.attempt.ledger)
+		event := fmt.Sprintf("the store takes update %d of %s", m.attempt.entry.Lease, holderName(m.holder))
+		steps = append(steps, Step{event + ", its answer is lost", n})
+		heard := n.clone()
+		h := &heard.holders[m.holder]
+		h.sightings = h.sightings.WithLedger(s.now(m.holder), m.attempt.ledger)
+		heard.confirm(m.holder, m.attempt)
+		steps = append(steps, Step{event, heard})
+	}
+	return steps
+}
+
+// store puts a ledger in the place of the stored one.
+func (s *ledgerState) store(l allotment.Ledger) {
+	held, most := l.Held(), l.Limit.Total.Max(s.ledger.Held())
+	if !most.Covers(held) {
+		s.broken = fmt.Sprintf("entries and seats hold %v of %v", held, most)
+	}
+	if !l.Falling() && held.Plus(l.Free()) != l.Limit.Total {
+		s.broken = fmt.Sprintf("entries, seats and pool are %v of %v", held.Plus(l.Free()), l.Limit.Total)
+	}
+	if err := l.Check(); err != nil {
+		s.broken = err.Error()
+	}
+	s.ledger = l
+	s.version++
+	if !s.faults.IgnoreVersion {
+		s.messages = nil
+	}
+}
+
+// ledgerDemands are the demands that a holder may have. The first one has ended long ago.
+func (s ledgerState) ledgerDemands(i int) map[string]allotment.Demand {
+	if s.countsConnections() {
+		open := int64(s.holders[i].open)
+		return map[string]allotment.Demand{
+			"nothing":         {Held: open, Idle: time.Hour},
+			"one connection":  {Held: open, Units: 1},
+			"all connections": {Held: open, Units: s.before.Total.Units},
+		}
+	}
+	tokens := s.holders[i].holding.At(s.now(i)).Tokens()
+	return map[string]allotment.Demand{
+		"nothing":        {Idle: time.Hour},
+		"a statement":    {Tokens: tokens, Rate: s.before.Total.Rate / 4},
+		"all statements": {Tokens: tokens, Rate: s.before.Total.Rate, Waiting: 2},
+	}
+}
+
+// syncs lets a holder read the ledger and send an update for one of the demands.
+func (s ledgerState) syncs(i int) []Step {
+	if s.updates >= s.bounds.Updates {
+		return nil
+	}
+	// The holders with fast clocks differ in name only, so it is enough that they start in order.
+	if i > 1 && s.holders[i-1].lease == 0 {
+		return nil
+	}
+	var steps []Step
+	for want, demand := range s.ledgerDemands(i) {
+		if demand.Idle > 0 && !s.holders[i].held {
+			continue
+		}
+		n := s.clone()
+		n.updates++
+		n.sync(i, demand)
+		steps = append(steps, Step{fmt.Sprintf("%s reads the ledger and sends an update for %s", holderName(i), want), n})
+	}
+	slices.SortFunc(steps, func(a, b Step) int { return strings.Compare(a.Event, b.Event) })
+	return steps
+}
+
+// sync is what the product's account does: it settles earlier updates, plans the next one and sends it.
+func (s *ledgerState) sync(i int, d allotment.Demand) {
+	h := &s.holders[i]
+	now := s.now(i)
+	h.sightings = h.sightings.WithLedger(now, s.ledger)
+	s.settle(i)
+	p := ledgerPlan{ledger: s.ledger, sightings: h.sightings, now: now}
+	if h.limit.Revision > s.ledger.Limit.Revision {
+		p.apply(allotment.Relimit{Limit: h.limit})
+	}
+	s.reclaim(&p, i)
+	var t ledgerAttempt
+	if h.held && d.IsIdle() {
+		t.given = s.withhold(i, allotment.Entry{})
+		p.apply(allotment.Leave{Holder: holderName(i), Tokens: t.given})
+	} else {
+		t.given = s.plan(&p, i, d)
+	}
+	t.version, t.sent, t.ledger, t.taken = s.version, now, p.ledger, p.tokens
+	t.entry, _ = p.ledger.Find(holderName(i))
+	h.lease = max(h.lease, t.entry.Lease)
+	s.withhold(i, t.entry)
+	if p.err != nil {
+		s.broken = p.err.Error()
+	}
+	h.attempts = append(slices.Clone(h.attempts), t)
+	s.messages = append(s.messages, ledgerMessage{holder: i, attempt: t})
+}
+
+// reclaim takes back what silent holders no longer use.
+func (s *ledgerState) reclaim(p *ledgerPlan, i int) {
+	now := p.now
+	if s.faults.ReclaimWithoutMargin {
+		now += allotment.ReclaimAfter - allotment.LeaseTime
+	}
+	for _, edit := range p.sightings.Lapsed(now, p.ledger, holderName(i)) {
+		r, isReclaim := edit.(allotment.Reclaim)
+		p.apply(edit)
+		if isReclaim && s.faults.ReclaimStanding {
+			p.apply(allotment.Leave{Holder: r.Holder})
+		}
+	}
+}
+
+// plan brings the holder's entry to what the demand asks for, and returns the tokens that are given back.
+func (s *ledgerState) plan(p *ledgerPlan, i int, d allotment.Demand) allotment.Statements {
+	h, name := &s.holders[i], holderName(i)
+	_, held := p.ledger.Find(name)
+	_, seat := p.ledger.FindSeat(name)
+	if !held && !seat {
+		h.holding, h.stash = allotment.Holding{}, 0
+	}
+	p.apply(allotment.Claim{Holder: name})
+	plan := allotment.Decide(p.ledger, name, d)
+	if d.Waiting > 0 {
+		p.fill()
+	}
+	h.ceiling = int(plan.Units)
+	entry, _ := p.ledger.Find(name)
+	p.apply(allotment.Want{Holder: name, Wanted: plan.Wanted})
+	give := entry.Share.Minus(plan.Target)
+	low := entry
+	low.Share = entry.Share.Min(plan.Target)
+	given := min(s.withhold(i, low), give.Burst)
+	p.apply(allotment.GiveBack{Holder: name, Share: give, Tokens: given})
+	p.apply(allotment.Take{Holder: name, Ask: plan.Target.Minus(entry.Share), Tokens: plan.Tokens})
+	h.lease++
+	p.apply(allotment.Renew{Holder: name, Lease: h.lease})
+	return given
+}
+
+// withhold lowers the holding to an entry before the update is sent, and returns all withheld tokens.
+func (s *ledgerState) withhold(i int, e allotment.Entry) allotment.Statements {
+	h := &s.holders[i]
+	holding, tokens := h.holding.WithShareAtMost(s.now(i), e)
+	if !s.faults.GiveWithoutWithholding {
+		h.holding = holding
+		h.stash += tokens
+	}
+	return h.stash
+}
+
+// settle finds out which of the holder's updates took effect.
+func (s *ledgerState) settle(i int) {
+	h := &s.holders[i]
+	attempts := h.attempts
+	if len(attempts) == 0 || s.version == attempts[0].version {
+		return
+	}
+	h.attempts = nil
+	lease := uint64(0)
+	if e, ok := s.ledger.Find(holderName(i)); ok {
+		lease = e.Lease
+	} else if seat, ok := s.ledger.FindSeat(holderName(i)); ok {
+		lease = seat.Lease
+	}
+	for _, t := range attempts {
+		if t.entry.Lease == lease {
+			s.confirm(i, t)
+			return
+		}
+	}
+	h.holding = h.holding.At(s.now(i))
+	h.holding = h.holding.WithReturned(s.now(i), h.takeStash())
+}
+
+// confirm takes over an update that is known to have taken effect.
+func (s *ledgerState) confirm(i int, t ledgerAttempt) {
+	h, now := &s.holders[i], s.now(i)
+	h.attempts = nil
+	h.held = t.entry.Holder != ""
+	h.holding = h.holding.At(now)
+	back := max(h.takeStash()-t.given, 0)
+	h.holding = h.holding.WithEntry(now, t.sent, t.entry, t.taken+back)
+	if under := t.ledger.Limit; under.Revision >= h.granted.Revision || s.faults.GrantOldLimit {
+		h.granted = under
+		return
+	}
+	h.holding, _ = h.holding.WithLimitAtMost(now, t.ledger.Limit.Total, h.granted.Total)
+}
+
+// takeStash empties the stash. The tokens of a holder whose lease has ended count as spent.
+func (h *ledgerHolder) takeStash() allotment.Statements {
+	stash := h.stash
+	h.stash = 0
+	if h.holding.Lapsed() {
+		return 0
+	}
+	return stash
+}
+
+// ledgerPlan collects the edits of one update. The pool is filled for the time before the update, ahead of the first
+// edit that changes its rate.
+type ledgerPlan struct {
+	ledger    allotment.Ledger
+	sightings allotment.Sightings
+	now       time.Duration
+	filled    bool
+	tokens    allotment.Statements
+	err       error
+}
+
+func (p *ledgerPlan) fill() {
+	if p.filled || p.err != nil {
+		return
+	}
+	p.filled = true
+	if fill, ok := p.sightings.Fill(p.now, p.ledger); ok {
+		p.ledger, _, p.err = p.ledger.Apply(fill)
+	}
+}
+
+func (p *ledgerPlan) apply(edit allotment.Edit) {
+	if p.err != nil {
+		return
+	}
+	next, grant, err := p.ledger.Apply(edit)
+	if err == nil && next.Epoch != p.ledger.Epoch && !p.filled {
+		p.fill()
+		next, grant, err = p.ledger.Apply(edit)
+	}
+	p.ledger, p.err = next, err
+	p.tokens += grant.Tokens
+}
