Remove series of the document's past before the metrics are gathered

Cause: go test -race -count=6 ./cmd/serve failed four times in TestSecretsAndMetrics. The collectors run at the same time, so a removed organisation was still shown once, and the map of pools was read while the pool changed it. Conclusion: series are removed before the collectors run, and the collector gets its own copy of the map. After: go test -race -count=3 ./cmd/serve passed (25.0 s).

--- a/adapter/metrics/metrics.go
+++ b/adapter/metrics/metrics.go
@@ -2,6 +2,7 @@
 package metrics
 
 import (
+	"maps"
 	"net/http"
 	"sync"
 
@@ -25,6 +26,7 @@
 	organisations *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
 	placing       prometheus.Gauge
+	state         State
 
 	mu    sync.Mutex
 	pools map[string]pool
@@ -76,7 +78,14 @@
 
 // Handler serves the metrics.
 func (m *Metrics) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: 4})
+	shown := promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: 4})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// The collectors run at the same time, so what has to go is removed before them.
+		if m.state.Document != nil {
+			m.prune(m.state.Document())
+		}
+		shown.ServeHTTP(w, r)
+	})
 }
 
 // RequestEnded counts a request by its outcome.
@@ -123,5 +132,5 @@
 		}
 	}
 	m.pools = left
-	return left
+	return maps.Clone(left)
 }
--- a/adapter/metrics/state.go
+++ b/adapter/metrics/state.go
@@ -21,8 +21,11 @@
 	Groups func(document.Document) []entry.GroupOverview
 }
 
-// Watch adds the metrics of the state.
-func (m *Metrics) Watch(s State) { m.registry.MustRegister(&stateCollector{metrics: m, state: s}) }
+// Watch adds the metrics of the state. It is called once, before Handler serves.
+func (m *Metrics) Watch(s State) {
+	m.state = s
+	m.registry.MustRegister(&stateCollector{metrics: m, state: s})
+}
 
 // stateCollector reads the state at each request for metrics. Its labels come from the document in force.
 type stateCollector struct {
