Take the statements of small limits at one home instance

A limit with less than five statements of burst for each instance is now taken at one instance, the home, chosen by rendezvous hash, over connect-go. The home spends from its own share, so the ledger's sum holds.

One round trip between instances for each such statement. Conclusion: small organisations are served as if all their traffic came to one instance.

--- a/adapter/peer/client.go
+++ b/adapter/peer/client.go
@@ -21,7 +21,10 @@
 	credential string
 }
 
-var _ entry.RelayClient = (*Client)(nil)
+var (
+	_ entry.RelayClient = (*Client)(nil)
+	_ entry.HomeClient  = (*Client)(nil)
+)
 
 // NewClient returns a client that shows the fleet's secret.
 func NewClient(secret []byte) (*Client, error) {
@@ -83,6 +86,24 @@
 	return document.Revision(res.Msg.GetRevision()), nil
 }
 
+// TakeAt takes one statement from the limit at the instance of the address.
+func (c *Client) TakeAt(ctx context.Context, address, limit string) error {
+	calls, err := c.calls(address)
+	if err != nil {
+		return err
+	}
+	req := connect.NewRequest(&peerv1.TakeRequest{Limit: limit})
+	req.Header().Set("Authorization", c.credential)
+	res, err := calls.Take(ctx, req)
+	if err != nil {
+		return port.Wrapf(err, port.Unavailable, "instance %s does not answer", address)
+	}
+	if !res.Msg.GetAdmitted() {
+		return port.Failf(port.OverRate, "limit %s: rate is used up", limit)
+	}
+	return nil
+}
+
 func (c *Client) calls(address string) (peerv1connect.RelayServiceClient, error) {
 	if c.http == nil {
 		return nil, port.Failf(port.Unavailable, "the client knows no fleet secret")
--- a/adapter/peer/peer_test.go
+++ b/adapter/peer/peer_test.go
@@ -105,15 +105,23 @@
 		require.Equal(t, http.StatusUnauthorized, w.Code)
 		_, err = peer.NewClient(secret[1:])
 		requireKind(t, port.Invalid, err)
-		_, err = peer.NewServer(nil, secret[1:])
+		_, err = peer.NewServer(nil, nil, secret[1:])
 		requireKind(t, port.Invalid, err)
 	})
 }
 
+// Guards against a refusal by the home that reads as an instance that does not answer, and the other way round.
+func TestTakeAt(t *testing.T) {
+	l := connect(t, &fakeRelay{})
+	require.NoError(t, l.client.TakeAt(t.Context(), l.address, "rate/clinic"))
+	requireKind(t, port.OverRate, l.client.TakeAt(t.Context(), l.address, "rate/kitchen"))
+	requireKind(t, port.Unavailable, l.client.TakeAt(t.Context(), "127.0.0.1:1", "rate/clinic"))
+}
+
 // Guards against an instance that answers more polls than it has room for.
 func TestServerBound(t *testing.T) {
 	r := &fakeRelay{arrived: make(chan struct{}), release: make(chan struct{})}
-	server, err := peer.NewServer(r, secret)
+	server, err := peer.NewServer(r, limitStub{}, secret)
 	require.NoError(t, err)
 	handler := server.Handler()
 	done := make(chan int)
@@ -167,7 +175,7 @@
 
 func connect(t testing.TB, r peer.Relay) link {
 	t.Helper()
-	server, err := peer.NewServer(r, secret)
+	server, err := peer.NewServer(r, limitStub{}, secret)
 	require.NoError(t, err)
 	listener := httptest.NewServer(server.Handler())
 	t.Cleanup(listener.Close)
@@ -191,3 +199,13 @@
 	require.Error(t, err)
 	require.Equal(t, want, port.KindOf(err), err)
 }
+
+// limitStub admits the limit "rate/clinic" and refuses every other.
+type limitStub struct{}
+
+func (limitStub) Take(_ context.Context, limit string) error {
+	if limit == "rate/clinic" {
+		return nil
+	}
+	return port.Failf(port.OverRate, "limit %s: rate is used up", limit)
+}
--- a/adapter/peer/server.go
+++ b/adapter/peer/server.go
@@ -24,6 +24,7 @@
 // Server answers other instances over HTTP. Use NewServer; a zero Server refuses every call.
 type Server struct {
 	relay      Relay
+	limit      entry.RateLimit
 	credential string
 	calls      chan struct{}
 	encoded    atomic.Pointer[encodedDocument]
@@ -37,13 +38,13 @@
 	data     []byte
 }
 
-// NewServer returns a server for instances that know the fleet's secret.
-func NewServer(relay Relay, secret []byte) (*Server, error) {
+// NewServer returns a server for instances that know the fleet's secret. Statements are taken from limit.
+func NewServer(relay Relay, limit entry.RateLimit, secret []byte) (*Server, error) {
 	shown, err := credential(secret)
 	if err != nil {
 		return nil, err
 	}
-	return &Server{relay: relay, credential: shown, calls: make(chan struct{}, MaxCalls)}, nil
+	return &Server{relay: relay, limit: limit, credential: shown, calls: make(chan struct{}, MaxCalls)}, nil
 }
 
 // Handler returns the handler of the server's calls. Calls beyond MaxCalls are refused at once.
@@ -133,6 +134,17 @@
 	return connect.NewResponse(&peerv1.OfferResponse{Revision: uint64(revision)}), nil
 }
 
+// Take takes one statement from this instance's share.
+func (s *Server) Take(
+	ctx context.Context, req *connect.Request[peerv1.TakeRequest],
+) (*connect.Response[peerv1.TakeResponse], error) {
+	err := s.limit.Take(ctx, req.Msg.GetLimit())
+	if err != nil && port.KindOf(err) != port.OverRate {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&peerv1.TakeResponse{Admitted: err == nil}), nil
+}
+
 // encode returns the document's JSON, which is made once for each revision.
 func (s *Server) encode(d document.Document) ([]byte, error) {
 	if e := s.encoded.Load(); e != nil && e.revision == d.Revision {
--- a/cmd/serve/process.go
+++ b/cmd/serve/process.go
@@ -45,6 +45,7 @@
 	editor   *entry.Editor
 	survey   *entry.Survey
 	keeper   *entry.Keeper
+	rates    entry.RateLimit
 	groups   *entry.Groups
 	pool     *postgres.Pool
 	listener *postgres.Listener
@@ -132,22 +133,37 @@
 		Relays:   relays,
 		Timer:    p.timer,
 	})
-	p.peers, err = peer.NewServer(p.follower, secret)
+	p.keeper = entry.NewKeeper(entry.KeeperConfig{
+		Store:  p.store,
+		Timer:  p.timer,
+		Holder: p.self.Incarnation,
+		Policy: policyOf(p.cfg.Limits),
+	})
+	p.peers, err = peer.NewServer(p.follower, p.keeper, secret)
+	p.rates = p.assembleRates(relays)
 	return err
 }
 
+// assembleRates returns the rate limit of the settings' policy. Homes make sense only where shares follow demand.
+func (p *process) assembleRates(homes entry.HomeClient) entry.RateLimit {
+	if p.cfg.Limits.Policy != "demand" {
+		return p.keeper
+	}
+	return entry.NewHomes(entry.HomesConfig{
+		Self:   p.self,
+		Keeper: p.keeper,
+		Client: homes,
+		Timer:  p.timer,
+		List:   p.follower.List,
+	})
+}
+
 // assembleCallers makes the parts between callers and servers.
 func (p *process) assembleCallers() error {
 	signer, err := session.NewSigner([]byte(p.cfg.Session.TokenSecret))
 	if err != nil {
 		return err
 	}
-	p.keeper = entry.NewKeeper(entry.KeeperConfig{
-		Store:  p.store,
-		Timer:  p.timer,
-		Holder: p.self.Incarnation,
-		Policy: policyOf(p.cfg.Limits),
-	})
 	p.groups = entry.NewGroups(entry.GroupsConfig{
 		Self:    p.self,
 		Timer:   p.timer,
@@ -170,7 +186,7 @@
 	if err != nil {
 		return err
 	}
-	gate := entry.NewDocumentGate(p.follower, signer, p.keeper)
+	gate := entry.NewDocumentGate(p.follower, signer, p.rates)
 	p.listener = postgres.NewListener(postgres.ListenerConfig{
 		MaxCallers:   p.cfg.Callers.MaxConnections,
 		MessageLimit: p.cfg.Callers.MessageBytes,
--- a/document/document_bench_test.go
+++ b/document/document_bench_test.go
@@ -90,7 +90,7 @@
 				require.Empty(b, faults)
 				_, err := follower.Take(b.Context(), next)
 				require.NoError(b, err)
-				server, err := peer.NewServer(follower, make([]byte, peer.MinSecret))
+				server, err := peer.NewServer(follower, nil, make([]byte, peer.MinSecret))
 				require.NoError(b, err)
 				counted := &countingListener{}
 				listener := httptest.NewUnstartedServer(server.Handler())
--- /dev/null
+++ b/entry/home.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/allotment"
+	"github.com/rhubarbwick/rhubarbwick/instance"
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+const (
+	// HomeLimit is how long the home of a limit may take to answer. It includes the time that a statement waits there for
+	// a token.
+	HomeLimit = takeWait + 200*time.Millisecond
+	// HomeRetry is how long a home that did not answer is left alone.
+	HomeRetry = 2 * time.Second
+
+	homeKey = "home/"
+)
+
+// HomeClient takes statements at another instance.
+type HomeClient interface {
+	// TakeAt takes one statement from the limit at the instance of the address. Errors are of kind OverRate, or
+	// Unavailable when the instance did not answer.
+	TakeAt(ctx context.Context, address, limit string) error
+}
+
+// HomesConfig is what Homes needs.
+type HomesConfig struct {
+	Self   instance.Instance
+	Keeper *Keeper
+	Client HomeClient
+	Timer  port.Timer
+	// List returns the list of instances.
+	List func() instance.List
+}
+
+// Homes is a RateLimit under which one instance, the home, admits the statements of a small limit for all. Divided over
+// the fleet such a limit leaves each instance less than one or two statements of burst. The home spends from its own
+// share, so the sum over the fleet stays what the ledger says, also while instances differ about the home.
+type Homes struct {
+	cfg HomesConfig
+
+	mu sync.Mutex
+	// failed is when the home at the address last failed to answer.
+	failed map[string]time.Duration
+}
+
+var _ RateLimit = (*Homes)(nil)
+
+// NewHomes returns a RateLimit over the keeper.
+func NewHomes(cfg HomesConfig) *Homes {
+	return &Homes{cfg: cfg, failed: make(map[string]time.Duration)}
+}
+
+// Take takes one statement from the limit at its home, or from this instance's share when the limit has no home or the
+// home does not answer. A token that the home took although its answer was lost counts as spent.
+func (h *Homes) Take(ctx context.Context, limit string) error {
+	home, ok := h.home(limit)
+	if !ok {
+		return h.cfg.Keeper.Take(ctx, limit)
+	}
+	bounded, cancel := port.WithTimeout(ctx, h.cfg.Timer, HomeLimit)
+	defer cancel()
+	err := h.cfg.Client.TakeAt(bounded, home.Address, limit)
+	if err == nil || port.KindOf(err) == port.OverRate || ctx.Err() != nil {
+		return err
+	}
+	h.note(home.Address)
+	return h.cfg.Keeper.Take(ctx, limit)
+}
+
+// home returns the instance at which the limit's statements are taken, and false when that is this one.
+func (h *Homes) home(limit string) (instance.Instance, bool) {
+	known, ok := h.cfg.Keeper.Limit(limit)
+	if !ok {
+		return instance.Instance{}, false
+	}
+	live := h.cfg.List().WithInstance(h.cfg.Self).Ranked(homeKey + limit)
+	if len(live) < 2 || !known.HasHome(len(live)) || live[0].Incarnation == h.cfg.Self.Incarnation {
+		return instance.Instance{}, false
+	}
+	return live[0], !h.isSilent(live[0].Address)
+}
+
+func (h *Homes) isSilent(address string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at, failed := h.failed[address]
+	if failed && h.cfg.Timer.Now()-at >= HomeRetry {
+		delete(h.failed, address)
+		return false
+	}
+	return failed
+}
+
+func (h *Homes) note(address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failed[address] = h.cfg.Timer.Now()
+}
+
+// Limit returns the limit of the name as the document in force states it.
+func (k *Keeper) Limit(name string) (allotment.Limit, bool) {
+	a, ok := k.find(name)
+	if !ok {
+		return allotment.Limit{}, false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.limit, true
+}
--- a/entry/keeper_helper_test.go
+++ b/entry/keeper_helper_test.go
@@ -26,6 +26,9 @@
 	doc     document.Document
 	policy  allotment.Policy
 	keepers []*member
+	// useHomes has small limits taken at their homes; silent homes do not answer.
+	useHomes bool
+	silent   map[int]bool
 
 	mu       sync.Mutex
 	admitted map[string][]time.Duration
@@ -38,6 +41,7 @@
 // member is one keeper with its own view of time and of the store.
 type member struct {
 	*entry.Keeper
+	homes *entry.Homes
 	timer *pausableTimer
 	line  *line
 	stop  context.CancelFunc
@@ -70,6 +74,10 @@
 	m := &member{timer: timer, line: &line{ledgerStore: f.store, timer: timer}, done: make(chan struct{})}
 	holder := fmt.Sprintf("instance-%02d", len(f.keepers))
 	m.Keeper = entry.NewKeeper(entry.KeeperConfig{Store: m.line, Timer: timer, Holder: holder, Policy: f.policy})
+	m.homes = entry.NewHomes(entry.HomesConfig{
+		Self:   instance.Instance{Incarnation: holder, Address: holder, DataCentre: "dc1", State: instance.Live},
+		Keeper: m.Keeper, Client: f, Timer: timer, List: f.listed,
+	})
 	m.SetDocument(f.doc)
 	ctx, stop := context.WithCancel(f.t.Context())
 	m.stop = stop
@@ -78,6 +86,32 @@
 	return m
 }
 
+// listed is the list of instances. It is empty unless the test uses homes, so that every keeper takes for itself.
+func (f *keepers) listed() instance.List {
+	if !f.useHomes {
+		return instance.List{}
+	}
+	var all []instance.Instance
+	for i := range f.keepers {
+		name := fmt.Sprintf("instance-%02d", i)
+		all = append(all, instance.Instance{Incarnation: name, Address: name, DataCentre: "dc1", State: instance.Live})
+	}
+	return instance.NewList(all...)
+}
+
+// TakeAt takes a statement at another keeper after half a round trip. A keeper that is cut off does not answer.
+func (f *keepers) TakeAt(ctx context.Context, address, limit string) error {
+	var index int
+	if _, err := fmt.Sscanf(address, "instance-%d", &index); err != nil || f.silent[index] {
+		<-ctx.Done()
+		return port.Failf(port.Unavailable, "instance %s does not answer", address)
+	}
+	arrived := make(chan struct{})
+	f.clock.After(testRTT/2, func(time.Duration) { close(arrived) })
+	<-arrived
+	return f.keepers[index].Take(ctx, limit)
+}
+
 func (m *member) run(ctx context.Context) {
 	m.Run(ctx)
 	close(m.done)
@@ -105,7 +139,7 @@
 }
 
 func (f *keepers) record(m *member, limit string, inside bool) {
-	err := m.Take(context.Background(), limit)
+	err := m.homes.Take(context.Background(), limit)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err == nil {
--- a/entry/keeper_measure_test.go
+++ b/entry/keeper_measure_test.go
@@ -14,7 +14,7 @@
 	"github.com/rhubarbwick/rhubarbwick/document"
 )
 
-var measureFull = flag.Bool("measure", false, "measure all keepers sizes and loads; takes minutes")
+var measureFull = flag.Bool("measure", false, "measure all fleet sizes and loads; takes minutes")
 
 // tenants are the eight organisations of the measurement: name, statements a second, burst.
 var tenants = []document.Organisation{
@@ -79,7 +79,7 @@
 }
 
 // measure runs traffic at a part of each organisation's rate, with statements that arrive at random.
-func measure(t *testing.T, n int, policy allotment.Policy, kind traffic, part float64, d time.Duration) result {
+func measure(t *testing.T, n int, policy allotment.Policy, homes bool, kind traffic, part float64, d time.Duration) result {
 	var r result
 	synctest.Test(t, func(t *testing.T) {
 		doc := document.Document{Revision: 1, Seats: 32}
@@ -87,6 +87,7 @@
 			doc = doc.WithOrganisation(o)
 		}
 		f := newKeepers(t, n, doc, policy)
+		f.useHomes = homes
 		defer f.finish()
 		random := rand.New(rand.NewPCG(1, 2))
 		references := make([]reference, len(tenants))
@@ -116,7 +117,7 @@
 	return r
 }
 
-// warmUp is left out of the counts: all traffic begins at once in it, which is not how a keepers starts.
+// warmUp is left out of the counts: all traffic begins at once in it, which is not how a fleet starts.
 const warmUp = 10 * time.Second
 
 func (f *keepers) resetCounts() {
@@ -202,10 +203,17 @@
 	}
 	for _, n := range sizes {
 		for _, k := range kinds {
-			for _, p := range []allotment.Policy{allotment.ByDemand{}, allotment.EqualSplit{Holders: n}, allotment.Unshared{}} {
-				t.Run(fmt.Sprintf("%d %s %s", n, k.name, policyName(p)), func(t *testing.T) {
-					r := measure(t, n, p, k.kind, 0.8, length)
-					t.Logf("| %d | %s | %s | %.2f %% | %.1f %% | %.0f | %.1f | %.1f | %.1f |", n, k.name, policyName(p),
+			for _, v := range []struct {
+				policy allotment.Policy
+				homes  bool
+			}{{allotment.ByDemand{}, true}, {allotment.ByDemand{}, false}, {allotment.EqualSplit{Holders: n}, false}, {allotment.Unshared{}, false}} {
+				p, name := v.policy, policyName(v.policy)
+				if v.homes {
+					name += " with homes"
+				}
+				t.Run(fmt.Sprintf("%d %s %s", n, k.name, name), func(t *testing.T) {
+					r := measure(t, n, p, v.homes, k.kind, 0.8, length)
+					t.Logf("| %d | %s | %s | %.2f %% | %.1f %% | %.0f | %.1f | %.1f | %.1f |", n, k.name, name,
 						100*float64(r.wrong)/float64(r.inside), 100*r.worst, r.overshoot, r.reads, r.writes, r.watches)
 					if _, unshared := p.(allotment.Unshared); !unshared {
 						require.LessOrEqual(t, r.overshoot, 1e-6)
--- a/gen/rhubarbwick/peer/v1/peerv1connect/peer.connect.go
+++ b/gen/rhubarbwick/peer/v1/peerv1connect/peer.connect.go
@@ -37,6 +37,8 @@
 	RelayServiceFollowProcedure = "/rhubarbwick.peer.v1.RelayService/Follow"
 	// RelayServiceOfferProcedure is the fully-qualified name of the RelayService's Offer RPC.
 	RelayServiceOfferProcedure = "/rhubarbwick.peer.v1.RelayService/Offer"
+	// RelayServiceTakeProcedure is the fully-qualified name of the RelayService's Take RPC.
+	RelayServiceTakeProcedure = "/rhubarbwick.peer.v1.RelayService/Take"
 )
 
 // RelayServiceClient is a client for the rhubarbwick.peer.v1.RelayService service.
@@ -45,6 +47,8 @@
 	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.Response[v1.FollowResponse], error)
 	// Offer hands over a document that was accepted.
 	Offer(context.Context, *connect.Request[v1.OfferRequest]) (*connect.Response[v1.OfferResponse], error)
+	// Take takes one statement from a limit for a caller of the asking instance.
+	Take(context.Context, *connect.Request[v1.TakeRequest]) (*connect.Response[v1.TakeResponse], error)
 }
 
 // NewRelayServiceClient constructs a client for the rhubarbwick.peer.v1.RelayService service. By
@@ -70,6 +74,12 @@
 			connect.WithSchema(relayServiceMethods.ByName("Offer")),
 			connect.WithClientOptions(opts...),
 		),
+		take: connect.NewClient[v1.TakeRequest, v1.TakeResponse](
+			httpClient,
+			baseURL+RelayServiceTakeProcedure,
+			connect.WithSchema(relayServiceMethods.ByName("Take")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -77,6 +87,7 @@
 type relayServiceClient struct {
 	follow *connect.Client[v1.FollowRequest, v1.FollowResponse]
 	offer  *connect.Client[v1.OfferRequest, v1.OfferResponse]
+	take   *connect.Client[v1.TakeRequest, v1.TakeResponse]
 }
 
 // Follow calls rhubarbwick.peer.v1.RelayService.Follow.
@@ -89,12 +100,19 @@
 	return c.offer.CallUnary(ctx, req)
 }
 
+// Take calls rhubarbwick.peer.v1.RelayService.Take.
+func (c *relayServiceClient) Take(ctx context.Context, req *connect.Request[v1.TakeRequest]) (*connect.Response[v1.TakeResponse], error) {
+	return c.take.CallUnary(ctx, req)
+}
+
 // RelayServiceHandler is an implementation of the rhubarbwick.peer.v1.RelayService service.
 type RelayServiceHandler interface {
 	// Follow answers as soon as the instance has a greater revision than known_revision, and after wait_ms at the latest.
 	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.Response[v1.FollowResponse], error)
 	// Offer hands over a document that was accepted.
 	Offer(context.Context, *connect.Request[v1.OfferRequest]) (*connect.Response[v1.OfferResponse], error)
+	// Take takes one statement from a limit for a caller of the asking instance.
+	Take(context.Context, *connect.Request[v1.TakeRequest]) (*connect.Response[v1.TakeResponse], error)
 }
 
 // NewRelayServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -116,12 +134,20 @@
 		connect.WithSchema(relayServiceMethods.ByName("Offer")),
 		connect.WithHandlerOptions(opts...),
 	)
+	relayServiceTakeHandler := connect.NewUnaryHandler(
+		RelayServiceTakeProcedure,
+		svc.Take,
+		connect.WithSchema(relayServiceMethods.ByName("Take")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/rhubarbwick.peer.v1.RelayService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case RelayServiceFollowProcedure:
 			relayServiceFollowHandler.ServeHTTP(w, r)
 		case RelayServiceOfferProcedure:
 			relayServiceOfferHandler.ServeHTTP(w, r)
+		case RelayServiceTakeProcedure:
+			relayServiceTakeHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -138,3 +164,7 @@
 func (UnimplementedRelayServiceHandler) Offer(context.Context, *connect.Request[v1.OfferRequest]) (*connect.Response[v1.OfferResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbwick.peer.v1.RelayService.Offer is not implemented"))
 }
+
+func (UnimplementedRelayServiceHandler) Take(context.Context, *connect.Request[v1.TakeRequest]) (*connect.Response[v1.TakeResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbwick.peer.v1.RelayService.Take is not implemented"))
+}
