Show that the bound on open connections leans on the server

A holder that is paused past its lease keeps its connections, and the others take its share. Without the server's own bound 3 of 2 connections are open after 13 events; with it the explorations of TestConnectionLedger hold.

--- a/spec/ledger_test.go
+++ b/spec/ledger_test.go
@@ -95,3 +95,15 @@
 	}
 	return s
 }
+
+// Guards against a bound on open connections that holds whatever the database server does: a paused holder keeps its
+// connections after its lease.
+func TestServerBoundGuard(t *testing.T) {
+	const open, tick = "h0 opens a connection", "10 s pass"
+	bounds := spec.LedgerBounds{Holders: 2, Ticks: 4, Updates: 3}
+	initial := spec.NewConnectionLedger(bounds, spec.LedgerFaults{OpenAboveBound: true})
+	requireBreaks(t, follow(t, initial,
+		"h0 reads the ledger and sends an update for all connections", "the store takes update 1 of h0", open, open,
+		"h1 reads the ledger and sends an update for one connection", "the store takes update 1 of h1", tick, tick, tick,
+	), "connections open of")
+}
