Give up a write behind a stopped primary after one second

A server that is only cut off from its replicas answers within milliseconds. Two settings that had no effect are removed. Ruled out: no wait at all, which would make the outcome of each write at a cut primary unknown. Conclusion: 1 s and a look every 250 ms.

--- a/adapter/postgres/watch.go
+++ b/adapter/postgres/watch.go
@@ -13,10 +13,10 @@
 
 const (
 	// watchPeriod is how often it is asked whether the server of an unanswered write is still the primary.
-	watchPeriod = time.Second
+	watchPeriod = 250 * time.Millisecond
 	// overdueLimit is how long an unanswered write waits for its server after that was replaced. A server that is only
-	// cut off from its replicas may still answer in time.
-	overdueLimit = 5 * time.Second
+	// cut off from its replicas answers within milliseconds; one that was stopped would make callers wait for nothing.
+	overdueLimit = time.Second
 	// probePeriod is how often the server of an unanswered read is probed, and probeLimit how long it has to react. One
 	// lost packet is no proof, so a second probe has to fail too.
 	probePeriod   = 5 * time.Second
--- a/adapter/settings/settings.go
+++ b/adapter/settings/settings.go
@@ -34,8 +34,6 @@
 // Platform says how the platform's store is reached.
 type Platform struct {
 	StoreURL string `ini:"store_url" validate:"required,url"`
-	// TimeoutMS bounds one call of the store, without the wait of a watch.
-	TimeoutMS int `ini:"timeout_ms" validate:"min=50,max=60000"`
 }
 
 // Servers holds the login of the system at the database servers.
@@ -50,13 +48,12 @@
 
 // Callers bounds what callers may use.
 type Callers struct {
-	MaxConnections  int    `ini:"max_connections" validate:"min=1,max=1000000"`
-	StartUpMS       int    `ini:"start_up_ms" validate:"min=100,max=60000"`
-	MessageBytes    int    `ini:"message_bytes" validate:"min=1024,max=67108864"`
-	IdleDrainMS     int    `ini:"idle_drain_ms" validate:"min=100,max=3600000"`
-	TLSCertificate  string `ini:"tls_certificate" validate:"required_with=TLSKey"`
-	TLSKey          string `ini:"tls_key" validate:"required_with=TLSCertificate"`
-	PreparedPerCall int    `ini:"prepared_statements" validate:"min=0,max=10000"`
+	MaxConnections int    `ini:"max_connections" validate:"min=1,max=1000000"`
+	StartUpMS      int    `ini:"start_up_ms" validate:"min=100,max=60000"`
+	MessageBytes   int    `ini:"message_bytes" validate:"min=1024,max=67108864"`
+	IdleDrainMS    int    `ini:"idle_drain_ms" validate:"min=100,max=3600000"`
+	TLSCertificate string `ini:"tls_certificate" validate:"required_with=TLSKey"`
+	TLSKey         string `ini:"tls_key" validate:"required_with=TLSCertificate"`
 }
 
 // Session holds the secret with which session tokens are signed. All instances of a fleet share it.
@@ -92,14 +89,12 @@
 			PeerListen:   "127.0.0.1:6433",
 			AdminListen:  "127.0.0.1:6434",
 		},
-		Platform: Platform{TimeoutMS: 2000},
-		Servers:  Servers{User: "rhubarbwick", ConnectMS: 3000, WaitMS: 15000},
+		Servers: Servers{User: "rhubarbwick", ConnectMS: 3000, WaitMS: 15000},
 		Callers: Callers{
-			MaxConnections:  10000,
-			StartUpMS:       10000,
-			MessageBytes:    1 << 20,
-			IdleDrainMS:     60000,
-			PreparedPerCall: 200,
+			MaxConnections: 10000,
+			StartUpMS:      10000,
+			MessageBytes:   1 << 20,
+			IdleDrainMS:    60000,
 		},
 		Limits: Limits{Policy: "demand", Holders: 16},
 		Log:    Log{Level: "info", Format: "text"},
--- a/entry/keeper_measure_test.go
+++ b/entry/keeper_measure_test.go
@@ -14,7 +14,7 @@
 	"github.com/rhubarbwick/rhubarbwick/document"
 )
 
-var measureFull = flag.Bool("measure", false, "measure all fleet sizes and loads; takes minutes")
+var measureFull = flag.Bool("measure", false, "measure all keepers sizes and loads; takes minutes")
 
 // tenants are the eight organisations of the measurement: name, statements a second, burst.
 var tenants = []document.Organisation{
@@ -117,7 +117,7 @@
 	return r
 }
 
-// warmUp is left out of the counts: all traffic begins at once in it, which is not how a fleet starts.
+// warmUp is left out of the counts: all traffic begins at once in it, which is not how a keepers starts.
 const warmUp = 10 * time.Second
 
 func (f *keepers) resetCounts() {
--- a/entry/keeper_test.go
+++ b/entry/keeper_test.go
@@ -19,7 +19,7 @@
 	return d.WithOrganisation(document.Organisation{Name: "nyanza", Rate: rate, Burst: burst})
 }
 
-// Guards against a fleet that admits more than the limit, or refuses what is within it, while nothing fails.
+// Guards against a keepers that admits more than the limit, or refuses what is within it, while nothing fails.
 func TestKeeperShares(t *testing.T) {
 	t.Run("one keeper gets the whole limit", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
