Show the decision packages by examples

Cause: others should be able to embed the decisions without a socket. Ruled out: examples that start processes.

--- /dev/null
+++ b/allotment/example_test.go
@@ -0,0 +1,35 @@
+package allotment_test
+
+import (
+	"fmt"
+
+	"github.com/rhubarbwick/rhubarbwick/allotment"
+)
+
+// Two instances divide the 50 connections of a server; what one holds the other cannot get.
+func ExampleLedger_Apply() {
+	ledger := allotment.Ledger{Limit: allotment.Limit{
+		Name: "connections/orders/a", Total: allotment.Amount{Units: 50}, Seats: 32, Revision: 1,
+	}}
+	for _, edit := range []allotment.Edit{
+		allotment.Claim{Holder: "instance-1"},
+		allotment.Take{Holder: "instance-1", Ask: allotment.Amount{Units: 40}},
+		allotment.Claim{Holder: "instance-2"},
+		allotment.Take{Holder: "instance-2", Ask: allotment.Amount{Units: 40}},
+	} {
+		next, grant, err := ledger.Apply(edit)
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		ledger = next
+		fmt.Printf("%T: %d\n", edit, grant.Share.Units)
+	}
+	fmt.Println("held:", ledger.Held().Units)
+	// Output:
+	// allotment.Claim: 0
+	// allotment.Take: 40
+	// allotment.Claim: 0
+	// allotment.Take: 10
+	// held: 50
+}
--- a/bench/fleet_test.go
+++ b/bench/fleet_test.go
@@ -26,7 +26,7 @@
 	// stableTime is above the silence after which a primary is suspected and the delay of the last watcher together.
 	stableTime = 2 * time.Second
 	groupCount = 2
-	// serverConnections is the bound on connections of a server; the static policy splits it over four instances.
+	// serverConnections is the bound on connections of a server; the instances divide it by demand.
 	serverConnections = 96
 	// standingConnections is the bound of the stand-in itself, which also has direct callers in the measurements.
 	standingConnections = 160
@@ -131,7 +131,7 @@
 		"[platform]", "store_url = " + f.store,
 		"[servers]", "user = " + serverUser, "password = " + f.secrets.server,
 		"[session]", "token_secret = " + f.secrets.token,
-		"[limits]", "policy = static", "holders = " + strconv.Itoa(len(dataCentres)),
+		"[limits]", "policy = demand",
 		"[console]", "password_sha256 = " + hash(f.secrets.operator),
 		"[log]", "level = debug", "",
 	}, "\n")
--- a/bench/secret_test.go
+++ b/bench/secret_test.go
@@ -83,7 +83,7 @@
 	shown := command(t, []string{"RHUBARBWICK_PASSWORD=" + f.secrets.operator, instance}, "document", "show")
 	require.Zero(t, shown.code, shown.errors)
 	path := filepath.Join(f.dir, "faulty.ini")
-	faulty := strings.Replace(f.settings("kigali-1"), "policy = static", "policy = wrong", 1)
+	faulty := strings.Replace(f.settings("kigali-1"), "policy = demand", "policy = wrong", 1)
 	require.NoError(t, os.WriteFile(path, []byte(faulty), 0o600))
 	served := command(t, nil, "serve", "--settings", path)
 	require.Equal(t, 2, served.code, "%+v", served)
