--- a/script/fleet.sh
+++ b/script/fleet.sh
@@ -37,10 +37,20 @@
 # socket NAME USERS prints the address of an instance for callers, instances or operators.
 socket() { sed -n "1s/.* \([0-9.:]*\) for $2.*/\1/p" "$work/$1.out"; }
 
+# request METHOD URL PATH BODY sends one HTTP request and fails unless the answer is a success.
+request() {
+	local host=${2#http://} status
+	exec 3<>"/dev/tcp/${host%:*}/${host#*:}"
+	printf '%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\nContent-Length: %s\r\n\r\n%s' "$1" "$3" "$host" "${#4}" "$4" >&3
+	read -r _ status _ <&3
+	exec 3>&-
+	[ "${status:0:1}" = 2 ]
+}
+
 # wait_ready URL waits until the instance is ready for callers.
 wait_ready() {
 	for _ in $(seq 200); do
-		curl -fs "$1/ready" >/dev/null && return
+		request GET "$1" /ready "" && return
 		sleep 0.05
 	done
 	echo "$1 is not ready" >&2
@@ -94,7 +104,7 @@
 		start "$name" "$proxy" serve --settings "$(write_settings "$name" "$store")" --incarnation "demo-$name"
 		list+="${list:+,}{\"id\":\"demo-$name\",\"address\":\"$(socket "$name" instances)\",\"data_centre\":\"kigali-1\",\"state\":\"live\"}"
 	done
-	curl -fsS -X PUT --data "[$list]" "$store/admin/instances"
+	request PUT "$store" /admin/instances "[$list]"
 	export RHUBARBWICK_PASSWORD=$password
 	export RHUBARBWICK_INSTANCE=http://$(socket "$1" operators)
 }
