--- a/entry/account.go
+++ b/entry/account.go
@@ -70,7 +70,7 @@
 
 func newAccount(cfg KeeperConfig, limit allotment.Limit) *account {
 	a := &account{cfg: cfg, limit: limit, wake: ring.New[struct{}](1), calls: ring.New[call](maxCalls), calledAt: -callGap}
-	a.limiter = newLimiter(limit.Name, cfg.Timer, a.nudge)
+	a.limiter = newLimiter(limit.Name, cfg.Timer, a.notify)
 	a.setFixed(limit)
 	return a
 }
@@ -84,7 +84,7 @@
 	return ok
 }
 
-func (a *account) nudge() { a.wake.Offer(struct{}{}) }
+func (a *account) notify() { a.wake.Offer(struct{}{}) }
 
 // setLimit puts a newer limit in force. Where it is lower, the local share falls at once, before the ledger changes.
 func (a *account) setLimit(limit allotment.Limit) {
@@ -98,14 +98,14 @@
 		return
 	}
 	a.limiter.shrink(limit)
-	a.nudge()
+	a.notify()
 }
 
 func (a *account) want(n int) {
 	a.mu.Lock()
 	a.units = int64(max(n, 0))
 	a.mu.Unlock()
-	a.nudge()
+	a.notify()
 }
 
 func (a *account) hold(n int) {
@@ -114,7 +114,7 @@
 	a.open, a.told = int64(max(n, 0)), true
 	a.mu.Unlock()
 	if changed {
-		a.nudge()
+		a.notify()
 	}
 }
 
@@ -123,7 +123,7 @@
 	if _, fixed := allotment.Fixed(a.cfg.Policy, a.currentLimit()); fixed {
 		return
 	}
-	stop := a.cfg.Timer.Every(beat, func(time.Duration) { a.nudge() })
+	stop := a.cfg.Timer.Every(beat, func(time.Duration) { a.notify() })
 	defer stop()
 	a.loop(ctx)
 	if a.unwatch != nil {
@@ -168,7 +168,7 @@
 	if a.alarm != nil {
 		a.alarm()
 	}
-	a.alarm = a.cfg.Timer.After(d, func(time.Duration) { a.nudge() })
+	a.alarm = a.cfg.Timer.After(d, func(time.Duration) { a.notify() })
 }
 
 func (a *account) demand(now time.Duration) (allotment.Demand, allotment.Holding) {
@@ -318,7 +318,7 @@
 	p.apply(allotment.Want{Holder: a.cfg.Holder, Wanted: plan.Wanted})
 	a.setCeiling(plan)
 	give := entry.Share.Minus(plan.Target)
-	// The tokens are taken from the bucket before they are given, by way of the stash.
+	// The tokens are taken from the bucket before they are given, by way of the withheld.
 	low := entry
 	low.Share = entry.Share.Min(plan.Target)
 	given := min(a.limiter.withhold(low), give.Burst)
--- a/entry/call.go
+++ b/entry/call.go
@@ -128,7 +128,7 @@
 		return
 	}
 	a.calls.Push(c)
-	a.nudge()
+	a.notify()
 }
 
 // rest blocks until d has passed or ctx ends.
--- a/entry/limiter.go
+++ b/entry/limiter.go
@@ -37,10 +37,10 @@
 
 	mu      sync.Mutex
 	holding allotment.Holding
-	// stash are the tokens of updates whose outcome is not known.
-	stash allotment.Statements
-	queue *ring.Ring[*pendingTake]
-	head  *pendingTake
+	// withheld are the tokens of updates whose outcome is not known.
+	withheld allotment.Statements
+	queue    *ring.Ring[*pendingTake]
+	head     *pendingTake
 	// granted is the limit under which the holding was granted or to which it shrank.
 	granted allotment.Limit
 	// ceiling is the number of connections that is due, which may be less than the share.
@@ -202,8 +202,8 @@
 	defer l.mu.Unlock()
 	holding, tokens := l.holding.WithShareAtMost(l.timer.Now(), e)
 	l.holding = holding
-	l.stash += tokens
-	return l.stash
+	l.withheld += tokens
+	return l.withheld
 }
 
 // restore puts withheld tokens back after the updates that were to give them away are known to have failed.
@@ -211,7 +211,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timer.Now()
-	l.holding = l.holding.At(now).WithReturned(now, l.takeStash())
+	l.holding = l.holding.At(now).WithReturned(now, l.takeWithheld())
 	l.serve(now)
 }
 
@@ -221,7 +221,7 @@
 	defer l.mu.Unlock()
 	now := l.timer.Now()
 	l.holding = l.holding.At(now)
-	back := max(l.takeStash()-t.given, 0)
+	back := max(l.takeWithheld()-t.given, 0)
 	l.holding = l.holding.WithEntry(now, t.sent, t.entry, t.taken+back)
 	l.keepFall(now, t.ledger.Limit)
 	l.serve(now)
@@ -237,11 +237,11 @@
 	l.holding, _ = l.holding.WithLimitAtMost(now, under.Total, l.granted.Total)
 }
 
-// takeStash empties the stash.
-func (l *limiter) takeStash() allotment.Statements {
-	stash := l.stash
-	l.stash = 0
-	return stash
+// takeWithheld returns the withheld tokens and forgets them.
+func (l *limiter) takeWithheld() allotment.Statements {
+	withheld := l.withheld
+	l.withheld = 0
+	return withheld
 }
 
 // fix sets a share that depends on no ledger.
@@ -265,7 +265,7 @@
 	now := l.timer.Now()
 	l.holding, _ = l.holding.WithLimitAtMost(now, l.granted.Total, limit.Total)
 	if !limit.Total.Covers(l.granted.Total) {
-		l.stash = 0
+		l.withheld = 0
 	}
 	l.granted = limit
 }
--- a/spec/ledger.go
+++ b/spec/ledger.go
@@ -73,7 +73,7 @@
 	lease     uint64
 	held      bool
 	attempts  []ledgerAttempt
-	stash     allotment.Statements
+	withheld  allotment.Statements
 	// limit is the limit that the holder knows, granted the one under which it got or lowered its share.
 	limit   allotment.Limit
 	granted allotment.Limit
@@ -318,9 +318,9 @@
 // shrink is what the product's limiter does with a lower limit. The tokens that it cuts off count as spent.
 func (h *ledgerHolder) shrink(now time.Duration, limit allotment.Limit, keepTokens bool) {
 	holding, tokens := h.holding.WithLimitAtMost(now, h.granted.Total, limit.Total)
-	h.holding, h.stash = holding, h.stash+tokens
+	h.holding, h.withheld = holding, h.withheld+tokens
 	if !keepTokens && !limit.Total.Covers(h.granted.Total) {
-		h.stash = 0
+		h.withheld = 0
 	}
 	h.granted = limit
 }
--- a/spec/ledger_sync.go
+++ b/spec/ledger_sync.go
@@ -100,7 +100,7 @@
 	_, held := p.ledger.Find(name)
 	_, seat := p.ledger.FindSeat(name)
 	if !held && !seat {
-		h.holding, h.stash = allotment.Holding{}, 0
+		h.holding, h.withheld = allotment.Holding{}, 0
 	}
 	p.apply(allotment.Claim{Holder: name})
 	plan := allotment.Decide(p.ledger, name, d)
@@ -127,9 +127,9 @@
 	holding, tokens := h.holding.WithShareAtMost(s.now(i), e)
 	if !s.faults.GiveWithoutWithholding {
 		h.holding = holding
-		h.stash += tokens
+		h.withheld += tokens
 	}
-	return h.stash
+	return h.withheld
 }
 
 // settle finds out which of the holder's updates took effect.
@@ -153,7 +153,7 @@
 		}
 	}
 	h.holding = h.holding.At(s.now(i))
-	h.holding = h.holding.WithReturned(s.now(i), h.takeStash())
+	h.holding = h.holding.WithReturned(s.now(i), h.takeWithheld())
 }
 
 // confirm takes over an update that is known to have taken effect.
@@ -162,7 +162,7 @@
 	h.attempts = nil
 	h.held = t.entry.Holder != ""
 	h.holding = h.holding.At(now)
-	back := max(h.takeStash()-t.given, 0)
+	back := max(h.takeWithheld()-t.given, 0)
 	h.holding = h.holding.WithEntry(now, t.sent, t.entry, t.taken+back)
 	if under := t.ledger.Limit; under.Revision >= h.granted.Revision || s.faults.GrantOldLimit {
 		h.granted = under
@@ -171,14 +171,14 @@
 	h.holding, _ = h.holding.WithLimitAtMost(now, t.ledger.Limit.Total, h.granted.Total)
 }
 
-// takeStash empties the stash. The tokens of a holder whose lease has ended count as spent.
-func (h *ledgerHolder) takeStash() allotment.Statements {
-	stash := h.stash
-	h.stash = 0
+// takeWithheld returns the withheld tokens and forgets them. The tokens of a holder whose lease has ended count as spent.
+func (h *ledgerHolder) takeWithheld() allotment.Statements {
+	withheld := h.withheld
+	h.withheld = 0
 	if h.holding.Lapsed() {
 		return 0
 	}
-	return stash
+	return withheld
 }
 
 // ledgerPlan collects the edits of one update. The pool is filled for the time before the update, ahead of the first
