Keep one connection to each server, and ask holders with the caller's own wish in mind

Cause: under the division by demand an instance that used no connection to a server held no share of it. An instance now keeps one connection to each server of the document. That showed a second fault: a holder that wanted more found nobody to ask, because the others' spare part was computed under its own older wish in the ledger.

Ruled out: a connection without a share while the store is down, which would exceed the server's bound over the fleet.

--- a/allotment/policy.go
+++ b/allotment/policy.go
@@ -161,9 +161,14 @@
 		spare  Amount
 		size   float64
 	}
-	if entry, _ := l.Find(holder); !missing.Helps(entry.Share) {
+	entry, _ := l.Find(holder)
+	if !missing.Helps(entry.Share) {
 		return nil
 	}
+	// The ledger may hold an older wish of the caller, under which the others would have nothing to spare.
+	if next, _, err := l.Apply(Want{Holder: holder, Wanted: entry.Share.Plus(missing)}); err == nil {
+		l = next
+	}
 	var givers []giver
 	for _, e := range l.Entries {
 		spare := e.Share.Minus(l.Fair(e.Holder)).Min(missing)
--- a/entry/account.go
+++ b/entry/account.go
@@ -55,6 +55,10 @@
 	watches sync.WaitGroup
 }
 
+// minUnits is the number of connections that an instance keeps to each server, also while it uses none. A server that
+// becomes primary while the store is down can be reached only by connections that were held before.
+const minUnits = 1
+
 // attempt is an update that was sent.
 type attempt struct {
 	sent    time.Duration
@@ -176,6 +180,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	d.Units, d.Held = a.units, a.open
+	if a.limit.Total.Units > 0 {
+		d.Units = max(d.Units, minUnits)
+	}
 	if !a.told {
 		d.Held = a.units
 	}
