Tell open connections through the connection limit's interface

Cause: the pool asked its limit by a type assertion whether it wants to know the open connections, although every limit does and the keeper's sum depends on it; a limit without the method would have given open connections away unnoticed. Ruled out: keeping the optional interface, which the compiler does not check. Conclusion: behaviour unchanged.

--- a/adapter/postgres/pool.go
+++ b/adapter/postgres/pool.go
@@ -32,12 +32,6 @@
 // keepAlive ends the connection to a machine that has gone within about 8 s.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}
 
-// openLimit is a limit that has to know how many connections are open, so that it gives none of them to another
-// instance before it is closed.
-type openLimit interface {
-	Hold(server string, n int)
-}
-
 // PoolConfig holds the settings of a Pool.
 type PoolConfig struct {
 	// User and Password are the system's own account on the servers.
@@ -304,9 +298,9 @@
 	s.assign(allowed, func(w wanted) { p.open(s, w) })
 	s.shrink(allowed)
 	p.cfg.Observer.PoolChanged(s.name, s.total, s.queue.Len())
-	if limit, ok := p.limit.(openLimit); ok && s.total != s.held {
+	if s.total != s.held {
 		s.held = s.total
-		limit.Hold(s.name, s.total)
+		p.limit.Hold(s.name, s.total)
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -94,4 +94,7 @@
 	Allowed(server string) int
 	// Want tells how many connections this instance could use now, those that it holds included.
 	Want(server string, n int)
+	// Hold tells how many connections this instance has open, so that none of them is given to another instance before
+	// it is closed.
+	Hold(server string, n int)
 }
