Forward callers to the serving instances of a group

Each instance that uses a group polls its servers and keeps a connection to each of them, which does not scale with the fleet.

--- a/adapter/console/form.go
+++ b/adapter/console/form.go
@@ -200,6 +200,8 @@
 		Name: "slots", Label: "Slots", Type: "text", Value: strings.Join(g.Slots, " "),
 		Help: "The names of the databases on these servers, separated by spaces.",
 	})
+	fields = append(fields, number("serving_instances", "Serving instances", float64(g.ServingInstances),
+		"How many proxy machines hold connections to these servers; the others pass their callers on. Empty means 16."))
 	servers := slices.Clone(g.Servers)
 	for len(servers) < len(g.Servers)+1 || len(servers) < 3 {
 		servers = append(servers, document.Server{})
--- a/adapter/console/read.go
+++ b/adapter/console/read.go
@@ -103,7 +103,7 @@
 }
 
 func (r *reader) group(name string) document.Group {
-	g := document.Group{Name: name, Slots: strings.Fields(r.values.Get("slots"))}
+	g := document.Group{Name: name, Slots: strings.Fields(r.values.Get("slots")), ServingInstances: r.whole("serving_instances")}
 	for i := range maxServers {
 		prefix := serverPrefix(i)
 		if r.text(prefix+"name") == "" {
--- a/adapter/metrics/metrics.go
+++ b/adapter/metrics/metrics.go
@@ -26,6 +26,7 @@
 	organisations *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
 	placing       prometheus.Gauge
+	forwards      forwards
 	state         State
 
 	mu    sync.Mutex
@@ -53,9 +54,11 @@
 		placing: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "placing_callers", Help: "Callers that wait for a server that may take their request.",
 		}),
-		pools: make(map[string]pool),
-		named: make(map[string]bool),
+		forwards: newForwards(),
+		pools:    make(map[string]pool),
+		named:    make(map[string]bool),
 	}
+	m.registry.MustRegister(m.forwards.collectors()...)
 	m.registry.MustRegister(m.reads, m.requests, m.refusals, m.organisations, m.storeCalls, m.placing,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.start()
--- a/adapter/peer/peer.go
+++ b/adapter/peer/peer.go
@@ -1,4 +1,4 @@
-// Package peer carries the document between instances over connect-go.
+// Package peer carries the document between instances over connect-go, and forwarded callers over upgraded connections.
 package peer
 
 import (
--- a/adapter/peer/server.go
+++ b/adapter/peer/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"net/http"
 	"sync/atomic"
 
@@ -24,6 +23,7 @@
 // Server answers other instances over HTTP. Use NewServer; a zero Server refuses every call.
 type Server struct {
 	relay      Relay
+	receiver   Receiver
 	limit      entry.RateLimit
 	credential string
 	calls      chan struct{}
@@ -54,9 +54,8 @@
 		connect.WithSendMaxBytes(MaxMessage),
 		connect.WithCompressMinBytes(compressFrom),
 	)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		shown := []byte(r.Header.Get("Authorization"))
-		if s.credential == "" || subtle.ConstantTimeCompare(shown, []byte(s.credential)) != 1 {
+	return s.forwarding(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.shows(r) {
 			w.WriteHeader(http.StatusUnauthorized)
 			return
 		}
@@ -67,7 +66,7 @@
 		default:
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
-	})
+	}))
 }
 
 // HTTPServer returns a server for the handler with bounded headers and times. The caller serves and closes it.
--- a/adapter/postgres/caller.go
+++ b/adapter/postgres/caller.go
@@ -111,6 +111,8 @@
 	leave    context.CancelCauseFunc
 	// interrupt ends the wait for a server connection; nil while the duty does not wait.
 	interrupt atomic.Pointer[context.CancelFunc]
+	// forwarded is set while another instance serves the caller.
+	forwarded atomic.Pointer[forwarded]
 
 	// The following belong to the duty.
 	out        []byte
@@ -288,6 +290,10 @@
 
 // askCancel passes a cancel request to the duty, or ends its wait for a server connection.
 func (c *caller) askCancel() {
+	if f := c.forwarded.Load(); f != nil {
+		f.askCancel()
+		return
+	}
 	if interrupt := c.interrupt.Load(); interrupt != nil {
 		(*interrupt)()
 		return
@@ -334,5 +340,9 @@
 // runStop tells the duty that the instance is stopping.
 func (c *caller) runStop() {
 	defer c.listener.duties.Done()
+	if f := c.forwarded.Load(); f != nil {
+		f.askStop()
+		return
+	}
 	_ = c.events.Put(c.ctx, stopAsked{})
 }
--- a/adapter/postgres/listener.go
+++ b/adapter/postgres/listener.go
@@ -52,6 +52,8 @@
 	TLS *tls.Config
 	// Observer takes the outcomes of requests. It may be nil.
 	Observer Observer
+	// Forward forwards callers of groups that other instances serve. When it is nil, this instance serves them all.
+	Forward *ForwardConfig
 }
 
 func (cfg ListenerConfig) withDefaults() ListenerConfig {
@@ -91,7 +93,9 @@
 	conns    map[net.Conn]bool
 	callers  map[uint32]*caller
 	stopping bool
-	duties   sync.WaitGroup
+	// serving is the context of Serve.
+	serving context.Context
+	duties  sync.WaitGroup
 }
 
 // NewListener returns a listener. log may be nil.
@@ -109,7 +113,7 @@
 
 // Serve accepts callers on the socket until Stop is called or ctx ends. When ctx ends, all connections are closed.
 func (l *Listener) Serve(ctx context.Context, socket net.Listener) error {
-	if !l.open(socket) {
+	if !l.open(ctx, socket) {
 		_ = socket.Close()
 		return nil
 	}
@@ -118,10 +122,10 @@
 	return l.loop(ctx, socket)
 }
 
-func (l *Listener) open(socket net.Listener) bool {
+func (l *Listener) open(ctx context.Context, socket net.Listener) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.socket = socket
+	l.socket, l.serving = socket, ctx
 	return !l.stopping
 }
 
@@ -188,6 +192,13 @@
 		return
 	}
 	defer l.exit(c)
+	if l.forward(conn, c) {
+		l.serveCaller(conn, c)
+	}
+}
+
+// serveCaller serves an admitted caller until it leaves.
+func (l *Listener) serveCaller(conn net.Conn, c *caller) {
 	l.duties.Add(1)
 	go l.runReader(c)
 	c.loop()
--- a/cmd/serve/process.go
+++ b/cmd/serve/process.go
@@ -46,6 +46,7 @@
 	survey   *entry.Survey
 	keeper   *entry.Keeper
 	rates    entry.RateLimit
+	router   *entry.Router
 	groups   *entry.Groups
 	pool     *postgres.Pool
 	listener *postgres.Listener
@@ -141,6 +142,7 @@
 	})
 	p.peers, err = peer.NewServer(p.follower, p.keeper, secret)
 	p.rates = p.assembleRates(relays)
+	p.assembleForwarding(relays)
 	return err
 }
 
@@ -194,7 +196,9 @@
 		IdleLimit:    settings.Milliseconds(p.cfg.Callers.IdleDrainMS),
 		TLS:          certificate,
 		Observer:     p.metrics,
+		Forward:      &postgres.ForwardConfig{Gate: gate, Connector: p.router, Observer: p.metrics},
 	}, p.metrics.Gate(gate), p.metrics.Director(director), p.pool, p.timer, p.log)
+	p.peers.WithReceiver(receiver{p.listener})
 	p.assembleOperators(signer)
 	return nil
 }
@@ -278,7 +282,7 @@
 	defer stopTimer()
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context){
-		p.follower.Run, p.editor.Run, p.keeper.Run, p.groups.Run, p.pool.Run,
+		p.follower.Run, p.editor.Run, p.keeper.Run, p.groups.Run, p.pool.Run, p.router.Run,
 	} {
 		running.Go(func() { run(duties) })
 	}
@@ -313,6 +317,12 @@
 	if err := p.follower.Subscribe(ctx, p.groups.SetDocument); err != nil {
 		return err
 	}
+	if err := p.follower.Subscribe(ctx, p.router.SetDocument); err != nil {
+		return err
+	}
+	if err := p.follower.SubscribeList(ctx, p.router.SetList); err != nil {
+		return err
+	}
 	return p.follower.SubscribeList(ctx, p.groups.SetList)
 }
 
--- a/document/difference.go
+++ b/document/difference.go
@@ -62,6 +62,7 @@
 	if !slices.Equal(a.Slots, b.Slots) {
 		lines = append(lines, fmt.Sprintf("%s slots: [%s] to [%s]", path, strings.Join(a.Slots, " "), strings.Join(b.Slots, " ")))
 	}
+	lines = valueLine(lines, path, "serving instances", a.ServingInstances, b.ServingInstances)
 	return append(lines, differ(path+" server", a.Servers, b.Servers, func(s Server) string { return s.Name }, serverLines)...)
 }
 
--- a/document/document.go
+++ b/document/document.go
@@ -55,6 +55,9 @@
 	Name    string   `json:"name" validate:"required,name"`
 	Slots   []string `json:"slots" validate:"min=1,max=1000,dive,required,name"`
 	Servers []Server `json:"servers" validate:"min=1,max=15,dive"`
+	// ServingInstances is the number of instances that hold connections to the servers and serve the callers of all
+	// others; zero means instance.DefaultServing.
+	ServingInstances int `json:"serving_instances,omitempty" validate:"min=0,max=10000"`
 }
 
 // Server is one database server of a group.
--- a/document/patch.go
+++ b/document/patch.go
@@ -153,5 +153,5 @@
 }
 
 func sameGroup(a, b Group) bool {
-	return slices.Equal(a.Slots, b.Slots) && slices.Equal(a.Servers, b.Servers)
+	return a.ServingInstances == b.ServingInstances && slices.Equal(a.Slots, b.Slots) && slices.Equal(a.Servers, b.Servers)
 }
--- a/entry/keeper.go
+++ b/entry/keeper.go
@@ -36,6 +36,12 @@
 
 	mu       sync.RWMutex
 	accounts map[string]*account
+	// stops ends the accounts that run, and ended tells when the last run of an account has ended.
+	stops map[string]context.CancelFunc
+	ended map[string]chan struct{}
+	// served holds the groups that this instance serves; nil means all. uses is by "<group>/<server>".
+	served map[string]bool
+	uses   map[string]connectionUse
 	// ctx is set while Run runs.
 	ctx     context.Context
 	running sync.WaitGroup
@@ -49,18 +55,23 @@
 	if cfg.Report == nil {
 		cfg.Report = func(string, error) {}
 	}
-	return &Keeper{cfg: cfg, accounts: make(map[string]*account)}
+	return &Keeper{
+		cfg: cfg, accounts: make(map[string]*account), stops: make(map[string]context.CancelFunc),
+		ended: make(map[string]chan struct{}), uses: make(map[string]connectionUse),
+	}
 }
 
 // Run keeps the ledgers until ctx ends. Then it gives back all shares, for which it takes at most leaveTimeout.
 func (k *Keeper) Run(ctx context.Context) {
 	k.mu.Lock()
 	k.ctx = ctx
-	for _, a := range k.accounts {
-		k.start(a)
+	for name := range k.accounts {
+		k.adjust(name)
 	}
 	k.mu.Unlock()
+	stop := k.cfg.Timer.Every(unusedPeriod, func(time.Duration) { k.retireUnused() })
 	<-ctx.Done()
+	stop()
 	k.mu.Lock()
 	k.ctx = nil
 	k.mu.Unlock()
@@ -77,11 +88,8 @@
 			a.setLimit(limit)
 			continue
 		}
-		a := newAccount(k.cfg, limit)
-		k.accounts[name] = a
-		if k.ctx != nil {
-			k.start(a)
-		}
+		k.accounts[name] = newAccount(k.cfg, limit)
+		k.adjust(name)
 	}
 	for name, a := range k.accounts {
 		if _, ok := limits[name]; !ok {
@@ -90,11 +98,6 @@
 	}
 }
 
-func (k *Keeper) start(a *account) {
-	ctx := k.ctx
-	k.running.Go(func() { a.run(ctx) })
-}
-
 // Take takes one statement from a limit.
 func (k *Keeper) Take(ctx context.Context, limit string) error {
 	a, ok := k.find(limit)
@@ -107,7 +110,7 @@
 // Allowed returns how many connections this instance may hold now. server is "<group>/<server>".
 func (k *Keeper) Allowed(server string) int {
 	a, ok := k.find(connectionsPrefix + server)
-	if !ok {
+	if !ok || k.isRetiring(server) {
 		return 0
 	}
 	return a.limiter.allowed()
@@ -115,7 +118,12 @@
 
 // Want tells how many connections this instance could use now, those that it holds included.
 func (k *Keeper) Want(server string, n int) {
-	if a, ok := k.find(connectionsPrefix + server); ok {
+	a, ok := k.note(server, func(use connectionUse) connectionUse {
+		use.wanted, use.used = n, use.used || n > 0
+		use.wantedAt = k.cfg.Timer.Now()
+		return use
+	})
+	if ok {
 		a.want(n)
 	}
 }
@@ -123,7 +131,11 @@
 // Hold tells how many connections are open now. Open connections are never given back. Without a call to Hold, as
 // many as Want said count as open.
 func (k *Keeper) Hold(server string, n int) {
-	if a, ok := k.find(connectionsPrefix + server); ok {
+	a, ok := k.note(server, func(use connectionUse) connectionUse {
+		use.open = n
+		return use
+	})
+	if ok {
 		a.hold(n)
 	}
 }
--- /dev/null
+++ b/entry/router.go
@@ -0,0 +1,248 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/instance"
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+const (
+	// alivePeriod is how often each instance that serves forwarded callers is asked whether it is alive, and how long it
+	// may take to answer. The kernel of a paused process goes on confirming what it receives.
+	alivePeriod = time.Second
+	// aliveFailures is how many answers in a row are missing when the instance counts as lost. A busy machine missed one
+	// now and then.
+	aliveFailures = 3
+)
+
+// RouterConfig is what a Router needs.
+type RouterConfig struct {
+	Self   instance.Instance
+	Timer  port.Timer
+	Client ForwardClient
+	// Served is told the groups that this instance serves whenever they may have changed. It must not block.
+	Served func(groups []string)
+}
+
+// Router is the duty that knows the serving instances of each group, connects callers to them, and closes the
+// connections to an instance that no longer answers. Use NewRouter, then call Run.
+type Router struct {
+	cfg RouterConfig
+
+	mu      sync.Mutex
+	routing instance.Routing
+	// links holds the connections to each serving instance, by incarnation.
+	links  map[string]*link
+	asking sync.WaitGroup
+}
+
+// link is one serving instance with the connections to it.
+type link struct {
+	to    instance.Instance
+	conns map[*linkConn]struct{}
+	// missed counts the answers in a row that did not come; asked is true while one is awaited.
+	missed int
+	asked  bool
+}
+
+// linkConn is a ForwardConn that its router knows.
+type linkConn struct {
+	ForwardConn
+	router *Router
+	to     instance.Instance
+}
+
+// NewRouter returns a router that forwards nothing until it knows a document and a list.
+func NewRouter(cfg RouterConfig) *Router {
+	return &Router{cfg: cfg, routing: instance.NewRouting(cfg.Self), links: make(map[string]*link)}
+}
+
+// SetDocument gives the groups of the document in force.
+func (r *Router) SetDocument(d document.Document) {
+	services := make([]instance.Service, 0, len(d.Groups))
+	for _, g := range d.Groups {
+		services = append(services, ServiceOf(g))
+	}
+	r.change(func(routing instance.Routing) instance.Routing { return routing.WithServices(services...) })
+}
+
+// SetList gives the platform's list of instances.
+func (r *Router) SetList(l instance.List) {
+	r.change(func(routing instance.Routing) instance.Routing { return routing.WithList(l) })
+}
+
+// ServiceOf returns what the choice of the group's serving instances depends on.
+func ServiceOf(g document.Group) instance.Service {
+	s := instance.Service{Group: g.Name, Number: g.ServingInstances}
+	for _, server := range g.Servers {
+		s.DataCentres = append(s.DataCentres, server.DataCentre)
+	}
+	return s
+}
+
+func (r *Router) change(with func(instance.Routing) instance.Routing) {
+	r.mu.Lock()
+	r.routing = with(r.routing)
+	served := r.routing.Served()
+	r.mu.Unlock()
+	r.cfg.Served(served)
+}
+
+// Serves reports whether this instance serves the group, or has no instance to which it could forward.
+func (r *Router) Serves(group string) bool { return len(r.candidates(group)) == 0 }
+
+// Serving returns the serving instances of the group.
+func (r *Router) Serving(group string) []instance.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.routing.Serving(group)
+}
+
+func (r *Router) candidates(group string) []instance.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.routing.Candidates(group, r.cfg.Timer.Now())
+}
+
+// Connect connects a caller of the group to a serving instance. An error of kind KeyRefused, UnknownRoute or BadToken
+// refuses the caller. After any other error this instance has to serve the caller itself.
+func (r *Router) Connect(ctx context.Context, group string, o Opening) (ForwardConn, error) {
+	started := r.cfg.Timer.Now()
+	err := port.Failf(port.Unavailable, "group %s has no serving instance that answers", group)
+	for _, i := range r.candidates(group) {
+		if r.cfg.Timer.Now()-started >= ReachLimit || ctx.Err() != nil {
+			break
+		}
+		var conn ForwardConn
+		if conn, err = r.open(ctx, i, o); err == nil {
+			return conn, nil
+		}
+		if refusesCaller(err) {
+			return nil, err
+		}
+		if ctx.Err() == nil {
+			r.fail(i)
+		}
+	}
+	return nil, err
+}
+
+func (r *Router) open(ctx context.Context, to instance.Instance, o Opening) (ForwardConn, error) {
+	ctx, cancel := port.WithTimeout(ctx, r.cfg.Timer, OpeningLimit)
+	defer cancel()
+	conn, err := r.cfg.Client.Forward(ctx, to.Address, o)
+	if err != nil {
+		return nil, err
+	}
+	return r.enter(to, conn), nil
+}
+
+// refusesCaller reports whether every serving instance would refuse the caller in this way.
+func refusesCaller(err error) bool {
+	switch port.KindOf(err) {
+	case port.KeyRefused, port.UnknownRoute, port.BadToken:
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *Router) enter(to instance.Instance, conn ForwardConn) ForwardConn {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.routing = r.routing.WithSuccess(to)
+	l, ok := r.links[to.Incarnation]
+	if !ok {
+		l = &link{to: to, conns: make(map[*linkConn]struct{})}
+		r.links[to.Incarnation] = l
+	}
+	entered := &linkConn{ForwardConn: conn, router: r, to: to}
+	l.conns[entered] = struct{}{}
+	return entered
+}
+
+// Close closes the connection and forgets it.
+func (c *linkConn) Close() error {
+	c.router.mu.Lock()
+	if l, ok := c.router.links[c.to.Incarnation]; ok {
+		delete(l.conns, c)
+		if len(l.conns) == 0 {
+			delete(c.router.links, c.to.Incarnation)
+		}
+	}
+	c.router.mu.Unlock()
+	return c.ForwardConn.Close()
+}
+
+// Lost tells the router that the instance behind the connection ended it, so that its callers turn to another one.
+func (r *Router) Lost(conn ForwardConn) {
+	if c, ok := conn.(*linkConn); ok {
+		r.fail(c.to)
+	}
+}
+
+func (r *Router) fail(i instance.Instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.routing = r.routing.WithFailure(i, r.cfg.Timer.Now())
+}
+
+// Run watches over the serving instances that have callers of this one until ctx ends.
+func (r *Router) Run(ctx context.Context) {
+	stop := r.cfg.Timer.Every(alivePeriod, func(time.Duration) { r.ask(ctx) })
+	<-ctx.Done()
+	stop()
+	r.asking.Wait()
+}
+
+// ask asks each serving instance that does not owe an answer already.
+func (r *Router) ask(ctx context.Context) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
+	for _, l := range r.links {
+		if !l.asked {
+			l.asked = true
+			r.asking.Add(1)
+			go r.runAsk(ctx, l)
+		}
+	}
+}
+
+func (r *Router) runAsk(ctx context.Context, l *link) {
+	defer r.asking.Done()
+	limited, cancel := port.WithTimeout(ctx, r.cfg.Timer, alivePeriod)
+	defer cancel()
+	err := r.cfg.Client.Alive(limited, l.to.Address)
+	for _, conn := range r.heard(l, err) {
+		_ = conn.Close()
+	}
+}
+
+// heard takes an answer and returns the connections that are given up.
+func (r *Router) heard(l *link, err error) []ForwardConn {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l.asked = false
+	if err == nil {
+		l.missed = 0
+		return nil
+	}
+	l.missed++
+	if l.missed < aliveFailures {
+		return nil
+	}
+	r.routing = r.routing.WithFailure(l.to, r.cfg.Timer.Now())
+	delete(r.links, l.to.Incarnation)
+	given := make([]ForwardConn, 0, len(l.conns))
+	for c := range l.conns {
+		given = append(given, c.ForwardConn)
+	}
+	return given
+}
--- /dev/null
+++ b/instance/routing.go
@@ -0,0 +1,170 @@
+package instance
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// DefaultServing is the number of serving instances of a group that names none. A server of a group takes about 50
+	// connections, of which each serving instance keeps one.
+	DefaultServing = 16
+	// ServingRetry is how long a serving instance that failed is passed over.
+	ServingRetry = 10 * time.Second
+)
+
+// Service says which instances may serve a group. The zero Number means DefaultServing.
+type Service struct {
+	Group  string
+	Number int
+	// DataCentres are those that have a server of the group.
+	DataCentres []string
+}
+
+// Serving returns the serving instances of a group. They are chosen by rank, in turn from the data centres that have a
+// server of the group, and from the others only when these have too few. A fleet of at most the number serves with all
+// its live instances.
+func (l List) Serving(s Service) []Instance {
+	number := s.Number
+	if number == 0 {
+		number = DefaultServing
+	}
+	ranked := l.Ranked("serving/" + s.Group)
+	if number >= len(ranked) {
+		return ranked
+	}
+	near := make(map[string][]Instance)
+	var order []string
+	var far []Instance
+	for _, i := range ranked {
+		if !slices.Contains(s.DataCentres, i.DataCentre) {
+			far = append(far, i)
+			continue
+		}
+		if len(near[i.DataCentre]) == 0 {
+			order = append(order, i.DataCentre)
+		}
+		near[i.DataCentre] = append(near[i.DataCentre], i)
+	}
+	chosen := append(inTurn(order, near), far...)
+	return chosen[:number]
+}
+
+// inTurn returns the first of each data centre, then the second of each, and so on.
+func inTurn(order []string, near map[string][]Instance) []Instance {
+	var chosen []Instance
+	for place, left := 0, true; left; place++ {
+		left = false
+		for _, name := range order {
+			if place < len(near[name]) {
+				chosen = append(chosen, near[name][place])
+				left = true
+			}
+		}
+	}
+	return chosen
+}
+
+// Routing decides whether an instance serves a group, and to which instance it forwards a caller otherwise. A Routing is
+// never changed in place.
+type Routing struct {
+	self Instance
+	list List
+	// services holds the groups of the document by name.
+	services map[string]Service
+	// failed holds the instant of the last failure of each incarnation.
+	failed map[string]time.Duration
+}
+
+// NewRouting returns the routing of an instance that knows no other one and no group.
+func NewRouting(self Instance) Routing { return Routing{self: self, list: NewList(self)} }
+
+// WithList returns the routing with the platform's list. The instance itself counts as listed, because the list lags.
+func (r Routing) WithList(l List) Routing {
+	r.list = l.WithInstance(r.self)
+	return r
+}
+
+// WithServices returns the routing with the groups of another document.
+func (r Routing) WithServices(services ...Service) Routing {
+	r.services = make(map[string]Service, len(services))
+	for _, s := range services {
+		r.services[s.Group] = s
+	}
+	return r
+}
+
+// WithFailure returns the routing after the instance could not be reached or did not serve.
+func (r Routing) WithFailure(i Instance, now time.Duration) Routing {
+	failed := make(map[string]time.Duration, len(r.failed)+1)
+	for incarnation, at := range r.failed {
+		if now-at < ServingRetry {
+			failed[incarnation] = at
+		}
+	}
+	failed[i.Incarnation] = now
+	r.failed = failed
+	return r
+}
+
+// WithSuccess returns the routing after the instance took a caller.
+func (r Routing) WithSuccess(i Instance) Routing {
+	if _, found := r.failed[i.Incarnation]; !found {
+		return r
+	}
+	r.failed = maps.Clone(r.failed)
+	delete(r.failed, i.Incarnation)
+	return r
+}
+
+// Serving returns the serving instances of the group. A group that the document does not have has none.
+func (r Routing) Serving(group string) []Instance {
+	s, ok := r.services[group]
+	if !ok {
+		return nil
+	}
+	return r.list.Serving(s)
+}
+
+// Serves reports whether this instance serves the group.
+func (r Routing) Serves(group string) bool {
+	return slices.ContainsFunc(r.Serving(group), func(i Instance) bool { return i.Incarnation == r.self.Incarnation })
+}
+
+// Served returns the names of the groups that this instance serves, in order.
+func (r Routing) Served() []string {
+	var names []string
+	for name := range r.services {
+		if r.Serves(name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Candidates returns the instances to which a caller of the group may be forwarded, the preferred one first: those of
+// the own data centre, then the others, each part by a rank that differs between senders, so that the callers of many
+// instances are spread. Instances that failed of late are left out. There are none when this instance serves the group.
+func (r Routing) Candidates(group string, now time.Duration) []Instance {
+	if r.Serves(group) {
+		return nil
+	}
+	candidates := slices.DeleteFunc(r.Serving(group), func(i Instance) bool {
+		at, failed := r.failed[i.Incarnation]
+		return failed && now-at < ServingRetry
+	})
+	key := "forward/" + r.self.Incarnation + "/" + group
+	slices.SortStableFunc(candidates, func(a, b Instance) int {
+		if near := a.DataCentre == r.self.DataCentre; near != (b.DataCentre == r.self.DataCentre) {
+			if near {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(RankOf(key, b.Incarnation), RankOf(key, a.Incarnation))
+	})
+	return candidates
+}
--- /dev/null
+++ b/instance/routing_test.go
@@ -0,0 +1,112 @@
+package instance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/instance"
+)
+
+// Guards against serving instances that differ between instances, that stand where no server of the group is, or that
+// all move when one leaves.
+func TestServing(t *testing.T) {
+	l := fleet(4, 10)
+	two := instance.Service{Group: "g", Number: 6, DataCentres: []string{"dc1", "dc3"}}
+	t.Run("as many of each data centre that has a server", func(t *testing.T) {
+		requireCentres(t, map[string]int{"dc1": 3, "dc3": 3}, l.Serving(two))
+	})
+	t.Run("others when these have too few", func(t *testing.T) {
+		two := two
+		two.Number = 22
+		chosen := l.Serving(two)
+		requireCentres(t, map[string]int{"dc1": 10, "dc3": 10}, chosen[:20])
+		require.Len(t, chosen, 22)
+	})
+	t.Run("all of a small fleet", func(t *testing.T) {
+		require.Len(t, fleet(4, 4).Serving(instance.Service{Group: "g", DataCentres: []string{"dc1"}}), 16)
+	})
+	t.Run("one that departs is replaced by one", func(t *testing.T) {
+		before := l.Serving(two)
+		after := l.WithInstance(before[0].WithState(instance.Departing)).Serving(two)
+		require.NotContains(t, after, before[0])
+		kept := 0
+		for _, i := range before[1:] {
+			if contains(after, i) {
+				kept++
+			}
+		}
+		require.Equal(t, 5, kept)
+	})
+}
+
+// Guards against a caller that is forwarded to an instance that just failed, to a far one before a near one, or by all
+// senders to the same one.
+func TestRouting(t *testing.T) {
+	l := fleet(2, 20)
+	s := instance.Service{Group: "g", Number: 8, DataCentres: []string{"dc1", "dc2"}}
+	self := notServing(l, s, 0)
+	r := instance.NewRouting(self).WithList(l).WithServices(s)
+	t.Run("near ones first", func(t *testing.T) {
+		c := r.Candidates("g", 0)
+		requireCentres(t, map[string]int{self.DataCentre: 4}, c[:4])
+		require.Len(t, c, 8)
+	})
+	t.Run("one that failed is passed over for a time", func(t *testing.T) {
+		first := r.Candidates("g", 0)[0]
+		failed := r.WithFailure(first, time.Second)
+		require.NotContains(t, failed.Candidates("g", time.Second), first)
+		require.Contains(t, failed.Candidates("g", time.Second+instance.ServingRetry), first)
+		require.Contains(t, failed.WithSuccess(first).Candidates("g", time.Second), first)
+	})
+	t.Run("senders differ", func(t *testing.T) {
+		firsts := map[string]bool{}
+		for n := range 12 {
+			other := instance.NewRouting(notServing(l, s, n)).WithList(l).WithServices(s)
+			firsts[other.Candidates("g", 0)[0].Incarnation] = true
+		}
+		require.Greater(t, len(firsts), 3)
+	})
+	t.Run("a serving instance forwards nothing", func(t *testing.T) {
+		serving := instance.NewRouting(l.Serving(s)[0]).WithList(l).WithServices(s)
+		require.True(t, serving.Serves("g"))
+		require.Empty(t, serving.Candidates("g", 0))
+		require.Equal(t, []string{"g"}, serving.Served())
+	})
+	t.Run("without a list the instance serves itself", func(t *testing.T) {
+		require.True(t, instance.NewRouting(self).WithServices(s).Serves("g"))
+	})
+}
+
+// notServing returns the nth instance that does not serve.
+func notServing(l instance.List, s instance.Service, n int) instance.Instance {
+	serving := l.Serving(s)
+	for _, i := range l.All() {
+		if !contains(serving, i) {
+			if n == 0 {
+				return i
+			}
+			n--
+		}
+	}
+	return instance.Instance{}
+}
+
+func contains(all []instance.Instance, one instance.Instance) bool {
+	for _, i := range all {
+		if i.Incarnation == one.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+func requireCentres(t *testing.T, want map[string]int, chosen []instance.Instance) {
+	t.Helper()
+	got := map[string]int{}
+	for _, i := range chosen {
+		got[i.DataCentre]++
+	}
+	require.Equal(t, want, got)
+}
--- a/session/session.go
+++ b/session/session.go
@@ -40,6 +40,15 @@
 	return p, s.carried && (ok || s.fresh)
 }
 
+// IsCarried reports whether the session's earlier writes are known.
+func (s Session) IsCarried() bool { return s.carried }
+
+// WithoutOrigin returns the session as one that may have written anything elsewhere. Its floors stay for its token.
+func (s Session) WithoutOrigin() Session {
+	s.carried, s.fresh = false, false
+	return s
+}
+
 // Floors returns a copy of the positions that the session's token carries.
 func (s Session) Floors() map[string]group.Position { return maps.Clone(s.floors) }
 
