--- a/adapter/postgres/helper_test.go
+++ b/adapter/postgres/helper_test.go
@@ -26,6 +26,8 @@
 	routes map[string]document.Route
 	seen   []entry.Credentials
 	refuse error
+	// resumed are the openings of forwarded callers.
+	resumed []entry.Opening
 }
 
 func (g *fakeGate) Admit(_ context.Context, c entry.Credentials) (entry.Caller, error) {
@@ -116,6 +118,9 @@
 		})
 	}
 	f.pool = postgres.NewPool(postgres.PoolConfig{User: "system", Password: "own"}, f.limit, f.clock, nil)
+	if cfg.Forward != nil {
+		cfg.Forward.Gate = f.gate
+	}
 	f.listener = postgres.NewListener(cfg, f.gate, f.director, f.pool, f.clock, nil)
 	socket, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
