Tell operators where a caller is forwarded, and test admission and routing

session explain names the instance to which this one would forward the caller. Guards for the admission of an opening (key hash, revision, unknown floor), the router (failures, paused instance) and the ledger entries of groups that an instance does not serve. The last one showed that each call of Want(0) started the 60 s again; only a call that changes the use does now.

--- a/bench/forward_test.go
+++ b/bench/forward_test.go
@@ -120,6 +120,11 @@
 				!strings.Contains(ledger, f.sender.id) && !strings.Contains(ledger, f.other.id)
 		})
 	})
+	t.Run("an operator is told", func(t *testing.T) {
+		env := []string{"RHUBARBWICK_PASSWORD=" + f.secrets.operator, "RHUBARBWICK_INSTANCE=" + f.sender.operators}
+		r := command(t, env, "session", "explain", "--organisation", "clinic", "--route", routeName("read", 0))
+		require.Contains(t, r.out, "forwards the caller to instance "+f.near.id+", or else to one of 1 more", r.errors)
+	})
 	t.Run("a withdrawn key stops", func(t *testing.T) {
 		withdrawn := mustDial(t, f.sender.callers, f.writer(0).withKey(f.secrets.spareKey))
 		withdrawn.mustExec(t, putSQL("tin", "2"))
--- a/cmd/serve/process.go
+++ b/cmd/serve/process.go
@@ -211,6 +211,7 @@
 		Signer:     signer,
 		Timer:      p.timer,
 		Monitor:    p.groups.Monitor,
+		Candidates: p.router.Candidates,
 	})
 	p.admin = admin.NewServer(admin.Config{Follower: p.follower, Log: p.log})
 	p.admin.Handle(operator.NewServer(operator.Config{
--- a/entry/explainer.go
+++ b/entry/explainer.go
@@ -7,6 +7,7 @@
 
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/instance"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/session"
 )
@@ -52,6 +53,8 @@
 	Signer     session.Signer
 	Timer      port.Timer
 	Monitor    func(ctx context.Context, groupName string) (*Monitor, bool)
+	// Candidates returns the instances to which this one would forward a caller of a group. It may be nil.
+	Candidates func(groupName string) []instance.Instance
 }
 
 // Explainer tells operators where requests go and why, by the same decisions that place them.
@@ -107,7 +110,7 @@
 		AcceptedAge: route.AcceptedAge(),
 		DataCentre:  e.cfg.DataCentre,
 	}
-	reasons := []string{describeRequest(r, s)}
+	reasons := append(e.describeForwarding(route.Group), describeRequest(r, s))
 	if _, known := s.Floor(r.Group); r.Read && !known {
 		newest, err := m.Newest(ctx, waitForAll(r))
 		if err != nil {
@@ -124,6 +127,23 @@
 	return Explanation{outcome, append(reasons, reason)}
 }
 
+// describeForwarding tells to which instance the caller would be forwarded. It is empty when this instance serves it.
+func (e *Explainer) describeForwarding(groupName string) []string {
+	if e.cfg.Candidates == nil {
+		return nil
+	}
+	candidates := e.cfg.Candidates(groupName)
+	if len(candidates) == 0 {
+		return nil
+	}
+	line := fmt.Sprintf("This instance does not serve group %s; it forwards the caller to instance %s", groupName,
+		candidates[0].Incarnation)
+	if others := len(candidates) - 1; others > 0 {
+		line += fmt.Sprintf(", or else to one of %d more", others)
+	}
+	return []string{line + "."}
+}
+
 func isPlaced(p session.Placement) bool {
 	switch p.(type) {
 	case session.ToPrimary, session.ToServer:
--- /dev/null
+++ b/entry/forward_test.go
@@ -0,0 +1,264 @@
+package entry_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/adapter/clock"
+	"github.com/rhubarbwick/rhubarbwick/allotment"
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/entry"
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/instance"
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+// Guards against a forwarded caller that runs with a withdrawn key, for another organisation, or by an older document
+// than the one by which it was admitted.
+func TestResume(t *testing.T) {
+	inFleet(t, "admitted, recheck and read-only", 1, 2, func(t *testing.T, f *documentFleet) {
+		gate, caller := f.admit("1a")
+		other := f.instances["1b"].gate(&countingLimit{})
+		resumed, err := other.Resume(t.Context(), gate.Opening(caller))
+		require.NoError(t, err)
+		require.Equal(t, gate.Token(caller.Session), gate.Token(resumed.Session))
+		require.Equal(t, caller, resumed.WithSession(caller.Session))
+		_, err = f.apply("1a", withdraw)
+		require.NoError(t, err)
+		f.run(time.Second)
+		_, err = other.Spend(t.Context(), resumed)
+		requireErrorKind(t, port.KeyRefused, err)
+		_, err = other.Resume(t.Context(), gate.Opening(caller))
+		requireErrorKind(t, port.KeyRefused, err)
+	})
+	inFleet(t, "openings that no instance sends", 1, 1, func(t *testing.T, f *documentFleet) {
+		gate, caller := f.admit("1a")
+		o := gate.Opening(caller)
+		for _, change := range []func(*entry.Opening){
+			func(o *entry.Opening) { o.KeyHash = "00" },
+			func(o *entry.Opening) { o.KeyID = "" },
+			func(o *entry.Opening) { o.KeyID, o.Route = "", "menu" },
+		} {
+			changed := o
+			change(&changed)
+			_, err := gate.Resume(t.Context(), changed)
+			requireErrorKind(t, port.KeyRefused, err)
+		}
+		_, err := gate.Resume(t.Context(), o.WithToken("1.x.y"))
+		requireErrorKind(t, port.BadToken, err)
+	})
+	inFleet(t, "a revision that is awaited and one that does not come", 1, 1, func(t *testing.T, f *documentFleet) {
+		gate, caller := f.admit("1a")
+		o := gate.Opening(caller)
+		o.Revision++
+		resume := func() <-chan error {
+			done := make(chan error, 1)
+			go func() { _, err := gate.Resume(f.ctx, o); done <- err }()
+			return done
+		}
+		waiting := resume()
+		f.run(entry.RevisionWait / 2)
+		require.Empty(t, waiting)
+		f.run(entry.RevisionWait)
+		requireErrorKind(t, port.NotFresh, <-waiting)
+		waiting = resume()
+		_, err := f.apply("1a", setSeats(9))
+		require.NoError(t, err)
+		require.NoError(t, <-waiting)
+	})
+	inFleet(t, "a session without a token keeps an unknown floor", 1, 1, func(t *testing.T, f *documentFleet) {
+		gate := f.instances["1a"].gate(&countingLimit{})
+		without := keyed
+		without.Token = ""
+		caller, err := gate.Admit(t.Context(), without)
+		require.NoError(t, err)
+		o := gate.Opening(caller)
+		wrote := caller.Session.WithFloor("g", group.Position{Term: 1, Offset: 5})
+		resumed, err := gate.Resume(t.Context(), o.WithToken(gate.Token(wrote)))
+		require.NoError(t, err)
+		_, known := resumed.Session.Floor("g")
+		require.False(t, known)
+		require.Equal(t, gate.Token(wrote), gate.Token(resumed.Session))
+	})
+}
+
+// forwardNet is a ForwardClient. Instances that are silent do not answer.
+type forwardNet struct {
+	mu     sync.Mutex
+	silent map[string]error
+	opened []string
+	closed int
+}
+
+type netConn struct {
+	io.ReadWriteCloser
+	net *forwardNet
+}
+
+func (c *netConn) Cancel(context.Context) error { return nil }
+
+func (c *netConn) Close() error {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	c.net.closed++
+	return nil
+}
+
+func (n *forwardNet) Forward(_ context.Context, address string, _ entry.Opening) (entry.ForwardConn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.opened = append(n.opened, address)
+	return &netConn{net: n}, n.silent[address]
+}
+
+func (n *forwardNet) Alive(_ context.Context, address string) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.silent[address]
+}
+
+func (n *forwardNet) silence(address string, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silent = map[string]error{address: err}
+}
+
+func (n *forwardNet) take() (opened []string, closed int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	opened, closed = n.opened, n.closed
+	n.opened, n.closed = nil, 0
+	return opened, closed
+}
+
+// testRouter runs a router of an instance that serves group "b" but not group "a".
+func testRouter(t *testing.T, name string, body func(t *testing.T, r *entry.Router, n *forwardNet, c *clock.Fake)) {
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			var all []instance.Instance
+			for _, name := range []string{"1", "2", "3"} {
+				all = append(all, instance.Instance{Incarnation: name, Address: name, DataCentre: "dc" + name, State: instance.Live})
+			}
+			n, c := &forwardNet{}, &clock.Fake{}
+			var served []string
+			r := entry.NewRouter(entry.RouterConfig{
+				Self: all[2], Timer: c, Client: n, Served: func(groups []string) { served = groups },
+			})
+			r.SetList(instance.NewList(all...))
+			r.SetDocument(document.Document{Groups: []document.Group{
+				{Name: "a", ServingInstances: 2, Servers: []document.Server{{DataCentre: "dc1"}, {DataCentre: "dc2"}}},
+				{Name: "b"},
+			}})
+			require.Equal(t, []string{"b"}, served)
+			require.True(t, r.Serves("b"))
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { defer close(done); r.Run(ctx) }()
+			synctest.Wait()
+			body(t, r, n, c)
+			cancel()
+			<-done
+		})
+	})
+}
+
+// Guards against callers that stay with an instance that no longer answers, or that are sent to it again at once.
+func TestRouter(t *testing.T) {
+	dead := port.Failf(port.Unavailable, "does not answer")
+	testRouter(t, "the next one after a failure", func(t *testing.T, r *entry.Router, n *forwardNet, c *clock.Fake) {
+		_, err := r.Connect(t.Context(), "a", entry.Opening{})
+		require.NoError(t, err)
+		opened, _ := n.take()
+		n.silence(opened[0], dead)
+		for range 2 {
+			_, err = r.Connect(t.Context(), "a", entry.Opening{})
+			require.NoError(t, err)
+		}
+		again, _ := n.take()
+		require.Len(t, again, 3, "the one that failed is tried once")
+		c.Advance(instance.ServingRetry)
+		_, err = r.Connect(t.Context(), "a", entry.Opening{})
+		require.NoError(t, err)
+		again, _ = n.take()
+		require.Equal(t, opened[0], again[0])
+	})
+	testRouter(t, "a refusal of the caller is not tried elsewhere", func(t *testing.T, r *entry.Router, n *forwardNet, _ *clock.Fake) {
+		_, err := r.Connect(t.Context(), "a", entry.Opening{})
+		require.NoError(t, err)
+		opened, _ := n.take()
+		n.silence(opened[0], port.Failf(port.KeyRefused, "withdrawn"))
+		_, err = r.Connect(t.Context(), "a", entry.Opening{})
+		requireErrorKind(t, port.KeyRefused, err)
+		opened, _ = n.take()
+		require.Len(t, opened, 1)
+	})
+	testRouter(t, "a paused instance loses its callers", func(t *testing.T, r *entry.Router, n *forwardNet, c *clock.Fake) {
+		conn, err := r.Connect(t.Context(), "a", entry.Opening{})
+		require.NoError(t, err)
+		opened, _ := n.take()
+		beat := func(times int) {
+			for range times {
+				c.Advance(time.Second)
+				synctest.Wait()
+			}
+		}
+		n.silence(opened[0], dead)
+		beat(2)
+		n.silence("", nil)
+		beat(1)
+		n.silence(opened[0], dead)
+		beat(2)
+		_, closed := n.take()
+		require.Zero(t, closed, "one answer in between counts")
+		beat(1)
+		_, closed = n.take()
+		require.Equal(t, 1, closed)
+		require.NoError(t, conn.Close())
+		beat(2)
+		_, err = r.Connect(t.Context(), "a", entry.Opening{})
+		require.NoError(t, err)
+		again, _ := n.take()
+		require.NotEqual(t, opened, again)
+	})
+}
+
+// Guards against connections that an instance keeps to servers of groups that it does not serve, and against an entry
+// that is given back while connections are open.
+func TestKeeperServed(t *testing.T) {
+	const ledger = "connections/" + server
+	testPools(t, "served by the others", 3, func(t *testing.T, p *pools) {
+		p.want = []int{2, 2, 2}
+		p.advance(t, 5*time.Second, 50)
+		p.f.keepers[0].SetServed(nil)
+		p.advance(t, 5*time.Second, 50)
+		requireHolds(t, p, ledger, 0, true)
+		p.want[0] = 0
+		p.advance(t, 30*time.Second, 50)
+		requireHolds(t, p, ledger, 0, true)
+		require.Positive(t, p.f.keepers[0].Allowed(server))
+		p.advance(t, 40*time.Second, 50)
+		requireHolds(t, p, ledger, 0, false)
+		require.Zero(t, p.f.keepers[0].Allowed(server))
+		p.want[0] = 1
+		p.advance(t, 5*time.Second, 50)
+		require.Equal(t, 1, p.held[0], "a caller that is served all the same gets a connection")
+		p.want[0] = 0
+		p.advance(t, 70*time.Second, 50)
+		p.f.keepers[0].SetServed([]string{"formula-core"})
+		p.advance(t, 5*time.Second, 50)
+		requireHolds(t, p, ledger, 0, true)
+	})
+}
+
+func requireHolds(t *testing.T, p *pools, ledger string, holder int, want bool) {
+	t.Helper()
+	name := []string{"instance-00", "instance-01", "instance-02"}[holder]
+	e, found := p.f.store.ledger(t, ledger).Find(name)
+	require.Equal(t, want, found && e.Share != allotment.Amount{}, "entry of %s: %v", name, e)
+}
--- a/entry/keeper.go
+++ b/entry/keeper.go
@@ -109,8 +109,11 @@
 
 // Allowed returns how many connections this instance may hold now. server is "<group>/<server>".
 func (k *Keeper) Allowed(server string) int {
-	a, ok := k.find(connectionsPrefix + server)
-	if !ok || k.isRetiring(server) {
+	k.mu.RLock()
+	a, ok := k.accounts[connectionsPrefix+server]
+	retiring := k.uses[server].retiring
+	k.mu.RUnlock()
+	if !ok || retiring {
 		return 0
 	}
 	return a.limiter.allowed()
@@ -119,8 +122,10 @@
 // Want tells how many connections this instance could use now, those that it holds included.
 func (k *Keeper) Want(server string, n int) {
 	a, ok := k.note(server, func(use connectionUse) connectionUse {
-		use.wanted, use.used = n, use.used || n > 0
-		use.wantedAt = k.cfg.Timer.Now()
+		if n > 0 || use.wanted > 0 {
+			use.used, use.wantedAt = true, k.cfg.Timer.Now()
+		}
+		use.wanted = n
 		return use
 	})
 	if ok {
--- a/entry/keeper_serving.go
+++ b/entry/keeper_serving.go
@@ -116,10 +116,3 @@
 		k.adjust(name)
 	}
 }
-
-// isRetiring reports whether no connection to the server may be held any more.
-func (k *Keeper) isRetiring(server string) bool {
-	k.mu.RLock()
-	defer k.mu.RUnlock()
-	return k.uses[server].retiring
-}
--- a/entry/router.go
+++ b/entry/router.go
@@ -93,16 +93,10 @@
 }
 
 // Serves reports whether this instance serves the group, or has no instance to which it could forward.
-func (r *Router) Serves(group string) bool { return len(r.candidates(group)) == 0 }
+func (r *Router) Serves(group string) bool { return len(r.Candidates(group)) == 0 }
 
-// Serving returns the serving instances of the group.
-func (r *Router) Serving(group string) []instance.Instance {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.routing.Serving(group)
-}
-
-func (r *Router) candidates(group string) []instance.Instance {
+// Candidates returns the instances to which a caller of the group would be forwarded now, the preferred one first.
+func (r *Router) Candidates(group string) []instance.Instance {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.routing.Candidates(group, r.cfg.Timer.Now())
@@ -113,7 +107,7 @@
 func (r *Router) Connect(ctx context.Context, group string, o Opening) (ForwardConn, error) {
 	started := r.cfg.Timer.Now()
 	err := port.Failf(port.Unavailable, "group %s has no serving instance that answers", group)
-	for _, i := range r.candidates(group) {
+	for _, i := range r.Candidates(group) {
 		if r.cfg.Timer.Now()-started >= ReachLimit || ctx.Err() != nil {
 			break
 		}
