Remove unreferenced sections once an hour

Cause: each change leaves the sections that it replaces, and an editor that dies leaves those that it wrote. The first relay lists the sections, raises the index's collection counter, and deletes what was listed and is not named. Ruled out: settling a lost answer to the counter update; the collection ends and the next one removes the same sections. Ruled out: deleting without a pause; 1,000 sections at once would take the store's write rate from the ledgers.

--- a/cmd/serve/process.go
+++ b/cmd/serve/process.go
@@ -35,22 +35,23 @@
 
 // process is one entry instance with all its duties.
 type process struct {
-	cfg      settings.Settings
-	self     instance.Instance
-	log      *zap.Logger
-	timer    *clock.Service
-	metrics  *metrics.Metrics
-	store    port.Store
-	follower *entry.Follower
-	editor   *entry.Editor
-	survey   *entry.Survey
-	keeper   *entry.Keeper
-	rates    entry.RateLimit
-	groups   *entry.Groups
-	pool     *postgres.Pool
-	listener *postgres.Listener
-	peers    *peer.Server
-	admin    *admin.Server
+	cfg       settings.Settings
+	self      instance.Instance
+	log       *zap.Logger
+	timer     *clock.Service
+	metrics   *metrics.Metrics
+	store     port.Store
+	follower  *entry.Follower
+	editor    *entry.Editor
+	collector *entry.Collector
+	survey    *entry.Survey
+	keeper    *entry.Keeper
+	rates     entry.RateLimit
+	groups    *entry.Groups
+	pool      *postgres.Pool
+	listener  *postgres.Listener
+	peers     *peer.Server
+	admin     *admin.Server
 
 	caller, peer, operator net.Listener
 }
@@ -127,6 +128,13 @@
 		NewID:    newIncarnation,
 		Log:      func(line string) { log.Info(line) },
 	})
+	p.collector = entry.NewCollector(entry.CollectorConfig{
+		Self:     p.self,
+		Store:    p.store,
+		Follower: p.follower,
+		Timer:    p.timer,
+		Log:      func(line string) { log.Info(line) },
+	})
 	p.survey = entry.NewSurvey(entry.SurveyConfig{
 		Self:     p.self,
 		Follower: p.follower,
@@ -278,7 +286,7 @@
 	defer stopTimer()
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context){
-		p.follower.Run, p.editor.Run, p.keeper.Run, p.groups.Run, p.pool.Run,
+		p.follower.Run, p.editor.Run, p.collector.Run, p.keeper.Run, p.groups.Run, p.pool.Run,
 	} {
 		running.Go(func() { run(duties) })
 	}
