--- a/entry/section_helper_test.go
+++ b/entry/section_helper_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 
@@ -105,3 +107,70 @@
 	_, err := f.put(entry.DocumentObject, data, version)
 	require.NoError(t, err)
 }
+
+// putOrganisation is an edit that changes the section of the organisation.
+func putOrganisation(name string, rate float64) entry.EditRequest {
+	return entry.EditRequest{Edit: document.PutOrganisation{Name: name, Rate: rate, Burst: 5}, Author: "ana"}
+}
+
+// sections returns the names of the sections in the store.
+func (f *documentFleet) sections() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for name := range f.objects {
+		if strings.HasPrefix(name, document.SectionPrefix) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (f *documentFleet) removeSections() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	maps.DeleteFunc(f.objects, func(name string, _ port.Object) bool { return strings.HasPrefix(name, document.SectionPrefix) })
+}
+
+// restore puts an earlier object in the place of the document, as a restored backup of the store does.
+func (f *documentFleet) restore(backup port.Object) {
+	now, _ := f.object(entry.DocumentObject)
+	_, err := f.put(entry.DocumentObject, backup.Data, now.Version)
+	require.NoError(f.t, err)
+}
+
+// collect removes the unreferenced sections and lets time pass meanwhile.
+func (f *documentFleet) collect(name string) (int, error) {
+	var removed int
+	var err error
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		removed, err = f.instances[name].collector.Collect(f.ctx)
+	}()
+	f.runUntil(done)
+	return removed, err
+}
+
+// requireStored checks that the store holds the revision whole, and that an instance which starts now reads it from there.
+func (f *documentFleet) requireStored(name string, r document.Revision) document.SectionIndex {
+	ix, d, _ := f.storedDocument()
+	require.Equal(f.t, r, d.Revision)
+	require.NotEmpty(f.t, ix.Sections, "the document is stored in the earlier form")
+	restarted := f.restart(name)
+	f.run(settled)
+	f.requireState(r, true)
+	want, faults := document.Encode(d)
+	require.Empty(f.t, faults)
+	got, faults := document.Encode(restarted.follower.Document())
+	require.Empty(f.t, faults)
+	require.JSONEq(f.t, string(want), string(got))
+	return ix
+}
+
+// requireCollected checks that the store holds no other sections than those of the index.
+func (f *documentFleet) requireCollected(ix document.SectionIndex) {
+	require.Empty(f.t, ix.Unreferenced(f.sections()))
+	require.Len(f.t, f.sections(), len(ix.Sections))
+}
