Ask relays whether they have a change before sending the whole document

Cause: an editor sent the whole document to both relays of a data centre for each change. Ruled out: not to offer at all; a relay without the store would miss the change. Figures: TestEditorOffers: no whole document to a relay that watches the store, one to a relay without it. A change that such a relay has to be sent is accepted up to 1 s later than before. Conclusion: what a change costs a relay is the index and one poll.

--- a/entry/document_fleet_test.go
+++ b/entry/document_fleet_test.go
@@ -72,6 +72,8 @@
 	replays []port.Object
 	// watches, reads and wholes count its polls and reads at the store and the whole documents that instances sent it.
 	watches, reads, wholes int
+	// offers counts the whole documents that its editor sent to relays.
+	offers int
 }
 
 // shiftedTimer is a monotonic clock whose zero lies elsewhere, as on another machine.
@@ -474,6 +476,7 @@
 }
 
 func (i *documentInstance) Offer(ctx context.Context, address string, d document.Document) (document.Revision, error) {
+	i.set(func() { i.offers++ })
 	other, err := i.peer(address)
 	if err != nil {
 		return 0, err
--- a/entry/editor.go
+++ b/entry/editor.go
@@ -19,6 +19,10 @@
 	// EditCall bounds each call of an edit to the store or to a relay.
 	EditCall = 2 * time.Second
 
+	// OfferWait is how long an editor waits for a relay to learn of a change from the store, before it sends the relay the
+	// whole document. A relay that watches the store learns of it within milliseconds.
+	OfferWait = 500 * time.Millisecond
+
 	// AuditDelay leaves the editor that made a change the time to write its audit record.
 	AuditDelay = 5 * time.Second
 
@@ -148,16 +152,29 @@
 	return len(relays) > 0
 }
 
+// offer reports whether the relay has the document. A relay that reaches the store learns of it from there, so it is
+// asked first and gets the whole document only if it does not answer that it has it.
 func (e *Editor) offer(ctx context.Context, address string, next document.Document) bool {
-	limited, cancel := port.WithTimeout(ctx, e.cfg.Timer, EditCall)
-	defer cancel()
-	revision, err := e.cfg.Relays.Offer(limited, address, next)
+	revision, err := e.ask(ctx, address, next.Revision)
+	if err != nil || revision < next.Revision {
+		limited, cancel := port.WithTimeout(ctx, e.cfg.Timer, EditCall)
+		defer cancel()
+		revision, err = e.cfg.Relays.Offer(limited, address, next)
+	}
 	if err != nil {
 		e.log(fmt.Sprintf("relay %s does not take revision %d: %s", address, next.Revision, err))
 	}
 	return err == nil && revision >= next.Revision
 }
 
+// ask returns the revision in force at the relay, as soon as it is r and after OfferWait at the latest.
+func (e *Editor) ask(ctx context.Context, address string, r document.Revision) (document.Revision, error) {
+	limited, cancel := port.WithTimeout(ctx, e.cfg.Timer, 2*OfferWait)
+	defer cancel()
+	report, err := e.cfg.Relays.Follow(limited, address, RelayPoll{Known: r - 1, Wait: OfferWait})
+	return report.Revision, err
+}
+
 func (e *Editor) distance(dataCentre string) int {
 	if dataCentre == e.cfg.Self.DataCentre {
 		return 0
--- a/entry/editor_test.go
+++ b/entry/editor_test.go
@@ -124,6 +124,25 @@
 	})
 }
 
+// Guards against a change that is accepted while a relay does not know it, and against one that sends the whole document
+// to relays that read it from the store.
+func TestEditorOffers(t *testing.T) {
+	for name, c := range map[string]struct {
+		storeDown bool
+		offers    int
+	}{"relay that watches the store": {false, 0}, "relay without the store": {true, 1}} {
+		inFleet(t, name, 1, 2, func(t *testing.T, f *documentFleet) {
+			relay := f.instances["1b"]
+			relay.set(func() { relay.storeDown = c.storeDown })
+			_, err := f.apply("1a", setSeats(7))
+			require.NoError(t, err)
+			f.requireState(2, true)
+			editor := f.instances["1a"]
+			editor.set(func() { require.Equal(t, c.offers, editor.offers) })
+		})
+	}
+}
+
 // Guards against an audit record that is lost, or that tells of a change that did not happen.
 func TestEditorAudit(t *testing.T) {
 	inFleet(t, "the writer died before its record", 1, 2, func(t *testing.T, f *documentFleet) {
--- a/entry/section_bench_test.go
+++ b/entry/section_bench_test.go
@@ -209,11 +209,12 @@
 	}, nil
 }
 
-func (i *benchInstance) Follow(context.Context, string, entry.RelayPoll) (entry.RelayReport, error) {
-	return entry.RelayReport{}, port.Failf(port.Unavailable, "only the store is asked")
+// Follow confirms the next revision without a document, so that a relay learns of it from the store.
+func (i *benchInstance) Follow(_ context.Context, _ string, poll entry.RelayPoll) (entry.RelayReport, error) {
+	return entry.RelayReport{Revision: poll.Known + 1}, nil
 }
 
-// Offer confirms the document without handing it over, so that the relay learns of it from the store.
+// Offer confirms the document without handing it over.
 func (i *benchInstance) Offer(_ context.Context, _ string, d document.Document) (document.Revision, error) {
 	return d.Revision, nil
 }
