Share the options of commands that print lists, change the document or log callers in

Conclusion: access.ListOptions, access.EditOptions and the stand-ins' access.Options; the output is unchanged (go test ./cmd/...).

--- a/cmd/document/apply/apply.go
+++ b/cmd/document/apply/apply.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 
 	"github.com/urfave/cli/v3"
@@ -16,27 +15,24 @@
 
 // Options are the options of the document apply command.
 type Options struct {
-	Streams streams.Streams
-	Access  access.Options
+	access.EditOptions
 	Path    string
 	Base    uint64
-	Author  string
 	Summary string
 }
 
 // NewCommand returns the document apply command.
 func NewCommand(s streams.Streams) *cli.Command {
-	opts := &Options{Streams: s}
+	opts := &Options{EditOptions: access.EditOptions{Streams: s}}
 	return &cli.Command{
 		Name:  "apply",
 		Usage: "put a document in force",
 		Description: "The document is checked whole. With --base the change is refused when another operator has changed\n" +
 			"the document since that revision.\n\n" +
 			"Example:\n\n   rhubarbwick document apply --file document.json --base 12 --summary 'new partner'",
-		Flags: append(opts.Access.Flags(),
+		Flags: opts.Flags(
 			&cli.StringFlag{Name: "file", Usage: "the JSON `FILE`", Required: true, Destination: &opts.Path},
 			&cli.Uint64Flag{Name: "base", Usage: "the `REVISION` that the document was made from; 0 fits any", Destination: &opts.Base},
-			&cli.StringFlag{Name: "author", Usage: "the name for the audit trail", Value: "operator", Destination: &opts.Author},
 			&cli.StringFlag{Name: "summary", Usage: "the reason for the audit trail", Destination: &opts.Summary},
 		),
 		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
@@ -52,6 +48,5 @@
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(opts.Streams.Out, "revision\t%d\n", revision)
-	return err
+	return opts.PrintRevision(revision)
 }
--- a/cmd/document/history/history.go
+++ b/cmd/document/history/history.go
@@ -16,23 +16,19 @@
 
 // Options are the options of the document history command.
 type Options struct {
-	Streams streams.Streams
-	Access  access.Options
-	Limit   int
-	JSON    bool
+	access.ListOptions
+	Limit int
 }
 
 // NewCommand returns the document history command.
 func NewCommand(s streams.Streams) *cli.Command {
-	opts := &Options{Streams: s}
+	opts := &Options{ListOptions: access.ListOptions{Streams: s}}
 	return &cli.Command{
 		Name:        "history",
 		Usage:       "print who changed what, newest first",
 		Description: "Example:\n\n   rhubarbwick document history --limit 5",
-		Flags: append(opts.Access.Flags(),
-			&cli.IntFlag{Name: "limit", Usage: "the greatest `NUMBER` of changes, 1 to 200", Value: document.MaxHistory, Destination: &opts.Limit},
-			&cli.BoolFlag{Name: "json", Usage: "print JSON", Destination: &opts.JSON},
-		),
+		Flags: opts.Flags(
+			&cli.IntFlag{Name: "limit", Usage: "the greatest `NUMBER` of changes, 1 to 200", Value: document.MaxHistory, Destination: &opts.Limit}),
 		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
 	}
 }
@@ -45,12 +41,9 @@
 	if err != nil {
 		return err
 	}
-	if opts.JSON {
-		return opts.Streams.JSON(changes)
-	}
 	rows := make([][]string, 0, len(changes))
 	for _, c := range changes {
 		rows = append(rows, []string{strconv.FormatUint(c.GetRevision(), 10), c.GetAt(), c.GetAuthor(), c.GetSummary()})
 	}
-	return opts.Streams.Table([]string{"REVISION", "AT", "AUTHOR", "SUMMARY"}, rows)
+	return opts.Print(changes, []string{"REVISION", "AT", "AUTHOR", "SUMMARY"}, rows)
 }
--- a/cmd/group/list/list.go
+++ b/cmd/group/list/list.go
@@ -14,21 +14,18 @@
 
 // Options are the options of the group list command.
 type Options struct {
-	Streams streams.Streams
-	Access  access.Options
-	JSON    bool
+	access.ListOptions
 }
 
 // NewCommand returns the group list command.
 func NewCommand(s streams.Streams) *cli.Command {
-	opts := &Options{Streams: s}
+	opts := &Options{access.ListOptions{Streams: s}}
 	return &cli.Command{
 		Name:  "list",
 		Usage: "print the groups with their primary and term as the asked instance sees them",
 		Description: "An instance knows the state only of the groups that it watches or uses; the others show a dash.\n\n" +
 			"Example:\n\n   rhubarbwick group list",
-		Flags: append(opts.Access.Flags(),
-			&cli.BoolFlag{Name: "json", Usage: "print JSON", Destination: &opts.JSON}),
+		Flags:  opts.Flags(),
 		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
 	}
 }
@@ -38,14 +35,11 @@
 	if err != nil {
 		return err
 	}
-	if opts.JSON {
-		return opts.Streams.JSON(groups)
-	}
 	rows := make([][]string, 0, len(groups))
 	for _, g := range groups {
 		rows = append(rows, row(g))
 	}
-	return opts.Streams.Table([]string{"GROUP", "PRIMARY", "TERM", "SERVERS", "ANSWERED"}, rows)
+	return opts.Print(groups, []string{"GROUP", "PRIMARY", "TERM", "SERVERS", "ANSWERED"}, rows)
 }
 
 func row(g *operatorv1.Group) []string {
--- a/cmd/group/show/show.go
+++ b/cmd/group/show/show.go
@@ -14,24 +14,21 @@
 
 // Options are the options of the group show command.
 type Options struct {
-	Streams streams.Streams
-	Access  access.Options
-	Name    string
-	JSON    bool
+	access.ListOptions
+	Name string
 }
 
 // NewCommand returns the group show command.
 func NewCommand(s streams.Streams) *cli.Command {
-	opts := &Options{Streams: s}
+	opts := &Options{ListOptions: access.ListOptions{Streams: s}}
 	return &cli.Command{
 		Name:  "show",
 		Usage: "print a group's servers with role, term, position, lag and age as the asked instance sees them",
 		Description: "The lag is counted in log entries behind the primary, the age in milliseconds. A dash stands for what\n" +
 			"is not known. An instance that does not use the group yet asks its servers first.\n\n" +
 			"Example:\n\n   rhubarbwick group show --name formula-core-1",
-		Flags: append(opts.Access.Flags(),
-			&cli.StringFlag{Name: "name", Usage: "the group's `NAME`", Required: true, Destination: &opts.Name},
-			&cli.BoolFlag{Name: "json", Usage: "print JSON", Destination: &opts.JSON}),
+		Flags: opts.Flags(
+			&cli.StringFlag{Name: "name", Usage: "the group's `NAME`", Required: true, Destination: &opts.Name}),
 		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
 	}
 }
@@ -41,16 +38,13 @@
 	if err != nil {
 		return err
 	}
-	if opts.JSON {
-		return opts.Streams.JSON(groups)
-	}
 	var rows [][]string
 	for _, g := range groups {
 		for _, s := range g.GetServers() {
 			rows = append(rows, row(s))
 		}
 	}
-	return opts.Streams.Table([]string{"SERVER", "ADDRESS", "DATA CENTRE", "ROLE", "TERM", "POSITION", "LAG", "AGE MS", "SEEN MS", "STATE"}, rows)
+	return opts.Print(groups, []string{"SERVER", "ADDRESS", "DATA CENTRE", "ROLE", "TERM", "POSITION", "LAG", "AGE MS", "SEEN MS", "STATE"}, rows)
 }
 
 func row(s *operatorv1.GroupServer) []string {
@@ -64,13 +58,6 @@
 	}
 	return []string{
 		s.GetName(), s.GetAddress(), s.GetDataCentre(), role, term, position,
-		number(s.LagEntries), number(s.AgeMs), number(s.SeenMs), state,
-	}
-}
-
-func number(n *uint64) string {
-	if n == nil {
-		return "-"
+		access.Cell(s.LagEntries), access.Cell(s.AgeMs), access.Cell(s.SeenMs), state,
 	}
-	return strconv.FormatUint(*n, 10)
 }
--- a/cmd/instance/list/list.go
+++ b/cmd/instance/list/list.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"strconv"
 
 	"github.com/urfave/cli/v3"
 
@@ -14,21 +13,18 @@
 
 // Options are the options of the instance list command.
 type Options struct {
-	Streams streams.Streams
-	Access  access.Options
-	JSON    bool
+	access.ListOptions
 }
 
 // NewCommand returns the instance list command.
 func NewCommand(s streams.Streams) *cli.Command {
-	opts := &Options{Streams: s}
+	opts := &Options{access.ListOptions{Streams: s}}
 	return &cli.Command{
 		Name:  "list",
 		Usage: "print the listed instances and the revision in force at each",
 		Description: "The asked instance asks the others. A dash stands for one that did not answer within a second.\n\n" +
 			"Example:\n\n   rhubarbwick instance list",
-		Flags: append(opts.Access.Flags(),
-			&cli.BoolFlag{Name: "json", Usage: "print JSON", Destination: &opts.JSON}),
+		Flags:  opts.Flags(),
 		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
 	}
 }
@@ -38,27 +34,17 @@
 	if err != nil {
 		return err
 	}
-	if opts.JSON {
-		return opts.Streams.JSON(instances)
-	}
 	rows := make([][]string, 0, len(instances))
 	for _, i := range instances {
 		rows = append(rows, row(i))
 	}
-	return opts.Streams.Table([]string{"INSTANCE", "ADDRESS", "DATA CENTRE", "STATE", "REVISION", "AGE MS"}, rows)
+	return opts.Print(instances, []string{"INSTANCE", "ADDRESS", "DATA CENTRE", "STATE", "REVISION", "AGE MS"}, rows)
 }
 
 func row(i *operatorv1.Instance) []string {
-	revision := number(i.Revision)
+	revision := access.Cell(i.Revision)
 	if !i.GetAsked() {
 		revision = "not asked"
 	}
-	return []string{i.GetId(), i.GetAddress(), i.GetDataCentre(), i.GetState(), revision, number(i.AgeMs)}
-}
-
-func number(n *uint64) string {
-	if n == nil {
-		return "-"
-	}
-	return strconv.FormatUint(*n, 10)
+	return []string{i.GetId(), i.GetAddress(), i.GetDataCentre(), i.GetState(), revision, access.Cell(i.AgeMs)}
 }
--- a/cmd/key/grant/grant.go
+++ b/cmd/key/grant/grant.go
@@ -17,26 +17,23 @@
 
 // Options are the options of the key grant command.
 type Options struct {
-	Streams      streams.Streams
-	Access       access.Options
+	access.EditOptions
 	Organisation string
 	ID           string
-	Author       string
 }
 
 // NewCommand returns the key grant command.
 func NewCommand(s streams.Streams) *cli.Command {
-	opts := &Options{Streams: s}
+	opts := &Options{EditOptions: access.EditOptions{Streams: s}}
 	return &cli.Command{
 		Name:  "grant",
 		Usage: "draw a new key for an organisation and print it once",
 		Description: "The key is drawn here; only its hash goes to the instance, so the key cannot be shown again. When the\n" +
 			"outcome is not known the key is not printed; look in the history, withdraw the id and grant another.\n\n" +
 			"Example:\n\n   rhubarbwick key grant --organisation clinic --id autumn",
-		Flags: append(opts.Access.Flags(),
+		Flags: opts.Flags(
 			&cli.StringFlag{Name: "organisation", Usage: "the organisation's `NAME`", Required: true, Destination: &opts.Organisation},
 			&cli.StringFlag{Name: "id", Usage: "a new `NAME` for the key, unique in the organisation", Required: true, Destination: &opts.ID},
-			&cli.StringFlag{Name: "author", Usage: "the name for the audit trail", Value: "operator", Destination: &opts.Author},
 		),
 		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
 	}
@@ -57,6 +54,8 @@
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(opts.Streams.Out, "key\t%s\nrevision\t%d\n", key, revision)
-	return err
+	if _, err := fmt.Fprintf(opts.Streams.Out, "key\t%s\n", key); err != nil {
+		return err
+	}
+	return opts.PrintRevision(revision)
 }
--- a/cmd/key/withdraw/withdraw.go
+++ b/cmd/key/withdraw/withdraw.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 
 	"github.com/urfave/cli/v3"
 
@@ -15,24 +14,21 @@
 
 // Options are the options of the key withdraw command.
 type Options struct {
-	Streams      streams.Streams
-	Access       access.Options
+	access.EditOptions
 	Organisation string
 	ID           string
-	Author       string
 }
 
 // NewCommand returns the key withdraw command.
 func NewCommand(s streams.Streams) *cli.Command {
-	opts := &Options{Streams: s}
+	opts := &Options{EditOptions: access.EditOptions{Streams: s}}
 	return &cli.Command{
 		Name:        "withdraw",
 		Usage:       "withdraw a key; open connections that use it are refused at their next statement",
 		Description: "Example:\n\n   rhubarbwick key withdraw --organisation clinic --id autumn",
-		Flags: append(opts.Access.Flags(),
+		Flags: opts.Flags(
 			&cli.StringFlag{Name: "organisation", Usage: "the organisation's `NAME`", Required: true, Destination: &opts.Organisation},
 			&cli.StringFlag{Name: "id", Usage: "the key's `NAME`", Required: true, Destination: &opts.ID},
-			&cli.StringFlag{Name: "author", Usage: "the name for the audit trail", Value: "operator", Destination: &opts.Author},
 		),
 		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
 	}
@@ -46,6 +42,5 @@
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(opts.Streams.Out, "revision\t%d\n", revision)
-	return err
+	return opts.PrintRevision(revision)
 }
--- a/cmd/organisation/list/list.go
+++ b/cmd/organisation/list/list.go
@@ -15,21 +15,18 @@
 
 // Options are the options of the organisation list command.
 type Options struct {
-	Streams streams.Streams
-	Access  access.Options
-	JSON    bool
+	access.ListOptions
 }
 
 // NewCommand returns the organisation list command.
 func NewCommand(s streams.Streams) *cli.Command {
-	opts := &Options{Streams: s}
+	opts := &Options{access.ListOptions{Streams: s}}
 	return &cli.Command{
 		Name:        "list",
 		Usage:       "print the organisations with their rates and the names of their keys",
 		Description: "Example:\n\n   rhubarbwick organisation list",
-		Flags: append(opts.Access.Flags(),
-			&cli.BoolFlag{Name: "json", Usage: "print JSON", Destination: &opts.JSON}),
-		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
+		Flags:       opts.Flags(),
+		Action:      func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
 	}
 }
 
@@ -52,10 +49,7 @@
 		list = append(list, row{o.Name, o.Rate, o.Burst, keyIDs(o)})
 		table = append(table, []string{o.Name, number(o.Rate), number(o.Burst), strings.Join(keyIDs(o), " ")})
 	}
-	if opts.JSON {
-		return opts.Streams.JSON(list)
-	}
-	return opts.Streams.Table([]string{"ORGANISATION", "RATE", "BURST", "KEYS"}, table)
+	return opts.Print(list, []string{"ORGANISATION", "RATE", "BURST", "KEYS"}, table)
 }
 
 func keyIDs(o document.Organisation) []string {
--- a/cmd/standin/call/call.go
+++ b/cmd/standin/call/call.go
@@ -5,23 +5,20 @@
 	"context"
 	"fmt"
 	"io"
-	"net/url"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/urfave/cli/v3"
 
+	"github.com/rhubarbwick/rhubarbwick/cmd/standin/access"
 	"github.com/rhubarbwick/rhubarbwick/port"
 )
 
 // Options are the flags of the command.
 type Options struct {
-	Address      string
-	Organisation string
-	Key          string
-	Route        string
-	Session      string
-	Statement    string
-	Out          io.Writer
+	access.Options
+	Session   string
+	Statement string
+	Out       io.Writer
 }
 
 // New returns the command. It prints the rows and the session's token to out.
@@ -32,26 +29,16 @@
 		Usage: "send one statement to an instance and print the answer and the session's token",
 		Description: "Example:\n  rhubarbwick-standin call --address 127.0.0.1:6432 --organisation clinic --key K " +
 			"--route orders --statement \"SELECT value FROM kv WHERE key = 'tin'\"",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "address", Usage: "address of the instance", Required: true, Destination: &opts.Address},
-			&cli.StringFlag{Name: "organisation", Usage: "user name", Required: true, Destination: &opts.Organisation},
-			&cli.StringFlag{Name: "key", Usage: "password", Destination: &opts.Key},
-			&cli.StringFlag{Name: "route", Usage: "database name", Required: true, Destination: &opts.Route},
+		Flags: opts.Flags(
 			&cli.StringFlag{Name: "session", Usage: "token of an earlier answer", Destination: &opts.Session},
 			&cli.StringFlag{Name: "statement", Usage: "SQL text", Required: true, Destination: &opts.Statement},
-		},
+		),
 		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
 	}
 }
 
 func run(ctx context.Context, opts *Options) error {
-	target := url.URL{
-		Scheme: "postgres",
-		User:   url.UserPassword(opts.Organisation, opts.Key),
-		Host:   opts.Address,
-		Path:   "/" + opts.Route,
-	}
-	cfg, err := pgx.ParseConfig(target.String())
+	cfg, err := pgx.ParseConfig(opts.URL())
 	if err != nil {
 		return port.Wrapf(err, port.Invalid, "the address is not usable")
 	}
--- a/cmd/standin/load/load.go
+++ b/cmd/standin/load/load.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,20 +12,18 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/urfave/cli/v3"
 
+	"github.com/rhubarbwick/rhubarbwick/cmd/standin/access"
 	"github.com/rhubarbwick/rhubarbwick/port"
 )
 
 // Options are the flags of the command.
 type Options struct {
-	Address      string
-	Organisation string
-	Key          string
-	Route        string
-	Statement    string
-	Callers      int
-	Idle         bool
-	Time         time.Duration
-	Out          io.Writer
+	access.Options
+	Statement string
+	Callers   int
+	Idle      bool
+	Time      time.Duration
+	Out       io.Writer
 }
 
 // New returns the command. It prints its counts to out.
@@ -37,16 +34,12 @@
 		Usage: "open many callers that stay idle or send statements",
 		Description: "Example:\n  rhubarbwick-standin load --address 127.0.0.1:6432 --organisation clinic --key K " +
 			"--route stock --callers 16 --time 10s",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "address", Usage: "address of the instance", Required: true, Destination: &opts.Address},
-			&cli.StringFlag{Name: "organisation", Usage: "user name", Required: true, Destination: &opts.Organisation},
-			&cli.StringFlag{Name: "key", Usage: "password", Destination: &opts.Key},
-			&cli.StringFlag{Name: "route", Usage: "database name", Required: true, Destination: &opts.Route},
+		Flags: opts.Flags(
 			&cli.StringFlag{Name: "statement", Usage: "SQL text", Value: "SELECT 1", Destination: &opts.Statement},
 			&cli.IntFlag{Name: "callers", Usage: "number of callers", Value: 1, Destination: &opts.Callers},
 			&cli.BoolFlag{Name: "idle", Usage: "send no statements", Destination: &opts.Idle},
 			&cli.DurationFlag{Name: "time", Usage: "how long to run once all callers are connected", Value: 10 * time.Second, Destination: &opts.Time},
-		},
+		),
 		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
 	}
 }
@@ -81,15 +74,8 @@
 }
 
 func (g *generator) connect(ctx context.Context) error {
-	target := url.URL{
-		Scheme:   "postgres",
-		User:     url.UserPassword(g.opts.Organisation, g.opts.Key),
-		Host:     g.opts.Address,
-		Path:     "/" + g.opts.Route,
-		RawQuery: "sslmode=disable",
-	}
 	for range g.opts.Callers {
-		conn, err := pgx.Connect(ctx, target.String())
+		conn, err := pgx.Connect(ctx, g.opts.URL())
 		if err != nil {
 			return port.Wrapf(err, port.Unavailable, "the instance did not take caller %d", len(g.conns)+1)
 		}
