Explain each setting in a paragraph, on a page and by a command

Cause: operators have to be able to tell what each setting does; the page had one line each and nothing compared it with the code. Ruled out: comments in an example file, which nothing checks. Conclusion: rhubarbwick settings explain prints the paragraphs of docs/settings.md; a test fails when a setting has none or the page differs.

--- a/adapter/settings/settings_test.go
+++ b/adapter/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"os"
 	"strings"
 	"testing"
 
@@ -56,6 +57,24 @@
 	})
 }
 
+// Guards against a setting that an operator cannot look up, and against a page that has fallen behind the command.
+func TestExplain(t *testing.T) {
+	page, err := os.ReadFile("../../docs/settings.md")
+	require.NoError(t, err)
+	for _, e := range settings.Explain("") {
+		t.Run(e.Name(), func(t *testing.T) {
+			require.NotEmpty(t, e.Text)
+			require.Contains(t, string(page), e.String(), "run: rhubarbwick settings explain")
+		})
+	}
+	t.Run("a prefix chooses", func(t *testing.T) {
+		found := settings.Explain("callers.start")
+		require.Len(t, found, 1)
+		require.Equal(t, "10000", found[0].Default)
+		require.Empty(t, settings.Explain("nothing"))
+	})
+}
+
 func requireFaults(t *testing.T, text string, want ...string) settings.Settings {
 	t.Helper()
 	s, faults, err := settings.Parse([]byte(text))
--- /dev/null
+++ b/cmd/settings/explain/explain.go
@@ -0,0 +1,51 @@
+// Package explain tells what settings do.
+package explain
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/rhubarbwick/rhubarbwick/adapter/settings"
+	"github.com/rhubarbwick/rhubarbwick/cmd/streams"
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+// Options are the options of the settings explain command.
+type Options struct {
+	Streams streams.Streams
+	Name    string
+}
+
+// NewCommand returns the settings explain command.
+func NewCommand(s streams.Streams) *cli.Command {
+	opts := &Options{Streams: s}
+	return &cli.Command{
+		Name:        "explain",
+		Usage:       "tell what a setting does, with its unit, range and default",
+		Description: "Example:\n\n   rhubarbwick settings explain --name callers.start_up_ms",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "name", Usage: "a `SECTION` or `SECTION.KEY`; without it all settings", Destination: &opts.Name},
+		},
+		Action: func(context.Context, *cli.Command) error { return run(opts) },
+	}
+}
+
+func run(opts *Options) error {
+	found := settings.Explain(opts.Name)
+	if len(found) == 0 {
+		return port.Failf(port.NotFound, "there is no setting %q", opts.Name)
+	}
+	for i, e := range found {
+		if i > 0 {
+			if _, err := fmt.Fprintln(opts.Streams.Out); err != nil {
+				return err
+			}
+		}
+		if _, err := fmt.Fprint(opts.Streams.Out, e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/settings/settings.go
+++ b/cmd/settings/settings.go
@@ -5,6 +5,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/rhubarbwick/rhubarbwick/cmd/settings/check"
+	"github.com/rhubarbwick/rhubarbwick/cmd/settings/explain"
 	"github.com/rhubarbwick/rhubarbwick/cmd/streams"
 )
 
@@ -13,6 +14,6 @@
 	return &cli.Command{
 		Name:     "settings",
 		Usage:    "work with the settings of an instance",
-		Commands: []*cli.Command{check.NewCommand(s)},
+		Commands: []*cli.Command{check.NewCommand(s), explain.NewCommand(s)},
 	}
 }
