Serve run-time profiles on request and measure beside an earlier binary

Cause: where the time of a statement goes could not be profiled on an instance, and a change of the data path could only be compared across runs, whose machine load differs. [instance] profile (off by default) serves /debug/pprof on the operators' listener. RHUBARBWICK_EARLIER names a binary that runs as the second instance of the benchmark's fleet and is measured in turns with the first; RHUBARBWICK_POLICY chooses the policy of the limits.

Ruled out: a benchmark inside adapter/postgres alone, because entry's duties and the stand-in's processes would be missing from it.

--- a/adapter/admin/admin.go
+++ b/adapter/admin/admin.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/pprof"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +17,10 @@
 const (
 	headerLimit = 5 * time.Second
 	maxHeader   = 16 << 10
+	// blockRate is the mean blocked time, in nanoseconds, for one sample of the block profile.
+	blockRate = 100_000
+	// mutexFraction is how many contention events there are for one sample of the mutex profile.
+	mutexFraction = 100
 )
 
 // Config is what a Server needs.
@@ -41,6 +47,15 @@
 // Handle adds a handler, such as that of the metrics or the console.
 func (s *Server) Handle(pattern string, h http.Handler) { s.mux.Handle(pattern, h) }
 
+// ServeProfiles adds the run-time's profiles under /debug/pprof/ and starts the sampling of blocked time.
+func (s *Server) ServeProfiles() {
+	runtime.SetBlockProfileRate(blockRate)
+	runtime.SetMutexProfileFraction(mutexFraction)
+	s.mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	s.mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	s.mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+}
+
 // SetStopping makes the instance not ready, so that the platform's balancer sends no new callers.
 func (s *Server) SetStopping() { s.stopping.Store(true) }
 
--- a/adapter/settings/settings.go
+++ b/adapter/settings/settings.go
@@ -29,6 +29,8 @@
 	PeerAdvertise string `ini:"peer_advertise" validate:"omitempty,ip_port"`
 	// Seeds are addresses of other instances, separated by commas, that are asked at the start while the store is down.
 	Seeds string `ini:"seeds" validate:"ip_ports"`
+	// Profile serves run-time profiles on AdminListen.
+	Profile string `ini:"profile" validate:"oneof=off on"`
 }
 
 // Platform says how the platform's store is reached.
@@ -88,6 +90,7 @@
 			CallerListen: "127.0.0.1:6432",
 			PeerListen:   "127.0.0.1:6433",
 			AdminListen:  "127.0.0.1:6434",
+			Profile:      "off",
 		},
 		Servers: Servers{User: "rhubarbwick", ConnectMS: 3000, WaitMS: 15000},
 		Callers: Callers{
--- a/bench/fleet_test.go
+++ b/bench/fleet_test.go
@@ -114,7 +114,7 @@
 		id := "instance-" + strconv.Itoa(i+1)
 		path := filepath.Join(f.dir, id+".ini")
 		require.NoError(f.t, os.WriteFile(path, []byte(f.settings(dataCentre)), 0o600))
-		p := start(f.t, f.dir, id, "rhubarbwick", "serve", "--settings", path, "--incarnation", id)
+		p := start(f.t, f.dir, id, memberBinary(i), "serve", "--settings", path, "--incarnation", id)
 		f.members = append(f.members, &member{process: p, id: id, dataCentre: dataCentre})
 	}
 	for _, m := range f.members {
@@ -131,7 +131,7 @@
 		"[platform]", "store_url = " + f.store,
 		"[servers]", "user = " + serverUser, "password = " + f.secrets.server,
 		"[session]", "token_secret = " + f.secrets.token,
-		"[limits]", "policy = demand",
+		"[limits]", "policy = " + limitPolicy(),
 		"[console]", "password_sha256 = " + hash(f.secrets.operator),
 		"[log]", "level = debug", "",
 	}, "\n")
--- a/bench/measure_test.go
+++ b/bench/measure_test.go
@@ -201,6 +201,8 @@
 // BenchmarkThroughput measures latency and statements per second through one instance and on direct connections to the
 // same stand-ins, which alternate within one run.
 //
+// With the path of an earlier binary in RHUBARBWICK_EARLIER, the second instance runs that one and is measured too.
+//
 //	go test ./bench -run '^$' -bench Throughput -benchtime 1x
 func BenchmarkThroughput(b *testing.B) {
 	f := newFleet(b)
@@ -214,20 +216,21 @@
 }
 
 func (f *fleet) readWays(b *testing.B, primary *server) []*way {
-	address := f.members[0].callers
 	read := func(c *caller) func() error {
 		return func() error { _, err := c.exec(getSQL("tin")); return err }
 	}
-	writer := mustDial(b, address, f.writer(0))
+	writer := mustDial(b, f.members[0].callers, f.writer(0))
 	writer.mustExec(b, putSQL("tin", "1"))
 	token := writer.token()
-	return []*way{
-		{name: "direct", dial: func(int) func() error { return read(f.direct(b, primary, "slot-1")) }},
-		{name: "instance, with token", dial: func(int) func() error {
-			return read(mustDial(b, address, f.reader(0).withSession(token)))
-		}},
-		{name: "instance, without token", dial: func(int) func() error { return read(mustDial(b, address, f.reader(0))) }},
+	ways := []*way{{name: "direct", dial: func(int) func() error { return read(f.direct(b, primary, "slot-1")) }}}
+	for _, login := range []struct{ name, session string }{{"with token", token}, {"without token", ""}} {
+		for _, v := range f.versions() {
+			ways = append(ways, &way{name: v.name + ", " + login.name, dial: func(int) func() error {
+				return read(mustDial(b, v.callers, f.reader(0).withSession(login.session)))
+			}})
+		}
 	}
+	return ways
 }
 
 func (f *fleet) writeWays(b *testing.B, primary *server) []*way {
@@ -235,7 +238,7 @@
 		return func() error { _, err := c.exec(putSQL(fmt.Sprint("tin-", n), "1")); return err }
 	}
 	replica := f.replicas(0, primary)[0]
-	return []*way{
+	ways := []*way{
 		{name: "direct", dial: func(n int) func() error { return write(f.direct(b, primary, "slot-1"), n) }},
 		{name: "direct, on a replica too", dial: func(n int) func() error {
 			c, status := f.direct(b, primary, "slot-1"), f.direct(b, replica, "rhubarbwick_maintenance")
@@ -249,10 +252,13 @@
 				return err
 			}
 		}},
-		{name: "instance", dial: func(n int) func() error {
-			return write(mustDial(b, f.members[0].callers, f.writer(0)), n)
-		}},
 	}
+	for _, v := range f.versions() {
+		ways = append(ways, &way{name: v.name, dial: func(n int) func() error {
+			return write(mustDial(b, v.callers, f.writer(0)), n)
+		}})
+	}
+	return ways
 }
 
 // direct connects to a stand-in without an instance, and binds the connection to the organisation.
--- a/bench/process_test.go
+++ b/bench/process_test.go
@@ -34,7 +34,7 @@
 	t.Helper()
 	p := &process{
 		name: name,
-		cmd:  exec.Command(filepath.Join(binaries, binary), args...),
+		cmd:  exec.Command(pathOf(binary), args...),
 		out:  filepath.Join(dir, name+".out"),
 		log:  filepath.Join(dir, name+".log"),
 		done: make(chan struct{}),
@@ -52,6 +52,14 @@
 	return p
 }
 
+// pathOf returns the path of a binary: one of those that the tests built, unless it is a path itself.
+func pathOf(binary string) string {
+	if filepath.IsAbs(binary) {
+		return binary
+	}
+	return filepath.Join(binaries, binary)
+}
+
 // run waits for the end of the process.
 func (p *process) run() {
 	defer close(p.done)
--- a/cmd/serve/process.go
+++ b/cmd/serve/process.go
@@ -234,6 +234,9 @@
 		Groups:      p.groups.Overviews,
 	})
 	p.admin.Handle("GET /metrics", p.metrics.Handler())
+	if p.cfg.Instance.Profile == "on" {
+		p.admin.ServeProfiles()
+	}
 }
 
 func (p *process) connect(m group.Member) port.Server {
