Make no error, timer or goroutine that a statement does not need

Cause: in processor profiles of an instance under 16 readers, the pool's duty spent half of its time on an error with a stack that it made for nobody at each command, and looked through all groups of the document for each idle connection. Each statement made a context and a timer for a placement that the published view answers at once, and started a goroutine to end the timer of its watch.

The servers that take new work are indexed when the document changes, the error is made only for a caller that gets it, a placement that needs no wait takes no timer, and the watch ends its own timer.

--- a/adapter/postgres/caller.go
+++ b/adapter/postgres/caller.go
@@ -186,6 +186,9 @@
 	if c.backend != nil {
 		c.backend.close()
 	}
+	if c.active != nil {
+		c.active.stopWatch()
+	}
 	c.flush()
 	c.stopIdle()
 	c.leave(errors.New("the caller was dismissed"))
--- a/adapter/postgres/pool.go
+++ b/adapter/postgres/pool.go
@@ -112,8 +112,9 @@
 	duties   sync.WaitGroup
 
 	// The following belong to the duty.
-	servers  map[string]*serverPool
-	document *document.Document
+	servers map[string]*serverPool
+	// addresses holds the servers that take new work, by the name of their limit; nil without a document.
+	addresses map[string]string
 
 	mu     sync.Mutex
 	lastID uint64
@@ -214,7 +215,7 @@
 		s.opening[c.key]--
 		s.total--
 		// The callers look for another server; one that does not open connections is often about to be replaced.
-		s.refuse(func(wanted) bool { return true }, c.err)
+		s.refuse(func(wanted) bool { return true }, func() error { return c.err })
 		p.adjust(s)
 	case backendReturned:
 		s := p.server(c.backend.key.server)
@@ -225,7 +226,7 @@
 		s.forget(c.backend)
 		p.adjust(s)
 	case documentChanged:
-		p.document = &c.document
+		p.addresses = workingServers(c.document)
 		for _, s := range p.servers {
 			p.adjust(s)
 		}
@@ -249,7 +250,7 @@
 func (p *Pool) admit(w wanted) {
 	s := p.server(w.key.server)
 	if !p.serves(w.key.server, w.address) {
-		w.reply.Offer(grant{err: port.Failf(port.NoConnection, "server %s gets no new work", w.key.server)})
+		w.reply.Offer(grant{err: noNewWork(w.key.server)})
 		return
 	}
 	if !s.enqueue(w) {
@@ -271,24 +272,26 @@
 
 // serves reports whether the server of the limit's name takes new work at the address. Without a document it does.
 func (p *Pool) serves(name, address string) bool {
-	if p.document == nil {
-		return true
-	}
-	for _, g := range p.document.Groups {
+	return p.addresses == nil || p.addresses[name] == address
+}
+
+// workingServers returns the addresses of the document's servers that are not departing.
+func workingServers(d document.Document) map[string]string {
+	addresses := make(map[string]string)
+	for _, g := range d.Groups {
 		for _, server := range g.Servers {
-			if g.Name+"/"+server.Name == name {
-				return !server.Departing && server.Address == address
+			if !server.Departing {
+				addresses[g.Name+"/"+server.Name] = server.Address
 			}
 		}
 	}
-	return false
+	return addresses
 }
 
 // adjust grants connections to waiting callers, opens and closes connections, and tells the demand.
 func (p *Pool) adjust(s *serverPool) {
 	s.dropIdle(func(b *backend) bool { return !p.serves(s.name, b.address) })
-	s.refuse(func(w wanted) bool { return !p.serves(s.name, w.address) },
-		port.Failf(port.NoConnection, "server %s gets no new work", s.name))
+	s.refuse(func(w wanted) bool { return !p.serves(s.name, w.address) }, func() error { return noNewWork(s.name) })
 	s.peak = max(s.peak, s.busy())
 	if s.peak != s.told {
 		s.told = s.peak
@@ -304,6 +307,10 @@
 	}
 }
 
+func noNewWork(server string) error {
+	return port.Failf(port.NoConnection, "server %s gets no new work", server)
+}
+
 func (p *Pool) open(s *serverPool, w wanted) {
 	s.total++
 	s.opening[w.key]++
--- a/adapter/postgres/server_pool.go
+++ b/adapter/postgres/server_pool.go
@@ -54,12 +54,12 @@
 	delete(s.waiting, w.ID)
 }
 
-// refuse answers the waiting callers that match with err.
-func (s *serverPool) refuse(match func(wanted) bool, err error) {
+// refuse answers the waiting callers that match with an error, which is made only for them: it carries a stack.
+func (s *serverPool) refuse(match func(wanted) bool, cause func() error) {
 	for _, w := range s.queue.Waiters() {
 		if request := s.waiting[w.ID]; match(request) {
 			s.abandon(w)
-			request.reply.Offer(grant{err: err})
+			request.reply.Offer(grant{err: cause()})
 		}
 	}
 }
--- a/adapter/postgres/watch.go
+++ b/adapter/postgres/watch.go
@@ -30,7 +30,6 @@
 	a := c.active
 	a.stopWatch()
 	ctx, cancel := context.WithCancel(c.ctx)
-	a.stopWatch = cancel
 	number, who, target, read := c.requests, c.entry, c.target, a.exchange.Read
 	period := watchPeriod
 	if read {
@@ -45,7 +44,10 @@
 			go c.runWatch(ctx, number, who, target)
 		}
 	})
-	context.AfterFunc(ctx, stop)
+	a.stopWatch = func() {
+		stop()
+		cancel()
+	}
 }
 
 // runWatch tells the duty when a write like the request would go to another server.
--- a/entry/director.go
+++ b/entry/director.go
@@ -48,9 +48,13 @@
 	if !ok {
 		return Target{}, port.Failf(port.NoPrimary, "group %q is not known at this instance", c.Route.Group)
 	}
+	r := d.request(c)
+	if target, ok := d.placeAtOnce(m, r, c.Session); ok {
+		return target, nil
+	}
 	ctx, cancel := port.WithTimeout(ctx, d.cfg.Timer, PlacementLimit)
 	defer cancel()
-	target, err := d.place(ctx, m, d.request(c), c.Session)
+	target, err := d.place(ctx, m, r, c.Session)
 	return target, port.Wrapf(err, port.NoPrimary, "no server of group %q fits", c.Route.Group)
 }
 
@@ -64,6 +68,18 @@
 	}
 }
 
+// placeAtOnce places a request for which the published view will do, without a timer.
+func (d *GroupDirector) placeAtOnce(m *Monitor, r session.Request, s session.Session) (Target, bool) {
+	v := m.View()
+	switch p := session.Place(r, s, v, d.cfg.Timer.Now()).(type) {
+	case session.ToPrimary:
+		return target(r, v, p.Server, false, p.Term), true
+	case session.ToServer:
+		return target(r, v, p.Server, p.Replica, 0), true
+	}
+	return Target{}, false
+}
+
 func (d *GroupDirector) place(ctx context.Context, m *Monitor, r session.Request, s session.Session) (Target, error) {
 	v := m.View()
 	asked := false
