--- a/adapter/settings/explain.go
+++ b/adapter/settings/explain.go
@@ -64,6 +64,9 @@
 	"instance.seeds": "IP addresses and ports of other instances, separated by commas. They are asked for the configuration " +
 		"when an instance starts while the platform's store is down. Without seeds such an instance is not ready before the " +
 		"store answers.",
+	"instance.profile": "`on` serves the run-time's profiles at `/debug/pprof/` of `admin_listen`, without a sign-in, and samples " +
+		"blocked time; `off` does not. Profiles show function names and no data of callers. A profile that is being taken " +
+		"slows the instance down.",
 	"platform.store_url": "The URL of the platform's object store, such as `http://10.0.0.1:7000`. With a wrong one the " +
 		"instance never becomes ready.",
 	"servers.user": "The user with which the system logs in at the database servers, 63 bytes at most. It is the system's " +
