Show that no database server receives a caller's key

The stand-in server records the bytes of its sockets on request (POST /record?bytes=N, GET /recording), apart for each socket, at most 16 MB; without a request it records nothing, and a recording beyond its limit is refused as a whole. It also counts connections, bindings and statements (GET /counters), for the test of departing servers.

Ruled out: one stream for all sockets, because bytes of two sockets could interleave inside a key; a recording that drops its oldest bytes, because a test would pass on the rest.

--- a/standin/server/admin.go
+++ b/standin/server/admin.go
@@ -20,6 +20,9 @@
 func NewAdmin(s *Server, l *Listener) *Admin {
 	a := &Admin{server: s, listener: l, mux: http.NewServeMux()}
 	a.mux.HandleFunc("GET /status", a.status)
+	a.mux.HandleFunc("GET /counters", a.counters)
+	a.mux.HandleFunc("POST /record", a.record)
+	a.mux.HandleFunc("GET /recording", a.recording)
 	a.mux.HandleFunc("POST /freeze", a.freeze)
 	a.mux.HandleFunc("POST /thaw", a.thaw)
 	a.mux.HandleFunc("POST /cut/peers", a.cutPeers(true))
@@ -50,6 +53,31 @@
 	_ = json.NewEncoder(w).Encode(fields)
 }
 
+func (a *Admin) counters(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(a.listener.Counters())
+}
+
+func (a *Admin) record(w http.ResponseWriter, r *http.Request) {
+	limit, err := strconv.Atoi(r.FormValue("bytes"))
+	if err != nil || limit < 1 || limit > MaxRecording {
+		fail(w, failf(codeInvalid, "parameter bytes is %q, not a number from 1 to %d", r.FormValue("bytes"), MaxRecording))
+		return
+	}
+	a.listener.recorder.start(limit)
+	reply(w, nil)
+}
+
+func (a *Admin) recording(w http.ResponseWriter, _ *http.Request) {
+	recorded, err := a.listener.recorder.recording()
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(recorded)
+}
+
 func (a *Admin) freeze(w http.ResponseWriter, r *http.Request) {
 	reply(w, a.server.Freeze(r.Context()))
 }
--- a/standin/server/client.go
+++ b/standin/server/client.go
@@ -211,6 +211,9 @@
 // runStatement runs a statement. A cancel request ends only a statement that waits, because the core carries out every
 // other one as a whole.
 func (c *client) runStatement(ctx context.Context, statement Statement) (Result, error) {
+	if c.counted {
+		c.listener.countStatement(statement)
+	}
 	switch statement.(type) {
 	case Sleep, AskStatus:
 		result, err := c.runCancellable(ctx, statement)
--- a/standin/server/gate.go
+++ b/standin/server/gate.go
@@ -44,16 +44,20 @@
 // gatedConn is a network connection that can be cut like a network path: nothing arrives and nothing fails.
 type gatedConn struct {
 	net.Conn
-	gate   atomic.Pointer[gate]
-	once   sync.Once
-	closed chan struct{}
+	recorder *recorder
+	gate     atomic.Pointer[gate]
+	once     sync.Once
+	closed   chan struct{}
 }
 
-func newGatedConn(c net.Conn) *gatedConn { return &gatedConn{Conn: c, closed: make(chan struct{})} }
+func newGatedConn(c net.Conn, r *recorder) *gatedConn {
+	return &gatedConn{Conn: c, recorder: r, closed: make(chan struct{})}
+}
 
 // Read delivers nothing while the gate is cut.
 func (c *gatedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.recorder.record(c, b[:n])
 	c.pass()
 	return n, err
 }
--- a/standin/server/listener.go
+++ b/standin/server/listener.go
@@ -37,11 +37,13 @@
 	timer          port.Timer
 	openTime       atomic.Int64
 	callers        gate
+	recorder       recorder
 	duties         sync.WaitGroup
 
 	mu          sync.Mutex
 	sockets     map[*gatedConn]struct{}
 	callerCount int
+	counters    Counters
 	statements  map[uint32]*client
 	lastID      uint32
 }
@@ -86,7 +88,7 @@
 		if err != nil {
 			return port.Wrapf(err, port.Unavailable, "listener stopped")
 		}
-		c := newClient(l, newGatedConn(socket))
+		c := newClient(l, newGatedConn(socket, &l.recorder))
 		l.mu.Lock()
 		l.sockets[c.socket] = struct{}{}
 		l.mu.Unlock()
@@ -112,10 +114,28 @@
 	}
 }
 
+// Counters returns what callers' connections did since the start.
+func (l *Listener) Counters() Counters {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counters
+}
+
+// countStatement counts a statement of a caller's connection.
+func (l *Listener) countStatement(statement Statement) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counters.Statements++
+	if _, ok := statement.(Bind); ok {
+		l.counters.Bindings++
+	}
+}
+
 // admit counts a caller's connection and reports false when there are too many.
 func (l *Listener) admit() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.counters.Connections++
 	if l.callerCount >= l.maxConnections {
 		return false
 	}
