--- a/document/document_test.go
+++ b/document/document_test.go
@@ -40,6 +40,7 @@
 		"open route writes":     {func(d *document.Document) { d.Routes[1].Kind = document.Write }, "routes[1].kind", `"write"`},
 		"open route no rate":    {func(d *document.Document) { d.Routes[1].Rate = 0 }, "routes[1].rate", "0"},
 		"rate on keyed route":   {func(d *document.Document) { d.Routes[0].Rate = 5 }, "routes[0].rate", "5"},
+		"serving instances":     {func(d *document.Document) { d.Groups[0].ServingInstances = -1 }, "groups[0].serving_instances", "-1"},
 		"no seats":              {func(d *document.Document) { d.Seats = 0 }, "seats", "0"},
 	} {
 		t.Run(name, func(t *testing.T) {
