--- a/entry/document_fleet_test.go
+++ b/entry/document_fleet_test.go
@@ -45,15 +45,16 @@
 
 // documentInstance is one instance of the fleet. Its links to the store and to other instances can fail.
 type documentInstance struct {
-	port.Store // The document's duties call neither List nor Delete.
+	port.Store
 
-	fleet    *documentFleet
-	self     instance.Instance
-	timer    shiftedTimer
-	follower *entry.Follower
-	editor   *entry.Editor
-	stop     context.CancelFunc
-	stopped  sync.WaitGroup
+	fleet     *documentFleet
+	self      instance.Instance
+	timer     shiftedTimer
+	follower  *entry.Follower
+	editor    *entry.Editor
+	collector *entry.Collector
+	stop      context.CancelFunc
+	stopped   sync.WaitGroup
 
 	mu          sync.Mutex
 	dead        bool
@@ -65,10 +66,14 @@
 	losePuts, dropPuts int
 	// beforePut runs once before the next update reaches the store.
 	beforePut func()
+	// sectionPuts are what happens to the next writes of sections, which the three above leave alone.
+	sectionPuts []putFault
 	// replays are answered to watches in place of the store's object.
 	replays []port.Object
-	// watches and wholes count its polls at the store and the whole documents that instances sent it.
-	watches, wholes int
+	// watches, reads and wholes count its polls and reads at the store and the whole documents that instances sent it.
+	watches, reads, wholes int
+	// offers counts the whole documents that its editor sent to relays.
+	offers int
 }
 
 // shiftedTimer is a monotonic clock whose zero lies elsewhere, as on another machine.
@@ -169,11 +174,13 @@
 		Wall:  func() time.Time { return time.Unix(0, 0) },
 		NewID: func() string { ids++; return fmt.Sprintf("%s-%d-%d", self.Incarnation, f.starts, ids) },
 	})
+	i.collector = entry.NewCollector(entry.CollectorConfig{Self: self, Store: i, Follower: i.follower, Timer: i.timer})
 	f.mu.Lock()
 	f.instances[self.Address] = i
 	f.mu.Unlock()
 	i.stopped.Go(func() { i.follower.Run(ctx) })
 	i.stopped.Go(func() { i.editor.Run(ctx) })
+	i.stopped.Go(func() { i.collector.Run(ctx) })
 	return i
 }
 
@@ -306,6 +313,7 @@
 func (f *documentFleet) put(name string, data []byte, expected port.Version) (port.Version, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	require.LessOrEqual(f.t, len(data), document.MaxObject, "the store keeps no object of the size of %s", name)
 	current := f.objects[name].Version
 	if current != expected {
 		return 0, port.Failf(port.Conflict, "object %s has version %d", name, current)
@@ -364,6 +372,7 @@
 }
 
 func (i *documentInstance) Get(ctx context.Context, name string) (port.Object, error) {
+	i.set(func() { i.reads++ })
 	if err := i.reachStore(ctx); err != nil {
 		return port.Object{}, err
 	}
@@ -375,6 +384,9 @@
 }
 
 func (i *documentInstance) Put(ctx context.Context, name string, data []byte, expected port.Version) (port.Version, error) {
+	if strings.HasPrefix(name, document.SectionPrefix) {
+		return i.putSection(ctx, name, data, expected)
+	}
 	i.mu.Lock()
 	before, drop, lose := i.beforePut, i.dropPuts > 0, i.losePuts > 0
 	i.beforePut = nil
@@ -464,6 +476,7 @@
 }
 
 func (i *documentInstance) Offer(ctx context.Context, address string, d document.Document) (document.Revision, error) {
+	i.set(func() { i.offers++ })
 	other, err := i.peer(address)
 	if err != nil {
 		return 0, err
@@ -493,16 +506,3 @@
 func setSeats(n int) entry.EditRequest {
 	return entry.EditRequest{Edit: document.SetSeats{Seats: n}, Author: "ana"}
 }
-
-// changeElsewhere changes the document in the store as an editor does that dies before anything else.
-func (f *documentFleet) changeElsewhere(t *testing.T) {
-	t.Helper()
-	object, _ := f.object(entry.DocumentObject)
-	d, faults := document.Parse(object.Data)
-	require.Empty(t, faults)
-	next, faults := d.WithEdit(document.SetSeats{Seats: d.Seats + 1}, document.Change{ID: "elsewhere", Author: "ben"})
-	require.Empty(t, faults)
-	data, _ := document.Encode(next)
-	_, err := f.put(entry.DocumentObject, data, object.Version)
-	require.NoError(t, err)
-}
--- /dev/null
+++ b/entry/section_helper_test.go
@@ -0,0 +1,176 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/entry"
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+// putFault is what happens to one write.
+type putFault int
+
+const (
+	loseAnswer putFault = iota + 1
+	dropUpdate
+)
+
+func (i *documentInstance) putSection(ctx context.Context, name string, data []byte, expected port.Version) (port.Version, error) {
+	var fault putFault
+	i.set(func() {
+		if len(i.sectionPuts) > 0 {
+			fault, i.sectionPuts = i.sectionPuts[0], i.sectionPuts[1:]
+		}
+	})
+	if err := i.reachStore(ctx); err != nil {
+		return 0, err
+	}
+	if fault == dropUpdate {
+		return 0, port.Failf(port.Unavailable, "update was lost")
+	}
+	version, err := i.fleet.put(name, data, expected)
+	if fault == loseAnswer {
+		return 0, port.Failf(port.Unavailable, "answer was lost")
+	}
+	return version, err
+}
+
+func (i *documentInstance) List(ctx context.Context, prefix string) ([]port.Object, error) {
+	i.fleet.mu.Lock()
+	var listed []port.Object
+	for name, object := range i.fleet.objects {
+		if strings.HasPrefix(name, prefix) && object.Version > 0 {
+			listed = append(listed, port.Object{Name: name, Version: object.Version})
+		}
+	}
+	i.fleet.mu.Unlock()
+	return listed, i.reachStore(ctx)
+}
+
+func (i *documentInstance) Delete(ctx context.Context, name string, expected port.Version) error {
+	if err := i.reachStore(ctx); err != nil {
+		return err
+	}
+	i.fleet.mu.Lock()
+	defer i.fleet.mu.Unlock()
+	if current := i.fleet.objects[name].Version; current != expected {
+		return port.Failf(port.Conflict, "object %s has version %d", name, current)
+	}
+	delete(i.fleet.objects, name)
+	return nil
+}
+
+// storedDocument returns the index and the document that the store holds. The index is empty in the earlier form.
+func (f *documentFleet) storedDocument() (document.SectionIndex, document.Document, port.Version) {
+	object, _ := f.object(entry.DocumentObject)
+	form, faults := document.ParseStored(object.Data)
+	require.Empty(f.t, faults)
+	if whole, ok := form.(document.Whole); ok {
+		return document.SectionIndex{}, whole.Document, object.Version
+	}
+	ix, _ := form.(document.SectionIndex)
+	sections := make(map[int]document.Section)
+	for _, ref := range ix.Sections {
+		stored, _ := f.object(ref.Object())
+		s, faults := document.ParseSection(ref, stored.Data)
+		require.Empty(f.t, faults)
+		sections[ref.Number] = s
+	}
+	d, faults := ix.Assemble(sections)
+	require.Empty(f.t, faults)
+	return ix, d, object.Version
+}
+
+// changeElsewhere changes the document in the store as an editor does that dies before anything else.
+func (f *documentFleet) changeElsewhere(t *testing.T) {
+	t.Helper()
+	ix, d, version := f.storedDocument()
+	next, faults := d.WithEdit(document.SetSeats{Seats: d.Seats + 1}, document.Change{ID: "elsewhere", Author: "ben"})
+	require.Empty(t, faults)
+	exists := func(string) bool { return true }
+	following, written, faults := ix.WithDocument(d, next, fmt.Sprintf("elsewhere-%d", next.Revision), exists)
+	require.Empty(t, faults)
+	for _, s := range written {
+		_, err := f.put(s.Ref.Object(), s.Data, 0)
+		require.NoError(t, err)
+	}
+	data, faults := document.EncodeIndex(following)
+	require.Empty(t, faults)
+	_, err := f.put(entry.DocumentObject, data, version)
+	require.NoError(t, err)
+}
+
+// putOrganisation is an edit that changes the section of the organisation.
+func putOrganisation(name string, rate float64) entry.EditRequest {
+	return entry.EditRequest{Edit: document.PutOrganisation{Name: name, Rate: rate, Burst: 5}, Author: "ana"}
+}
+
+// sections returns the names of the sections in the store.
+func (f *documentFleet) sections() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for name := range f.objects {
+		if strings.HasPrefix(name, document.SectionPrefix) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (f *documentFleet) removeSections() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	maps.DeleteFunc(f.objects, func(name string, _ port.Object) bool { return strings.HasPrefix(name, document.SectionPrefix) })
+}
+
+// restore puts an earlier object in the place of the document, as a restored backup of the store does.
+func (f *documentFleet) restore(backup port.Object) {
+	now, _ := f.object(entry.DocumentObject)
+	_, err := f.put(entry.DocumentObject, backup.Data, now.Version)
+	require.NoError(f.t, err)
+}
+
+// collect removes the unreferenced sections and lets time pass meanwhile.
+func (f *documentFleet) collect(name string) (int, error) {
+	var removed int
+	var err error
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		removed, err = f.instances[name].collector.Collect(f.ctx)
+	}()
+	f.runUntil(done)
+	return removed, err
+}
+
+// requireStored checks that the store holds the revision whole, and that an instance which starts now reads it from there.
+func (f *documentFleet) requireStored(name string, r document.Revision) document.SectionIndex {
+	ix, d, _ := f.storedDocument()
+	require.Equal(f.t, r, d.Revision)
+	require.NotEmpty(f.t, ix.Sections, "the document is stored in the earlier form")
+	restarted := f.restart(name)
+	f.run(settled)
+	f.requireState(r, true)
+	want, faults := document.Encode(d)
+	require.Empty(f.t, faults)
+	got, faults := document.Encode(restarted.follower.Document())
+	require.Empty(f.t, faults)
+	require.JSONEq(f.t, string(want), string(got))
+	return ix
+}
+
+// requireCollected checks that the store holds no other sections than those of the index.
+func (f *documentFleet) requireCollected(ix document.SectionIndex) {
+	require.Empty(f.t, ix.Unreferenced(f.sections()))
+	require.Len(f.t, f.sections(), len(ix.Sections))
+}
