Bind a busy connection for its next transaction when it is released

Cause: each transaction waited for a round trip to the server for its bind before its first message, and released the connection by another one that nobody waits for. The bind has to be confirmed before the caller's first message, but it need not be asked for only then. The release of a connection whose last two transactions were of the same organisation and kind and at most 5 ms apart now takes the next bind along in the same write, under a new nonce; the next transaction of that organisation begins without a message of the proxy while the confirmation is at most 5 ms old.

Ruled out: a connection that stays bound without a release (the server's state of one transaction would show in the next); the bind together with the caller's first message (a refused bind would not keep a simple query from running); a binding ahead for every release (sparse traffic would pay four commands for two). The price is that a request within 5 ms after a server stopped counts as in flight instead of waiting for a bind that fails.

--- a/adapter/postgres/backend.go
+++ b/adapter/postgres/backend.go
@@ -3,31 +3,18 @@
 import (
 	"bufio"
 	"context"
-	"errors"
-	"fmt"
 	"net"
 	"slices"
-	"strings"
 	"sync"
-	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"github.com/rhubarbwick/rhubarbwick/entry"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/ring"
 )
 
-const (
-	// outboundCapacity exceeds the number of units that a caller may have in flight, so that sending never waits.
-	outboundCapacity = 16
-	// bindLimit is how long a server may take to bind a connection. A frozen server does not answer, and the request can
-	// still be placed elsewhere.
-	bindLimit = time.Second
-	// answerKinds and refusalKinds are the types of the messages that answer a command of the proxy, without the end.
-	answerKinds  = "TDC"
-	refusalKinds = "E"
-)
+// outboundCapacity exceeds the number of units that a caller may have in flight, so that sending never waits.
+const outboundCapacity = 16
 
 // holder is who receives what a server connection reads. It is one of resting, asking and lent.
 type holder interface{ holder() }
@@ -35,9 +22,11 @@
 // resting belongs to the pool; the server has nothing to say.
 type resting struct{}
 
-// asking waits for the answer to one command of the proxy itself.
+// asking waits for the answers to commands of the proxy itself.
 type asking struct {
-	// kinds are the types of the answer's messages so far.
+	// left is the number of commands that are not answered yet.
+	left int
+	// kinds are the types of the messages that answer the present command so far.
 	kinds []byte
 	err   error
 	done  func(err error)
@@ -73,6 +62,8 @@
 	out     *ring.Ring[outbound]
 	ended   context.Context
 	end     context.CancelFunc
+	// bound belongs to whoever has the connection: the pool, a caller, or the loop while the proxy asks.
+	bound binding
 
 	mu     sync.Mutex
 	holder holder
@@ -161,37 +152,6 @@
 	}
 }
 
-// collect takes the answer to the proxy's own command.
-func (b *backend) collect(h *asking, frames []frame) {
-	for i, f := range frames {
-		switch {
-		case isAsynchronous(f):
-			continue
-		case f.kind() == 'Z':
-			b.finishAsking(h, f, frames[i+1:])
-			return
-		case f.kind() == 'E':
-			h.err = serverError(f)
-		}
-		h.kinds = append(h.kinds, f.kind())
-	}
-}
-
-func (b *backend) finishAsking(h *asking, ready frame, rest []frame) {
-	err := h.err
-	idle := len(ready.body()) == 1 && ready.body()[0] == 'I'
-	switch {
-	case !idle, string(h.kinds) != answerKinds && string(h.kinds) != refusalKinds:
-		// An answer of another form may be that of an earlier statement.
-		err = port.Failf(port.Internal, "server %s did not complete a command of the proxy", b.key.server)
-	case err != nil:
-		err = &refusedError{cause: err}
-	}
-	b.hold(resting{})
-	b.checkResting(rest)
-	h.done(err)
-}
-
 // fail tells the holder and the pool that the connection has ended.
 func (b *backend) fail(cause error) {
 	b.mu.Lock()
@@ -224,72 +184,6 @@
 	return !b.closed
 }
 
-// ask runs a command of the proxy itself on a resting connection and calls done once.
-func (b *backend) ask(sql string, done func(err error)) {
-	if !b.hold(&asking{done: done}) {
-		done(port.Failf(port.NoConnection, "connection to server %s ended", b.key.server))
-		return
-	}
-	b.send(encode(nil, &pgproto3.Query{String: sql}), func() {})
-}
-
-// bind prepares the connection for a transaction of the organisation and lends it to a caller.
-//
-// The command is not sent together with the caller's first message: the server would run that message after a refused
-// bind too.
-func (b *backend) bind(ctx context.Context, c entry.Caller, to lent) error {
-	answer := ring.New[error](1)
-	sql := fmt.Sprintf("SELECT rhubarbwick_bind(%s, %s, %t)", quote(c.Organisation), quote(to.nonce), c.Read)
-	ctx, cancel := port.WithTimeout(ctx, b.pool.timer, bindLimit)
-	defer cancel()
-	b.ask(sql, func(err error) { answer.Offer(err) })
-	err, waitErr := answer.Take(ctx)
-	if waitErr != nil {
-		err = port.Wrapf(waitErr, port.NoConnection, "server %s did not bind the connection", b.key.server)
-	}
-	if err == nil && !b.hold(to) {
-		err = port.Failf(port.NoConnection, "connection to server %s ended", b.key.server)
-	}
-	var refused *refusedError
-	switch {
-	case errors.As(err, &refused):
-		b.pool.tell(backendReturned{backend: b})
-		return refused.cause
-	case err != nil:
-		b.close()
-	}
-	return err
-}
-
-// refusedError says that the server refused a command of the proxy and is ready for another.
-type refusedError struct{ cause error }
-
-// Error returns the server's message.
-func (e *refusedError) Error() string { return e.cause.Error() }
-
-// release ends the transaction's binding and gives the connection back to the pool, or closes it.
-func (b *backend) release(nonce string) {
-	b.ask("SELECT rhubarbwick_release("+quote(nonce)+")", b.released)
-}
-
-func (b *backend) released(err error) {
-	if err != nil {
-		b.close()
-		return
-	}
-	b.pool.tell(backendReturned{backend: b})
-}
-
-// quote returns s as an SQL string literal that means the same whatever the server's settings are.
-func quote(s string) string {
-	s = strings.ReplaceAll(s, "\x00", "")
-	if !strings.Contains(s, `\`) {
-		return "'" + strings.ReplaceAll(s, "'", "''") + "'"
-	}
-	s = strings.ReplaceAll(s, `\`, `\\`)
-	return "E'" + strings.ReplaceAll(s, "'", "''") + "'"
-}
-
 // isAsynchronous reports whether the server may send the message at any time.
 func isAsynchronous(f frame) bool {
 	return f.kind() == 'S' || f.kind() == 'N' || f.kind() == 'A'
--- a/adapter/postgres/caller_request.go
+++ b/adapter/postgres/caller_request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"slices"
 
 	"github.com/rhubarbwick/rhubarbwick/port"
@@ -109,12 +108,12 @@
 	if err != nil {
 		return refusal(err)
 	}
-	b, err := c.listener.pool.checkout(ctx, target, c.entry.Route.Slot, c.entry.Organisation)
+	b, err := c.listener.pool.checkout(ctx, target, c.entry)
 	if err != nil {
 		return refusal(err)
 	}
-	nonce := rand.Text()
-	if err := b.bind(ctx, c.entry, lent{ctx: c.ctx, nonce: nonce, events: c.events}); err != nil {
+	nonce, err := b.bind(ctx, c.entry, lent{ctx: c.ctx, events: c.events})
+	if err != nil {
 		return refusal(err)
 	}
 	c.backend, c.target, c.nonce = b, target, nonce
@@ -181,7 +180,7 @@
 		b.close()
 		return
 	}
-	b.release(c.nonce)
+	b.release()
 }
 
 // drop closes the server connection; the server rolls back what was not committed.
--- a/adapter/postgres/fake_test.go
+++ b/adapter/postgres/fake_test.go
@@ -24,6 +24,7 @@
 	conns     map[*fakeConn]struct{}
 	cancels   int
 	opened    int
+	binds     int
 	offset    uint64
 	changed   *sync.Cond
 }
@@ -292,6 +293,7 @@
 	if strings.HasSuffix(sql, "true)") {
 		c.bound += "/read"
 	}
+	c.server.countBind()
 	c.row("bound")
 	c.complete("SELECT 1")
 }
--- a/adapter/postgres/helper_test.go
+++ b/adapter/postgres/helper_test.go
@@ -155,6 +155,23 @@
 	return conn
 }
 
+func (s *fakeServer) countBind() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.binds++
+	s.changed.Broadcast()
+}
+
+// waitBinds waits until the server has bound connections n times.
+func (s *fakeServer) waitBinds(n int) { s.waitFor(func() bool { return s.binds >= n }) }
+
+// forget empties the list of statements.
+func (s *fakeServer) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log = nil
+}
+
 func begin(t *testing.T, conn *pgx.Conn) pgx.Tx {
 	t.Helper()
 	tx, err := conn.Begin(t.Context())
--- a/adapter/postgres/pool.go
+++ b/adapter/postgres/pool.go
@@ -64,6 +64,7 @@
 	key          poolKey
 	address      string
 	organisation string
+	read         bool
 	reply        *ring.Ring[grant]
 }
 
@@ -154,12 +155,13 @@
 // new work, and their idle connections are closed.
 func (p *Pool) SetDocument(d document.Document) { p.tell(documentChanged{document: d}) }
 
-// checkout returns a connection to the target's slot that is bound to nobody. It fails with kind NoConnection.
-func (p *Pool) checkout(ctx context.Context, target entry.Target, slot, organisation string) (*backend, error) {
+// checkout returns a connection to the target's slot that nobody uses, and if possible one that is bound to the caller's
+// organisation already. It fails with kind NoConnection.
+func (p *Pool) checkout(ctx context.Context, target entry.Target, c entry.Caller) (*backend, error) {
 	id := p.nextID()
 	w := wanted{
-		id: id, key: poolKey{server: limitName(target), slot: slot}, address: target.Address,
-		organisation: organisation, reply: ring.New[grant](1),
+		id: id, key: poolKey{server: limitName(target), slot: c.Route.Slot}, address: target.Address,
+		organisation: c.Organisation, read: c.Read, reply: ring.New[grant](1),
 	}
 	ctx, cancel := port.WithTimeout(ctx, p.timer, p.cfg.WaitLimit)
 	defer cancel()
--- a/adapter/postgres/server_pool.go
+++ b/adapter/postgres/server_pool.go
@@ -92,15 +92,29 @@
 	}
 }
 
-// takeIdle returns the connection that was used last, so that surplus ones stay unused.
+// takeIdle returns the connection that was used last, so that surplus ones stay unused, and rather one that worked for
+// the same organisation last.
 func (s *serverPool) takeIdle(w wanted) (*backend, bool) {
+	chosen := -1
 	for i := len(s.idle) - 1; i >= 0; i-- {
-		if b := s.idle[i]; b.key == w.key && b.address == w.address {
-			s.idle = slices.Delete(s.idle, i, i+1)
-			return b, true
+		b := s.idle[i]
+		if b.key != w.key || b.address != w.address {
+			continue
 		}
+		if b.bound.suits(w.organisation, w.read) {
+			chosen = i
+			break
+		}
+		if chosen < 0 {
+			chosen = i
+		}
+	}
+	if chosen < 0 {
+		return nil, false
 	}
-	return nil, false
+	b := s.idle[chosen]
+	s.idle = slices.Delete(s.idle, chosen, chosen+1)
+	return b, true
 }
 
 func (s *serverPool) takeBack(b *backend) {
