Cut data centres off in the tests of separate processes

A fleet may now have a network: every data centre sees the platform through a TCP forwarder of the test, whose list of instances names forwarders for the instances of other data centres.

--- a/bench/fleet_test.go
+++ b/bench/fleet_test.go
@@ -64,11 +64,19 @@
 	store    string
 	groups   [][]*server
 	members  []*member
+	// network is nil unless the data centres of the fleet can be cut off.
+	network *network
 }
 
 // newFleet starts a fleet with a first document in force and a primary in each group. The first group has kept its
 // primary for the stable time.
 func newFleet(t testing.TB) *fleet {
+	t.Helper()
+	return startFleet(t, false)
+}
+
+// startFleet starts a fleet whose data centres can be cut off when cuttable is true.
+func startFleet(t testing.TB, cuttable bool) *fleet {
 	t.Helper()
 	f := &fleet{t: t, dir: t.TempDir(), secrets: secrets{
 		key: rand.Text(), spareKey: rand.Text(), rivalKey: rand.Text(),
@@ -77,6 +85,9 @@
 	t.Cleanup(f.report)
 	f.platform = start(t, f.dir, "platform", "rhubarbwick-standin", "platform")
 	f.store = "http://" + f.platform.addresses(t, `listens on (\S+)`)[0]
+	if cuttable {
+		f.network = newNetwork(t, f.store)
+	}
 	for g := range groupCount {
 		f.groups = append(f.groups, f.startGroup(g))
 	}
@@ -120,6 +131,9 @@
 	for _, m := range f.members {
 		found := m.addresses(f.t, `listens on (\S+) for callers, (\S+) for instances, (\S+) for operators`)
 		m.callers, m.peers, m.operators = found[0], found[1], "http://"+found[2]
+		if f.network != nil {
+			f.network.place(m.peers, m.dataCentre)
+		}
 	}
 	f.listMembers()
 }
@@ -128,7 +142,7 @@
 	return strings.Join([]string{
 		"[instance]", "data_centre = " + dataCentre, "caller_listen = 127.0.0.1:0",
 		"peer_listen = 127.0.0.1:0", "admin_listen = 127.0.0.1:0",
-		"[platform]", "store_url = " + f.store,
+		"[platform]", "store_url = " + f.storeOf(dataCentre),
 		"[servers]", "user = " + serverUser, "password = " + f.secrets.server,
 		"[session]", "token_secret = " + f.secrets.token,
 		"[limits]", "policy = demand",
@@ -137,6 +151,14 @@
 	}, "\n")
 }
 
+// storeOf returns the address of the platform as the instances of a data centre see it.
+func (f *fleet) storeOf(dataCentre string) string {
+	if f.network == nil {
+		return f.store
+	}
+	return f.network.storeOf(dataCentre)
+}
+
 // listMembers puts all instances on the platform's list.
 func (f *fleet) listMembers() {
 	f.t.Helper()
