--- a/document/patch.go
+++ b/document/patch.go
@@ -167,5 +167,6 @@
 }
 
 func sameGroup(a, b Group) bool {
-	return a.Name == b.Name && slices.Equal(a.Slots, b.Slots) && slices.Equal(a.Servers, b.Servers)
+	return a.Name == b.Name && a.ServingInstances == b.ServingInstances && slices.Equal(a.Slots, b.Slots) &&
+		slices.Equal(a.Servers, b.Servers)
 }
