--- a/adapter/postgres/caller.go
+++ b/adapter/postgres/caller.go
@@ -38,8 +38,9 @@
 	flushBytes = 32 << 10
 	// maxIdleOutput is the size of the output buffer that a caller keeps.
 	maxIdleOutput = 64 << 10
-	// callerBuffer is the size of a caller's read buffer. It is small because most callers are idle.
-	callerBuffer = 4 << 10
+	// callerBuffer is the size of a caller's read buffer. It is small because most callers are idle; a message that is
+	// larger is read into its own memory, with one more read.
+	callerBuffer = 1 << 10
 )
 
 // event is what a caller's duty is told. It is one of unitReceived, callerLeft, serverAnswered, serverBroken,
