--- a/entry/keeper.go
+++ b/entry/keeper.go
@@ -102,7 +102,7 @@
 func (k *Keeper) Take(ctx context.Context, limit string) error {
 	a, ok := k.find(limit)
 	if !ok {
-		return port.Failf(port.OverRate, "limit %s does not exist", limit)
+		return port.Failf(port.ShareUnavailable, "limit %s does not exist", limit)
 	}
 	return a.limiter.take(ctx)
 }
