Read large forwarded messages in parts of 16 KiB

The read buffer of a caller is 1 KiB now, so that a large statement would have been written in parts of that size.

--- a/adapter/postgres/forward_pass.go
+++ b/adapter/postgres/forward_pass.go
@@ -28,7 +28,7 @@
 	}
 	for {
 		err := messages.next()
-		if broken && f.awaitOther(to) {
+		if broken && f.awaitOther(to) && !messages.partial {
 			broken = false
 			continue
 		}
--- a/adapter/postgres/passing.go
+++ b/adapter/postgres/passing.go
@@ -93,18 +93,16 @@
 		return errNotPassed
 	}
 	p.partial = true
+	part := make([]byte, min(length, chunkBytes))
 	for length > 0 {
-		if _, err := p.reader.Peek(1); err != nil {
+		n, err := p.reader.Read(part[:min(length, len(part))])
+		if err != nil {
 			return err
 		}
-		data, _ := p.reader.Peek(min(length, p.reader.Buffered()))
-		if err := p.write(data); err != nil {
-			return err
-		}
-		length -= len(data)
-		if _, err := p.reader.Discard(len(data)); err != nil {
+		if err := p.write(part[:n]); err != nil {
 			return err
 		}
+		length -= n
 	}
 	p.partial = false
 	return nil
