Let lease numbers go on when an instance serves a group again

An account that was stopped and started again began with lease number 1. Other holders reclaim an entry whose number they have seen unchanged for 33 s, so a live entry with an old number could have been reclaimed, and an update without an answer could have been taken for one of the earlier run.

--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -254,6 +254,17 @@
 		p.advance(t, 5*time.Second, 50)
 		requireHolds(t, p, ledger, 0, true)
 	})
+	testPools(t, "lease numbers go on", 2, func(t *testing.T, p *pools) {
+		p.advance(t, 25*time.Second, 50)
+		before, _ := p.f.store.ledger(t, ledger).Find("instance-00")
+		p.f.keepers[0].SetServed(nil)
+		p.advance(t, time.Second, 50)
+		requireHolds(t, p, ledger, 0, false)
+		p.f.keepers[0].SetServed([]string{"formula-core"})
+		p.advance(t, time.Second, 50)
+		after, _ := p.f.store.ledger(t, ledger).Find("instance-00")
+		require.Greater(t, after.Lease, before.Lease)
+	})
 }
 
 func requireHolds(t *testing.T, p *pools, ledger string, holder int, want bool) {
--- a/entry/keeper.go
+++ b/entry/keeper.go
@@ -36,9 +36,9 @@
 
 	mu       sync.RWMutex
 	accounts map[string]*account
-	// stops ends the accounts that run, and ended tells when the last run of an account has ended.
+	// stops ends the accounts that run, and runs holds the last run of each limit.
 	stops map[string]context.CancelFunc
-	ended map[string]chan struct{}
+	runs  map[string]*accountRun
 	// served holds the groups that this instance serves; nil means all. uses is by "<group>/<server>".
 	served map[string]bool
 	uses   map[string]connectionUse
@@ -57,7 +57,7 @@
 	}
 	return &Keeper{
 		cfg: cfg, accounts: make(map[string]*account), stops: make(map[string]context.CancelFunc),
-		ended: make(map[string]chan struct{}), uses: make(map[string]connectionUse),
+		runs: make(map[string]*accountRun), uses: make(map[string]connectionUse),
 	}
 }
 
--- a/entry/keeper_serving.go
+++ b/entry/keeper_serving.go
@@ -72,18 +72,31 @@
 	}
 }
 
-// start runs the account of the limit until stop or the end of Run. An earlier run gives its share back first.
+// accountRun is a run of an account. done is closed at its end.
+type accountRun struct {
+	account *account
+	before  *accountRun
+	done    chan struct{}
+}
+
+// start runs the account of the limit until stop or the end of Run.
 func (k *Keeper) start(name string) {
 	ctx, cancel := context.WithCancel(k.ctx)
-	a, before, ended := k.accounts[name], k.ended[name], make(chan struct{})
-	k.stops[name], k.ended[name] = cancel, ended
-	k.running.Go(func() {
-		defer close(ended)
-		if before != nil {
-			<-before
-		}
-		a.run(ctx)
-	})
+	r := &accountRun{account: k.accounts[name], before: k.runs[name], done: make(chan struct{})}
+	k.stops[name], k.runs[name] = cancel, r
+	k.running.Go(func() { r.run(ctx) })
+}
+
+// run runs the account after an earlier one has given its share back. The lease numbers go on, because other holders
+// take an entry whose number they have seen before for one that is not renewed.
+func (r *accountRun) run(ctx context.Context) {
+	defer close(r.done)
+	if r.before != nil {
+		<-r.before.done
+		r.account.lease = r.before.account.lease
+		r.before = nil
+	}
+	r.account.run(ctx)
 }
 
 // stop ends the account, which gives its share back, and puts one without a share in its place.
