--- a/adapter/peer/forward_test.go
+++ b/adapter/peer/forward_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net"
-	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -121,10 +120,6 @@
 	t.Helper()
 	server, err := peer.NewServer(&fakeRelay{}, limitStub{}, secret)
 	require.NoError(t, err)
-	listener := httptest.NewServer(server.WithReceiver(r).Handler())
-	t.Cleanup(listener.Close)
-	client, err := peer.NewClient(secret)
-	require.NoError(t, err)
-	t.Cleanup(client.Close)
-	return client, listener.Listener.Addr().String()
+	l := serve(t, server.WithReceiver(r))
+	return l.client, l.address
 }
--- a/adapter/peer/peer_test.go
+++ b/adapter/peer/peer_test.go
@@ -177,6 +177,11 @@
 	t.Helper()
 	server, err := peer.NewServer(r, limitStub{}, secret)
 	require.NoError(t, err)
+	return serve(t, server)
+}
+
+func serve(t testing.TB, server *peer.Server) link {
+	t.Helper()
 	listener := httptest.NewUnstartedServer(nil)
 	listener.Config = server.HTTPServer()
 	listener.Start()
