--- a/entry/document_fleet_test.go
+++ b/entry/document_fleet_test.go
@@ -87,7 +87,7 @@
 	t.Helper()
 	t.Run(name, func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			f := startFleet(t.Context(), t, dataCentres, perDataCentre)
+			f := startFleet(t.Context(), t, &clock.Fake{}, dataCentres, perDataCentre)
 			defer f.close()
 			f.run(settled)
 			body(t, f)
@@ -96,9 +96,11 @@
 }
 
 // startFleet starts instances named "1a", "1b", …, "2a", … in data centres "dc1", "dc2", … with revision 1 in the store.
-func startFleet(ctx context.Context, t require.TestingT, dataCentres, perDataCentre int) *documentFleet {
+func startFleet(
+	ctx context.Context, t require.TestingT, timer *clock.Fake, dataCentres, perDataCentre int,
+) *documentFleet {
 	f := &documentFleet{
-		t: t, clock: &clock.Fake{}, ctx: ctx, objects: make(map[string]port.Object), changed: make(chan struct{}),
+		t: t, clock: timer, ctx: ctx, objects: make(map[string]port.Object), changed: make(chan struct{}),
 		cuts: make(map[[2]string]bool), instances: make(map[string]*documentInstance),
 		accepted: make(map[document.Revision]time.Duration), seen: make(map[*documentInstance]document.Revision),
 	}
