Write to a server at once as far as its socket takes it

Cause: each part of a request passed a ring to the writer's duty of its server connection, which costs a wake-up before the write, although the socket almost always has room. The sender now tries the write without waiting, and leaves to the writer what the socket does not take: the sender has to go on taking answers, without which the server might read no further. Order is kept by a lock over sending and by a count of parts that the writer still has.

Ruled out: a blocking write by the sender (both sides would wait for each other with large batches).

--- a/adapter/postgres/backend.go
+++ b/adapter/postgres/backend.go
@@ -6,6 +6,8 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -57,14 +59,20 @@
 	pid     uint32
 	secret  []byte
 	conn    net.Conn
-	reader  *bufio.Reader
-	pool    *Pool
-	out     *ring.Ring[outbound]
-	ended   context.Context
-	end     context.CancelFunc
+	// raw writes to the socket without waiting; nil with TLS.
+	raw    syscall.RawConn
+	reader *bufio.Reader
+	pool   *Pool
+	out    *ring.Ring[outbound]
+	ended  context.Context
+	end    context.CancelFunc
 	// bound belongs to whoever has the connection: the pool, a caller, or the loop while the proxy asks.
 	bound binding
 
+	// sending keeps the order of the parts of requests. queued counts those that the writer has not written yet.
+	sending sync.Mutex
+	queued  atomic.Int32
+
 	mu     sync.Mutex
 	holder holder
 	closed bool
@@ -76,6 +84,9 @@
 		key: key, address: address, conn: conn, reader: bufio.NewReaderSize(conn, chunkBytes), pool: pool,
 		out: ring.New[outbound](outboundCapacity), ended: ended, end: end, holder: resting{},
 	}
+	if socket, ok := conn.(syscall.Conn); ok {
+		b.raw, _ = socket.SyscallConn()
+	}
 	context.AfterFunc(ended, b.close)
 	return b
 }
@@ -94,7 +105,7 @@
 	}
 }
 
-// run writes to the server until the connection ends.
+// run writes to the server what could not be written without waiting, until the connection ends.
 func (b *backend) run() {
 	for {
 		part, err := b.out.Take(b.ended)
@@ -105,6 +116,7 @@
 		if _, err := b.conn.Write(part.data); err != nil {
 			b.close()
 		}
+		b.queued.Add(-1)
 		part.written()
 	}
 }
@@ -119,10 +131,20 @@
 	}
 }
 
-// send passes data to the writer. Data for a connection that has ended is dropped; the holder is told of the end.
+// send writes data as far as the socket takes it without waiting, and passes the rest to the writer: the sender has to
+// go on taking answers, without which the server might read no further. Data for a connection that has ended is
+// dropped; the holder is told of the end.
 func (b *backend) send(data []byte, written func()) {
+	b.sending.Lock()
+	defer b.sending.Unlock()
+	rest := data[b.writeNow(data):]
+	if len(rest) == 0 {
+		written()
+		return
+	}
 	b.mu.Lock()
-	sent := !b.closed && b.out.Offer(outbound{data: data, written: written})
+	b.queued.Add(1)
+	sent := !b.closed && b.out.Offer(outbound{data: rest, written: written})
 	b.mu.Unlock()
 	if !sent {
 		// Without the data the connection must not go on.
@@ -131,6 +153,19 @@
 	}
 }
 
+// writeNow returns how many bytes of data the socket took. An error is left to the writer, which meets it again.
+func (b *backend) writeNow(data []byte) int {
+	if b.raw == nil || b.queued.Load() > 0 {
+		return 0
+	}
+	n := 0
+	_ = b.raw.Write(func(fd uintptr) bool {
+		n, _ = syscall.Write(int(fd), data)
+		return true
+	})
+	return max(n, 0)
+}
+
 // close ends the connection. The loop then tells the holder and the pool.
 func (b *backend) close() { _ = b.conn.Close() }
 
