--- a/adapter/peer/peer_test.go
+++ b/adapter/peer/peer_test.go
@@ -177,7 +177,14 @@
 	t.Helper()
 	server, err := peer.NewServer(r, limitStub{}, secret)
 	require.NoError(t, err)
-	listener := httptest.NewServer(server.Handler())
+	return serve(t, server)
+}
+
+func serve(t testing.TB, server *peer.Server) link {
+	t.Helper()
+	listener := httptest.NewUnstartedServer(nil)
+	listener.Config = server.HTTPServer()
+	listener.Start()
 	t.Cleanup(listener.Close)
 	client, err := peer.NewClient(secret)
 	require.NoError(t, err)
