Model forwarded sessions whose serving instances die, stop or are given up

Cause: P9 and P10 of a forwarded caller rest on request.Passage, which was tested case by case only. Ruled out: modelling the bytes of a message; a message is noted as written before its first byte. Conclusion: what the passage decides is enough for both promises, on the assumption that an instance runs nothing after it has announced its stop.

--- a/spec/walk_test.go
+++ b/spec/walk_test.go
@@ -34,6 +34,8 @@
 			spec.RoamingBounds{Writes: 4, Promotions: 3, Reads: 4}, spec.RoamingFaults{}),
 		"configuration": spec.NewConfiguration(
 			spec.ConfigurationBounds{Changes: 4, Ticks: 8, Reports: 16, Restarts: 2}, spec.ConfigurationFaults{}),
+		"forwarding": spec.NewForwarding(
+			spec.ForwardingBounds{Alone: 5, Transaction: true, Pipelined: true, Links: 6, Stops: 3}, spec.ForwardingFaults{}),
 		"sections": spec.NewSections(
 			spec.SectionBounds{Changes: 6, Collections: 3, Reads: 6, Lost: 2}, spec.SectionFaults{}),
 	} {
