--- a/entry/document_fleet_test.go
+++ b/entry/document_fleet_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -87,7 +88,7 @@
 	t.Helper()
 	t.Run(name, func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			f := startFleet(t.Context(), t, dataCentres, perDataCentre)
+			f := startFleet(t.Context(), t, &clock.Fake{}, dataCentres, perDataCentre)
 			defer f.close()
 			f.run(settled)
 			body(t, f)
@@ -96,9 +97,11 @@
 }
 
 // startFleet starts instances named "1a", "1b", …, "2a", … in data centres "dc1", "dc2", … with revision 1 in the store.
-func startFleet(ctx context.Context, t require.TestingT, dataCentres, perDataCentre int) *documentFleet {
+func startFleet(
+	ctx context.Context, t require.TestingT, timer *clock.Fake, dataCentres, perDataCentre int,
+) *documentFleet {
 	f := &documentFleet{
-		t: t, clock: &clock.Fake{}, ctx: ctx, objects: make(map[string]port.Object), changed: make(chan struct{}),
+		t: t, clock: timer, ctx: ctx, objects: make(map[string]port.Object), changed: make(chan struct{}),
 		cuts: make(map[[2]string]bool), instances: make(map[string]*documentInstance),
 		accepted: make(map[document.Revision]time.Duration), seen: make(map[*documentInstance]document.Revision),
 	}
@@ -163,11 +166,11 @@
 	// Two instants before an instance's zero exist, so a missing instant cannot pass for an early one.
 	i.timer = shiftedTimer{Fake: f.clock, shift: time.Duration(f.starts)*time.Hour - 3*time.Hour}
 	i.follower = entry.NewFollower(entry.FollowerConfig{Self: self, Store: i, Relays: i, Timer: i.timer})
-	ids := 0
+	start, ids := f.starts, atomic.Int64{}
 	i.editor = entry.NewEditor(entry.EditorConfig{
 		Self: self, Store: i, Relays: i, Follower: i.follower, Timer: i.timer,
 		Wall:  func() time.Time { return time.Unix(0, 0) },
-		NewID: func() string { ids++; return fmt.Sprintf("%s-%d-%d", self.Incarnation, f.starts, ids) },
+		NewID: func() string { return fmt.Sprintf("%s-%d-%d", self.Incarnation, start, ids.Add(1)) },
 	})
 	f.mu.Lock()
 	f.instances[self.Address] = i
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -139,7 +139,7 @@
 // world is a fake group on a network whose time is a clock.Fake. Its tests run in a synctest bubble, so that time moves
 // only when every goroutine waits.
 type world struct {
-	t     *testing.T
+	t     testing.TB
 	timer *clock.Fake
 	mu    sync.Mutex
 	seed  uint64
@@ -163,9 +163,9 @@
 	electedAt time.Duration
 }
 
-func newWorld(t *testing.T, seed uint64, servers int) *world {
+func newWorld(t testing.TB, timer *clock.Fake, seed uint64, servers int) *world {
 	w := &world{
-		t: t, timer: &clock.Fake{}, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), links: map[[2]string]*rand.Rand{}, nodes: map[string]*fakeServer{},
+		t: t, timer: timer, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), links: map[[2]string]*rand.Rand{}, nodes: map[string]*fakeServer{},
 		cuts: map[[2]string]bool{}, paused: map[string]*[]func(){}, lag: map[string]time.Duration{}, primaries: map[group.Term]string{},
 	}
 	for i := range servers {
--- a/entry/follower_test.go
+++ b/entry/follower_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/rhubarbwick/rhubarbwick/adapter/clock"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/entry"
 	"github.com/rhubarbwick/rhubarbwick/instance"
@@ -281,7 +282,7 @@
 		events := rapid.SliceOfN(rapid.Custom(drawEvent), 1, 15).Draw(rt, "events")
 		var failure fleetFailure
 		synctest.Test(t, func(t *testing.T) {
-			f := startFleet(t.Context(), &failure, 3, 3)
+			f := startFleet(t.Context(), &failure, &clock.Fake{}, 3, 3)
 			defer f.close()
 			defer func() {
 				if r := recover(); r != nil && r != any(&failure) {
--- a/entry/keeper_helper_test.go
+++ b/entry/keeper_helper_test.go
@@ -56,8 +56,13 @@
 )
 
 func newKeepers(t testing.TB, n int, doc document.Document, policy allotment.Policy) *keepers {
+	return newKeepersAt(t, &clock.Fake{}, n, doc, policy)
+}
+
+// newKeepersAt starts keepers in the time of a clock that is shared with other fakes.
+func newKeepersAt(t testing.TB, timer *clock.Fake, n int, doc document.Document, policy allotment.Policy) *keepers {
 	f := &keepers{
-		t: t, clock: &clock.Fake{}, doc: doc, policy: policy,
+		t: t, clock: timer, doc: doc, policy: policy,
 		admitted: map[string][]time.Duration{}, refused: map[string]int{},
 		inside: map[string]int{}, wrong: map[string]int{},
 	}
--- a/entry/monitor_test.go
+++ b/entry/monitor_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rhubarbwick/rhubarbwick/adapter/clock"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/entry"
 	"github.com/rhubarbwick/rhubarbwick/group"
@@ -20,7 +21,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		body(ctx, newWorld(t, seed, servers))
+		body(ctx, newWorld(t, &clock.Fake{}, seed, servers))
 		cancel()
 		synctest.Wait()
 	})
