--- a/entry/account_move.go
+++ b/entry/account_move.go
@@ -51,6 +51,9 @@
 // move is what follows from a ledger that was read.
 type move interface{ move() }
 
+// write updates the ledger now.
+type write struct{}
+
 // wait looks again later.
 type wait struct{ d time.Duration }
 
