Account for the batches that a steward has given

A holder keeps burst for what it has lent, as it does for open connections. No duty uses them yet.

A second property starts with two stewards that have shares, and both now check after each edit that a holder's bucket and batches fit its burst. On a scratch copy they fail when the bucket fills up over lent tokens, when burst is given back that batches need, and when a steward's share is reclaimed before its batches expire.

--- a/allotment/bucket.go
+++ b/allotment/bucket.go
@@ -11,7 +11,9 @@
 	rate   Statements
 	burst  Statements
 	tokens Statements
-	at     time.Duration
+	// lent are tokens that takers may still spend; the bucket fills up to the burst without them.
+	lent Statements
+	at   time.Duration
 }
 
 // At returns the bucket filled up to now. An instant before the last one changes nothing.
@@ -19,11 +21,22 @@
 	if now <= b.at {
 		return b
 	}
-	b.tokens = min(b.burst, b.tokens+accrued(b.rate, now-b.at))
+	b.tokens = min(b.most(), b.tokens+accrued(b.rate, now-b.at))
 	b.at = now
 	return b
 }
 
+// most returns how many tokens the bucket can hold now.
+func (b Bucket) most() Statements { return max(b.burst-b.lent, 0) }
+
+// WithLent returns the bucket while takers may still spend n tokens that were taken out of it.
+func (b Bucket) WithLent(now time.Duration, n Statements) Bucket {
+	b = b.At(now)
+	b.lent = max(n, 0)
+	b.tokens = min(b.tokens, b.most())
+	return b
+}
+
 // Take takes n tokens, and reports false when there are too few.
 func (b Bucket) Take(now time.Duration, n Statements) (Bucket, bool) {
 	b = b.At(now)
@@ -38,14 +51,14 @@
 func (b Bucket) WithShare(now time.Duration, share Amount) Bucket {
 	b = b.At(now)
 	b.rate, b.burst = share.Rate, share.Burst
-	b.tokens = min(b.tokens, b.burst)
+	b.tokens = min(b.tokens, b.most())
 	return b
 }
 
 // WithTokens returns the bucket with n tokens more, as far as the burst allows.
 func (b Bucket) WithTokens(now time.Duration, n Statements) Bucket {
 	b = b.At(now)
-	b.tokens = min(b.burst, b.tokens+max(n, 0))
+	b.tokens = min(b.most(), b.tokens+max(n, 0))
 	return b
 }
 
@@ -65,7 +78,7 @@
 	if b.tokens >= n {
 		return 0, true
 	}
-	if b.rate <= 0 || b.burst < n {
+	if b.rate <= 0 || b.most() < n {
 		return 0, false
 	}
 	missing := n - b.tokens
--- a/allotment/holding.go
+++ b/allotment/holding.go
@@ -8,6 +8,8 @@
 	share    Amount
 	standing Amount
 	bucket   Bucket
+	// lending are the batches of the bucket's tokens that takers may still spend.
+	lending Lending
 	// renewed is the instant before the last confirmed renewal was sent.
 	renewed time.Duration
 	lapsed  bool
@@ -30,6 +32,8 @@
 		h.standing, h.share, h.bucket = Amount{}, Amount{}, Bucket{}
 	}
 	h.bucket = h.bucket.At(now)
+	h.lending = h.lending.At(now)
+	h.bucket = h.bucket.WithLent(now, h.lending.Outstanding())
 	return h
 }
 
@@ -41,6 +45,31 @@
 	return h, ok
 }
 
+// Lend takes up to n whole statements for a batch of a taker and notes them as outstanding. It reports false when there
+// is not one.
+func (h Holding) Lend(now time.Duration, taker string, number uint64, n Statements) (Holding, Statements, bool) {
+	h = h.At(now)
+	n = min(n, h.bucket.Tokens()) / Statement * Statement
+	if n < Statement {
+		return h, 0, false
+	}
+	h.bucket, n = h.bucket.WithoutTokens(now, n)
+	h.lending = h.lending.WithBatch(now, taker, number, n)
+	h.bucket = h.bucket.WithLent(now, h.lending.Outstanding())
+	return h, n, true
+}
+
+// WithReport returns the holding after a taker has reported that it spends no more of its batches up to a number.
+func (h Holding) WithReport(now time.Duration, taker string, number uint64) Holding {
+	h = h.At(now)
+	h.lending = h.lending.WithReport(taker, number)
+	h.bucket = h.bucket.WithLent(now, h.lending.Outstanding())
+	return h
+}
+
+// Lent returns the tokens that takers may still spend at the instant of the last At.
+func (h Holding) Lent() Statements { return h.lending.Outstanding() }
+
 // WithShareAtMost returns the holding with at most the share and standing share of an entry, and the unspent tokens
 // that go with the part that was cut off. It is called before the update that changes the entry is sent.
 func (h Holding) WithShareAtMost(now time.Duration, e Entry) (Holding, Statements) {
@@ -116,4 +145,10 @@
 func (h Holding) Lapsed() bool { return h.lapsed }
 
 // Next returns how long it takes until a statement finds a token, and false when it never will.
-func (h Holding) Next() (time.Duration, bool) { return h.bucket.Next(Statement) }
+func (h Holding) Next() (time.Duration, bool) {
+	next, ok := h.bucket.Next(Statement)
+	if expires, lent := h.lending.Next(h.bucket.at); lent && (!ok || expires < next) {
+		return expires, true
+	}
+	return next, ok
+}
--- a/allotment/ledger_test.go
+++ b/allotment/ledger_test.go
@@ -45,6 +45,28 @@
 	// sightings are what each holder saw.
 	sightings map[string]allotment.Sightings
 	spent     []time.Duration
+	// lendings are the batches that each holder has given as a steward, takers what their takers got.
+	lendings map[string]allotment.Lending
+	takers   []*taker
+	// last is the number of the last holder, edits are those that are drawn, by their case in move.
+	last  int
+	edits []int
+}
+
+func newModel(t require.TestingT, total allotment.Limit, last int, edits ...int) *model {
+	return &model{
+		ledger:  apply(t, allotment.Ledger{}, allotment.Relimit{Limit: total}),
+		buckets: map[string]allotment.Bucket{}, sightings: map[string]allotment.Sightings{},
+		lendings: map[string]allotment.Lending{}, last: last, edits: edits,
+	}
+}
+
+// taker has one batch of a steward. One that is lost, because its answer was lost or the taker died, spends nothing.
+type taker struct {
+	name, steward string
+	sent          time.Duration
+	batch         allotment.Batch
+	lost          bool
 }
 
 func (m *model) entry(holder string) allotment.Entry {
@@ -63,12 +85,16 @@
 
 // move makes one random edit as a holder makes it, with its bucket.
 func (m *model) move(t *rapid.T) {
-	holder := fmt.Sprint("h", rapid.IntRange(0, 5).Draw(t, "holder"))
-	other := fmt.Sprint("h", rapid.IntRange(0, 5).Draw(t, "other"))
+	holder := fmt.Sprint("h", rapid.IntRange(0, m.last).Draw(t, "holder"))
+	other := fmt.Sprint("h", rapid.IntRange(0, m.last).Draw(t, "other"))
 	bucket := m.buckets[holder].At(m.now)
 	entry := m.entry(holder)
 	before := m.ledger
 	var tokens allotment.Statements
+	m.lendings[holder] = m.lendings[holder].At(m.now)
+	m.lendings[other] = m.lendings[other].At(m.now)
+	lent := m.lendings[holder].Outstanding()
+	bucket = bucket.WithLent(m.now, lent)
 	step := func(e allotment.Edit) bool {
 		next, grant, err := m.ledger.Apply(e)
 		if err == nil {
@@ -76,7 +102,7 @@
 		}
 		return err == nil
 	}
-	switch rapid.IntRange(0, 7).Draw(t, "edit") {
+	switch rapid.SampledFrom(m.edits).Draw(t, "edit") {
 	case 0:
 		step(allotment.Claim{Holder: holder})
 	case 1:
@@ -84,17 +110,23 @@
 		step(allotment.Want{Holder: holder, Wanted: anAmount(t)})
 	case 2:
 		give := anAmount(t)
+		// A steward keeps burst for what it has lent.
+		give.Burst = min(give.Burst, max(entry.Share.Burst-lent, 0))
 		var out allotment.Statements
 		low, out := bucket.WithoutTokens(m.now, min(give.Burst, bucket.Tokens()))
 		if step(allotment.GiveBack{Holder: holder, Share: give, Tokens: out}) {
 			bucket = low
 		}
 	case 3:
+		step(allotment.Claim{Holder: holder})
 		step(allotment.Take{Holder: holder, Ask: anAmount(t), Tokens: anAmount(t).Burst})
 	case 4:
-		step(allotment.Leave{Holder: holder, Tokens: bucket.Tokens()})
+		if lent == 0 {
+			step(allotment.Leave{Holder: holder, Tokens: bucket.Tokens()})
+		}
 	case 5:
-		if holder != other && step(allotment.Reclaim{Holder: other, Lease: m.entry(other).Lease}) {
+		// The lease of a dead steward ends 3 s before the reclaim, so its batches have expired by then.
+		if holder != other && m.lendings[other].Outstanding() == 0 && step(allotment.Reclaim{Holder: other, Lease: m.entry(other).Lease}) {
 			m.cut(other)
 		}
 	case 6:
@@ -103,6 +135,10 @@
 		if fill, ok := m.sightings[holder].Fill(m.now, m.ledger); ok {
 			step(fill)
 		}
+	case 8:
+		bucket = m.lend(t, holder, bucket)
+	case 9:
+		bucket = m.report(t, holder, bucket)
 	}
 	requireWithinTotal(t, before, m.ledger)
 	share := m.entry(holder).Share
@@ -113,6 +149,69 @@
 	require.LessOrEqual(t, entry.Standing.Rate, entry.Share.Rate)
 }
 
+// lend lets a steward give a batch for a request that was sent some time ago.
+func (m *model) lend(t *rapid.T, steward string, bucket allotment.Bucket) allotment.Bucket {
+	asked := bucket.Tokens() / allotment.Statements(rapid.IntRange(1, 3).Draw(t, "part"))
+	bucket, tokens := bucket.WithoutTokens(m.now, asked)
+	sent := m.now - time.Duration(rapid.IntRange(0, 1200).Draw(t, "delay"))*time.Millisecond
+	k := &taker{
+		name: fmt.Sprint("t", len(m.takers)), steward: steward, sent: sent,
+		batch: allotment.NewBatch(sent, tokens), lost: rapid.Bool().Draw(t, "lost"),
+	}
+	m.takers = append(m.takers, k)
+	m.lendings[steward] = m.lendings[steward].WithBatch(m.now, k.name, 1, tokens)
+	return bucket.WithLent(m.now, m.lendings[steward].Outstanding())
+}
+
+// report lets a taker give up its batch and tell the steward. The report may arrive twice.
+func (m *model) report(t *rapid.T, steward string, bucket allotment.Bucket) allotment.Bucket {
+	i := rapid.IntRange(0, len(m.takers)).Draw(t, "taker")
+	if i == len(m.takers) || m.takers[i].steward != steward {
+		return bucket
+	}
+	m.takers[i].lost = true
+	m.lendings[steward] = m.lendings[steward].WithReport(m.takers[i].name, 1)
+	return bucket.WithLent(m.now, m.lendings[steward].Outstanding())
+}
+
+// at is the instant by the taker's clock, which is 10 % slower than the steward's.
+func (k *taker) at(now time.Duration) time.Duration { return k.sent + (now-k.sent)*10/11 }
+
+// spendBatches lets a random set of takers spend their batches at once.
+func (m *model) spendBatches(t *rapid.T) {
+	for _, k := range m.takers {
+		if k.lost || m.now-k.sent > 2*allotment.BatchTime || !rapid.Bool().Draw(t, "spends") {
+			continue
+		}
+		for {
+			batch, ok := k.batch.Take(k.at(m.now))
+			k.batch = batch
+			if !ok {
+				break
+			}
+			m.spent = append(m.spent, m.now)
+		}
+	}
+}
+
+// requireCovered checks that what can be spent of each share, in its holder's bucket and in batches, fits its burst. What
+// is in no share is in the pool, so the sum over the fleet then fits the limit's burst.
+func (m *model) requireCovered(t require.TestingT) {
+	for holder, bucket := range m.buckets {
+		sum := bucket.At(m.now).Tokens()
+		for _, k := range m.takers {
+			if _, ok := k.batch.Take(k.at(m.now)); ok && !k.lost && k.steward == holder {
+				sum += k.batch.Tokens()
+			}
+		}
+		share := m.entry(holder).Share
+		if seat, ok := m.ledger.FindSeat(holder); ok {
+			share = seat.Share
+		}
+		require.LessOrEqual(t, sum, share.Burst, "tokens of %s in its bucket and in batches", holder)
+	}
+}
+
 // cut is what a holder does by itself when its lease ends.
 func (m *model) cut(holder string) {
 	seat, _ := m.ledger.FindSeat(holder)
@@ -156,14 +255,36 @@
 func TestLedgerNeverExceedsTotal(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		total := limit(10, 20, 20, 1)
-		m := &model{
-			ledger:  apply(t, allotment.Ledger{}, allotment.Relimit{Limit: total}),
-			buckets: map[string]allotment.Bucket{}, sightings: map[string]allotment.Sightings{},
-		}
+		m := newModel(t, total, 5, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9)
 		for range rapid.IntRange(1, 120).Draw(t, "moves") {
 			m.now += time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond
 			m.move(t)
+			m.requireCovered(t)
+			m.spend(t)
+			m.spendBatches(t)
+		}
+		requireBounded(t, m.spent, total.Total)
+	})
+}
+
+// Guards against batches that are spent on top of what the bucket has filled up again, or on top of a share that was
+// given back or reclaimed: two stewards with shares lend most of the time.
+func TestBatchesNeverExceedTotal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := limit(10, 20, 20, 1)
+		m := newModel(t, total, 1, 2, 3, 3, 5, 8, 8, 8, 9)
+		for _, steward := range []string{"h0", "h1"} {
+			share := limit(5, 10, 0, 1).Total
+			m.ledger = apply(t, m.ledger, allotment.Claim{Holder: steward},
+				allotment.Take{Holder: steward, Ask: share, Tokens: share.Burst})
+			m.buckets[steward] = allotment.Bucket{}.WithShare(0, share).WithTokens(0, share.Burst)
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "moves") {
+			m.now += time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond
+			m.move(t)
+			m.requireCovered(t)
 			m.spend(t)
+			m.spendBatches(t)
 		}
 		requireBounded(t, m.spent, total.Total)
 	})
--- a/allotment/policy.go
+++ b/allotment/policy.go
@@ -47,6 +47,8 @@
 	Units int64
 	// Held is the number of connections that are open now.
 	Held int64
+	// Lent are the tokens that takers of batches may still spend.
+	Lent Statements
 	// Idle is the time since the last demand.
 	Idle time.Duration
 	// Full reports that the bucket has as many tokens as it holds.
@@ -62,7 +64,7 @@
 
 // IsIdle reports whether the share should be given back.
 func (d Demand) IsIdle() bool {
-	if d.Waiting > 0 || d.Units > 0 || d.Held > 0 {
+	if d.Waiting > 0 || d.Units > 0 || d.Held > 0 || d.Lent > 0 {
 		return false
 	}
 	return d.Idle >= idleAnyway || d.Full && d.Idle >= idleWhenFull
@@ -124,6 +126,8 @@
 		room := Statements(d.Waiting) * Statement
 		target.Burst = max(target.Burst, min(room, l.Limit.Total.Burst))
 	}
+	// Tokens that takers may still spend count against the burst until their batches have expired.
+	target.Burst = max(target.Burst, min(d.Lent, entry.Share.Burst))
 	// Connections that are open cannot be given back before they are closed.
 	units := target.Units
 	target.Units = max(target.Units, min(d.Held, entry.Share.Units))
