Take batches from a steward in data centres of more than eight instances

A limit that is too large for a home was held by every instance, so each had an entry, a watch and updates of its own. In a data centre with more than eight live instances the others now take batches from one, by the peer call Take with a batch, and hold no entry while it answers. A taker asks for what waits and for what it expects in a quarter of a second; one request for each limit is under way at a time. Its next request reports that the last batch is finished.

An instance that did not answer is tried again by one statement in 2 s only. Homes use the same rule. While an update is planned no batch is lent, because the update must leave burst for those that are outstanding; an instance that stops waits for 1.1 s when batches are outstanding.

An instance of an earlier version ignores the batch and admits one statement; the taker then uses its own share.

--- a/adapter/peer/client.go
+++ b/adapter/peer/client.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 
 	"connectrpc.com/connect"
 
+	"github.com/rhubarbwick/rhubarbwick/allotment"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/entry"
 	peerv1 "github.com/rhubarbwick/rhubarbwick/gen/rhubarbwick/peer/v1"
@@ -22,8 +24,9 @@
 }
 
 var (
-	_ entry.RelayClient = (*Client)(nil)
-	_ entry.HomeClient  = (*Client)(nil)
+	_ entry.RelayClient   = (*Client)(nil)
+	_ entry.HomeClient    = (*Client)(nil)
+	_ entry.StewardClient = (*Client)(nil)
 )
 
 // NewClient returns a client that shows the fleet's secret.
@@ -88,20 +91,41 @@
 
 // TakeAt takes one statement from the limit at the instance of the address.
 func (c *Client) TakeAt(ctx context.Context, address, limit string) error {
+	_, err := c.take(ctx, address, &peerv1.TakeRequest{Limit: limit})
+	return err
+}
+
+// TakeBatch takes a batch from the limit at the instance of the address.
+func (c *Client) TakeBatch(ctx context.Context, address string, ask entry.BatchAsk) (allotment.Statements, error) {
+	most := ask.Statements / allotment.Statement
+	res, err := c.take(ctx, address, &peerv1.TakeRequest{Limit: ask.Limit, Batch: &peerv1.TakeRequest_Batch{
+		Statements: uint32(min(most, math.MaxUint32)), Taker: ask.Taker, Number: ask.Number, Finished: ask.Finished,
+	}})
+	if err != nil {
+		return 0, err
+	}
+	if res.GetStatements() == 0 {
+		// An instance of an earlier version takes one statement and knows no batches.
+		return 0, port.Failf(port.Unavailable, "instance %s gives no batches", address)
+	}
+	return allotment.Statements(res.GetStatements()) * allotment.Statement, nil
+}
+
+func (c *Client) take(ctx context.Context, address string, msg *peerv1.TakeRequest) (*peerv1.TakeResponse, error) {
 	calls, err := c.calls(address)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	req := connect.NewRequest(&peerv1.TakeRequest{Limit: limit})
+	req := connect.NewRequest(msg)
 	req.Header().Set("Authorization", c.credential)
 	res, err := calls.Take(ctx, req)
 	if err != nil {
-		return port.Wrapf(err, port.Unavailable, "instance %s does not answer", address)
+		return nil, port.Wrapf(err, port.Unavailable, "instance %s does not answer", address)
 	}
 	if !res.Msg.GetAdmitted() {
-		return port.Failf(port.OverRate, "limit %s: rate is used up", limit)
+		return nil, port.Failf(port.OverRate, "limit %s: rate is used up", msg.GetLimit())
 	}
-	return nil
+	return res.Msg, nil
 }
 
 func (c *Client) calls(address string) (peerv1connect.RelayServiceClient, error) {
--- a/adapter/peer/peer_test.go
+++ b/adapter/peer/peer_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/rhubarbwick/rhubarbwick/adapter/peer"
+	"github.com/rhubarbwick/rhubarbwick/allotment"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/entry"
 	"github.com/rhubarbwick/rhubarbwick/port"
@@ -118,6 +119,20 @@
 	requireKind(t, port.Unavailable, l.client.TakeAt(t.Context(), "127.0.0.1:1", "rate/clinic"))
 }
 
+// Guards against a batch of another size or under another number than the steward gave it.
+func TestTakeBatch(t *testing.T) {
+	l := connect(t, &fakeRelay{})
+	ask := entry.BatchAsk{Limit: "rate/clinic", Taker: "taker", Number: 7, Finished: 6, Statements: 5 * allotment.Statement}
+	n, err := l.client.TakeBatch(t.Context(), l.address, ask)
+	require.NoError(t, err)
+	require.Equal(t, 4*allotment.Statement, n)
+	ask.Limit = "rate/kitchen"
+	_, err = l.client.TakeBatch(t.Context(), l.address, ask)
+	requireKind(t, port.OverRate, err)
+	_, err = l.client.TakeBatch(t.Context(), "127.0.0.1:1", ask)
+	requireKind(t, port.Unavailable, err)
+}
+
 // Guards against an instance that answers more polls than it has room for.
 func TestServerBound(t *testing.T) {
 	r := &fakeRelay{arrived: make(chan struct{}), release: make(chan struct{})}
@@ -200,9 +215,16 @@
 	require.Equal(t, want, port.KindOf(err), err)
 }
 
-// limitStub admits the limit "rate/clinic" and refuses every other.
+// limitStub admits the limit "rate/clinic" and refuses every other. Its batches have one statement less than was asked.
 type limitStub struct{}
 
+func (s limitStub) Lend(ctx context.Context, ask entry.BatchAsk) (allotment.Statements, error) {
+	if ask.Taker != "taker" || ask.Number != 7 || ask.Finished != 6 {
+		return 0, port.Failf(port.Internal, "ask is %+v", ask)
+	}
+	return ask.Statements - allotment.Statement, s.Take(ctx, ask.Limit)
+}
+
 func (limitStub) Take(_ context.Context, limit string) error {
 	if limit == "rate/clinic" {
 		return nil
--- a/adapter/peer/server.go
+++ b/adapter/peer/server.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/rhubarbwick/rhubarbwick/allotment"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/entry"
 	peerv1 "github.com/rhubarbwick/rhubarbwick/gen/rhubarbwick/peer/v1"
@@ -24,7 +25,7 @@
 // Server answers other instances over HTTP. Use NewServer; a zero Server refuses every call.
 type Server struct {
 	relay      Relay
-	limit      entry.RateLimit
+	limits     Limits
 	credential string
 	calls      chan struct{}
 	encoded    atomic.Pointer[encodedDocument]
@@ -38,13 +39,20 @@
 	data     []byte
 }
 
-// NewServer returns a server for instances that know the fleet's secret. Statements are taken from limit.
-func NewServer(relay Relay, limit entry.RateLimit, secret []byte) (*Server, error) {
+// Limits is this instance's part of the rate limits.
+type Limits interface {
+	entry.RateLimit
+	entry.Lender
+}
+
+// NewServer returns a server for instances that know the fleet's secret. Statements and batches are taken
+// from limits.
+func NewServer(relay Relay, limits Limits, secret []byte) (*Server, error) {
 	shown, err := credential(secret)
 	if err != nil {
 		return nil, err
 	}
-	return &Server{relay: relay, limit: limit, credential: shown, calls: make(chan struct{}, MaxCalls)}, nil
+	return &Server{relay: relay, limits: limits, credential: shown, calls: make(chan struct{}, MaxCalls)}, nil
 }
 
 // Handler returns the handler of the server's calls. Calls beyond MaxCalls are refused at once.
@@ -134,15 +142,27 @@
 	return connect.NewResponse(&peerv1.OfferResponse{Revision: uint64(revision)}), nil
 }
 
-// Take takes one statement from this instance's share.
+// Take takes one statement or a batch from this instance's share.
 func (s *Server) Take(
 	ctx context.Context, req *connect.Request[peerv1.TakeRequest],
 ) (*connect.Response[peerv1.TakeResponse], error) {
-	err := s.limit.Take(ctx, req.Msg.GetLimit())
+	res := &peerv1.TakeResponse{}
+	var err error
+	if batch := req.Msg.GetBatch(); batch != nil {
+		var n allotment.Statements
+		n, err = s.limits.Lend(ctx, entry.BatchAsk{
+			Limit: req.Msg.GetLimit(), Taker: batch.GetTaker(), Number: batch.GetNumber(), Finished: batch.GetFinished(),
+			Statements: allotment.Statements(batch.GetStatements()) * allotment.Statement,
+		})
+		res.Statements = uint32(n / allotment.Statement)
+	} else {
+		err = s.limits.Take(ctx, req.Msg.GetLimit())
+	}
 	if err != nil && port.KindOf(err) != port.OverRate {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	return connect.NewResponse(&peerv1.TakeResponse{Admitted: err == nil}), nil
+	res.Admitted = err == nil
+	return connect.NewResponse(res), nil
 }
 
 // encode returns the document's JSON, which is made once for each revision.
--- a/allotment/home.go
+++ b/allotment/home.go
@@ -5,7 +5,10 @@
 // with one or two it refused up to half of them.
 const BurstPerHolder = 5
 
+// HomeBurst is the greatest burst of a limit that is admitted by one instance for all.
+const HomeBurst = 200 * Statement
+
 // HasHome reports whether the limit is so small for a fleet of the size that one instance should admit for all.
 func (l Limit) HasHome(instances int) bool {
-	return l.Total.Rate > 0 && l.Total.Burst < BurstPerHolder*Statement*Statements(instances)
+	return l.Total.Rate > 0 && l.Total.Burst <= HomeBurst && l.Total.Burst < BurstPerHolder*Statement*Statements(instances)
 }
--- a/cmd/serve/process.go
+++ b/cmd/serve/process.go
@@ -152,15 +152,18 @@
 	return err
 }
 
-// assembleRates returns the rate limit of the settings' policy. Homes make sense only where shares follow demand.
-func (p *process) assembleRates(homes entry.HomeClient) entry.RateLimit {
+// assembleRates returns the rate limit of the settings' policy. Homes and stewards make sense only where shares follow demand.
+func (p *process) assembleRates(peers *peer.Client) entry.RateLimit {
 	if p.cfg.Limits.Policy != "demand" {
 		return p.keeper
 	}
 	return entry.NewHomes(entry.HomesConfig{
 		Self:   p.self,
 		Keeper: p.keeper,
-		Client: homes,
+		Rest: entry.NewStewards(entry.StewardsConfig{
+			Self: p.self, Keeper: p.keeper, Client: peers, Timer: p.timer, List: p.follower.List,
+		}),
+		Client: peers,
 		Timer:  p.timer,
 		List:   p.follower.List,
 	})
--- a/entry/account_plan.go
+++ b/entry/account_plan.go
@@ -22,6 +22,8 @@
 
 // plan returns the update that is due on the ledger as it was read.
 func (a *account) plan(d allotment.Demand) (attempt, error) {
+	d.Lent = a.limiter.freeze()
+	defer a.limiter.thaw()
 	now := a.cfg.Timer.Now()
 	p := planner{ledger: a.base, sightings: a.sightings, now: now}
 	if limit := a.currentLimit(); limit.Revision > a.base.Limit.Revision || a.base.Limit.Name == "" {
--- a/entry/account_sync.go
+++ b/entry/account_sync.go
@@ -154,6 +154,10 @@
 	}
 	ctx, cancel := port.WithTimeout(ctx, a.cfg.Timer, leaveTimeout)
 	defer cancel()
+	if a.limiter.freeze() > 0 {
+		// The burst of outstanding batches is given back after they have expired.
+		a.rest(ctx, allotment.BatchReserved)
+	}
 	for ctx.Err() == nil {
 		if err := a.read(ctx); err != nil {
 			return
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 
+	"github.com/rhubarbwick/rhubarbwick/allotment"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/group"
 	"github.com/rhubarbwick/rhubarbwick/organisation"
@@ -88,6 +89,12 @@
 	Take(ctx context.Context, limit string) error
 }
 
+// Lender lends parts of this instance's share to others.
+type Lender interface {
+	// Lend takes a batch, and waits a short time for a share. Errors are those of RateLimit.
+	Lend(ctx context.Context, ask BatchAsk) (allotment.Statements, error)
+}
+
 // ConnectionLimit limits connections to one server over the whole fleet.
 type ConnectionLimit interface {
 	// Allowed returns how many connections this instance may hold to the server now.
--- a/entry/home.go
+++ b/entry/home.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/allotment"
@@ -31,6 +30,8 @@
 type HomesConfig struct {
 	Self   instance.Instance
 	Keeper *Keeper
+	// Rest takes the statements for which no other instance is the home.
+	Rest   RateLimit
 	Client HomeClient
 	Timer  port.Timer
 	// List returns the list of instances.
@@ -41,18 +42,15 @@
 // the fleet such a limit leaves each instance less than one or two statements of burst. The home spends from its own
 // share, so the sum over the fleet stays what the ledger says, also while instances differ about the home.
 type Homes struct {
-	cfg HomesConfig
-
-	mu sync.Mutex
-	// failed is when the home at the address last failed to answer.
-	failed map[string]time.Duration
+	cfg    HomesConfig
+	silent *silences
 }
 
 var _ RateLimit = (*Homes)(nil)
 
 // NewHomes returns a RateLimit over the keeper.
 func NewHomes(cfg HomesConfig) *Homes {
-	return &Homes{cfg: cfg, failed: make(map[string]time.Duration)}
+	return &Homes{cfg: cfg, silent: newSilences(cfg.Timer)}
 }
 
 // Take takes one statement from the limit at its home, or from this instance's share when the limit has no home or the
@@ -60,7 +58,7 @@
 func (h *Homes) Take(ctx context.Context, limit string) error {
 	home, ok := h.home(limit)
 	if !ok {
-		return h.cfg.Keeper.Take(ctx, limit)
+		return h.cfg.Rest.Take(ctx, limit)
 	}
 	bounded, cancel := port.WithTimeout(ctx, h.cfg.Timer, HomeLimit)
 	defer cancel()
@@ -68,7 +66,7 @@
 	if err == nil || port.KindOf(err) == port.OverRate || ctx.Err() != nil {
 		return err
 	}
-	h.note(home.Address)
+	h.silent.note(home.Address)
 	return h.cfg.Keeper.Take(ctx, limit)
 }
 
@@ -82,24 +80,7 @@
 	if len(live) < 2 || !known.HasHome(len(live)) || live[0].Incarnation == h.cfg.Self.Incarnation {
 		return instance.Instance{}, false
 	}
-	return live[0], !h.isSilent(live[0].Address)
-}
-
-func (h *Homes) isSilent(address string) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	at, failed := h.failed[address]
-	if failed && h.cfg.Timer.Now()-at >= HomeRetry {
-		delete(h.failed, address)
-		return false
-	}
-	return failed
-}
-
-func (h *Homes) note(address string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.failed[address] = h.cfg.Timer.Now()
+	return live[0], !h.silent.has(live[0].Address)
 }
 
 // Limit returns the limit of the name as the document in force states it.
--- a/entry/keeper.go
+++ b/entry/keeper.go
@@ -104,6 +104,15 @@
 	return a.limiter.take(ctx)
 }
 
+// Lend takes a batch of a limit for another instance.
+func (k *Keeper) Lend(ctx context.Context, ask BatchAsk) (allotment.Statements, error) {
+	a, ok := k.find(ask.Limit)
+	if !ok {
+		return 0, port.Failf(port.ShareUnavailable, "limit %s does not exist", ask.Limit)
+	}
+	return a.limiter.lend(ctx, ask)
+}
+
 // Allowed returns how many connections this instance may hold now. server is "<group>/<server>".
 func (k *Keeper) Allowed(server string) int {
 	a, ok := k.find(connectionsPrefix + server)
--- a/entry/keeper_measure_test.go
+++ b/entry/keeper_measure_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -78,16 +79,57 @@
 	reads, writes, watches float64
 }
 
+// variant is a policy with the parts that take statements at other instances.
+type variant struct {
+	policy          allotment.Policy
+	homes, stewards bool
+}
+
+func (v variant) name() string {
+	name := policyName(v.policy)
+	if v.homes {
+		name += " with homes"
+	}
+	if v.stewards {
+		name += " with stewards"
+	}
+	return name
+}
+
+// tenantsOf returns the organisations of a fleet of the size. Those of a large fleet send and may send four times as much.
+func tenantsOf(n int) []document.Organisation {
+	if n < 64 {
+		return tenants
+	}
+	large := slices.Clone(tenants)
+	for i := range large {
+		large[i].Rate, large[i].Burst = 4*large[i].Rate, 4*large[i].Burst
+	}
+	return large
+}
+
+// dataCentresOf returns how many data centres a fleet of the size has in the measurement.
+func dataCentresOf(n int) int {
+	if n < 64 {
+		return 1
+	}
+	return 4
+}
+
 // measure runs traffic at a part of each organisation's rate, with statements that arrive at random.
-func measure(t *testing.T, n int, policy allotment.Policy, homes bool, kind traffic, part float64, d time.Duration) result {
+func measure(t *testing.T, n int, v variant, kind traffic, part float64, d time.Duration) result {
 	var r result
+	tenants := tenantsOf(n)
 	synctest.Test(t, func(t *testing.T) {
 		doc := document.Document{Revision: 1, Seats: 32}
 		for _, o := range tenants {
 			doc = doc.WithOrganisation(o)
 		}
-		f := newKeepers(t, n, doc, policy)
-		f.useHomes = homes
+		f := newKeepers(t, 0, doc, v.policy)
+		f.useHomes, f.useStewards, f.dataCentres = v.homes, v.stewards, dataCentresOf(n)
+		for range n {
+			f.join()
+		}
 		defer f.finish()
 		random := rand.New(rand.NewPCG(1, 2))
 		references := make([]reference, len(tenants))
@@ -134,7 +176,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var r result
-	for i, o := range tenants {
+	for i, o := range tenantsOf(len(f.keepers)) {
 		name := "rate/" + o.Name
 		r.overshoot = max(r.overshoot, overshoot(f.admitted[name], o.Rate, o.Burst))
 		if rateFactor(kind, i) != 1 {
@@ -199,20 +241,20 @@
 	}
 	sizes, length := []int{4}, 15*time.Second
 	if *measureFull {
-		sizes, length = []int{4, 8, 16, 19, 32}, 60*time.Second
+		sizes, length = []int{4, 8, 16, 19, 32, 64}, 60*time.Second
 	}
 	for _, n := range sizes {
 		for _, k := range kinds {
-			for _, v := range []struct {
-				policy allotment.Policy
-				homes  bool
-			}{{allotment.ByDemand{}, true}, {allotment.ByDemand{}, false}, {allotment.EqualSplit{Holders: n}, false}, {allotment.Unshared{}, false}} {
-				p, name := v.policy, policyName(v.policy)
-				if v.homes {
-					name += " with homes"
-				}
+			for _, v := range []variant{
+				{policy: allotment.ByDemand{}, homes: true, stewards: true},
+				{policy: allotment.ByDemand{}, homes: true},
+				{policy: allotment.ByDemand{}},
+				{policy: allotment.EqualSplit{Holders: n}},
+				{policy: allotment.Unshared{}},
+			} {
+				p, name := v.policy, v.name()
 				t.Run(fmt.Sprintf("%d %s %s", n, k.name, name), func(t *testing.T) {
-					r := measure(t, n, p, v.homes, k.kind, 0.8, length)
+					r := measure(t, n, v, k.kind, 0.8, length)
 					t.Logf("| %d | %s | %s | %.2f %% | %.1f %% | %.0f | %.1f | %.1f | %.1f |", n, k.name, name,
 						100*float64(r.wrong)/float64(r.inside), 100*r.worst, r.overshoot, r.reads, r.writes, r.watches)
 					if _, unshared := p.(allotment.Unshared); !unshared {
--- a/entry/limiter.go
+++ b/entry/limiter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -21,13 +20,6 @@
 	// maxCheckTime is less than the time between the end of a lease and its reclaim. A statement whose check took
 	// longer may have been checked in a lease that others have taken since.
 	maxCheckTime = time.Second
-	// meterSlot is the period over which demand is counted, meterSlots how many count as new.
-	meterSlot  = 100 * time.Millisecond
-	meterSlots = 5
-	// meterWeight is the part of a slot in the mean, which follows a change by half in 1.4 s.
-	meterWeight = 0.05
-	// maxMeterSteps is how many slots without demand make the mean zero.
-	maxMeterSteps = 300
 )
 
 // limiter admits statements from the local holding of one limit. Its lock is never held over a message.
@@ -49,6 +41,8 @@
 	ceiling int
 	// usedUp is when the last exchange began that found the rate used up.
 	usedUp time.Duration
+	// frozen is true while no batch may be lent.
+	frozen bool
 	stop   func()
 	meter  meter
 }
@@ -60,6 +54,9 @@
 	admitted time.Duration
 	outcome  chan error
 	gone     bool
+	// ask is set for a batch, of which granted is what was taken.
+	ask     *BatchAsk
+	granted allotment.Statements
 }
 
 func newLimiter(name string, timer port.Timer, need func()) *limiter {
@@ -68,14 +65,30 @@
 
 // take takes one token, or waits for one in order of arrival.
 func (l *limiter) take(ctx context.Context) error {
+	return l.admit(ctx, &pendingTake{outcome: make(chan error, 1)})
+}
+
+// lend takes a batch for another instance, as far as there are tokens, or waits for one statement of it.
+func (l *limiter) lend(ctx context.Context, ask BatchAsk) (allotment.Statements, error) {
+	w := &pendingTake{outcome: make(chan error, 1), ask: &ask}
+	l.mu.Lock()
+	l.holding = l.holding.WithReport(l.timer.Now(), ask.Taker, ask.Finished)
+	l.mu.Unlock()
+	if err := l.admit(ctx, w); err != nil {
+		return 0, err
+	}
+	return w.granted, nil
+}
+
+func (l *limiter) admit(ctx context.Context, w *pendingTake) error {
 	l.mu.Lock()
 	now := l.timer.Now()
-	l.meter.count(now)
-	if l.waitingLocked() == 0 && l.spend(now) {
+	w.arrived = now
+	l.meter.add(now, w.statements())
+	if l.waitingLocked() == 0 && l.spend(now, w) {
 		l.mu.Unlock()
 		return l.confirm(now)
 	}
-	w := &pendingTake{arrived: now, outcome: make(chan error, 1)}
 	if !l.queue.Offer(w) {
 		l.mu.Unlock()
 		return l.refusal(port.ShareUnavailable, "too many statements wait")
@@ -86,6 +99,14 @@
 	return l.await(ctx, w)
 }
 
+// statements is the number of statements that were asked for.
+func (w *pendingTake) statements() int {
+	if w.ask == nil {
+		return 1
+	}
+	return max(int(w.ask.Statements/allotment.Statement), 1)
+}
+
 // confirm refuses a statement whose check took so long that its lease may have ended and been taken by others.
 func (l *limiter) confirm(checked time.Duration) error {
 	if l.timer.Now()-checked >= maxCheckTime {
@@ -129,12 +150,38 @@
 	return w.arrived + shareWait, l.refusal(port.ShareUnavailable, "no share could be had in time")
 }
 
-func (l *limiter) spend(now time.Duration) bool {
-	holding, ok := l.holding.Take(now)
-	l.holding = holding
+func (l *limiter) spend(now time.Duration, w *pendingTake) bool {
+	if w.ask == nil {
+		holding, ok := l.holding.Take(now)
+		l.holding = holding
+		return ok
+	}
+	if l.frozen {
+		return false
+	}
+	holding, n, ok := l.holding.Lend(now, w.ask.Taker, w.ask.Number, w.ask.Statements)
+	l.holding, w.granted = holding, n
 	return ok
 }
 
+// freeze keeps batches from being lent while an update is planned, which must leave burst for those that are
+// outstanding, and returns their tokens.
+func (l *limiter) freeze() allotment.Statements {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.frozen = true
+	l.holding = l.holding.At(l.timer.Now())
+	return l.holding.Lent()
+}
+
+// thaw ends a freeze.
+func (l *limiter) thaw() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.frozen = false
+	l.serve(l.timer.Now())
+}
+
 // serve admits the waiting statements for which there are tokens, refuses those that waited too long, and sets the
 // timer for the next one. The lock is held.
 func (l *limiter) serve(now time.Duration) {
@@ -144,7 +191,7 @@
 		case l.head.gone:
 		case now >= deadline:
 			l.head.outcome <- refusal
-		case l.spend(now):
+		case l.spend(now, l.head):
 			l.head.admitted = now
 			l.head.outcome <- nil
 		default:
@@ -196,6 +243,7 @@
 	l.holding = l.holding.At(now)
 	d := l.meter.demand(now)
 	d.Waiting = l.waitingLocked()
+	d.Lent = l.holding.Lent()
 	d.Tokens = l.holding.Tokens()
 	d.Full = l.holding.Tokens() >= l.holding.Share().Burst
 	return d, l.holding
@@ -290,52 +338,3 @@
 	}
 	l.granted = limit
 }
-
-// meter counts demand in slots.
-type meter struct {
-	start  time.Duration
-	last   time.Duration
-	any    bool
-	counts [meterSlots]int
-	// mean is the mean demand in statements a second.
-	mean float64
-}
-
-func (m *meter) count(now time.Duration) {
-	m.roll(now)
-	m.counts[0]++
-	m.last, m.any = now, true
-}
-
-func (m *meter) roll(now time.Duration) {
-	for steps := 0; now-m.start >= meterSlot; steps++ {
-		if steps > maxMeterSteps {
-			m.start, m.mean = now, 0
-			break
-		}
-		m.mean += meterWeight * (float64(m.counts[0])/meterSlot.Seconds() - m.mean)
-		copy(m.counts[1:], m.counts[:meterSlots-1])
-		m.counts[0] = 0
-		m.start += meterSlot
-	}
-}
-
-// demand returns the mean, moved to where the newest slots leave no doubt that it has changed.
-func (m *meter) demand(now time.Duration) allotment.Demand {
-	m.roll(now)
-	n := 0
-	for _, c := range m.counts {
-		n += c
-	}
-	span := (meterSlots * meterSlot).Seconds()
-	deviation := 2 * math.Sqrt(float64(n)+1)
-	low, high := (float64(n)-deviation)/span, (float64(n)+deviation)/span
-	idle := now - m.last
-	if !m.any {
-		idle = now
-	}
-	return allotment.Demand{
-		Rate: allotment.ToStatements(min(max(m.mean, low), high)),
-		Idle: idle,
-	}
-}
--- a/gen/rhubarbwick/peer/v1/peerv1connect/peer.connect.go
+++ b/gen/rhubarbwick/peer/v1/peerv1connect/peer.connect.go
@@ -47,7 +47,7 @@
 	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.Response[v1.FollowResponse], error)
 	// Offer hands over a document that was accepted.
 	Offer(context.Context, *connect.Request[v1.OfferRequest]) (*connect.Response[v1.OfferResponse], error)
-	// Take takes one statement from a limit for a caller of the asking instance.
+	// Take takes one statement from a limit for a caller of the asking instance, or a batch for several.
 	Take(context.Context, *connect.Request[v1.TakeRequest]) (*connect.Response[v1.TakeResponse], error)
 }
 
@@ -111,7 +111,7 @@
 	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.Response[v1.FollowResponse], error)
 	// Offer hands over a document that was accepted.
 	Offer(context.Context, *connect.Request[v1.OfferRequest]) (*connect.Response[v1.OfferResponse], error)
-	// Take takes one statement from a limit for a caller of the asking instance.
+	// Take takes one statement from a limit for a caller of the asking instance, or a batch for several.
 	Take(context.Context, *connect.Request[v1.TakeRequest]) (*connect.Response[v1.TakeResponse], error)
 }
 
