--- a/adapter/peer/server.go
+++ b/adapter/peer/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"net/http"
 	"sync/atomic"
 
@@ -26,6 +25,7 @@
 type Server struct {
 	relay      Relay
 	limits     Limits
+	receiver   Receiver
 	credential string
 	calls      chan struct{}
 	encoded    atomic.Pointer[encodedDocument]
@@ -62,9 +62,8 @@
 		connect.WithSendMaxBytes(MaxMessage),
 		connect.WithCompressMinBytes(compressFrom),
 	)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		shown := []byte(r.Header.Get("Authorization"))
-		if s.credential == "" || subtle.ConstantTimeCompare(shown, []byte(s.credential)) != 1 {
+	return s.forwarding(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.shows(r) {
 			w.WriteHeader(http.StatusUnauthorized)
 			return
 		}
@@ -75,7 +74,7 @@
 		default:
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
-	})
+	}))
 }
 
 // HTTPServer returns a server for the handler with bounded headers and times. The caller serves and closes it.
@@ -87,6 +86,8 @@
 		WriteTimeout:      entry.DocumentWait + entry.EditCall,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
+		// HTTP/1.1 stays for connections that are upgraded and for instances of an earlier version.
+		Protocols: protocols((*http.Protocols).SetHTTP1, (*http.Protocols).SetUnencryptedHTTP2),
 	}
 }
 
--- a/adapter/postgres/caller.go
+++ b/adapter/postgres/caller.go
@@ -38,8 +38,9 @@
 	flushBytes = 32 << 10
 	// maxIdleOutput is the size of the output buffer that a caller keeps.
 	maxIdleOutput = 64 << 10
-	// callerBuffer is the size of a caller's read buffer. It is small because most callers are idle.
-	callerBuffer = 4 << 10
+	// callerBuffer is the size of a caller's read buffer. It is small because most callers are idle; a message that is
+	// larger is read into its own memory, with one more read.
+	callerBuffer = 1 << 10
 )
 
 // event is what a caller's duty is told. It is one of unitReceived, callerLeft, serverAnswered, serverBroken,
@@ -111,6 +112,8 @@
 	leave    context.CancelCauseFunc
 	// interrupt ends the wait for a server connection; nil while the duty does not wait.
 	interrupt atomic.Pointer[context.CancelFunc]
+	// forwarded is set while another instance serves the caller.
+	forwarded atomic.Pointer[forwarded]
 
 	// The following belong to the duty.
 	out        []byte
@@ -291,6 +294,10 @@
 
 // askCancel passes a cancel request to the duty, or ends its wait for a server connection.
 func (c *caller) askCancel() {
+	if f := c.forwarded.Load(); f != nil {
+		f.askCancel()
+		return
+	}
 	if interrupt := c.interrupt.Load(); interrupt != nil {
 		(*interrupt)()
 		return
@@ -337,5 +344,9 @@
 // runStop tells the duty that the instance is stopping.
 func (c *caller) runStop() {
 	defer c.listener.duties.Done()
+	if f := c.forwarded.Load(); f != nil {
+		f.askStop()
+		return
+	}
 	_ = c.events.Put(c.ctx, stopAsked{})
 }
--- a/adapter/postgres/helper_test.go
+++ b/adapter/postgres/helper_test.go
@@ -26,6 +26,8 @@
 	routes map[string]document.Route
 	seen   []entry.Credentials
 	refuse error
+	// resumed are the openings of forwarded callers.
+	resumed []entry.Opening
 }
 
 func (g *fakeGate) Admit(_ context.Context, c entry.Credentials) (entry.Caller, error) {
@@ -116,6 +118,9 @@
 		})
 	}
 	f.pool = postgres.NewPool(postgres.PoolConfig{User: "system", Password: "own"}, f.limit, f.clock, nil)
+	if cfg.Forward != nil {
+		cfg.Forward.Gate = f.gate
+	}
 	f.listener = postgres.NewListener(cfg, f.gate, f.director, f.pool, f.clock, nil)
 	socket, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -155,6 +160,23 @@
 	return conn
 }
 
+func (s *fakeServer) countBind() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.binds++
+	s.changed.Broadcast()
+}
+
+// waitBinds waits until the server has bound connections n times.
+func (s *fakeServer) waitBinds(n int) { s.waitFor(func() bool { return s.binds >= n }) }
+
+// forget empties the list of statements.
+func (s *fakeServer) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log = nil
+}
+
 func begin(t *testing.T, conn *pgx.Conn) pgx.Tx {
 	t.Helper()
 	tx, err := conn.Begin(t.Context())
--- a/cmd/serve/process.go
+++ b/cmd/serve/process.go
@@ -47,6 +47,7 @@
 	survey    *entry.Survey
 	keeper    *entry.Keeper
 	rates     entry.RateLimit
+	router    *entry.Router
 	groups    *entry.Groups
 	pool      *postgres.Pool
 	listener  *postgres.Listener
@@ -149,6 +150,7 @@
 	})
 	p.peers, err = peer.NewServer(p.follower, p.keeper, secret)
 	p.rates = p.assembleRates(relays)
+	p.assembleForwarding(relays)
 	return err
 }
 
@@ -205,7 +207,9 @@
 		IdleLimit:    settings.Milliseconds(p.cfg.Callers.IdleDrainMS),
 		TLS:          certificate,
 		Observer:     p.metrics,
+		Forward:      &postgres.ForwardConfig{Gate: gate, Connector: p.router, Observer: p.metrics},
 	}, p.metrics.Gate(gate), p.metrics.Director(director), p.pool, p.timer, p.log)
+	p.peers.WithReceiver(receiver{p.listener})
 	p.assembleOperators(signer)
 	return nil
 }
@@ -218,6 +222,7 @@
 		Signer:     signer,
 		Timer:      p.timer,
 		Monitor:    p.groups.Monitor,
+		Candidates: p.router.Candidates,
 	})
 	p.admin = admin.NewServer(admin.Config{Follower: p.follower, Log: p.log})
 	p.admin.Handle(operator.NewServer(operator.Config{
@@ -293,6 +298,7 @@
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context){
 		p.follower.Run, p.editor.Run, p.collector.Run, p.keeper.Run, p.groups.Run, p.pool.Run,
+		p.router.Run,
 	} {
 		running.Go(func() { run(duties) })
 	}
@@ -327,6 +333,12 @@
 	if err := p.follower.Subscribe(ctx, p.groups.SetDocument); err != nil {
 		return err
 	}
+	if err := p.follower.Subscribe(ctx, p.router.SetDocument); err != nil {
+		return err
+	}
+	if err := p.follower.SubscribeList(ctx, p.router.SetList); err != nil {
+		return err
+	}
 	return p.follower.SubscribeList(ctx, p.groups.SetList)
 }
 
