--- a/entry/document_fleet_test.go
+++ b/entry/document_fleet_test.go
@@ -166,11 +166,11 @@
 	// Two instants before an instance's zero exist, so a missing instant cannot pass for an early one.
 	i.timer = shiftedTimer{Fake: f.clock, shift: time.Duration(f.starts)*time.Hour - 3*time.Hour}
 	i.follower = entry.NewFollower(entry.FollowerConfig{Self: self, Store: i, Relays: i, Timer: i.timer})
-	start, ids := f.starts, atomic.Int64{}
+	var ids atomic.Int64
 	i.editor = entry.NewEditor(entry.EditorConfig{
 		Self: self, Store: i, Relays: i, Follower: i.follower, Timer: i.timer,
 		Wall:  func() time.Time { return time.Unix(0, 0) },
-		NewID: func() string { return fmt.Sprintf("%s-%d-%d", self.Incarnation, start, ids.Add(1)) },
+		NewID: func() string { return fmt.Sprintf("%s-%d-%d", self.Incarnation, f.starts, ids.Add(1)) },
 	})
 	f.mu.Lock()
 	f.instances[self.Address] = i
