--- a/adapter/postgres/pool.go
+++ b/adapter/postgres/pool.go
@@ -64,6 +64,7 @@
 	key          poolKey
 	address      string
 	organisation string
+	read         bool
 	reply        *ring.Ring[grant]
 }
 
@@ -112,8 +113,9 @@
 	duties   sync.WaitGroup
 
 	// The following belong to the duty.
-	servers  map[string]*serverPool
-	document *document.Document
+	servers map[string]*serverPool
+	// addresses holds the servers that take new work, by the name of their limit; nil without a document.
+	addresses map[string]string
 
 	mu     sync.Mutex
 	lastID uint64
@@ -153,12 +155,13 @@
 // new work, and their idle connections are closed.
 func (p *Pool) SetDocument(d document.Document) { p.tell(documentChanged{document: d}) }
 
-// checkout returns a connection to the target's slot that is bound to nobody. It fails with kind NoConnection.
-func (p *Pool) checkout(ctx context.Context, target entry.Target, slot, organisation string) (*backend, error) {
+// checkout returns a connection to the target's slot that nobody uses, and if possible one that is bound to the caller's
+// organisation already. It fails with kind NoConnection.
+func (p *Pool) checkout(ctx context.Context, target entry.Target, c entry.Caller) (*backend, error) {
 	id := p.nextID()
 	w := wanted{
-		id: id, key: poolKey{server: limitName(target), slot: slot}, address: target.Address,
-		organisation: organisation, reply: ring.New[grant](1),
+		id: id, key: poolKey{server: limitName(target), slot: c.Route.Slot}, address: target.Address,
+		organisation: c.Organisation, read: c.Read, reply: ring.New[grant](1),
 	}
 	ctx, cancel := port.WithTimeout(ctx, p.timer, p.cfg.WaitLimit)
 	defer cancel()
@@ -214,7 +217,7 @@
 		s.opening[c.key]--
 		s.total--
 		// The callers look for another server; one that does not open connections is often about to be replaced.
-		s.refuse(func(wanted) bool { return true }, c.err)
+		s.refuse(func(wanted) bool { return true }, func() error { return c.err })
 		p.adjust(s)
 	case backendReturned:
 		s := p.server(c.backend.key.server)
@@ -225,7 +228,7 @@
 		s.forget(c.backend)
 		p.adjust(s)
 	case documentChanged:
-		p.document = &c.document
+		p.addresses = workingServers(c.document)
 		for _, s := range p.servers {
 			p.adjust(s)
 		}
@@ -249,7 +252,7 @@
 func (p *Pool) admit(w wanted) {
 	s := p.server(w.key.server)
 	if !p.serves(w.key.server, w.address) {
-		w.reply.Offer(grant{err: port.Failf(port.NoConnection, "server %s gets no new work", w.key.server)})
+		w.reply.Offer(grant{err: noNewWork(w.key.server)})
 		return
 	}
 	if !s.enqueue(w) {
@@ -271,24 +274,26 @@
 
 // serves reports whether the server of the limit's name takes new work at the address. Without a document it does.
 func (p *Pool) serves(name, address string) bool {
-	if p.document == nil {
-		return true
-	}
-	for _, g := range p.document.Groups {
+	return p.addresses == nil || p.addresses[name] == address
+}
+
+// workingServers returns the addresses of the document's servers that are not departing.
+func workingServers(d document.Document) map[string]string {
+	addresses := make(map[string]string)
+	for _, g := range d.Groups {
 		for _, server := range g.Servers {
-			if g.Name+"/"+server.Name == name {
-				return !server.Departing && server.Address == address
+			if !server.Departing {
+				addresses[g.Name+"/"+server.Name] = server.Address
 			}
 		}
 	}
-	return false
+	return addresses
 }
 
 // adjust grants connections to waiting callers, opens and closes connections, and tells the demand.
 func (p *Pool) adjust(s *serverPool) {
 	s.dropIdle(func(b *backend) bool { return !p.serves(s.name, b.address) })
-	s.refuse(func(w wanted) bool { return !p.serves(s.name, w.address) },
-		port.Failf(port.NoConnection, "server %s gets no new work", s.name))
+	s.refuse(func(w wanted) bool { return !p.serves(s.name, w.address) }, func() error { return noNewWork(s.name) })
 	s.peak = max(s.peak, s.busy())
 	if s.peak != s.told {
 		s.told = s.peak
@@ -304,6 +309,10 @@
 	}
 }
 
+func noNewWork(server string) error {
+	return port.Failf(port.NoConnection, "server %s gets no new work", server)
+}
+
 func (p *Pool) open(s *serverPool, w wanted) {
 	s.total++
 	s.opening[w.key]++
--- a/adapter/postgres/server_pool.go
+++ b/adapter/postgres/server_pool.go
@@ -54,12 +54,12 @@
 	delete(s.waiting, w.ID)
 }
 
-// refuse answers the waiting callers that match with err.
-func (s *serverPool) refuse(match func(wanted) bool, err error) {
+// refuse answers the waiting callers that match with an error, which is made only for them: it carries a stack.
+func (s *serverPool) refuse(match func(wanted) bool, cause func() error) {
 	for _, w := range s.queue.Waiters() {
 		if request := s.waiting[w.ID]; match(request) {
 			s.abandon(w)
-			request.reply.Offer(grant{err: err})
+			request.reply.Offer(grant{err: cause()})
 		}
 	}
 }
@@ -92,15 +92,29 @@
 	}
 }
 
-// takeIdle returns the connection that was used last, so that surplus ones stay unused.
+// takeIdle returns the connection that was used last, so that surplus ones stay unused, and rather one that worked for
+// the same organisation last.
 func (s *serverPool) takeIdle(w wanted) (*backend, bool) {
+	chosen := -1
 	for i := len(s.idle) - 1; i >= 0; i-- {
-		if b := s.idle[i]; b.key == w.key && b.address == w.address {
-			s.idle = slices.Delete(s.idle, i, i+1)
-			return b, true
+		b := s.idle[i]
+		if b.key != w.key || b.address != w.address {
+			continue
 		}
+		if b.bound.suits(w.organisation, w.read) {
+			chosen = i
+			break
+		}
+		if chosen < 0 {
+			chosen = i
+		}
+	}
+	if chosen < 0 {
+		return nil, false
 	}
-	return nil, false
+	b := s.idle[chosen]
+	s.idle = slices.Delete(s.idle, chosen, chosen+1)
+	return b, true
 }
 
 func (s *serverPool) takeBack(b *backend) {
--- a/cmd/serve/process.go
+++ b/cmd/serve/process.go
@@ -35,22 +35,24 @@
 
 // process is one entry instance with all its duties.
 type process struct {
-	cfg      settings.Settings
-	self     instance.Instance
-	log      *zap.Logger
-	timer    *clock.Service
-	metrics  *metrics.Metrics
-	store    port.Store
-	follower *entry.Follower
-	editor   *entry.Editor
-	survey   *entry.Survey
-	keeper   *entry.Keeper
-	rates    entry.RateLimit
-	groups   *entry.Groups
-	pool     *postgres.Pool
-	listener *postgres.Listener
-	peers    *peer.Server
-	admin    *admin.Server
+	cfg       settings.Settings
+	self      instance.Instance
+	log       *zap.Logger
+	timer     *clock.Service
+	metrics   *metrics.Metrics
+	store     port.Store
+	follower  *entry.Follower
+	editor    *entry.Editor
+	collector *entry.Collector
+	survey    *entry.Survey
+	keeper    *entry.Keeper
+	rates     entry.RateLimit
+	router    *entry.Router
+	groups    *entry.Groups
+	pool      *postgres.Pool
+	listener  *postgres.Listener
+	peers     *peer.Server
+	admin     *admin.Server
 
 	caller, peer, operator net.Listener
 }
@@ -127,6 +129,13 @@
 		NewID:    newIncarnation,
 		Log:      func(line string) { log.Info(line) },
 	})
+	p.collector = entry.NewCollector(entry.CollectorConfig{
+		Self:     p.self,
+		Store:    p.store,
+		Follower: p.follower,
+		Timer:    p.timer,
+		Log:      func(line string) { log.Info(line) },
+	})
 	p.survey = entry.NewSurvey(entry.SurveyConfig{
 		Self:     p.self,
 		Follower: p.follower,
@@ -141,6 +150,7 @@
 	})
 	p.peers, err = peer.NewServer(p.follower, p.keeper, secret)
 	p.rates = p.assembleRates(relays)
+	p.assembleForwarding(relays)
 	return err
 }
 
@@ -194,7 +204,9 @@
 		IdleLimit:    settings.Milliseconds(p.cfg.Callers.IdleDrainMS),
 		TLS:          certificate,
 		Observer:     p.metrics,
+		Forward:      &postgres.ForwardConfig{Gate: gate, Connector: p.router, Observer: p.metrics},
 	}, p.metrics.Gate(gate), p.metrics.Director(director), p.pool, p.timer, p.log)
+	p.peers.WithReceiver(receiver{p.listener})
 	p.assembleOperators(signer)
 	return nil
 }
@@ -207,6 +219,7 @@
 		Signer:     signer,
 		Timer:      p.timer,
 		Monitor:    p.groups.Monitor,
+		Candidates: p.router.Candidates,
 	})
 	p.admin = admin.NewServer(admin.Config{Follower: p.follower, Log: p.log})
 	p.admin.Handle(operator.NewServer(operator.Config{
@@ -234,6 +247,9 @@
 		Groups:      p.groups.Overviews,
 	})
 	p.admin.Handle("GET /metrics", p.metrics.Handler())
+	if p.cfg.Instance.Profile == "on" {
+		p.admin.ServeProfiles()
+	}
 }
 
 func (p *process) connect(m group.Member) port.Server {
@@ -278,7 +294,8 @@
 	defer stopTimer()
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context){
-		p.follower.Run, p.editor.Run, p.keeper.Run, p.groups.Run, p.pool.Run,
+		p.follower.Run, p.editor.Run, p.collector.Run, p.keeper.Run, p.groups.Run, p.pool.Run,
+		p.router.Run,
 	} {
 		running.Go(func() { run(duties) })
 	}
@@ -313,6 +330,12 @@
 	if err := p.follower.Subscribe(ctx, p.groups.SetDocument); err != nil {
 		return err
 	}
+	if err := p.follower.Subscribe(ctx, p.router.SetDocument); err != nil {
+		return err
+	}
+	if err := p.follower.SubscribeList(ctx, p.router.SetList); err != nil {
+		return err
+	}
 	return p.follower.SubscribeList(ctx, p.groups.SetList)
 }
 
