--- a/entry/editor_test.go
+++ b/entry/editor_test.go
@@ -22,7 +22,7 @@
 		_, err = f.apply("1b", entry.EditRequest{Edit: document.SetSeats{Seats: 8}, Base: 1, Author: "ben"})
 		requireErrorKind(t, port.Conflict, err)
 		require.ErrorContains(t, err, "revision 2 by ana: seats: 32 to 7")
-		f.requireAudit("first", "1a-1-1")
+		f.requireAudit("first", "1a-2-1")
 	})
 	inFleet(t, "two operators at once", 1, 2, func(t *testing.T, f *documentFleet) {
 		i := f.instances["1b"]
@@ -104,7 +104,7 @@
 		i.set(func() { i.beforePut = func() { i.set(func() { i.storeDown = true }) } })
 		_, err := f.apply("1a", setSeats(7))
 		requireErrorKind(t, port.Unavailable, err)
-		require.ErrorContains(t, err, "it is not known whether change 1a-1-1 was stored")
+		require.ErrorContains(t, err, "it is not known whether change 1a-2-1 was stored")
 		f.requireAudit("first")
 	})
 	inFleet(t, "no data centre confirms it", 2, 2, func(t *testing.T, f *documentFleet) {
