Take back a dead holder's share as soon as a statement waits for it

A look at the ledger did not count the shares of silent holders as free, so they were taken back only with the next renewal, up to 10 s after the lease had been reclaimable.

--- a/entry/account_sync.go
+++ b/entry/account_sync.go
@@ -19,6 +19,10 @@
 	a.takeCalls()
 	switch m := a.next(d, why, began).(type) {
 	case wait:
+		if why == unmet {
+			// Each statement that arrives meanwhile would read the ledger otherwise.
+			a.quietUntil = a.cfg.Timer.Now() + m.d
+		}
 		a.later(m.d)
 		return nil
 	case call:
@@ -51,12 +55,15 @@
 	return shortest + time.Duration(h.Sum64()%spread)*time.Millisecond
 }
 
-// view is the ledger with the wishes that others have called out since.
+// view is the ledger without the shares of silent holders, and with the wishes that others have called out since.
 func (a *account) view() allotment.Ledger {
 	l := a.base
 	if l.Limit.Name == "" {
 		l, _, _ = l.Apply(allotment.Relimit{Limit: a.currentLimit()})
 	}
+	for _, edit := range a.sightings.Lapsed(a.cfg.Timer.Now(), l, a.cfg.Holder) {
+		l, _, _ = l.Apply(edit)
+	}
 	l, _, _ = l.Apply(allotment.Claim{Holder: a.cfg.Holder})
 	for _, c := range a.callers {
 		l, _, _ = l.Apply(allotment.Claim{Holder: c.Holder})
