Run the long tests of package entry in parallel

go test -race ./entry took 186 s: TestFailures 50.6 s, TestKeeperFailures 46.7 s, TestMeasureFleet 31.6 s and TestFollowerUnderRandomFailures 21.4 s, each in one bubble after the other. Without -race these four take 17 s. Their profile under -race has no single hot spot: the race detector's bookkeeping and the scheduler take most of it, the fake clock 10 %. TestFailures alone took 43 s on ten processors, 41 s on two and 29.5 s on one, so the rest was waking processors for goroutines that run one at a time. Each run has its own world, clock and store, so the runs go in parallel; no case, span or seed is left out. TestSharedFaults stays sequential, because it sets a flag of rapid.

Not done: a cheaper queue of the fake clock, whose share is too small, and refusals without a stack trace (14 % of the processor time of the four tests without -race, in port.Failf).

--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -357,9 +357,11 @@
 // Guards against a group that does not come back after a failure, an acknowledged write that a later primary lacks, an
 // acknowledgment of a discarded write, two primaries of one term, and a promotion without need.
 func TestFailures(t *testing.T) {
+	t.Parallel()
 	for _, failure := range failures() {
 		for seed := range uint64(seedsPerFailure) {
 			t.Run(fmt.Sprintf("%s/seed %d", failure.name, seed), func(t *testing.T) {
+				t.Parallel()
 				inWorld(t, seed, 3, func(ctx context.Context, w *world) {
 					runFailure(newFleet(ctx, w, 3), failure)
 				})
--- a/entry/follower_test.go
+++ b/entry/follower_test.go
@@ -288,6 +288,7 @@
 // Guards against a document that reverts, is relied on after it was replaced, or lacks a section in the store, under any
 // order of failures.
 func TestFollowerUnderRandomFailures(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		events := rapid.SliceOfN(rapid.Custom(drawEvent), 1, 15).Draw(rt, "events")
 		var failure fleetFailure
--- a/entry/gap_test.go
+++ b/entry/gap_test.go
@@ -63,6 +63,7 @@
 
 // Guards against a failover gap that grows, and prints the gap and its parts for each way of failing.
 func TestFailoverGap(t *testing.T) {
+	t.Parallel()
 	const limit = 8 * time.Second
 	// The worst of 200 runs was 1.34 s; an instance that asks as seldom as at other times takes longer.
 	const killedLimit = 1400 * time.Millisecond
@@ -98,6 +99,7 @@
 // Guards against an acknowledgment that waits for a poll, and prints its cost. The lease-only rule waits for nothing
 // after the commit is reported, so the whole figure is what the majority costs.
 func TestAcknowledgmentCost(t *testing.T) {
+	t.Parallel()
 	for _, callers := range []int{1, 8, 64} {
 		inWorld(t, 1, 3, func(ctx context.Context, w *world) {
 			f := newFleet(ctx, w, 3)
--- a/entry/keeper_connections_test.go
+++ b/entry/keeper_connections_test.go
@@ -46,6 +46,7 @@
 
 func testPools(t *testing.T, name string, n int, scenario func(t *testing.T, p *pools)) {
 	t.Run(name, func(t *testing.T) {
+		t.Parallel()
 		synctest.Test(t, func(t *testing.T) {
 			f := newKeepers(t, n, connected(1, 50), allotment.ByDemand{})
 			defer f.finish()
@@ -56,6 +57,7 @@
 
 // Guards against a server that gets more connections than it takes, and against instances that starve others.
 func TestKeeperConnections(t *testing.T) {
+	t.Parallel()
 	testPools(t, "one instance wants all and the others get theirs", 16, func(t *testing.T, p *pools) {
 		p.want[0] = 50
 		p.advance(t, 5*time.Second, 50)
--- a/entry/keeper_failure_test.go
+++ b/entry/keeper_failure_test.go
@@ -18,6 +18,7 @@
 // interval of it saw more.
 func testFleet(t *testing.T, name string, n int, scenario func(t *testing.T, f *keepers)) {
 	t.Run(name, func(t *testing.T) {
+		t.Parallel()
 		synctest.Test(t, func(t *testing.T) {
 			f := newKeepers(t, n, limited(1, 100, 100), allotment.ByDemand{})
 			defer f.finish()
@@ -39,6 +40,7 @@
 
 // Guards against a share that is spent by two holders, or by nobody, after one of them fails.
 func TestKeeperFailures(t *testing.T) {
+	t.Parallel()
 	testFleet(t, "a dead holder's share is taken after its lease", 3, func(t *testing.T, f *keepers) {
 		f.load(12*time.Second, nyanza, flood, f.keepers...)
 		f.keepers[0].kill()
@@ -211,6 +213,7 @@
 
 // Guards against a limit that rises for one holder before it has fallen for the others.
 func TestKeeperLimitFalls(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newKeepers(t, 3, limited(1, 100, 100), allotment.ByDemand{})
 		defer f.finish()
--- a/entry/keeper_measure_test.go
+++ b/entry/keeper_measure_test.go
@@ -188,6 +188,7 @@
 // Guards against a policy that refuses more than a static split, or that calls the store more often as its figures
 // in docs/allotments.md say. With -measure it prints the table of that page.
 func TestMeasureFleet(t *testing.T) {
+	t.Parallel()
 	kinds := []struct {
 		name string
 		kind traffic
@@ -212,6 +213,7 @@
 					name += " with homes"
 				}
 				t.Run(fmt.Sprintf("%d %s %s", n, k.name, name), func(t *testing.T) {
+					t.Parallel()
 					r := measure(t, n, p, v.homes, k.kind, 0.8, length)
 					t.Logf("| %d | %s | %s | %.2f %% | %.1f %% | %.0f | %.1f | %.1f | %.1f |", n, k.name, name,
 						100*float64(r.wrong)/float64(r.inside), 100*r.worst, r.overshoot, r.reads, r.writes, r.watches)
