--- a/bench/network_test.go
+++ b/bench/network_test.go
@@ -41,6 +41,14 @@
 	n.home[address] = dataCentre
 }
 
+// storeOf returns the address of the platform as the instances of a data centre see it.
+func (f *fleet) storeOf(dataCentre string) string {
+	if f.network == nil {
+		return f.store
+	}
+	return f.network.storeOf(dataCentre)
+}
+
 // storeOf returns the address of the platform as seen from a data centre.
 func (n *network) storeOf(dataCentre string) string {
 	target, err := url.Parse(n.platform)
