--- a/bench/fleet_test.go
+++ b/bench/fleet_test.go
@@ -151,14 +151,6 @@
 	}, "\n")
 }
 
-// storeOf returns the address of the platform as the instances of a data centre see it.
-func (f *fleet) storeOf(dataCentre string) string {
-	if f.network == nil {
-		return f.store
-	}
-	return f.network.storeOf(dataCentre)
-}
-
 // listMembers puts all instances on the platform's list.
 func (f *fleet) listMembers() {
 	f.t.Helper()
