Serve the statements that wait for a batch in order, and make no error for a look at a queue

Cause: go test -race ./entry did not end within four minutes. TestStewards took 27 s without -race: each look at the statements that wait for a token made an error with its stack although none was refused (45 % of the processor time in a profile), and each answer of a steward woke every statement that waited for a batch, of which one or two got a token. The same look runs for every token while an organisation is over its rate. A refusal of the steward also went to statements that arrived after the request for the batch was sent; it now refuses only earlier ones, as the rule for refusals says. Ruled out: shorter scenarios in the test.

--- a/entry/limiter.go
+++ b/entry/limiter.go
@@ -142,12 +142,21 @@
 	l.serve(l.timer.Now())
 }
 
-// deadline returns when a waiting statement is refused, and why.
-func (l *limiter) deadline(w *pendingTake) (time.Duration, error) {
+// deadline returns when a waiting statement is refused.
+func (l *limiter) deadline(w *pendingTake) time.Duration {
 	if l.usedUp > w.arrived {
-		return w.arrived + takeWait, l.refusal(port.OverRate, "rate is used up")
+		return w.arrived + takeWait
 	}
-	return w.arrived + shareWait, l.refusal(port.ShareUnavailable, "no share could be had in time")
+	return w.arrived + shareWait
+}
+
+// overdue returns why a statement is refused that has waited until its deadline. It is called for a refused statement
+// only, because an error with its stack costs more than the whole look at a queue.
+func (l *limiter) overdue(w *pendingTake) error {
+	if l.usedUp > w.arrived {
+		return l.refusal(port.OverRate, "rate is used up")
+	}
+	return l.refusal(port.ShareUnavailable, "no share could be had in time")
 }
 
 func (l *limiter) spend(now time.Duration, w *pendingTake) bool {
@@ -186,11 +195,11 @@
 // timer for the next one. The lock is held.
 func (l *limiter) serve(now time.Duration) {
 	for l.next() {
-		deadline, refusal := l.deadline(l.head)
+		deadline := l.deadline(l.head)
 		switch {
 		case l.head.gone:
 		case now >= deadline:
-			l.head.outcome <- refusal
+			l.head.outcome <- l.overdue(l.head)
 		case l.spend(now, l.head):
 			l.head.admitted = now
 			l.head.outcome <- nil
--- a/entry/steward.go
+++ b/entry/steward.go
@@ -8,6 +8,7 @@
 	"github.com/rhubarbwick/rhubarbwick/allotment"
 	"github.com/rhubarbwick/rhubarbwick/instance"
 	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/ring"
 )
 
 // StewardInstances is the number of instances in a data centre above which a limit has a steward there.
@@ -103,13 +104,14 @@
 	defer s.mu.Unlock()
 	t, ok := s.takers[limit]
 	if !ok {
-		t = &taker{cfg: s.cfg}
+		t = &taker{cfg: s.cfg, queue: ring.New[*pendingTake](maxWaiting)}
 		s.takers[limit] = t
 	}
 	return t
 }
 
-// taker spends the batches of one limit. One request for a batch is under way at a time.
+// taker spends the batches of one limit. One request for a batch is under way at a time; meanwhile statements wait in
+// order of arrival.
 type taker struct {
 	cfg StewardsConfig
 
@@ -117,64 +119,88 @@
 	limit  allotment.Limit
 	batch  allotment.Batch
 	number uint64
-	// round is the request that is under way.
-	round   *round
-	waiting int
-	meter   meter
+	asking bool
+	queue  *ring.Ring[*pendingTake]
+	head   *pendingTake
+	meter  meter
 }
 
-// round is one request for a batch. err is set before done is closed.
-type round struct {
-	done chan struct{}
-	err  error
-}
-
-// take takes one statement, and asks for batches until one has a statement left.
+// take takes one statement from the batch, or waits for one of the next batches.
 func (t *taker) take(ctx context.Context, address string, limit allotment.Limit) error {
 	t.mu.Lock()
-	t.meter.count(t.cfg.Timer.Now())
-	t.waiting++
-	defer t.leave()
-	for {
-		now := t.cfg.Timer.Now()
-		if t.spend(now, limit) {
-			t.mu.Unlock()
-			return t.confirm(now)
-		}
-		r := t.round
-		if r == nil {
-			r = t.begin(now, address)
-		}
+	now := t.cfg.Timer.Now()
+	t.meter.count(now)
+	t.adopt(limit)
+	if t.waiting() == 0 && t.spend(now) {
 		t.mu.Unlock()
-		select {
-		case <-r.done:
-		case <-ctx.Done():
-			return port.Failf(port.ShareUnavailable, "limit %s: caller left", limit.Name)
-		}
-		if r.err != nil {
-			return r.err
+		return t.confirm(now)
+	}
+	w := &pendingTake{arrived: now, outcome: make(chan error, 1)}
+	if !t.queue.Offer(w) {
+		t.mu.Unlock()
+		return refusedShare(limit, "too many statements wait")
+	}
+	if !t.asking {
+		t.begin(now, address)
+	}
+	t.mu.Unlock()
+	return t.await(ctx, limit, w)
+}
+
+func (t *taker) await(ctx context.Context, limit allotment.Limit, w *pendingTake) error {
+	select {
+	case err := <-w.outcome:
+		if err == nil {
+			err = t.confirm(w.admitted)
 		}
+		return err
+	case <-ctx.Done():
 		t.mu.Lock()
+		w.gone = true
+		t.mu.Unlock()
+		return refusedShare(limit, "caller left")
 	}
 }
 
-func (t *taker) leave() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.waiting--
+func refusedShare(limit allotment.Limit, why string) error {
+	return port.Failf(port.ShareUnavailable, "limit %s: %s", limit.Name, why)
 }
 
-// spend takes one statement of the batch. A batch of a limit that has fallen is dropped. The lock is held.
-func (t *taker) spend(now time.Duration, limit allotment.Limit) bool {
+// adopt takes over the limit in force. A batch of a limit that has fallen is dropped. The lock is held.
+func (t *taker) adopt(limit allotment.Limit) {
 	if !limit.Total.Covers(t.limit.Total) {
 		t.batch = allotment.Batch{}
 	}
 	t.limit = limit
+}
+
+// spend takes one statement of the batch. The lock is held.
+func (t *taker) spend(now time.Duration) bool {
 	batch, ok := t.batch.Take(now)
 	t.batch = batch
 	return ok
 }
 
+// waiting returns the number of statements that wait. The lock is held.
+func (t *taker) waiting() int {
+	n := t.queue.Len()
+	if t.head != nil {
+		n++
+	}
+	return n
+}
+
+// next reports whether a statement waits, which is then the head. The lock is held.
+func (t *taker) next() bool {
+	for t.head == nil || t.head.gone {
+		w, ok := t.queue.TryTake()
+		if t.head = w; !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // confirm refuses a statement whose check took so long that the batch may have expired for the steward.
 func (t *taker) confirm(checked time.Duration) error {
 	if t.cfg.Timer.Now()-checked >= maxCheckTime {
@@ -184,30 +210,53 @@
 }
 
 // begin sends a request for a batch. What is left of the last one is given up. The lock is held.
-func (t *taker) begin(now time.Duration, address string) *round {
+func (t *taker) begin(now time.Duration, address string) {
 	demand := t.meter.demand(now)
-	demand.Waiting = t.waiting
+	demand.Waiting = t.waiting()
 	t.batch = allotment.Batch{}
 	t.number++
-	t.round = &round{done: make(chan struct{})}
-	go t.run(address, now, t.round, BatchAsk{
+	t.asking = true
+	go t.run(address, now, BatchAsk{
 		Limit: t.limit.Name, Taker: t.cfg.Self.Incarnation, Number: t.number, Finished: t.number - 1,
 		Statements: allotment.BatchSize(demand, t.limit),
 	})
-	return t.round
 }
 
-// run asks for a batch and ends the round with the outcome.
-func (t *taker) run(address string, sent time.Duration, r *round, ask BatchAsk) {
+// run asks for a batch and serves the statements that wait.
+func (t *taker) run(address string, sent time.Duration, ask BatchAsk) {
 	ctx, cancel := port.WithTimeout(context.Background(), t.cfg.Timer, HomeLimit)
 	defer cancel()
 	n, err := t.cfg.Client.TakeBatch(ctx, address, ask)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r.err = err
-	t.round = nil
-	if err == nil {
+	t.asking = false
+	if err != nil {
+		t.refuse(err, sent)
+	} else {
 		t.batch = allotment.NewBatch(sent, min(n, ask.Statements))
+		t.serve()
+	}
+	if t.next() {
+		t.begin(t.cfg.Timer.Now(), address)
+	}
+}
+
+// serve admits as many of the waiting statements as the batch has. The lock is held.
+func (t *taker) serve() {
+	now := t.cfg.Timer.Now()
+	for t.next() && t.spend(now) {
+		t.head.admitted = now
+		t.head.outcome <- nil
+		t.head = nil
+	}
+}
+
+// refuse gives an error to the waiting statements: to all of them when the steward did not answer, and otherwise to
+// those that came before the request that was sent at the instant, which says nothing of later ones. The lock is held.
+func (t *taker) refuse(err error, sent time.Duration) {
+	silent := port.KindOf(err) == port.Unavailable
+	for t.next() && (silent || t.head.arrived <= sent) {
+		t.head.outcome <- err
+		t.head = nil
 	}
-	close(r.done)
 }
