Measure how organisations wait for scarce connections

The always-on test bounds the loads with short statements by the requirement: who uses less than an equal part of the connections is not refused and waits for at most one statement of each organisation.

--- /dev/null
+++ b/entry/connections_wait_test.go
@@ -0,0 +1,39 @@
+package entry_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an organisation that is kept from scarce connections by the load of another. Organisations other than
+// the first use less than an equal part of the connections: they are not refused, and wait at most until each
+// organisation had one statement served.
+func TestWaitForConnections(t *testing.T) {
+	t.Parallel()
+	for _, c := range contentions {
+		if c.long > statementTime {
+			continue
+		}
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				round := time.Duration(len(tenants)) * statementTime
+				for i, w := range measureWaiting(t, c, true, time.Second)[1:] {
+					requireServed(t, tenants[i+1].Name, w, round)
+				}
+			})
+		})
+	}
+}
+
+func requireServed(t *testing.T, organisation string, w waiting, longest time.Duration) {
+	t.Helper()
+	require.NotEmpty(t, w.waits, organisation)
+	require.Zero(t, w.refused, organisation)
+	for _, d := range w.waits {
+		require.LessOrEqual(t, d, longest, organisation)
+	}
+}
