--- a/adapter/postgres/pool.go
+++ b/adapter/postgres/pool.go
@@ -234,7 +234,7 @@
 		}
 	case limitChecked:
 		for _, s := range p.servers {
-			s.peak = s.busy()
+			s.check()
 			p.adjust(s)
 		}
 	}
--- a/adapter/postgres/server_pool.go
+++ b/adapter/postgres/server_pool.go
@@ -14,8 +14,9 @@
 	// waiting holds the requests of the queue's waiters.
 	waiting map[uint64]wanted
 	idle    []*backend
-	// lent holds the connections that callers have or that are being released.
-	lent map[*backend]struct{}
+	// lent holds the connections that callers have or that are being released, and counts them by organisation.
+	lent   map[*backend]loan
+	counts allotment.Lent
 	// opening counts the connections that are being opened.
 	opening map[poolKey]int
 	// closing counts the connections that were closed but not yet reported so.
@@ -29,15 +30,49 @@
 	held int
 }
 
+// loan says for whom a connection is lent, and whether it already was when the limit was last checked.
+type loan struct {
+	organisation string
+	checked      bool
+}
+
 func newServerPool(name string, queueLimit int) *serverPool {
 	return &serverPool{
 		name: name, queue: allotment.NewQueue(queueLimit), waiting: make(map[uint64]wanted),
-		lent: make(map[*backend]struct{}), opening: make(map[poolKey]int),
+		lent: make(map[*backend]loan), opening: make(map[poolKey]int),
 	}
 }
 
 // busy returns the number of connections that could be used now.
-func (s *serverPool) busy() int { return len(s.lent) + s.queue.Len() }
+func (s *serverPool) busy() int { return s.counts.Demand(s.queue) }
+
+// check looks for organisations whose connections were lent before the last check already.
+func (s *serverPool) check() {
+	var long []string
+	for b, l := range s.lent {
+		if l.checked {
+			long = append(long, l.organisation)
+		}
+		s.lent[b] = loan{organisation: l.organisation, checked: true}
+	}
+	s.counts = s.counts.WithCheck(long)
+	s.peak = s.busy()
+}
+
+func (s *serverPool) lend(b *backend, organisation string) {
+	s.lent[b] = loan{organisation: organisation}
+	s.counts = s.counts.WithLent(organisation)
+}
+
+// endLoan reports whether the connection was lent.
+func (s *serverPool) endLoan(b *backend) bool {
+	l, ok := s.lent[b]
+	if ok {
+		delete(s.lent, b)
+		s.counts = s.counts.WithReturned(l.organisation)
+	}
+	return ok
+}
 
 func (s *serverPool) enqueue(w wanted) bool {
 	queue, ok := s.queue.WithWaiter(allotment.Waiter{ID: w.id, Organisation: w.organisation})
@@ -65,20 +100,24 @@
 }
 
 // assign serves the waiting callers in the queue's order: with an idle connection, a new one that open starts, or the
-// place of an idle connection of another slot. A caller whose turn it is keeps later ones from taking that place.
+// place of an idle connection of another slot. A caller whose turn it is keeps later ones from taking that place, unless
+// its organisation's long transactions have their part of the connections.
 func (s *serverPool) assign(allowed int, open func(wanted)) {
 	if s.queue.Len() == 0 {
 		return
 	}
 	opening, closing := maps.Clone(s.opening), s.closing
 	for _, w := range s.queue.Waiters() {
+		if !s.counts.Admits(w.Organisation, allowed) {
+			continue
+		}
 		request := s.waiting[w.ID]
 		b, found := s.takeIdle(request)
 		switch {
 		case found:
 			s.queue = s.queue.WithServed(w)
 			delete(s.waiting, w.ID)
-			s.lent[b] = struct{}{}
+			s.lend(b, w.Organisation)
 			request.reply.Offer(grant{backend: b})
 		case opening[request.key] > 0:
 			opening[request.key]--
@@ -118,18 +157,16 @@
 }
 
 func (s *serverPool) takeBack(b *backend) {
-	if _, ok := s.lent[b]; !ok {
+	if !s.endLoan(b) {
 		return
 	}
-	delete(s.lent, b)
 	s.idle = append(s.idle, b)
 }
 
 // forget removes a connection that has ended.
 func (s *serverPool) forget(b *backend) {
 	s.total--
-	if _, ok := s.lent[b]; ok {
-		delete(s.lent, b)
+	if s.endLoan(b) {
 		return
 	}
 	if i := slices.Index(s.idle, b); i >= 0 {
