Write a wish for connections to the ledger when it is out of date

An instance that had one connection stayed at one for up to 10 s while others held more than their part. A call tells the wish only until the called holder writes for another reason; when its connections cannot be closed yet it gives nothing, and then reads the caller's old wish in the ledger again. The caller wrote its wish only with the next renewal.

A holder that is short of its fair part now writes its wish, at most once a second, and only while the ledger states less.

--- a/allotment/policy.go
+++ b/allotment/policy.go
@@ -145,6 +145,17 @@
 	return target.Minus(share).Min(needed.Max(l.Free().Minus(l.Margin())))
 }
 
+// Understates reports whether a holder is short of connections that would be its fair part if the ledger had its wish.
+// A call tells the wish only until the called holder writes, which may be before its connections can be closed.
+func (l Ledger) Understates(holder string, wanted Amount) bool {
+	e, ok := l.Find(holder)
+	if !ok || wanted.Units <= max(e.Wanted.Units, e.Share.Units) {
+		return false
+	}
+	next, _, err := l.Apply(Want{Holder: holder, Wanted: wanted})
+	return err == nil && next.Fair(holder).Units > max(e.Share.Units, l.Fair(holder).Units)
+}
+
 // starved reports whether a holder other than the named one has much less rate than it wants and than is fair.
 func (l Ledger) starved(except string) bool {
 	return slices.ContainsFunc(l.Entries, func(e Entry) bool {
--- a/entry/account_move.go
+++ b/entry/account_move.go
@@ -28,7 +28,7 @@
 		return owed
 	case a.held && h.Share().Units > max(a.ceiling, d.Held):
 		return owed
-	case a.held && now-a.wrote >= dropTime && a.dropped(d):
+	case a.held && now-a.wrote >= dropTime && (a.dropped(d) || a.base.Understates(a.cfg.Holder, d.Wanted(a.base.Limit))):
 		return owed
 	case a.held && a.currentLimit().Revision > a.base.Limit.Revision:
 		return owed
--- a/entry/connections_measure_test.go
+++ b/entry/connections_measure_test.go
@@ -37,6 +37,7 @@
 	{name: "below capacity", times: 1, long: statementTime},
 	{name: "one sends 8x everywhere", times: 8, long: statementTime},
 	{name: "one sends 8x at one instance", times: 8, long: statementTime, one: true},
+	{name: "one holds transactions of 1 s", times: 1.0 / 16, long: time.Second},
 	{name: "one holds transactions of 5 s", times: 1.0 / 80, long: 5 * time.Second},
 }
 
