Add standin/memory and use its store in the tests of the keepers

Cause: the tests of package entry held three in-memory stores in _test files, which others who embed the duties could not use. memory.Store and memory.Line replace the one of the ledgers (ledgerStore, line). Faults of the store and of a line are an immutable value with With methods.

The slow store takes (testRTT + 1.5 s) / 2 each way, as before.

Conclusion: the store of the ledgers is ported; the store of the group directors and that of the document fleet remain.

--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -256,13 +256,13 @@
 	})
 	testPools(t, "lease numbers go on", 2, func(t *testing.T, p *pools) {
 		p.advance(t, 25*time.Second, 50)
-		before, _ := p.f.store.ledger(t, ledger).Find("instance-00")
+		before, _ := p.f.ledger(t, ledger).Find("instance-00")
 		p.f.keepers[0].SetServed(nil)
 		p.advance(t, time.Second, 50)
 		requireHolds(t, p, ledger, 0, false)
 		p.f.keepers[0].SetServed([]string{"formula-core"})
 		p.advance(t, time.Second, 50)
-		after, _ := p.f.store.ledger(t, ledger).Find("instance-00")
+		after, _ := p.f.ledger(t, ledger).Find("instance-00")
 		require.Greater(t, after.Lease, before.Lease)
 	})
 }
@@ -270,6 +270,6 @@
 func requireHolds(t *testing.T, p *pools, ledger string, holder int, want bool) {
 	t.Helper()
 	name := []string{"instance-00", "instance-01", "instance-02"}[holder]
-	e, found := p.f.store.ledger(t, ledger).Find(name)
+	e, found := p.f.ledger(t, ledger).Find(name)
 	require.Equal(t, want, found && e.Share != allotment.Amount{}, "entry of %s: %v", name, e)
 }
--- a/entry/keeper_failure_test.go
+++ b/entry/keeper_failure_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rhubarbwick/rhubarbwick/allotment"
 	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/standin/memory"
 )
 
 // flood keeps all keepers busy far above the limit, so that any share that counts twice shows as overshoot.
@@ -29,7 +30,12 @@
 }
 
 // kill ends a keeper's exchange with the store for good, without giving anything back.
-func (m *member) kill() { m.line.set(func(l *line) { l.cut = true }) }
+func (m *member) kill() { m.setCut(true) }
+
+// setCut cuts a keeper off from the store or ends the cut.
+func (m *member) setCut(isCut bool) {
+	m.line.Change(func(f memory.Faults) memory.Faults { return f.WithDown(isCut) })
+}
 
 // requireAdmitted checks that about the whole rate is used from an instant on.
 func requireAdmitted(t *testing.T, f *keepers, since time.Duration, atLeast float64) {
@@ -97,12 +103,12 @@
 	})
 	testFleet(t, "the store is down for ten minutes", 3, func(t *testing.T, f *keepers) {
 		f.load(12*time.Second, nyanza, flood, f.keepers...)
-		f.store.setDown(true)
+		f.setStoreDown(true)
 		since := f.clock.Now()
 		f.load(18*time.Second, nyanza, flood, f.keepers...)
 		requireAdmitted(t, f, since, 90)
 		f.load(10*time.Minute, nyanza, 60, f.keepers...)
-		f.store.setDown(false)
+		f.setStoreDown(false)
 		f.load(15*time.Second, nyanza, flood, f.keepers...)
 		since = f.clock.Now()
 		f.load(10*time.Second, nyanza, flood, f.keepers...)
@@ -110,9 +116,9 @@
 	})
 	testFleet(t, "answers are lost", 3, func(t *testing.T, f *keepers) {
 		for i := range 6 {
-			f.keepers[i%3].line.set(func(l *line) { l.loseAnswers = true })
+			f.keepers[i%3].line.Change(func(s memory.Faults) memory.Faults { return s.WithLostAnswers(memory.AllAnswers{}) })
 			f.load(7*time.Second, nyanza, flood, f.keepers[i%3], f.keepers[(i+1)%3])
-			f.keepers[i%3].line.set(func(l *line) { l.loseAnswers = false })
+			f.keepers[i%3].line.Change(func(s memory.Faults) memory.Faults { return s.WithLostAnswers(nil) })
 			f.load(4*time.Second, nyanza, flood, f.keepers[(i+2)%3])
 		}
 		since := f.clock.Now()
@@ -122,34 +128,35 @@
 	testFleet(t, "updates take effect after their sender gave up", 3, func(_ *testing.T, f *keepers) {
 		for i := range 12 {
 			late := time.Duration(i%4+1) * 700 * time.Millisecond
-			f.keepers[i%3].line.set(func(l *line) { l.lateBy = late })
+			f.keepers[i%3].line.Change(func(s memory.Faults) memory.Faults { return s.WithLateUpdates(late) })
 			f.load(5*time.Second, nyanza, flood, f.keepers[i%3], f.keepers[(i+1)%3])
-			f.keepers[i%3].line.set(func(l *line) { l.lateBy = 0 })
+			f.keepers[i%3].line.Change(func(s memory.Faults) memory.Faults { return s.WithLateUpdates(0) })
 			f.load(2*time.Second, nyanza, flood, f.keepers[(i+1)%3])
 		}
 	})
 	testFleet(t, "the store is slow", 3, func(_ *testing.T, f *keepers) {
-		f.store.setSlow(1500 * time.Millisecond)
+		slow := (testRTT + 1500*time.Millisecond) / 2
+		f.store.Change(func(s memory.Faults) memory.Faults { return s.WithLatency(slow, slow) })
 		f.load(60*time.Second, nyanza, flood, f.keepers...)
 	})
 	testFleet(t, "two keepers claim at once", 2, func(t *testing.T, f *keepers) {
 		f.send(f.keepers[0], nyanza)
 		f.send(f.keepers[1], nyanza)
 		f.advance(time.Second)
-		require.Len(t, f.store.ledger(t, nyanza).Entries, 2)
+		require.Len(t, f.ledger(t, nyanza).Entries, 2)
 		require.Zero(t, f.refused[nyanza])
 		f.load(10*time.Second, nyanza, flood, f.keepers...)
 	})
 	testFleet(t, "a holder without traffic gives everything back", 2, func(t *testing.T, f *keepers) {
 		f.load(5*time.Second, nyanza, 50, f.keepers[0])
 		f.advance(2 * time.Minute)
-		l := f.store.ledger(t, nyanza)
+		l := f.ledger(t, nyanza)
 		require.Empty(t, l.Entries)
 		require.Empty(t, l.Seats)
 		require.Equal(t, l.Limit.Total.Burst, l.Tokens)
-		calls := f.store.reads + f.store.writes
+		calls := f.store.Counts()
 		f.advance(2 * time.Minute)
-		require.Equal(t, calls, f.store.reads+f.store.writes)
+		require.Equal(t, calls.Reads+calls.Writes, f.store.Counts().Reads+f.store.Counts().Writes)
 	})
 }
 
@@ -181,7 +188,7 @@
 		defer f.finish()
 		f.send(f.keepers[0], nyanza)
 		f.advance(time.Second)
-		f.keepers[0].line.set(func(l *line) { l.lateBy = 2600 * time.Millisecond })
+		f.keepers[0].line.Change(func(s memory.Faults) memory.Faults { return s.WithLateUpdates(2600 * time.Millisecond) })
 		sendMany := func() {
 			for range 100 {
 				f.send(f.keepers[0], nyanza)
@@ -189,14 +196,14 @@
 		}
 		f.load(150*time.Millisecond, nyanza, flood, f.keepers[1])
 		// An update of the other keeper would keep the late one from taking effect.
-		f.keepers[1].line.set(func(l *line) { l.cut = true })
+		f.keepers[1].setCut(true)
 		sendMany()
 		f.advance(2300 * time.Millisecond)
 		require.EqualValues(t, 1, leaseOf(t, f, "instance-00"))
 		sendMany()
 		f.advance(500 * time.Millisecond)
 		require.EqualValues(t, 2, leaseOf(t, f, "instance-00"))
-		f.keepers[1].line.set(func(l *line) { l.cut = false })
+		f.keepers[1].setCut(false)
 		f.load(4*time.Second, nyanza, flood, f.keepers[1])
 		requireNoOvershoot(t, f, nyanza, 1, 100)
 		require.Greater(t, len(f.admitted[nyanza]), 80)
@@ -206,7 +213,7 @@
 // leaseOf returns the lease number that the ledger has of a holder.
 func leaseOf(t *testing.T, f *keepers, holder string) uint64 {
 	t.Helper()
-	e, ok := f.store.ledger(t, nyanza).Find(holder)
+	e, ok := f.ledger(t, nyanza).Find(holder)
 	require.True(t, ok)
 	return e.Lease
 }
@@ -233,7 +240,7 @@
 			f := newKeepers(t, 3, limited(1, 100, 100), allotment.ByDemand{})
 			defer f.finish()
 			f.load(12*time.Second, nyanza, flood, f.keepers...)
-			f.store.setDown(true)
+			f.setStoreDown(true)
 			f.setDocument(limited(2, 20, 10))
 			since := f.clock.Now()
 			f.load(10*time.Second, nyanza, flood, f.keepers...)
@@ -282,9 +289,3 @@
 	defer p.mu.Unlock()
 	p.trap = trap
 }
-
-func (s *ledgerStore) setSlow(d time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.slow = d
-}
--- a/entry/keeper_helper_test.go
+++ b/entry/keeper_helper_test.go
@@ -16,13 +16,14 @@
 	"github.com/rhubarbwick/rhubarbwick/entry"
 	"github.com/rhubarbwick/rhubarbwick/instance"
 	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/standin/memory"
 )
 
 // keepers is a store and many keepers in one process, in the time of one fake clock.
 type keepers struct {
 	t       testing.TB
 	clock   *clock.Fake
-	store   *ledgerStore
+	store   *memory.Store
 	doc     document.Document
 	policy  allotment.Policy
 	keepers []*member
@@ -48,7 +49,7 @@
 	*entry.Keeper
 	homes *entry.Homes
 	timer *pausableTimer
-	line  *line
+	line  *memory.Line
 	stop  context.CancelFunc
 	done  chan struct{}
 }
@@ -71,7 +72,8 @@
 		admitted: map[string][]time.Duration{}, refused: map[string]int{},
 		inside: map[string]int{}, wrong: map[string]int{},
 	}
-	f.store = &ledgerStore{clock: f.clock, objects: map[string]port.Object{}, changed: map[string]chan struct{}{}}
+	f.store = memory.NewStore(f.clock)
+	f.store.Change(func(s memory.Faults) memory.Faults { return s.WithLatency(testRTT/2, testRTT/2) })
 	for range n {
 		f.join()
 	}
@@ -81,7 +83,7 @@
 // join starts one more keeper.
 func (f *keepers) join() *member {
 	timer := &pausableTimer{Fake: f.clock}
-	m := &member{timer: timer, line: &line{ledgerStore: f.store, timer: timer}, done: make(chan struct{})}
+	m := &member{timer: timer, line: f.store.Line(timer), done: make(chan struct{})}
 	holder := fmt.Sprintf("instance-%02d", len(f.keepers))
 	m.Keeper = entry.NewKeeper(entry.KeeperConfig{Store: m.line, Timer: timer, Holder: holder, Policy: f.policy})
 	m.homes = entry.NewHomes(entry.HomesConfig{
@@ -99,6 +101,19 @@
 	return m
 }
 
+// setStoreDown begins or ends an outage of the store for every keeper.
+func (f *keepers) setStoreDown(isDown bool) {
+	f.store.Change(func(s memory.Faults) memory.Faults { return s.WithDown(isDown) })
+}
+
+// ledger returns a ledger as the store holds it.
+func (f *keepers) ledger(t testing.TB, name string) allotment.Ledger {
+	t.Helper()
+	l, err := entry.ParseLedger(f.store.Object("ledger/" + name).Data)
+	require.NoError(t, err)
+	return l
+}
+
 // index returns the index of the keeper of a holder.
 func (f *keepers) index(t testing.TB, holder string) int {
 	t.Helper()
@@ -232,7 +247,7 @@
 
 // finish stops the keepers, so that no goroutine is left.
 func (f *keepers) finish() {
-	f.store.setDown(true)
+	f.setStoreDown(true)
 	for _, m := range f.keepers {
 		m.timer.resume()
 		m.stop()
--- a/entry/keeper_measure_test.go
+++ b/entry/keeper_measure_test.go
@@ -152,8 +152,9 @@
 		}
 		seconds := d.Seconds()
 		r = f.result(kind)
-		r.reads, r.writes = float64(f.store.reads)/seconds, float64(f.store.writes)/seconds
-		r.watches = float64(f.store.watches) / seconds
+		counts := f.store.Counts()
+		r.reads, r.writes = float64(counts.Reads)/seconds, float64(counts.Writes)/seconds
+		r.watches = float64(counts.Watches) / seconds
 		f.advance(time.Second)
 	})
 	return r
@@ -167,9 +168,7 @@
 	defer f.mu.Unlock()
 	clear(f.inside)
 	clear(f.wrong)
-	f.store.mu.Lock()
-	defer f.store.mu.Unlock()
-	f.store.reads, f.store.writes, f.store.watches = 0, 0, 0
+	f.store.ResetCounts()
 }
 
 func (f *keepers) result(kind traffic) result {
--- a/entry/keeper_starvation_test.go
+++ b/entry/keeper_starvation_test.go
@@ -32,7 +32,7 @@
 // split returns the keeper with the greatest share of the rate, and the others.
 func (f *keepers) split(t *testing.T) (*member, []*member) {
 	t.Helper()
-	entries := f.store.ledger(t, nyanza).Entries
+	entries := f.ledger(t, nyanza).Entries
 	require.NotEmpty(t, entries)
 	greatest := slices.MaxFunc(entries, func(a, b allotment.Entry) int { return int(a.Share.Rate - b.Share.Rate) })
 	others := slices.Clone(f.keepers)
--- a/entry/shared_fault_test.go
+++ b/entry/shared_fault_test.go
@@ -18,6 +18,7 @@
 	"github.com/rhubarbwick/rhubarbwick/allotment"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/entry"
+	"github.com/rhubarbwick/rhubarbwick/standin/memory"
 )
 
 const (
@@ -137,14 +138,14 @@
 	s.isDown = isDown
 	s.documents.storeDown(isDown)
 	s.setCutOff(s.isCutOff)
-	s.limits.store.setDown(isDown)
+	s.limits.setStoreDown(isDown)
 	s.group.locked(func() { s.group.store.down = isDown })
 }
 
 func (s *sharedFaults) loseAnswers() {
 	i := s.documents.instances[s.anyInstance()]
 	i.set(func() { i.losePuts++ })
-	s.anyKeeper().line.set(func(l *line) { l.loseAnswers = !l.loseAnswers })
+	s.anyKeeper().line.Change(toggleLostAnswers)
 	s.group.locked(func() { s.group.store.loseAnswers = !s.group.store.loseAnswers })
 }
 
@@ -267,6 +268,13 @@
 	return s.group.names[s.rng.IntN(3)]
 }
 
+func toggleLostAnswers(f memory.Faults) memory.Faults {
+	if f.LosesAnswers() {
+		return f.WithLostAnswers(nil)
+	}
+	return f.WithLostAnswers(memory.AllAnswers{})
+}
+
 func (s *sharedFaults) anyKeeper() *member {
 	return s.limits.keepers[s.rng.IntN(len(s.limits.keepers))]
 }
--- a/entry/steward_test.go
+++ b/entry/steward_test.go
@@ -31,7 +31,7 @@
 // requireEntries checks how many holders the ledger has.
 func requireEntries(t *testing.T, f *keepers, most int) []allotment.Entry {
 	t.Helper()
-	entries := f.store.ledger(t, nyanza).Entries
+	entries := f.ledger(t, nyanza).Entries
 	require.LessOrEqual(t, len(entries), most)
 	return entries
 }
