Use standin/memory in the tests of the group directors

Cause: fakeStore was the second in-memory store in the tests of entry. All watchers share one memory.Line, as they shared the fake store.

A request takes the whole round trip and an answer none, so that an update takes effect, and the outage is looked at, at the same instant as before. The answers of the first, third, ... update that takes effect are lost, as before. Two things differ in Watch: it ends after its wait, as the port says, where fakeStore waited for the next change; and a change is seen at once, where fakeStore took a further round trip (3 ms).

Ruled out: half a round trip each way, which would move the update and the check of the outage 1.5 ms earlier.

With -race TestFailures, TestStatusObjectNeverFalls and TestFailoverGap pass (10.8 s). TestSharedFaults was not run with -race.

Conclusion: the store of the document fleet and the in-memory group remain as they are.

--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -13,13 +13,15 @@
 	"github.com/rhubarbwick/rhubarbwick/group"
 	"github.com/rhubarbwick/rhubarbwick/instance"
 	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/standin/memory"
 )
 
 // fleet is three watchers and one instance that serves callers over a fake group.
 type fleet struct {
 	*world
 	ctx      context.Context
-	store    *fakeStore
+	store    *memory.Store
+	line     *memory.Line
 	list     []instance.Instance
 	watchers []*watcher
 	monitor  *entry.Monitor
@@ -36,7 +38,10 @@
 }
 
 func newFleet(ctx context.Context, w *world, watchers int) *fleet {
-	f := &fleet{world: w, ctx: ctx, store: newFakeStore(w)}
+	f := &fleet{world: w, ctx: ctx, store: memory.NewStore(w.timer)}
+	f.line = f.store.Line(w.timer)
+	// A request takes the whole round trip, so that every update takes effect at the instant of its answer.
+	f.line.Change(func(s memory.Faults) memory.Faults { return s.WithLatency(2*fakeLatency, 0) })
 	for i := range watchers {
 		f.list = append(f.list, instance.Instance{
 			Incarnation: fmt.Sprintf("watcher-%d-%d", w.rng.Uint64(), i), Address: fmt.Sprintf("10.0.0.%d:6433", i),
@@ -60,7 +65,7 @@
 	ctx, stop := context.WithCancel(f.ctx)
 	m := startMonitor(ctx, f.world, name, false)
 	p := entry.NewPromoter(entry.PromoterConfig{
-		Incarnation: name, Timer: f.timer, Store: f.store, Monitor: m, Connect: f.connect(name),
+		Incarnation: name, Timer: f.timer, Store: f.line, Monitor: m, Connect: f.connect(name),
 	})
 	go p.Run(ctx)
 	return &watcher{name: name, monitor: m, promoter: p, stop: stop}
@@ -311,12 +316,12 @@
 		},
 		{
 			name: "store down", promotes: true,
-			begin: func(f *fleet) { f.locked(func() { f.store.down = true }); f.kill("s0") },
-			end:   func(f *fleet) { f.locked(func() { f.store.down = false }) },
+			begin: func(f *fleet) { f.setStoreSilent(true); f.kill("s0") },
+			end:   func(f *fleet) { f.setStoreSilent(false) },
 		},
 		{
 			name: "store's answers lost", promotes: true,
-			begin: func(f *fleet) { f.locked(func() { f.store.loseAnswers = true }); f.kill("s0") },
+			begin: func(f *fleet) { f.loseStoreAnswers(memory.AlternateAnswers{}); f.kill("s0") },
 		},
 		{
 			name: "lagging replica", promotes: true,
@@ -400,37 +405,3 @@
 		}
 	}
 }
-
-// requireAnnounced fails the test unless the store names the last primary.
-func (f *fleet) requireAnnounced() {
-	f.t.Helper()
-	last := f.lastTerm()
-	f.locked(func() {
-		status, err := entry.ParseGroupStatus(f.store.objects[entry.StatusObject(testGroup)].Data)
-		require.NoError(f.t, err)
-		require.Equal(f.t, last, status.Term)
-		require.Equal(f.t, f.primaries[last], status.Primary)
-	})
-}
-
-// Guards against a term that falls in the store, and against a promoter that uses a term that only others saw.
-func TestStatusObjectNeverFalls(t *testing.T) {
-	inWorld(t, 1, 3, func(ctx context.Context, w *world) {
-		f := newFleet(ctx, w, 3)
-		name := entry.StatusObject(testGroup)
-		data := []byte(`{"group":"formula-core","term":50,"primary":"gone","address":"gone"}`)
-		// The store is down at first, so that the promoter announces before it has read the object.
-		f.locked(func() {
-			f.store.objects[name] = port.Object{Name: name, Version: 1, Data: data}
-			f.store.down = true
-		})
-		f.run(time.Second)
-		f.locked(func() { f.store.down = false })
-		f.run(4 * time.Second)
-		require.Equal(t, data, f.store.objects[name].Data)
-		f.kill("s0")
-		f.run(5 * time.Second)
-		require.GreaterOrEqual(t, f.lastTerm(), group.Term(51))
-		f.requireAnnounced()
-	})
-}
--- a/entry/shared_fault_test.go
+++ b/entry/shared_fault_test.go
@@ -139,14 +139,14 @@
 	s.documents.storeDown(isDown)
 	s.setCutOff(s.isCutOff)
 	s.limits.setStoreDown(isDown)
-	s.group.locked(func() { s.group.store.down = isDown })
+	s.group.setStoreSilent(isDown)
 }
 
 func (s *sharedFaults) loseAnswers() {
 	i := s.documents.instances[s.anyInstance()]
 	i.set(func() { i.losePuts++ })
-	s.anyKeeper().line.Change(toggleLostAnswers)
-	s.group.locked(func() { s.group.store.loseAnswers = !s.group.store.loseAnswers })
+	s.anyKeeper().line.Change(toggled(memory.AllAnswers{}))
+	s.group.line.Change(toggled(memory.AlternateAnswers{}))
 }
 
 func (s *sharedFaults) pause() {
@@ -268,11 +268,14 @@
 	return s.group.names[s.rng.IntN(3)]
 }
 
-func toggleLostAnswers(f memory.Faults) memory.Faults {
-	if f.LosesAnswers() {
-		return f.WithLostAnswers(nil)
+// toggled returns the change that begins or ends the loss of answers.
+func toggled(loss memory.Loss) func(memory.Faults) memory.Faults {
+	return func(f memory.Faults) memory.Faults {
+		if f.LosesAnswers() {
+			return f.WithLostAnswers(nil)
+		}
+		return f.WithLostAnswers(loss)
 	}
-	return f.WithLostAnswers(memory.AllAnswers{})
 }
 
 func (s *sharedFaults) anyKeeper() *member {
@@ -284,7 +287,7 @@
 	s.setStoreDown(false)
 	s.setCutOff(false)
 	s.group.heal()
-	s.group.locked(func() { s.group.store.loseAnswers = false })
+	s.group.loseStoreAnswers(nil)
 	for _, m := range s.limits.keepers {
 		m.timer.resume()
 	}
--- /dev/null
+++ b/entry/status_object_test.go
@@ -0,0 +1,55 @@
+package entry_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/entry"
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/standin/memory"
+)
+
+// setStoreSilent begins or ends an outage of the store in which calls wait for their context to end.
+func (f *fleet) setStoreSilent(isSilent bool) {
+	f.line.Change(func(s memory.Faults) memory.Faults { return s.WithSilence(isSilent) })
+}
+
+func (f *fleet) loseStoreAnswers(loss memory.Loss) {
+	f.line.Change(func(s memory.Faults) memory.Faults { return s.WithLostAnswers(loss) })
+}
+
+// requireAnnounced fails the test unless the store names the last primary.
+func (f *fleet) requireAnnounced() {
+	f.t.Helper()
+	last := f.lastTerm()
+	f.locked(func() {
+		status, err := entry.ParseGroupStatus(f.store.Object(entry.StatusObject(testGroup)).Data)
+		require.NoError(f.t, err)
+		require.Equal(f.t, last, status.Term)
+		require.Equal(f.t, f.primaries[last], status.Primary)
+	})
+}
+
+// Guards against a term that falls in the store, and against a promoter that uses a term that only others saw.
+func TestStatusObjectNeverFalls(t *testing.T) {
+	inWorld(t, 1, 3, func(ctx context.Context, w *world) {
+		f := newFleet(ctx, w, 3)
+		name := entry.StatusObject(testGroup)
+		data := []byte(`{"group":"formula-core","term":50,"primary":"gone","address":"gone"}`)
+		// The store is down at first, so that the promoter announces before it has read the object.
+		f.store.SetObject(port.Object{Name: name, Version: 1, Data: data})
+		f.setStoreSilent(true)
+		f.run(time.Second)
+		f.setStoreSilent(false)
+		f.run(4 * time.Second)
+		require.Equal(t, data, f.store.Object(name).Data)
+		f.kill("s0")
+		f.run(5 * time.Second)
+		require.GreaterOrEqual(t, f.lastTerm(), group.Term(51))
+		f.requireAnnounced()
+	})
+}
