Name the parts of forwarding by what they do

Cause: read as a newcomer, names such as survive, passing and goesOnAfter needed their comments. Conclusion: renamed only; go test -race -run Forward ./adapter/postgres passes.

--- a/adapter/postgres/forward.go
+++ b/adapter/postgres/forward.go
@@ -142,13 +142,13 @@
 	for first := true; ; first = false {
 		conn, err := f.connect()
 		switch {
-		case err != nil && f.hasGone():
+		case err != nil && f.hasLeft():
 			return false
 		case err != nil && isRefusal(err):
 			f.dismiss(err)
 			return false
 		case err != nil:
-			return f.resumeHere(first)
+			return f.serveLocally(first)
 		}
 		if !first {
 			f.listener.cfg.Forward.Observer.SessionMoved()
@@ -198,7 +198,7 @@
 		f.dismiss(port.Failf(port.Stopping, "%s", end.reason))
 	case instanceLost:
 		f.listener.cfg.Forward.Connector.Lost(conn)
-		return f.survive(end)
+		return f.handleLoss(end)
 	case callerBroke:
 		f.dismiss(end.err)
 	case callerGone, sessionEnded:
@@ -206,8 +206,8 @@
 	return false
 }
 
-// survive follows the loss of the serving instance. It reports whether the session goes on at another one.
-func (f *forwarded) survive(lost instanceLost) bool {
+// handleLoss decides what happens after the loss of the serving instance. It reports whether the session goes on at another one.
+func (f *forwarded) handleLoss(lost instanceLost) bool {
 	f.mu.Lock()
 	f.conn = nil
 	consequence := f.passage.AfterLoss()
@@ -229,8 +229,8 @@
 	return false
 }
 
-// resumeHere makes this instance the one that serves the caller. It reports false when the caller is refused.
-func (f *forwarded) resumeHere(first bool) bool {
+// serveLocally makes this instance serve the caller. It reports false when the caller is refused.
+func (f *forwarded) serveLocally(first bool) bool {
 	if f.isStopped() {
 		f.dismiss(port.Failf(port.Stopping, "the instance is stopping"))
 		return false
@@ -274,7 +274,7 @@
 	}
 }
 
-func (f *forwarded) hasGone() bool {
+func (f *forwarded) hasLeft() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.gone
--- a/adapter/postgres/forward_pass.go
+++ b/adapter/postgres/forward_pass.go
@@ -15,7 +15,7 @@
 	defer close(read)
 	var to entry.ForwardConn
 	var broken bool
-	messages := &passing{reader: f.caller.reader}
+	messages := &frameForwarder{reader: f.caller.reader}
 	messages.note = func(kind byte, head []byte) bool {
 		conn, ok := f.noteAsked(kind, head)
 		to = conn
@@ -112,7 +112,7 @@
 	}
 	f.gone = true
 	var told *port.Error
-	if errors.As(err, &told) && !errors.Is(err, errNotPassed) {
+	if errors.As(err, &told) && !errors.Is(err, errNotForwarded) {
 		f.broke = err
 	}
 	if f.conn != nil {
@@ -125,14 +125,14 @@
 func (f *forwarded) relay(conn entry.ForwardConn) ending {
 	var fatal bool
 	var refused error
-	messages := &passing{reader: newLinkReader(conn)}
+	messages := &frameForwarder{reader: newLinkReader(conn)}
 	messages.note = func(kind byte, head []byte) bool {
 		passed, last := f.noteAnswer(kind, head)
 		fatal = fatal || last && passed
 		return passed
 	}
 	messages.write = func(data []byte) error {
-		refused = f.give(data)
+		refused = f.writeToCaller(data)
 		return refused
 	}
 	for {
@@ -184,7 +184,7 @@
 		if !fields.isFatal() {
 			return true, false
 		}
-		if f.goesOnAfter(fields) {
+		if f.movesAfter(fields) {
 			// From here on a request waits for another instance; one that was still written here would be unknown.
 			f.conn = nil
 			return false, true
@@ -194,9 +194,9 @@
 	return true, false
 }
 
-// goesOnAfter reports whether the session goes on elsewhere after an error that ends the connection: the serving instance
+// movesAfter reports whether the session goes on elsewhere after an error that ends the connection: the serving instance
 // stops, and nothing of the caller is open there.
-func (f *forwarded) goesOnAfter(e errorFields) bool {
+func (f *forwarded) movesAfter(e errorFields) bool {
 	if e.code != port.Stopping.Answer().SQLState || f.stopping {
 		return false
 	}
@@ -225,9 +225,9 @@
 	return instanceLost{cut: cut}
 }
 
-// give writes to the caller. A caller that does not accept a part of its answer within the limit loses its connection;
+// writeToCaller writes to the caller. A caller that does not accept a part of its answer within the limit loses its connection;
 // until then nothing more is read from the serving instance.
-func (f *forwarded) give(data []byte) error {
+func (f *forwarded) writeToCaller(data []byte) error {
 	stop := f.listener.timer.After(writeLimit, func(time.Duration) { _ = f.caller.conn.Close() })
 	defer stop()
 	_, err := f.caller.conn.Write(data)
--- a/adapter/postgres/passing.go
+++ b/adapter/postgres/frame_forwarder.go
@@ -8,12 +8,12 @@
 	"github.com/rhubarbwick/rhubarbwick/port"
 )
 
-// passing passes messages on without a copy of its own. Messages that fit into the reader's buffer are passed whole, so
+// frameForwarder forwards messages without a copy of its own. Messages that fit into the reader's buffer are passed whole, so
 // that a message of the instance itself may follow; of greater ones, what has arrived is passed.
-type passing struct {
+type frameForwarder struct {
 	reader *bufio.Reader
 	// note takes the type and the first bytes of the body of a message before it is written. It reports false for a
-	// message that is not passed on, which ends the passing.
+	// message that is not passed on, which ends the forwarding.
 	note func(kind byte, head []byte) bool
 	// write writes messages. Bytes given to it have been noted.
 	write func(data []byte) error
@@ -21,8 +21,8 @@
 	partial bool
 }
 
-// errNotPassed says that a message was noted that is not passed on. It is the next one of the reader.
-var errNotPassed = port.Failf(port.Stopping, "a message was not passed on")
+// errNotForwarded says that a message was noted that is not passed on. It is the next one of the reader.
+var errNotForwarded = port.Failf(port.Stopping, "a message was not passed on")
 
 // frameLength returns the length of a message with the header, including the header.
 func frameLength(header []byte) (int, error) {
@@ -33,8 +33,8 @@
 	return 1 + length, nil
 }
 
-// next passes the messages that have arrived, at least one.
-func (p *passing) next() error {
+// next forwards the messages that have arrived, at least one.
+func (p *frameForwarder) next() error {
 	header, err := p.reader.Peek(headerBytes)
 	if err != nil {
 		return err
@@ -44,16 +44,16 @@
 		return err
 	}
 	if length > p.reader.Size() {
-		return p.passLarge(length)
+		return p.forwardLarge(length)
 	}
 	if _, err := p.reader.Peek(length); err != nil {
 		return err
 	}
-	return p.passArrived()
+	return p.forwardBuffered()
 }
 
-// passArrived passes all messages that are whole in the buffer.
-func (p *passing) passArrived() error {
+// forwardBuffered forwards all messages that are whole in the buffer.
+func (p *frameForwarder) forwardBuffered() error {
 	data, err := p.reader.Peek(p.reader.Buffered())
 	if err != nil {
 		return err
@@ -66,7 +66,7 @@
 			break
 		}
 		if !p.note(data[n], data[n+headerBytes:n+length]) {
-			held = errNotPassed
+			held = errNotForwarded
 			break
 		}
 		n += length
@@ -83,14 +83,14 @@
 	return err
 }
 
-// passLarge passes one message that does not fit into the buffer.
-func (p *passing) passLarge(length int) error {
+// forwardLarge forwards one message that does not fit into the buffer.
+func (p *frameForwarder) forwardLarge(length int) error {
 	head, err := p.reader.Peek(p.reader.Size())
 	if err != nil {
 		return err
 	}
 	if !p.note(head[0], head[headerBytes:]) {
-		return errNotPassed
+		return errNotForwarded
 	}
 	p.partial = true
 	part := make([]byte, min(length, chunkBytes))
