Rank the instances once for each list and not for each statement

Cause: homes and stewards ranked the whole list twice for each statement, each comparison of the sort hashed two names, the routing chose the serving instances of all groups at each change of the document, and the groups' duty built the list anew for each group. The follower replaced an equal list at each read, so that nothing could be kept by its identity. Now a rank is computed once for each instance, the results are kept until the list changes, and the routing chooses anew only for groups that have changed. Ruled out: a cache of whole rankings inside the list, which would take hundreds of megabytes at 4,500 groups. Conclusion: behaviour is the same; a subtest compares what is kept with what is chosen anew.

--- a/entry/follower.go
+++ b/entry/follower.go
@@ -294,7 +294,9 @@
 		f.state.knowledge = withReport(before.knowledge, e)
 	case listRead:
 		now := f.cfg.Timer.Now()
-		f.state.list = e.list
+		if !e.list.Equal(before.list) {
+			f.state.list = e.list
+		}
 		f.state.knowledge = before.knowledge.
 			WithDataCentres(e.list.DataCentres(), now).
 			WithRelay(e.list.IsRelay(f.cfg.Self), f.cfg.Self.DataCentre, now)
--- a/entry/groups.go
+++ b/entry/groups.go
@@ -33,9 +33,12 @@
 
 	// The fields below belong to the loop.
 	document document.Document
-	list     instance.List
-	running  map[string]*runningGroup
-	duties   sync.WaitGroup
+	// list has this instance too, which the platform's lagging list may lack. watched tells of the groups that were looked
+	// up whether this instance watches them by the list.
+	list    instance.List
+	watched map[string]bool
+	running map[string]*runningGroup
+	duties  sync.WaitGroup
 }
 
 // runningGroup is a group whose duties run.
@@ -50,6 +53,8 @@
 	g := &Groups{
 		cfg:     cfg,
 		inbox:   ring.New[groupsMessage](groupsCapacity),
+		list:    instance.NewList(cfg.Self),
+		watched: make(map[string]bool),
 		running: make(map[string]*runningGroup),
 	}
 	g.published.Store(&map[string]*Monitor{})
@@ -113,7 +118,8 @@
 			g.document = m.document
 			g.reconcile(ctx)
 		case listTaken:
-			g.list = m.list
+			g.list = m.list.WithInstance(g.cfg.Self)
+			clear(g.watched)
 			g.reconcile(ctx)
 		case groupUsed:
 			m.reply.Offer(g.use(ctx, m.name))
@@ -182,17 +188,18 @@
 	if running.monitor.SetMembers(ctx, membersOf(described)...) != nil {
 		return
 	}
-	_ = running.promoter.SetInstances(ctx, g.instances()...)
+	_ = running.promoter.SetInstances(ctx, g.list.All()...)
 }
 
 func (g *Groups) watches(name string) bool {
-	_, ok := instance.NewList(g.instances()...).WatcherRank(name, g.cfg.Self.Incarnation)
-	return ok
+	watched, known := g.watched[name]
+	if !known {
+		_, watched = g.list.WatcherRank(name, g.cfg.Self.Incarnation)
+		g.watched[name] = watched
+	}
+	return watched
 }
 
-// instances returns the listed instances and this one, which the lagging list may lack.
-func (g *Groups) instances() []instance.Instance { return g.list.WithInstance(g.cfg.Self).All() }
-
 func (g *Groups) publish() {
 	monitors := make(map[string]*Monitor, len(g.running))
 	for name, running := range g.running {
--- a/entry/home.go
+++ b/entry/home.go
@@ -42,15 +42,16 @@
 // the fleet such a limit leaves each instance less than one or two statements of burst. The home spends from its own
 // share, so the sum over the fleet stays what the ledger says, also while instances differ about the home.
 type Homes struct {
-	cfg    HomesConfig
-	silent *silences
+	cfg      HomesConfig
+	rankings *rankings
+	silent   *silences
 }
 
 var _ RateLimit = (*Homes)(nil)
 
 // NewHomes returns a RateLimit over the keeper.
 func NewHomes(cfg HomesConfig) *Homes {
-	return &Homes{cfg: cfg, silent: newSilences(cfg.Timer)}
+	return &Homes{cfg: cfg, rankings: newRankings(cfg.Self, cfg.List), silent: newSilences(cfg.Timer)}
 }
 
 // Take takes one statement from the limit at its home, or from this instance's share when the limit has no home or the
@@ -76,11 +77,11 @@
 	if !ok {
 		return instance.Instance{}, false
 	}
-	live := h.cfg.List().WithInstance(h.cfg.Self).Ranked(homeKey + limit)
-	if len(live) < 2 || !known.HasHome(len(live)) || live[0].Incarnation == h.cfg.Self.Incarnation {
+	r := h.rankings.find(homeKey + limit)
+	if r.live < 2 || !known.HasHome(r.live) || r.first.Incarnation == h.cfg.Self.Incarnation {
 		return instance.Instance{}, false
 	}
-	return live[0], !h.silent.has(live[0].Address)
+	return r.first, !h.silent.has(r.first.Address)
 }
 
 // Limit returns the limit of the name as the document in force states it.
--- a/entry/steward.go
+++ b/entry/steward.go
@@ -50,16 +50,20 @@
 type Stewards struct {
 	cfg StewardsConfig
 
+	rankings *rankings
+	silent   *silences
+
 	mu     sync.Mutex
 	takers map[string]*taker
-	silent *silences
 }
 
 var _ RateLimit = (*Stewards)(nil)
 
 // NewStewards returns a RateLimit over the keeper.
 func NewStewards(cfg StewardsConfig) *Stewards {
-	return &Stewards{cfg: cfg, takers: make(map[string]*taker), silent: newSilences(cfg.Timer)}
+	return &Stewards{
+		cfg: cfg, rankings: newRankings(cfg.Self, cfg.List), silent: newSilences(cfg.Timer), takers: make(map[string]*taker),
+	}
 }
 
 // Take takes one statement from a batch of the steward, or from this instance's share when the limit has no steward here
@@ -83,20 +87,11 @@
 
 // steward returns the limit's steward in this data centre, and false when there is none or it is this instance.
 func (s *Stewards) steward(limit allotment.Limit) (instance.Instance, bool) {
-	live := s.cfg.List().WithInstance(s.cfg.Self).Ranked(stewardKey + limit.Name)
-	if limit.HasHome(len(live)) {
+	r := s.rankings.find(stewardKey + limit.Name)
+	if limit.HasHome(r.live) {
 		return instance.Instance{}, false
 	}
-	first, n := instance.Instance{}, 0
-	for _, i := range live {
-		if i.DataCentre != s.cfg.Self.DataCentre {
-			continue
-		}
-		if n++; n == 1 {
-			first = i
-		}
-	}
-	return first, n > StewardInstances && first.Incarnation != s.cfg.Self.Incarnation
+	return r.firstNear, r.near > StewardInstances && r.firstNear.Incarnation != s.cfg.Self.Incarnation
 }
 
 func (s *Stewards) taker(limit string) *taker {
--- a/instance/list.go
+++ b/instance/list.go
@@ -48,6 +48,12 @@
 // Equal reports whether both lists hold the same instances in the same states.
 func (l List) Equal(other List) bool { return slices.Equal(l.instances, other.instances) }
 
+// IsSame reports whether other is this list and not only an equal one. It takes constant time, for those who keep what
+// they computed from a list.
+func (l List) IsSame(other List) bool {
+	return len(l.instances) == len(other.instances) && (len(l.instances) == 0 || &l.instances[0] == &other.instances[0])
+}
+
 // WithInstance returns a list with the instance added, or replaced when its incarnation is listed already.
 func (l List) WithInstance(i Instance) List {
 	others := slices.DeleteFunc(l.All(), func(other Instance) bool { return other.Incarnation == i.Incarnation })
@@ -67,10 +73,21 @@
 
 // Ranked returns the live instances by falling rank for the key.
 func (l List) Ranked(key string) []Instance {
-	live := slices.DeleteFunc(l.All(), func(i Instance) bool { return i.State != Live })
-	slices.SortStableFunc(live, func(a, b Instance) int {
-		return cmp.Compare(RankOf(key, b.Incarnation), RankOf(key, a.Incarnation))
-	})
+	type place struct {
+		index int
+		rank  Rank
+	}
+	places := make([]place, 0, len(l.instances))
+	for index, i := range l.instances {
+		if i.State == Live {
+			places = append(places, place{index, RankOf(key, i.Incarnation)})
+		}
+	}
+	slices.SortStableFunc(places, func(a, b place) int { return cmp.Compare(b.rank, a.rank) })
+	live := make([]Instance, len(places))
+	for n, p := range places {
+		live[n] = l.instances[p.index]
+	}
 	return live
 }
 
--- a/instance/routing.go
+++ b/instance/routing.go
@@ -23,6 +23,10 @@
 	DataCentres []string
 }
 
+func (s Service) equal(other Service) bool {
+	return s.Group == other.Group && s.Number == other.Number && slices.Equal(s.DataCentres, other.DataCentres)
+}
+
 // Serving returns the serving instances of a group. They are chosen by rank, in turn from the data centres that have a
 // server of the group, and from the others only when these have too few. A fleet of at most the number serves with all
 // its live instances.
@@ -72,8 +76,9 @@
 type Routing struct {
 	self Instance
 	list List
-	// services holds the groups of the document by name.
+	// services holds the groups of the document by name, and serving the instances that serve them by the list.
 	services map[string]Service
+	serving  map[string][]Instance
 	// failed holds the instant of the last failure of each incarnation.
 	failed map[string]time.Duration
 }
@@ -84,14 +89,26 @@
 // WithList returns the routing with the platform's list. The instance itself counts as listed, because the list lags.
 func (r Routing) WithList(l List) Routing {
 	r.list = l.WithInstance(r.self)
+	r.serving = make(map[string][]Instance, len(r.services))
+	for name, s := range r.services {
+		r.serving[name] = r.list.Serving(s)
+	}
 	return r
 }
 
-// WithServices returns the routing with the groups of another document.
+// WithServices returns the routing with the groups of another document. The serving instances are chosen anew only for
+// the groups that have changed, because most changes of the document leave all of them alone.
 func (r Routing) WithServices(services ...Service) Routing {
+	before, chosen := r.services, r.serving
 	r.services = make(map[string]Service, len(services))
+	r.serving = make(map[string][]Instance, len(services))
 	for _, s := range services {
 		r.services[s.Group] = s
+		if old, known := before[s.Group]; known && old.equal(s) {
+			r.serving[s.Group] = chosen[s.Group]
+			continue
+		}
+		r.serving[s.Group] = r.list.Serving(s)
 	}
 	return r
 }
@@ -121,16 +138,12 @@
 
 // Serving returns the serving instances of the group. A group that the document does not have has none.
 func (r Routing) Serving(group string) []Instance {
-	s, ok := r.services[group]
-	if !ok {
-		return nil
-	}
-	return r.list.Serving(s)
+	return slices.Clone(r.serving[group])
 }
 
 // Serves reports whether this instance serves the group.
 func (r Routing) Serves(group string) bool {
-	return slices.ContainsFunc(r.Serving(group), func(i Instance) bool { return i.Incarnation == r.self.Incarnation })
+	return slices.ContainsFunc(r.serving[group], func(i Instance) bool { return i.Incarnation == r.self.Incarnation })
 }
 
 // Served returns the names of the groups that this instance serves, in order.
--- a/instance/routing_test.go
+++ b/instance/routing_test.go
@@ -74,6 +74,17 @@
 		require.Empty(t, serving.Candidates("g", 0))
 		require.Equal(t, []string{"g"}, serving.Served())
 	})
+	t.Run("what was chosen is kept for an unchanged group only", func(t *testing.T) {
+		fewer := s
+		fewer.Number = 2
+		require.Equal(t, l.Serving(s), r.WithServices(s).Serving("g"))
+		require.Equal(t, l.Serving(fewer), r.WithServices(fewer).Serving("g"))
+		require.Equal(t, l.Serving(s), r.WithServices(fewer).WithServices(s).Serving("g"))
+		require.Equal(t, l.Serving(s), r.WithList(fleet(2, 30)).WithList(l).Serving("g"))
+		small := fleet(2, 3)
+		require.Equal(t, small.WithInstance(self).Serving(s), r.WithList(small).Serving("g"))
+		require.Empty(t, r.WithServices().Serving("g"))
+	})
 	t.Run("without a list the instance serves itself", func(t *testing.T) {
 		require.True(t, instance.NewRouting(self).WithServices(s).Serves("g"))
 	})
