Let limiters and takers of batches share one queue of waiting statements

Cause: the queue with its head, the wait for an outcome, the check after a pause and the refusals stood twice, in the limiter and in the taker of a steward's batches. Each statement also made a channel, whether it waited or not. Ruled out: the taker as a limiter over a holding; a batch has neither a lease nor a rate. Conclusion: pendingQueue and pendingTake serve both. A refusal of a taker after an interrupted check names its limit now, as the limiter's does; nothing else differs. go test -race -run 'Keeper|Homes|Stewards' ./entry passes.

--- a/entry/limiter.go
+++ b/entry/limiter.go
@@ -7,7 +7,6 @@
 
 	"github.com/rhubarbwick/rhubarbwick/allotment"
 	"github.com/rhubarbwick/rhubarbwick/port"
-	"github.com/rhubarbwick/rhubarbwick/ring"
 )
 
 const (
@@ -15,11 +14,6 @@
 	takeWait = 250 * time.Millisecond
 	// shareWait is how long a statement waits while it is not known that the rate is used up.
 	shareWait = 2 * time.Second
-	// maxWaiting bounds the statements that wait for one limit; a further one is refused at once.
-	maxWaiting = 1024
-	// maxCheckTime is less than the time between the end of a lease and its reclaim. A statement whose check took
-	// longer may have been checked in a lease that others have taken since.
-	maxCheckTime = time.Second
 )
 
 // limiter admits statements from the local holding of one limit. Its lock is never held over a message.
@@ -33,8 +27,7 @@
 	holding allotment.Holding
 	// withheld are the tokens of updates whose outcome is not known.
 	withheld allotment.Statements
-	queue    *ring.Ring[*pendingTake]
-	head     *pendingTake
+	queue    pendingQueue
 	// granted is the limit under which the holding was granted or to which it shrank.
 	granted allotment.Limit
 	// ceiling is the number of connections that is due, which may be less than the share.
@@ -47,30 +40,18 @@
 	meter  meter
 }
 
-// pendingTake is a statement that waits for a token.
-type pendingTake struct {
-	arrived time.Duration
-	// admitted is the instant at which a token was taken.
-	admitted time.Duration
-	outcome  chan error
-	gone     bool
-	// ask is set for a batch, of which granted is what was taken.
-	ask     *BatchAsk
-	granted allotment.Statements
-}
-
 func newLimiter(name string, timer port.Timer, need func()) *limiter {
-	return &limiter{name: name, timer: timer, need: need, queue: ring.New[*pendingTake](maxWaiting)}
+	return &limiter{name: name, timer: timer, need: need, queue: newPendingQueue()}
 }
 
 // take takes one token, or waits for one in order of arrival.
 func (l *limiter) take(ctx context.Context) error {
-	return l.admit(ctx, &pendingTake{outcome: make(chan error, 1)})
+	return l.admit(ctx, &pendingTake{})
 }
 
 // lend takes a batch for another instance, as far as there are tokens, or waits for one statement of it.
 func (l *limiter) lend(ctx context.Context, ask BatchAsk) (allotment.Statements, error) {
-	w := &pendingTake{outcome: make(chan error, 1), ask: &ask}
+	w := &pendingTake{ask: &ask}
 	l.mu.Lock()
 	l.holding = l.holding.WithReport(l.timer.Now(), ask.Taker, ask.Finished)
 	l.mu.Unlock()
@@ -85,53 +66,18 @@
 	now := l.timer.Now()
 	w.arrived = now
 	l.meter.add(now, w.statements())
-	if l.waitingLocked() == 0 && l.spend(now, w) {
+	if l.queue.len() == 0 && l.spend(now, w) {
 		l.mu.Unlock()
-		return l.confirm(now)
+		return confirmCheck(l.timer, l.name, now)
 	}
-	if !l.queue.Offer(w) {
+	if !l.queue.offer(w) {
 		l.mu.Unlock()
-		return l.refusal(port.ShareUnavailable, "too many statements wait")
+		return refuseTake(port.ShareUnavailable, l.name, "too many statements wait")
 	}
 	l.serve(now)
 	l.mu.Unlock()
 	l.need()
-	return l.await(ctx, w)
-}
-
-// statements is the number of statements that were asked for.
-func (w *pendingTake) statements() int {
-	if w.ask == nil {
-		return 1
-	}
-	return max(int(w.ask.Statements/allotment.Statement), 1)
-}
-
-// confirm refuses a statement whose check took so long that its lease may have ended and been taken by others.
-func (l *limiter) confirm(checked time.Duration) error {
-	if l.timer.Now()-checked >= maxCheckTime {
-		return l.refusal(port.ShareUnavailable, "check was interrupted")
-	}
-	return nil
-}
-
-func (l *limiter) await(ctx context.Context, w *pendingTake) error {
-	select {
-	case err := <-w.outcome:
-		if err == nil {
-			err = l.confirm(w.admitted)
-		}
-		return err
-	case <-ctx.Done():
-		l.mu.Lock()
-		w.gone = true
-		l.mu.Unlock()
-		return l.refusal(port.ShareUnavailable, "caller left")
-	}
-}
-
-func (l *limiter) refusal(kind port.Kind, why string) error {
-	return port.Failf(kind, "limit %s: %s", l.name, why)
+	return w.await(ctx, l.timer, l.name)
 }
 
 // exhaust notes that an exchange with the ledger which began at the instant found the rate used up.
@@ -154,9 +100,9 @@
 // only, because an error with its stack costs more than the whole look at a queue.
 func (l *limiter) overdue(w *pendingTake) error {
 	if l.usedUp > w.arrived {
-		return l.refusal(port.OverRate, "rate is used up")
+		return refuseTake(port.OverRate, l.name, "rate is used up")
 	}
-	return l.refusal(port.ShareUnavailable, "no share could be had in time")
+	return refuseTake(port.ShareUnavailable, l.name, "no share could be had in time")
 }
 
 func (l *limiter) spend(now time.Duration, w *pendingTake) bool {
@@ -194,30 +140,20 @@
 // serve admits the waiting statements for which there are tokens, refuses those that waited too long, and sets the
 // timer for the next one. The lock is held.
 func (l *limiter) serve(now time.Duration) {
-	for l.next() {
-		deadline := l.deadline(l.head)
+	for l.queue.next() {
+		deadline := l.deadline(l.queue.head)
 		switch {
-		case l.head.gone:
 		case now >= deadline:
-			l.head.outcome <- l.overdue(l.head)
-		case l.spend(now, l.head):
-			l.head.admitted = now
-			l.head.outcome <- nil
+			l.queue.settle(l.overdue(l.queue.head))
+		case l.spend(now, l.queue.head):
+			l.queue.admit(now)
 		default:
 			l.wait(deadline - now)
 			return
 		}
-		l.head = nil
 	}
 }
 
-func (l *limiter) next() bool {
-	if l.head == nil {
-		l.head, _ = l.queue.TryTake()
-	}
-	return l.head != nil
-}
-
 // wait sets the timer for the next look at the waiting statements, at most d from now.
 func (l *limiter) wait(d time.Duration) {
 	if next, ok := l.holding.Next(); ok {
@@ -237,21 +173,13 @@
 	l.serve(l.timer.Now())
 }
 
-func (l *limiter) waitingLocked() int {
-	n := l.queue.Len()
-	if l.head != nil {
-		n++
-	}
-	return n
-}
-
 // demand returns what was measured, and the holding.
 func (l *limiter) demand(now time.Duration) (allotment.Demand, allotment.Holding) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.holding = l.holding.At(now)
 	d := l.meter.demand(now)
-	d.Waiting = l.waitingLocked()
+	d.Waiting = l.queue.len()
 	d.Lent = l.holding.Lent()
 	d.Tokens = l.holding.Tokens()
 	d.Full = l.holding.Tokens() >= l.holding.Share().Burst
--- a/entry/steward.go
+++ b/entry/steward.go
@@ -8,7 +8,6 @@
 	"github.com/rhubarbwick/rhubarbwick/allotment"
 	"github.com/rhubarbwick/rhubarbwick/instance"
 	"github.com/rhubarbwick/rhubarbwick/port"
-	"github.com/rhubarbwick/rhubarbwick/ring"
 )
 
 // StewardInstances is the number of instances in a data centre above which a limit has a steward there.
@@ -99,7 +98,7 @@
 	defer s.mu.Unlock()
 	t, ok := s.takers[limit]
 	if !ok {
-		t = &taker{cfg: s.cfg, queue: ring.New[*pendingTake](maxWaiting)}
+		t = &taker{cfg: s.cfg, queue: newPendingQueue()}
 		s.takers[limit] = t
 	}
 	return t
@@ -115,8 +114,7 @@
 	batch  allotment.Batch
 	number uint64
 	asking bool
-	queue  *ring.Ring[*pendingTake]
-	head   *pendingTake
+	queue  pendingQueue
 	meter  meter
 }
 
@@ -126,39 +124,20 @@
 	now := t.cfg.Timer.Now()
 	t.meter.count(now)
 	t.adopt(limit)
-	if t.waiting() == 0 && t.spend(now) {
+	if t.queue.len() == 0 && t.spend(now) {
 		t.mu.Unlock()
-		return t.confirm(now)
+		return confirmCheck(t.cfg.Timer, limit.Name, now)
 	}
-	w := &pendingTake{arrived: now, outcome: make(chan error, 1)}
-	if !t.queue.Offer(w) {
+	w := &pendingTake{arrived: now}
+	if !t.queue.offer(w) {
 		t.mu.Unlock()
-		return refusedShare(limit, "too many statements wait")
+		return refuseTake(port.ShareUnavailable, limit.Name, "too many statements wait")
 	}
 	if !t.asking {
 		t.begin(now, address)
 	}
 	t.mu.Unlock()
-	return t.await(ctx, limit, w)
-}
-
-func (t *taker) await(ctx context.Context, limit allotment.Limit, w *pendingTake) error {
-	select {
-	case err := <-w.outcome:
-		if err == nil {
-			err = t.confirm(w.admitted)
-		}
-		return err
-	case <-ctx.Done():
-		t.mu.Lock()
-		w.gone = true
-		t.mu.Unlock()
-		return refusedShare(limit, "caller left")
-	}
-}
-
-func refusedShare(limit allotment.Limit, why string) error {
-	return port.Failf(port.ShareUnavailable, "limit %s: %s", limit.Name, why)
+	return w.await(ctx, t.cfg.Timer, limit.Name)
 }
 
 // adopt takes over the limit in force. A batch of a limit that has fallen is dropped. The lock is held.
@@ -176,38 +155,10 @@
 	return ok
 }
 
-// waiting returns the number of statements that wait. The lock is held.
-func (t *taker) waiting() int {
-	n := t.queue.Len()
-	if t.head != nil {
-		n++
-	}
-	return n
-}
-
-// next reports whether a statement waits, which is then the head. The lock is held.
-func (t *taker) next() bool {
-	for t.head == nil || t.head.gone {
-		w, ok := t.queue.TryTake()
-		if t.head = w; !ok {
-			return false
-		}
-	}
-	return true
-}
-
-// confirm refuses a statement whose check took so long that the batch may have expired for the steward.
-func (t *taker) confirm(checked time.Duration) error {
-	if t.cfg.Timer.Now()-checked >= maxCheckTime {
-		return port.Failf(port.ShareUnavailable, "check was interrupted")
-	}
-	return nil
-}
-
 // begin sends a request for a batch. What is left of the last one is given up. The lock is held.
 func (t *taker) begin(now time.Duration, address string) {
 	demand := t.meter.demand(now)
-	demand.Waiting = t.waiting()
+	demand.Waiting = t.queue.len()
 	t.batch = allotment.Batch{}
 	t.number++
 	t.asking = true
@@ -231,7 +182,7 @@
 		t.batch = allotment.NewBatch(sent, min(n, ask.Statements))
 		t.serve()
 	}
-	if t.next() {
+	if t.queue.next() {
 		t.begin(t.cfg.Timer.Now(), address)
 	}
 }
@@ -239,10 +190,8 @@
 // serve admits as many of the waiting statements as the batch has. The lock is held.
 func (t *taker) serve() {
 	now := t.cfg.Timer.Now()
-	for t.next() && t.spend(now) {
-		t.head.admitted = now
-		t.head.outcome <- nil
-		t.head = nil
+	for t.queue.next() && t.spend(now) {
+		t.queue.admit(now)
 	}
 }
 
@@ -250,8 +199,7 @@
 // those that came before the request that was sent at the instant, which says nothing of later ones. The lock is held.
 func (t *taker) refuse(err error, sent time.Duration) {
 	silent := port.KindOf(err) == port.Unavailable
-	for t.next() && (silent || t.head.arrived <= sent) {
-		t.head.outcome <- err
-		t.head = nil
+	for t.queue.next() && (silent || t.queue.head.arrived <= sent) {
+		t.queue.settle(err)
 	}
 }
