Wait on the timer service by one function

Cause: six functions of four packages waited for a duration or the end of a context, each in its own way. Ruled out: a method of port.Timer, which every embedder's timer would have to have. Conclusion: port.Wait serves entry, adapter/postgres, the console and the stand-in server; the tests of these packages pass under -race.

--- a/adapter/console/session.go
+++ b/adapter/console/session.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/adapter/operator"
-	"github.com/rhubarbwick/rhubarbwick/entry"
 	"github.com/rhubarbwick/rhubarbwick/port"
 )
 
@@ -136,7 +135,7 @@
 	name := strings.TrimSpace(r.PostFormValue("operator"))
 	right := operator.CheckPassword(c.cfg.PasswordSHA256, r.PostFormValue("password"))
 	if !right || name == "" || len(name) > maxOperator {
-		entry.Pause(r.Context(), c.cfg.Timer, attemptPause)
+		_ = port.Wait(r.Context(), c.cfg.Timer, attemptPause)
 		p := signInPage("The name or the password is not right.")
 		p.Status = http.StatusUnauthorized
 		c.render(w, r, who, p)
--- a/adapter/postgres/caller_request.go
+++ b/adapter/postgres/caller_request.go
@@ -87,7 +87,7 @@
 		if err == nil || !mayPlaceAgain(err) || ctx.Err() != nil {
 			return err
 		}
-		if attempt > promptAttempts && c.listener.pause(ctx, placementPause) != nil {
+		if attempt > promptAttempts && port.Wait(ctx, c.listener.timer, placementPause) != nil {
 			return err
 		}
 	}
--- a/adapter/postgres/listener.go
+++ b/adapter/postgres/listener.go
@@ -138,7 +138,7 @@
 		if err != nil {
 			// Accept fails for a while when the process has no free file descriptor.
 			l.log.Warn("could not accept a caller", zap.Error(err))
-			if l.pause(ctx, placementPause) != nil {
+			if port.Wait(ctx, l.timer, placementPause) != nil {
 				return nil
 			}
 			continue
@@ -333,16 +333,3 @@
 	_, _ = conn.Write(encode(nil, &pgproto3.CancelRequest{ProcessID: b.pid, SecretKey: b.secret}))
 	_, _ = conn.Read(make([]byte, 1))
 }
-
-// pause waits for d on the timer service.
-func (l *Listener) pause(ctx context.Context, d time.Duration) error {
-	elapsed := make(chan struct{})
-	stop := l.timer.After(d, func(time.Duration) { close(elapsed) })
-	defer stop()
-	select {
-	case <-elapsed:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
--- a/adapter/postgres/relay.go
+++ b/adapter/postgres/relay.go
@@ -230,7 +230,7 @@
 		return false
 	}
 	c.giveBack()
-	if c.listener.pause(c.ctx, placementPause) == nil {
+	if port.Wait(c.ctx, c.listener.timer, placementPause) == nil {
 		c.restart()
 	}
 	return true
--- a/adapter/postgres/watch.go
+++ b/adapter/postgres/watch.go
@@ -59,7 +59,7 @@
 			_ = c.events.Put(ctx, placedElsewhere{request: number})
 			return
 		}
-		if c.listener.pause(ctx, watchPeriod) != nil {
+		if port.Wait(ctx, c.listener.timer, watchPeriod) != nil {
 			return
 		}
 	}
@@ -77,7 +77,7 @@
 			_ = c.events.Put(ctx, answerOverdue{request: number})
 			return
 		}
-		if c.listener.pause(ctx, probePeriod) != nil {
+		if port.Wait(ctx, c.listener.timer, probePeriod) != nil {
 			return
 		}
 	}
--- a/entry/account_sync.go
+++ b/entry/account_sync.go
@@ -163,7 +163,7 @@
 	defer cancel()
 	if a.limiter.freeze() > 0 {
 		// The burst of outstanding batches is given back after they have expired.
-		a.rest(ctx, allotment.BatchReserved)
+		_ = port.Wait(ctx, a.cfg.Timer, allotment.BatchReserved)
 	}
 	for ctx.Err() == nil {
 		if err := a.read(ctx); err != nil {
--- a/entry/announcer.go
+++ b/entry/announcer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/ring"
@@ -87,7 +86,7 @@
 		object, changed, err := r.watch(ctx, seen)
 		if err != nil || !changed {
 			// The pause also bounds the calls to a store that answers without waiting.
-			if r.pause(ctx) != nil {
+			if port.Wait(ctx, r.cfg.Timer, StoreRetry) != nil {
 				return
 			}
 			continue
@@ -108,12 +107,3 @@
 	defer cancel()
 	return r.cfg.Store.Watch(ctx, StatusObject(r.cfg.Monitor.Group()), seen, StatusWait)
 }
-
-// pause waits before the store is tried again. It returns an error when ctx ends first.
-func (r *statusReader) pause(ctx context.Context) error {
-	waited := ring.New[struct{}](1)
-	stop := r.cfg.Timer.After(StoreRetry, func(time.Duration) { waited.Offer(struct{}{}) })
-	defer stop()
-	_, err := waited.Take(ctx)
-	return err
-}
--- a/entry/call.go
+++ b/entry/call.go
@@ -153,7 +153,7 @@
 	for ctx.Err() == nil {
 		object, changed, err := a.cfg.Store.Watch(ctx, a.callName(), seen, watchTime)
 		if err != nil {
-			a.rest(ctx, retryEvery)
+			_ = port.Wait(ctx, a.cfg.Timer, retryEvery)
 			continue
 		}
 		if !changed {
@@ -172,10 +172,3 @@
 	a.calls.Push(c)
 	a.notify()
 }
-
-// rest blocks until d has passed or ctx ends.
-func (a *account) rest(ctx context.Context, d time.Duration) {
-	ctx, cancel := port.WithTimeout(ctx, a.cfg.Timer, d)
-	defer cancel()
-	<-ctx.Done()
-}
--- a/entry/collector.go
+++ b/entry/collector.go
@@ -127,7 +127,7 @@
 			return removed, err
 		}
 		removed++
-		sleep(ctx, c.cfg.Timer, deletePause)
+		_ = port.Wait(ctx, c.cfg.Timer, deletePause)
 	}
 	return removed, nil
 }
--- a/entry/editor_audit.go
+++ b/entry/editor_audit.go
@@ -25,7 +25,7 @@
 		if err != nil {
 			return
 		}
-		sleep(ctx, e.cfg.Timer, AuditDelay)
+		_ = port.Wait(ctx, e.cfg.Timer, AuditDelay)
 		if !e.cfg.Follower.List().IsFirstRelay(e.cfg.Self) {
 			continue
 		}
--- a/entry/editor_store.go
+++ b/entry/editor_store.go
@@ -169,7 +169,7 @@
 	var err error
 	for attempt := range SettleAttempts {
 		if attempt > 0 {
-			sleep(ctx, e.cfg.Timer, settlePause)
+			_ = port.Wait(ctx, e.cfg.Timer, settlePause)
 		}
 		err = e.put(ctx, name, s.Data, 0)
 		if err != nil && port.KindOf(err) == port.Conflict {
@@ -200,7 +200,7 @@
 	var err error
 	for attempt := range SettleAttempts {
 		if attempt > 0 {
-			sleep(ctx, e.cfg.Timer, settlePause)
+			_ = port.Wait(ctx, e.cfg.Timer, settlePause)
 		}
 		err = e.put(ctx, DocumentObject, data, current.version)
 		if err == nil {
--- a/entry/follower_duties.go
+++ b/entry/follower_duties.go
@@ -46,13 +46,13 @@
 		p.logChange(source, err)
 		if err != nil {
 			p.sources = p.sources.WithFailure(source, timer.Now())
-			sleep(ctx, timer, pauseAfter(source))
+			_ = port.Wait(ctx, timer, pauseAfter(source))
 			continue
 		}
 		p.sources = p.sources.WithSuccess(source)
 		// A source that answers at once without a newer document must not make this loop spin.
 		if p.follower.Document().Revision == before && timer.Now()-began < shortPoll {
-			sleep(ctx, timer, shortPoll)
+			_ = port.Wait(ctx, timer, shortPoll)
 		}
 	}
 }
@@ -92,7 +92,7 @@
 	switch {
 	case err != nil && port.KindOf(err) == port.NotFound, err == nil && changed && object.Version == 0:
 		p.seen, p.revision = 0, 0
-		sleep(ctx, f.cfg.Timer, storePause)
+		_ = port.Wait(ctx, f.cfg.Timer, storePause)
 		return p.confirm(ctx, storeConfirmed{at: asked}, known)
 	case err != nil:
 		return err
@@ -262,7 +262,7 @@
 		}
 		r.silent = err != nil
 		period := time.Duration(r.follower.List().Len()) * listPeriodPerInstance
-		sleep(ctx, timer, max(period, minListPeriod))
+		_ = port.Wait(ctx, timer, max(period, minListPeriod))
 	}
 }
 
@@ -276,17 +276,6 @@
 	return r.follower.tell(ctx, listRead{list: instance.NewList(instances...)})
 }
 
-// sleep waits until d has passed on the timer or ctx ends.
-func sleep(ctx context.Context, timer port.Timer, d time.Duration) {
-	over := make(chan struct{})
-	stop := timer.After(d, func(time.Duration) { close(over) })
-	defer stop()
-	select {
-	case <-over:
-	case <-ctx.Done():
-	}
-}
-
 func pauseAfter(source instance.Source) time.Duration {
 	switch source.(type) {
 	case instance.FromStore:
--- a/entry/survey.go
+++ b/entry/survey.go
@@ -107,7 +107,7 @@
 		if ctx.Err() != nil || s.cfg.Timer.Now() >= ends || !isAwaited(standings, r) {
 			return standings
 		}
-		sleep(ctx, s.cfg.Timer, surveyPause)
+		_ = port.Wait(ctx, s.cfg.Timer, surveyPause)
 	}
 }
 
@@ -115,6 +115,3 @@
 func isAwaited(standings []Standing, r document.Revision) bool {
 	return slices.ContainsFunc(standings, func(s Standing) bool { return s.Answered && s.Revision < r })
 }
-
-// Pause waits for d on the timer service, or until ctx ends.
-func Pause(ctx context.Context, timer port.Timer, d time.Duration) { sleep(ctx, timer, d) }
--- a/port/port.go
+++ b/port/port.go
@@ -75,3 +75,16 @@
 		cancel(context.Canceled)
 	}
 }
+
+// Wait returns after d on the timer service, or with the cause of ctx when that ends first.
+func Wait(ctx context.Context, timer Timer, d time.Duration) error {
+	over := make(chan struct{})
+	stop := timer.After(d, func(time.Duration) { close(over) })
+	defer stop()
+	select {
+	case <-over:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- a/standin/server/client.go
+++ b/standin/server/client.go
@@ -130,7 +130,7 @@
 	if _, _, err := c.connection.Run(ctx, Empty{}); err != nil {
 		return false
 	}
-	if d := time.Duration(c.listener.openTime.Load()); d > 0 && sleep(ctx, c.listener.timer, d) != nil {
+	if d := time.Duration(c.listener.openTime.Load()); d > 0 && port.Wait(ctx, c.listener.timer, d) != nil {
 		return false
 	}
 	c.id = c.listener.register(c)
--- a/standin/server/connection.go
+++ b/standin/server/connection.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/port"
 )
 
 // MaxSeries is the number of rows that a series may have.
@@ -78,7 +79,7 @@
 	}
 	switch statement := statement.(type) {
 	case Sleep:
-		if err := sleep(ctx, c.server.timer, statement.Time); err != nil {
+		if err := port.Wait(ctx, c.server.timer, statement.Time); err != nil {
 			return Result{}, a.state, failf(codeCancelled, "statement was cancelled")
 		}
 	case AskStatus, OrderFence, OrderPromote, OrderFollow:
--- a/standin/server/replication.go
+++ b/standin/server/replication.go
@@ -6,7 +6,6 @@
 
 	"github.com/rhubarbwick/rhubarbwick/group"
 	"github.com/rhubarbwick/rhubarbwick/port"
-	"github.com/rhubarbwick/rhubarbwick/ring"
 )
 
 // Source is where a replica gets its entries.
@@ -182,7 +181,7 @@
 			r.loop(ctx, source)
 			source.Close()
 		}
-		_ = sleep(ctx, r.server.timer, HeartbeatPeriod)
+		_ = port.Wait(ctx, r.server.timer, HeartbeatPeriod)
 	}
 }
 
@@ -201,17 +200,8 @@
 			return
 		}
 		r.pull = a.next.pull
-		if a.next.pause && sleep(ctx, r.server.timer, HeartbeatPeriod) != nil {
+		if a.next.pause && port.Wait(ctx, r.server.timer, HeartbeatPeriod) != nil {
 			return
 		}
 	}
 }
-
-// sleep waits on the timer service.
-func sleep(ctx context.Context, timer port.Timer, d time.Duration) error {
-	passed := ring.New[struct{}](1)
-	stop := timer.After(d, func(time.Duration) { passed.Offer(struct{}{}) })
-	defer stop()
-	_, err := passed.Take(ctx)
-	return err
-}
