Remember failures of relays and of serving instances by one type

Cause: Sources and Routing each kept a map of the last failures with the same pruning, removal and look-up. Ruled out: one time for all; the store is tried again earlier than a relay. Conclusion: failures, immutable like its two users; go test -race ./instance passes.

--- a/instance/routing.go
+++ b/instance/routing.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -80,7 +79,7 @@
 	services map[string]Service
 	serving  map[string][]Instance
 	// failed holds the instant of the last failure of each incarnation.
-	failed map[string]time.Duration
+	failed failures
 }
 
 // NewRouting returns the routing of an instance that knows no other one and no group.
@@ -115,24 +114,13 @@
 
 // WithFailure returns the routing after the instance could not be reached or did not serve.
 func (r Routing) WithFailure(i Instance, now time.Duration) Routing {
-	failed := make(map[string]time.Duration, len(r.failed)+1)
-	for incarnation, at := range r.failed {
-		if now-at < ServingRetry {
-			failed[incarnation] = at
-		}
-	}
-	failed[i.Incarnation] = now
-	r.failed = failed
+	r.failed = r.failed.with(i.Incarnation, now, ServingRetry)
 	return r
 }
 
 // WithSuccess returns the routing after the instance took a caller.
 func (r Routing) WithSuccess(i Instance) Routing {
-	if _, found := r.failed[i.Incarnation]; !found {
-		return r
-	}
-	r.failed = maps.Clone(r.failed)
-	delete(r.failed, i.Incarnation)
+	r.failed = r.failed.without(i.Incarnation)
 	return r
 }
 
@@ -166,8 +154,7 @@
 		return nil
 	}
 	candidates := slices.DeleteFunc(r.Serving(group), func(i Instance) bool {
-		at, failed := r.failed[i.Incarnation]
-		return failed && now-at < ServingRetry
+		return r.failed.isRecent(i.Incarnation, now, ServingRetry)
 	})
 	key := "forward/" + r.self.Incarnation + "/" + group
 	slices.SortStableFunc(candidates, func(a, b Instance) int {
--- a/instance/sources.go
+++ b/instance/sources.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -32,7 +31,7 @@
 	list  List
 	seeds []string
 	// failed holds the instant of the last failure of each address. The store's address is empty.
-	failed map[string]time.Duration
+	failed failures
 }
 
 // NewSources returns the sources of an instance that knows no list yet. Seeds are addresses of instances that are
@@ -49,24 +48,13 @@
 
 // WithFailure returns the sources after the source did not answer.
 func (s Sources) WithFailure(source Source, now time.Duration) Sources {
-	failed := make(map[string]time.Duration, len(s.failed)+1)
-	for address, at := range s.failed {
-		if now-at < RelayRetry {
-			failed[address] = at
-		}
-	}
-	failed[addressOf(source)] = now
-	s.failed = failed
+	s.failed = s.failed.with(addressOf(source), now, RelayRetry)
 	return s
 }
 
 // WithSuccess returns the sources after the source answered.
 func (s Sources) WithSuccess(source Source) Sources {
-	if _, found := s.failed[addressOf(source)]; !found {
-		return s
-	}
-	s.failed = maps.Clone(s.failed)
-	delete(s.failed, addressOf(source))
+	s.failed = s.failed.without(addressOf(source))
 	return s
 }
 
@@ -87,7 +75,7 @@
 		}
 	}
 	return slices.MinFunc(candidates, func(a, b Source) int {
-		return cmp.Compare(s.failed[addressOf(a)], s.failed[addressOf(b)])
+		return cmp.Compare(s.failed.at[addressOf(a)], s.failed.at[addressOf(b)])
 	})
 }
 
@@ -133,7 +121,7 @@
 func (s Sources) leastRecentlyFailed(relays []Instance) int {
 	oldest := 0
 	for i, r := range relays {
-		if s.failed[r.Address] < s.failed[relays[oldest].Address] {
+		if s.failed.at[r.Address] < s.failed.at[relays[oldest].Address] {
 			oldest = i
 		}
 	}
@@ -141,15 +129,11 @@
 }
 
 func (s Sources) hasFailed(source Source, now time.Duration) bool {
-	at, found := s.failed[addressOf(source)]
-	if !found {
-		return false
-	}
 	switch source.(type) {
 	case FromStore:
-		return now-at < StoreRetry
+		return s.failed.isRecent(addressOf(source), now, StoreRetry)
 	default:
-		return now-at < RelayRetry
+		return s.failed.isRecent(addressOf(source), now, RelayRetry)
 	}
 }
 
