--- a/bench/cut_test.go
+++ b/bench/cut_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"regexp"
 	"strconv"
 	"testing"
 	"time"
@@ -20,8 +19,6 @@
 	inForceLimit = 5 * time.Second
 )
 
-var revisionForm = regexp.MustCompile(`(?m)^rhubarbwick_document_revision (\S+)$`)
-
 // TestDataCentreCutOff guards against a withdrawn key that works on where nobody can hear of it, and against a change
 // that a data centre misses, takes late or reverts after it was cut off.
 func TestDataCentreCutOff(t *testing.T) {
@@ -167,9 +164,5 @@
 // revision returns the revision of the document in force at the instance.
 func (m *member) revision(t testing.TB) int {
 	t.Helper()
-	found := revisionForm.FindStringSubmatch(get(t, m.operators+"/metrics"))
-	require.NotNil(t, found, "%s tells no revision", m.id)
-	revision, err := strconv.ParseFloat(found[1], 64)
-	require.NoError(t, err)
-	return int(revision)
+	return int(m.metric(t, "rhubarbwick_document_revision"))
 }
--- a/bench/forward_test.go
+++ b/bench/forward_test.go
@@ -66,14 +66,9 @@
 // metric returns the value of a series.
 func (m *member) metric(t testing.TB, name string) float64 {
 	t.Helper()
-	answer, err := httpClient.Get(m.operators + "/metrics")
-	require.NoError(t, err)
-	data, err := io.ReadAll(answer.Body)
-	require.NoError(t, err)
-	require.NoError(t, answer.Body.Close())
-	found := regexp.MustCompile(`(?m)^` + regexp.QuoteMeta(name) + ` (\S+)$`).FindSubmatch(data)
-	require.NotNil(t, found, "metric %s", name)
-	value, err := strconv.ParseFloat(string(found[1]), 64)
+	found := regexp.MustCompile(`(?m)^` + regexp.QuoteMeta(name) + ` (\S+)$`).FindStringSubmatch(get(t, m.operators+"/metrics"))
+	require.NotNil(t, found, "metric %s of %s", name, m.id)
+	value, err := strconv.ParseFloat(found[1], 64)
 	require.NoError(t, err)
 	return value
 }
@@ -115,7 +110,7 @@
 	})
 	t.Run("only serving instances are in the ledgers of connections", func(t *testing.T) {
 		eventually(t, settleLimit, "the ledger names the serving instances only", func() bool {
-			ledger := f.get(f.store + "/objects/ledger/connections/" + groupName(0) + "/a")
+			ledger := get(t, f.store+"/objects/ledger/connections/"+groupName(0)+"/a")
 			return strings.Contains(ledger, f.near.id) && strings.Contains(ledger, f.far.id) &&
 				!strings.Contains(ledger, f.sender.id) && !strings.Contains(ledger, f.other.id)
 		})
@@ -133,17 +128,6 @@
 	})
 }
 
-// get returns the answer to a GET.
-func (f *fleet) get(url string) string {
-	f.t.Helper()
-	answer, err := httpClient.Get(url)
-	require.NoError(f.t, err)
-	data, err := io.ReadAll(answer.Body)
-	require.NoError(f.t, err)
-	require.NoError(f.t, answer.Body.Close())
-	return string(data)
-}
-
 // TestServingInstanceLost guards against callers that lose more than what was open when their serving instance died, and
 // against an outcome that is not true.
 func TestServingInstanceLost(t *testing.T) {
