Decide and write four things in one place each

Cause: which errors refuse a caller at every instance stood in the router and in the listener, the names of limits in the keeper and in the gate, the quoting of SQL text twice in adapter/postgres, and a wait in the in-memory store. Conclusion: entry.RefusesCaller, the keeper's constants, quote and port.Wait serve both sides; quote writes the same text for terms, names and addresses, which have no backslash.

--- a/adapter/postgres/forward.go
+++ b/adapter/postgres/forward.go
@@ -144,7 +144,7 @@
 		switch {
 		case err != nil && f.hasLeft():
 			return false
-		case err != nil && isRefusal(err):
+		case err != nil && entry.RefusesCaller(err):
 			f.dismiss(err)
 			return false
 		case err != nil:
@@ -179,16 +179,6 @@
 	return conn, nil
 }
 
-// isRefusal reports whether no instance would serve the caller.
-func isRefusal(err error) bool {
-	switch port.KindOf(err) {
-	case port.KeyRefused, port.UnknownRoute, port.BadToken:
-		return true
-	default:
-		return false
-	}
-}
-
 // follow passes on what the serving instance sends until the connection ends. It reports whether the session goes on.
 func (f *forwarded) follow(conn entry.ForwardConn) bool {
 	end := f.relay(conn)
--- a/adapter/postgres/maintenance.go
+++ b/adapter/postgres/maintenance.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -56,24 +55,24 @@
 func (m *Maintenance) Status(ctx context.Context, await group.Position, maxWait time.Duration) (group.Status, error) {
 	sql := statusAtOnce
 	if !await.IsZero() {
-		sql = fmt.Sprintf("SELECT rhubarbwick_status(%s, %d)", quoteText(await.String()), maxWait.Milliseconds())
+		sql = fmt.Sprintf("SELECT rhubarbwick_status(%s, %d)", quote(await.String()), maxWait.Milliseconds())
 	}
 	return m.ask(ctx, m.status, sql)
 }
 
 // Fence makes the server promise term to candidate.
 func (m *Maintenance) Fence(ctx context.Context, term group.Term, candidate string) (group.Status, error) {
-	return m.ask(ctx, m.orders, fmt.Sprintf("SELECT rhubarbwick_fence(%d, %s)", term, quoteText(candidate)))
+	return m.ask(ctx, m.orders, fmt.Sprintf("SELECT rhubarbwick_fence(%d, %s)", term, quote(candidate)))
 }
 
 // Promote makes the server primary of term.
 func (m *Maintenance) Promote(ctx context.Context, term group.Term, candidate string) (group.Status, error) {
-	return m.ask(ctx, m.orders, fmt.Sprintf("SELECT rhubarbwick_promote(%d, %s)", term, quoteText(candidate)))
+	return m.ask(ctx, m.orders, fmt.Sprintf("SELECT rhubarbwick_promote(%d, %s)", term, quote(candidate)))
 }
 
 // Follow makes the server replicate from the primary of term at an address.
 func (m *Maintenance) Follow(ctx context.Context, term group.Term, primary string) (group.Status, error) {
-	return m.ask(ctx, m.orders, fmt.Sprintf("SELECT rhubarbwick_follow(%d, %s)", term, quoteText(primary)))
+	return m.ask(ctx, m.orders, fmt.Sprintf("SELECT rhubarbwick_follow(%d, %s)", term, quote(primary)))
 }
 
 // Close ends what waits and closes the connections. The Maintenance cannot be used afterwards.
@@ -396,5 +395,3 @@
 	}
 	return h
 }
-
-func quoteText(text string) string { return "'" + strings.ReplaceAll(text, "'", "''") + "'" }
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -88,7 +88,7 @@
 // limitOf returns the name of the limit that the caller's statements count for.
 func limitOf(c Caller) string {
 	if c.KeyID == "" {
-		return "rate_open/" + c.Route.Name
+		return openRatePrefix + c.Route.Name
 	}
-	return "rate/" + c.Organisation
+	return ratePrefix + c.Organisation
 }
--- a/entry/router.go
+++ b/entry/router.go
@@ -102,8 +102,8 @@
 	return r.routing.Candidates(group, r.cfg.Timer.Now())
 }
 
-// Connect connects a caller of the group to a serving instance. An error of kind KeyRefused, UnknownRoute or BadToken
-// refuses the caller. After any other error this instance has to serve the caller itself.
+// Connect connects a caller of the group to a serving instance. An error for which RefusesCaller
+// holds refuses the caller. After any other error this instance has to serve the caller itself.
 func (r *Router) Connect(ctx context.Context, group string, o Opening) (ForwardConn, error) {
 	started := r.cfg.Timer.Now()
 	err := port.Failf(port.Unavailable, "group %s has no serving instance that answers", group)
@@ -115,7 +115,7 @@
 		if conn, err = r.open(ctx, i, o); err == nil {
 			return conn, nil
 		}
-		if refusesCaller(err) {
+		if RefusesCaller(err) {
 			return nil, err
 		}
 		if ctx.Err() == nil {
@@ -135,8 +135,8 @@
 	return r.enter(to, conn), nil
 }
 
-// refusesCaller reports whether every serving instance would refuse the caller in this way.
-func refusesCaller(err error) bool {
+// RefusesCaller reports whether every instance would refuse the caller in this way.
+func RefusesCaller(err error) bool {
 	switch port.KindOf(err) {
 	case port.KeyRefused, port.UnknownRoute, port.BadToken:
 		return true
--- a/standin/memory/line.go
+++ b/standin/memory/line.go
@@ -150,13 +150,8 @@
 // travel takes one way. The faults count at its end.
 func (l *Line) travel(ctx context.Context, latency time.Duration) error {
 	if latency > 0 {
-		arrived := make(chan struct{})
-		stop := l.timer.After(latency, func(time.Duration) { close(arrived) })
-		defer stop()
-		select {
-		case <-arrived:
-		case <-ctx.Done():
-			return port.Wrapf(context.Cause(ctx), port.Unavailable, "store does not answer")
+		if err := port.Wait(ctx, l.timer, latency); err != nil {
+			return port.Wrapf(err, port.Unavailable, "store does not answer")
 		}
 	}
 	faults := l.current()
