Divide a ledger once for all its entries

Cause: the margin of the pool sorted all wishes anew for each entry, the fair part of an entry needed the margin, and the looks for givers and for starved holders asked for the fair part of each entry: a sort for each pair of entries, three times over. Ruled out: keeping the division inside the ledger, which every edit would have to renew. Conclusion: Margin has no caller left and is gone; nothing else differs.

--- a/allotment/ledger.go
+++ b/allotment/ledger.go
@@ -1,6 +1,7 @@
 package allotment
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 )
@@ -91,19 +92,40 @@
 	if !ok {
 		return Amount{}
 	}
-	return l.wanted(i).Plus(l.Margin())
+	return l.division().fair(i)
 }
 
-// Margin returns the part of what nobody wants that stays in the pool, as much as each holder has of it. It lets the
-// others go on and newcomers begin when a holder dies: its share stays reserved until its lease is reclaimed.
-func (l Ledger) Margin() Amount {
-	rest := l.divisible()
-	for i := range l.Entries {
-		rest = rest.Minus(l.wanted(i))
+// division is how the total of a ledger is divided. It takes a sort of all entries, so that those who look at several
+// entries make it once.
+type division struct {
+	// wanted holds the part of each entry before what nobody wants is divided.
+	wanted []Amount
+	// margin is what each entry gets of that. As much stays in the pool, so that the others go on and newcomers begin when a
+	// holder dies: its share stays reserved until its lease is reclaimed.
+	margin Amount
+}
+
+func (l Ledger) division() division {
+	total := l.divisible()
+	n := len(l.Entries)
+	rates, bursts, units := make([]int64, n), make([]int64, n), make([]int64, n)
+	for i, e := range l.Entries {
+		rates[i], bursts[i], units[i] = int64(e.Wanted.Rate), int64(e.Wanted.Burst), e.Wanted.Units
 	}
-	return rest.part(1, int64(len(l.Entries))+1)
+	rates, bursts, units = fill(int64(total.Rate), rates), fill(int64(total.Burst), bursts), fill(total.Units, units)
+	d := division{wanted: make([]Amount, n)}
+	rest := total
+	for i := range d.wanted {
+		d.wanted[i] = Amount{Rate: Statements(rates[i]), Burst: Statements(bursts[i]), Units: units[i]}
+		rest = rest.Minus(d.wanted[i])
+	}
+	d.margin = rest.part(1, int64(n)+1)
+	return d
 }
 
+// fair returns what the i-th entry has.
+func (d division) fair(i int) Amount { return d.wanted[i].Plus(d.margin) }
+
 // divisible returns what may be in entries.
 func (l Ledger) divisible() Amount {
 	total := l.Limit.Total.Minus(l.Reserve())
@@ -113,22 +135,6 @@
 	return total
 }
 
-// wanted returns the part of the i-th entry before what nobody wants is divided.
-func (l Ledger) wanted(i int) Amount {
-	total := l.divisible()
-	rates, bursts, units := make([]int64, 0), make([]int64, 0), make([]int64, 0)
-	for _, e := range l.Entries {
-		rates = append(rates, int64(e.Wanted.Rate))
-		bursts = append(bursts, int64(e.Wanted.Burst))
-		units = append(units, e.Wanted.Units)
-	}
-	return Amount{
-		Rate:  Statements(fill(int64(total.Rate), rates, i)),
-		Burst: Statements(fill(int64(total.Burst), bursts, i)),
-		Units: fill(total.Units, units, i),
-	}
-}
-
 // Reserve returns what stays in the pool for those whose buckets run empty. A bucket below one statement admits
 // nothing, and a bucket of few statements refuses much that is within the limit.
 func (l Ledger) Reserve() Amount {
@@ -153,22 +159,20 @@
 // maxReserve is the greatest part of a limit that stays in the pool: one in maxReserve.
 const maxReserve = 2
 
-// fill divides total by max-min fairness and returns the part of the i-th.
-func fill(total int64, wanted []int64, i int) int64 {
+// fill divides total by max-min fairness and returns the part of each.
+func fill(total int64, wanted []int64) []int64 {
 	order := make([]int, len(wanted))
 	for k := range order {
 		order[k] = k
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return int(min(max(wanted[a]-wanted[b], -1), 1)) })
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(wanted[a], wanted[b]) })
+	parts := make([]int64, len(wanted))
 	for k, who := range order {
 		level := total / int64(len(order)-k)
-		got := min(wanted[who], level)
-		if who == i {
-			return got
-		}
-		total -= got
+		parts[who] = min(wanted[who], level)
+		total -= parts[who]
 	}
-	return 0
+	return parts
 }
 
 func (l Ledger) search(holder string) (int, bool) {
--- a/allotment/policy.go
+++ b/allotment/policy.go
@@ -113,14 +113,18 @@
 	if next, _, err := l.Apply(Want{Holder: holder, Wanted: wanted}); err == nil {
 		l = next
 	}
-	target := l.Fair(holder)
+	shares := l.division()
+	target := Amount{}
+	if i, ok := l.search(holder); ok {
+		target = shares.fair(i)
+	}
 	if !l.Falling() && !l.Short(holder) {
 		target = target.Max(entry.Share).near(entry.Share)
 	}
-	if near := target.near(entry.Share); !l.Falling() && !l.starved(holder) {
+	if near := target.near(entry.Share); !l.Falling() && !l.starved(shares, holder) {
 		target = near
 	}
-	target = target.Min(entry.Share.Plus(l.within(entry.Share, target, wanted)))
+	target = target.Min(entry.Share.Plus(l.within(shares, entry.Share, target, wanted)))
 	if d.Waiting > 0 && !l.Falling() {
 		// The bucket has room for a token for each statement that waits.
 		room := Statements(d.Waiting) * Statement
@@ -140,9 +144,9 @@
 
 // within returns how much a holder may take from the pool on the way from its share to the target: what it wants, and
 // beyond that only what leaves the pool its margin.
-func (l Ledger) within(share, target, wanted Amount) Amount {
+func (l Ledger) within(d division, share, target, wanted Amount) Amount {
 	needed := wanted.Min(target).Minus(share)
-	return target.Minus(share).Min(needed.Max(l.Free().Minus(l.Margin())))
+	return target.Minus(share).Min(needed.Max(l.Free().Minus(d.margin)))
 }
 
 // Understates reports whether a holder is short of connections that would be its fair part if the ledger had its wish.
@@ -157,10 +161,13 @@
 }
 
 // starved reports whether a holder other than the named one has much less rate than it wants and than is fair.
-func (l Ledger) starved(except string) bool {
-	return slices.ContainsFunc(l.Entries, func(e Entry) bool {
-		return e.Holder != except && l.Fair(e.Holder).Min(e.Wanted).Minus(e.Share).Helps(e.Share)
-	})
+func (l Ledger) starved(d division, except string) bool {
+	for i, e := range l.Entries {
+		if e.Holder != except && d.fair(i).Min(e.Wanted).Minus(e.Share).Helps(e.Share) {
+			return true
+		}
+	}
+	return false
 }
 
 // near returns the rate and burst of share where they differ little from the amount's. Small changes are not worth it:
@@ -192,9 +199,10 @@
 	if next, _, err := l.Apply(Want{Holder: holder, Wanted: entry.Share.Plus(missing)}); err == nil {
 		l = next
 	}
+	shares := l.division()
 	var givers []giver
-	for _, e := range l.Entries {
-		spare := e.Share.Minus(l.Fair(e.Holder)).Min(missing)
+	for i, e := range l.Entries {
+		spare := e.Share.Minus(shares.fair(i)).Min(missing)
 		if e.Holder != holder && !spare.IsZero() && !leftOut(e) {
 			givers = append(givers, giver{holder: e.Holder, spare: spare, size: spare.partOf(missing)})
 		}
