--- a/adapter/settings/settings.go
+++ b/adapter/settings/settings.go
@@ -64,6 +64,8 @@
 // Limits chooses how rates and connections are divided over the fleet.
 type Limits struct {
 	Policy string `ini:"policy" validate:"oneof=demand static none"`
+	// Holders is the number of instances between which the static policy splits a limit.
+	Holders int `ini:"holders" validate:"min=1,max=100000"`
 }
 
 // Console holds the operators' login.
@@ -96,7 +98,7 @@
 			IdleDrainMS:     60000,
 			PreparedPerCall: 200,
 		},
-		Limits: Limits{Policy: "demand"},
+		Limits: Limits{Policy: "demand", Holders: 16},
 		Log:    Log{Level: "info", Format: "text"},
 	}
 }
--- /dev/null
+++ b/cmd/document/document.go
@@ -0,0 +1,19 @@
+// Package document holds the commands on the document in force.
+package document
+
+import (
+	"github.com/urfave/cli/v3"
+
+	"github.com/rhubarbwick/rhubarbwick/cmd/document/apply"
+	"github.com/rhubarbwick/rhubarbwick/cmd/document/show"
+	"github.com/rhubarbwick/rhubarbwick/cmd/streams"
+)
+
+// NewCommand returns the document command.
+func NewCommand(s streams.Streams) *cli.Command {
+	return &cli.Command{
+		Name:     "document",
+		Usage:    "work with the document that states everything in force",
+		Commands: []*cli.Command{apply.NewCommand(s), show.NewCommand(s)},
+	}
+}
--- a/cmd/root/root.go
+++ b/cmd/root/root.go
@@ -8,6 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/rhubarbwick/rhubarbwick/cmd/document"
 	"github.com/rhubarbwick/rhubarbwick/cmd/serve"
 	"github.com/rhubarbwick/rhubarbwick/cmd/settings"
 	"github.com/rhubarbwick/rhubarbwick/cmd/streams"
@@ -49,6 +50,7 @@
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			serve.NewCommand(s),
+			document.NewCommand(s),
 			settings.NewCommand(s),
 			version.NewCommand(s),
 		},
--- a/cmd/serve/process.go
+++ b/cmd/serve/process.go
@@ -15,6 +15,7 @@
 
 	"github.com/rhubarbwick/rhubarbwick/adapter/admin"
 	"github.com/rhubarbwick/rhubarbwick/adapter/clock"
+	"github.com/rhubarbwick/rhubarbwick/adapter/operator"
 	"github.com/rhubarbwick/rhubarbwick/adapter/peer"
 	"github.com/rhubarbwick/rhubarbwick/adapter/platform"
 	"github.com/rhubarbwick/rhubarbwick/adapter/postgres"
@@ -165,12 +166,17 @@
 		TLS:          certificate,
 	}, gate, director, p.pool, p.timer, p.log)
 	p.admin = admin.NewServer(admin.Config{Follower: p.follower, Log: p.log})
+	p.admin.Handle(operator.NewServer(operator.Config{
+		Follower:       p.follower,
+		Editor:         p.editor,
+		PasswordSHA256: p.cfg.Console.PasswordSHA256,
+	}).Handler())
 	return nil
 }
 
 func (p *process) connect(m group.Member) port.Server {
 	return postgres.NewMaintenance(postgres.MaintenanceConfig{
-		Name:     m.Name,
+		Server:   m.Name,
 		Address:  m.Address,
 		User:     p.cfg.Servers.User,
 		Password: p.cfg.Servers.Password,
@@ -191,9 +197,9 @@
 func policyOf(cfg settings.Limits) allotment.Policy {
 	switch cfg.Policy {
 	case "static":
-		return allotment.StaticSplit{}
+		return allotment.EqualSplit{Holders: cfg.Holders}
 	case "none":
-		return allotment.Unlimited{}
+		return allotment.Unshared{}
 	}
 	return allotment.ByDemand{}
 }
--- a/entry/director.go
+++ b/entry/director.go
@@ -26,7 +26,7 @@
 	DataCentre string
 	Timer      port.Timer
 	// Monitor returns the monitor of the group of the name.
-	Monitor func(groupName string) (*Monitor, bool)
+	Monitor func(ctx context.Context, groupName string) (*Monitor, bool)
 }
 
 // GroupDirector is the Director of an instance that monitors the groups itself.
@@ -42,7 +42,7 @@
 
 // Place returns the server for the caller's next transaction. It waits up to PlacementLimit.
 func (d *GroupDirector) Place(ctx context.Context, c Caller) (Target, error) {
-	m, ok := d.cfg.Monitor(c.Route.Group)
+	m, ok := d.cfg.Monitor(ctx, c.Route.Group)
 	if !ok {
 		return Target{}, port.Failf(port.NoPrimary, "group %q is not known at this instance", c.Route.Group)
 	}
@@ -124,7 +124,7 @@
 	if p.IsZero() {
 		return nil
 	}
-	m, ok := d.cfg.Monitor(groupName)
+	m, ok := d.cfg.Monitor(ctx, groupName)
 	if !ok {
 		return port.Failf(port.UnknownOutcome, "group %q is not known at this instance", groupName)
 	}
--- a/entry/groups.go
+++ b/entry/groups.go
@@ -182,14 +182,11 @@
 	if running.monitor.SetMembers(ctx, membersOf(described)...) != nil {
 		return
 	}
-	if running.monitor.SetWatching(ctx, g.watches(described.Name)) != nil {
-		return
-	}
 	_ = running.promoter.SetInstances(ctx, g.instances()...)
 }
 
 func (g *Groups) watches(name string) bool {
-	_, ok := instance.WatcherRank(g.cfg.Self.Incarnation, instance.Watchers(name, g.instances()))
+	_, ok := instance.NewList(g.instances()...).WatcherRank(name, g.cfg.Self.Incarnation)
 	return ok
 }
 
--- a/entry/promoter.go
+++ b/entry/promoter.go
@@ -155,7 +155,7 @@
 }
 
 func (p *Promoter) setInstances(ctx context.Context, instances []instance.Instance) {
-	rank, watching := instance.RankOf(p.cfg.Incarnation, instance.Watchers(p.cfg.Monitor.Group(), instances))
+	rank, watching := instance.NewList(instances...).WatcherRank(p.cfg.Monitor.Group(), p.cfg.Incarnation)
 	if watching {
 		p.promotion = p.promotion.WithRank(rank)
 	}
--- a/instance/list.go
+++ b/instance/list.go
@@ -2,9 +2,9 @@
 
 import (
 	"cmp"
-	"crypto/sha256"
-	"encoding/binary"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -21,8 +21,7 @@
 
 // RankOf returns the rank of the incarnation for the key. Every instance computes the same rank.
 func RankOf(key, incarnation string) Rank {
-	sum := sha256.Sum256([]byte(key + "\x00" + incarnation))
-	return Rank(binary.BigEndian.Uint64(sum[:8]))
+	return Rank(xxhash.Sum64String(key + "\x00" + incarnation))
 }
 
 // List is the platform's list of instances. It lags behind the fleet. A List is never changed in place; the zero value
@@ -112,3 +111,9 @@
 	watchers = append(watchers, others...)
 	return watchers[:min(len(watchers), WatchersPerGroup)]
 }
+
+// WatcherRank returns the place of the incarnation among the watchers of the group, and false when it is none of them.
+func (l List) WatcherRank(groupName, incarnation string) (int, bool) {
+	rank := slices.IndexFunc(l.Watchers(groupName), func(i Instance) bool { return i.Incarnation == incarnation })
+	return rank, rank >= 0
+}
