--- a/adapter/operator/client.go
+++ b/adapter/operator/client.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/entry"
 	operatorv1 "github.com/rhubarbwick/rhubarbwick/gen/rhubarbwick/operator/v1"
 	"github.com/rhubarbwick/rhubarbwick/gen/rhubarbwick/operator/v1/operatorv1connect"
 	"github.com/rhubarbwick/rhubarbwick/port"
@@ -54,6 +55,70 @@
 	return document.Revision(res.Msg.GetRevision()), nil
 }
 
+// call signs and sends one request, and returns the answer's message.
+func call[Q, A any](
+	ctx context.Context, c *Client, do func(context.Context, *connect.Request[Q]) (*connect.Response[A], error), msg *Q,
+) (*A, error) {
+	req := connect.NewRequest(msg)
+	c.sign(req)
+	res, err := do(ctx, req)
+	if err != nil {
+		return nil, failureOf(err)
+	}
+	return res.Msg, nil
+}
+
+// Document returns the document in force. It fails with kind NotFound when the instance has none.
+func (c *Client) Document(ctx context.Context) (document.Document, error) {
+	data, err := c.Show(ctx)
+	if err != nil {
+		return document.Document{}, err
+	}
+	if len(data) == 0 {
+		return document.Document{}, port.Failf(port.NotFound, "the instance has no document")
+	}
+	d, faults := document.Parse(data)
+	if len(faults) > 0 {
+		return document.Document{}, port.Wrapf(entry.EditFaults(faults), port.Internal, "the document in force has faults")
+	}
+	return d, nil
+}
+
+// Edit makes one change and returns the revision that was accepted.
+func (c *Client) Edit(ctx context.Context, r entry.EditRequest) (document.Revision, error) {
+	msg, err := encodeEdit(r)
+	if err != nil {
+		return 0, err
+	}
+	res, err := call(ctx, c, c.calls.Edit, msg)
+	return document.Revision(res.GetRevision()), err
+}
+
+// History returns the latest changes, newest first.
+func (c *Client) History(ctx context.Context, limit int) ([]*operatorv1.Change, error) {
+	res, err := call(ctx, c, c.calls.History, &operatorv1.HistoryRequest{Limit: uint32(limit)})
+	return res.GetChanges(), err
+}
+
+// Groups returns what the instance knows of the group of the name, or of every group when the name is empty.
+func (c *Client) Groups(ctx context.Context, name string) ([]*operatorv1.Group, error) {
+	res, err := call(ctx, c, c.calls.Groups, &operatorv1.GroupsRequest{Name: name})
+	return res.GetGroups(), err
+}
+
+// Instances returns the listed instances.
+func (c *Client) Instances(ctx context.Context) ([]*operatorv1.Instance, error) {
+	res, err := call(ctx, c, c.calls.Instances, &operatorv1.InstancesRequest{})
+	return res.GetInstances(), err
+}
+
+// Explain tells where a request would go now, and why.
+func (c *Client) Explain(ctx context.Context, r entry.ExplainRequest) (*operatorv1.ExplainResponse, error) {
+	return call(ctx, c, c.calls.Explain, &operatorv1.ExplainRequest{
+		Organisation: r.Organisation, Route: r.Route, Token: r.Token,
+	})
+}
+
 func (c *Client) sign(req connect.AnyRequest) { req.Header().Set("Authorization", bearer+c.password) }
 
 // failureOf gives the error the kind that the instance named.
--- a/adapter/operator/server.go
+++ b/adapter/operator/server.go
@@ -31,6 +31,10 @@
 type Config struct {
 	Follower *entry.Follower
 	Editor   *entry.Editor
+	Groups   *entry.Groups
+	Survey   *entry.Survey
+	// Explainer tells where requests go.
+	Explainer *entry.Explainer
 	// PasswordSHA256 is the hexadecimal hash of the operators' password. When it is empty every request is refused.
 	PasswordSHA256 string
 }
--- a/cmd/document/document.go
+++ b/cmd/document/document.go
@@ -5,6 +5,8 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/rhubarbwick/rhubarbwick/cmd/document/apply"
+	"github.com/rhubarbwick/rhubarbwick/cmd/document/check"
+	"github.com/rhubarbwick/rhubarbwick/cmd/document/history"
 	"github.com/rhubarbwick/rhubarbwick/cmd/document/show"
 	"github.com/rhubarbwick/rhubarbwick/cmd/streams"
 )
@@ -14,6 +16,6 @@
 	return &cli.Command{
 		Name:     "document",
 		Usage:    "work with the document that states everything in force",
-		Commands: []*cli.Command{apply.NewCommand(s), show.NewCommand(s)},
+		Commands: []*cli.Command{apply.NewCommand(s), check.NewCommand(s), history.NewCommand(s), show.NewCommand(s)},
 	}
 }
--- /dev/null
+++ b/cmd/group/list/list.go
@@ -0,0 +1,67 @@
+// Package list prints the database groups.
+package list
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/rhubarbwick/rhubarbwick/cmd/access"
+	"github.com/rhubarbwick/rhubarbwick/cmd/streams"
+	operatorv1 "github.com/rhubarbwick/rhubarbwick/gen/rhubarbwick/operator/v1"
+)
+
+// Options are the options of the group list command.
+type Options struct {
+	Streams streams.Streams
+	Access  access.Options
+	JSON    bool
+}
+
+// NewCommand returns the group list command.
+func NewCommand(s streams.Streams) *cli.Command {
+	opts := &Options{Streams: s}
+	return &cli.Command{
+		Name:  "list",
+		Usage: "print the groups with their primary and term as the asked instance sees them",
+		Description: "An instance knows the state only of the groups that it watches or uses; the others show a dash.\n\n" +
+			"Example:\n\n   rhubarbwick group list",
+		Flags: append(opts.Access.Flags(),
+			&cli.BoolFlag{Name: "json", Usage: "print JSON", Destination: &opts.JSON}),
+		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
+	}
+}
+
+func run(ctx context.Context, opts *Options) error {
+	groups, err := opts.Access.Client().Groups(ctx, "")
+	if err != nil {
+		return err
+	}
+	if opts.JSON {
+		return opts.Streams.JSON(groups)
+	}
+	rows := make([][]string, 0, len(groups))
+	for _, g := range groups {
+		rows = append(rows, row(g))
+	}
+	return opts.Streams.Table([]string{"GROUP", "PRIMARY", "TERM", "SERVERS", "ANSWERED"}, rows)
+}
+
+func row(g *operatorv1.Group) []string {
+	answered := 0
+	for _, s := range g.GetServers() {
+		if s.SeenMs != nil {
+			answered++
+		}
+	}
+	cells := []string{g.GetName(), "-", "-", strconv.Itoa(len(g.GetServers())), "-"}
+	if g.GetMonitored() {
+		cells[2] = strconv.FormatUint(g.GetTerm(), 10)
+		cells[4] = strconv.Itoa(answered)
+	}
+	if g.GetPrimary() != "" {
+		cells[1] = g.GetPrimary()
+	}
+	return cells
+}
--- /dev/null
+++ b/cmd/instance/list/list.go
@@ -0,0 +1,64 @@
+// Package list prints the instances of the fleet.
+package list
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/rhubarbwick/rhubarbwick/cmd/access"
+	"github.com/rhubarbwick/rhubarbwick/cmd/streams"
+	operatorv1 "github.com/rhubarbwick/rhubarbwick/gen/rhubarbwick/operator/v1"
+)
+
+// Options are the options of the instance list command.
+type Options struct {
+	Streams streams.Streams
+	Access  access.Options
+	JSON    bool
+}
+
+// NewCommand returns the instance list command.
+func NewCommand(s streams.Streams) *cli.Command {
+	opts := &Options{Streams: s}
+	return &cli.Command{
+		Name:  "list",
+		Usage: "print the listed instances and the revision in force at each",
+		Description: "The asked instance asks the others. A dash stands for one that did not answer within a second.\n\n" +
+			"Example:\n\n   rhubarbwick instance list",
+		Flags: append(opts.Access.Flags(),
+			&cli.BoolFlag{Name: "json", Usage: "print JSON", Destination: &opts.JSON}),
+		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
+	}
+}
+
+func run(ctx context.Context, opts *Options) error {
+	instances, err := opts.Access.Client().Instances(ctx)
+	if err != nil {
+		return err
+	}
+	if opts.JSON {
+		return opts.Streams.JSON(instances)
+	}
+	rows := make([][]string, 0, len(instances))
+	for _, i := range instances {
+		rows = append(rows, row(i))
+	}
+	return opts.Streams.Table([]string{"INSTANCE", "ADDRESS", "DATA CENTRE", "STATE", "REVISION", "AGE MS"}, rows)
+}
+
+func row(i *operatorv1.Instance) []string {
+	revision := number(i.Revision)
+	if !i.GetAsked() {
+		revision = "not asked"
+	}
+	return []string{i.GetId(), i.GetAddress(), i.GetDataCentre(), i.GetState(), revision, number(i.AgeMs)}
+}
+
+func number(n *uint64) string {
+	if n == nil {
+		return "-"
+	}
+	return strconv.FormatUint(*n, 10)
+}
--- /dev/null
+++ b/cmd/key/key.go
@@ -0,0 +1,19 @@
+// Package key holds the commands on callers' keys.
+package key
+
+import (
+	"github.com/urfave/cli/v3"
+
+	"github.com/rhubarbwick/rhubarbwick/cmd/key/grant"
+	"github.com/rhubarbwick/rhubarbwick/cmd/key/withdraw"
+	"github.com/rhubarbwick/rhubarbwick/cmd/streams"
+)
+
+// NewCommand returns the key command.
+func NewCommand(s streams.Streams) *cli.Command {
+	return &cli.Command{
+		Name:     "key",
+		Usage:    "grant and withdraw callers' keys",
+		Commands: []*cli.Command{grant.NewCommand(s), withdraw.NewCommand(s)},
+	}
+}
--- /dev/null
+++ b/cmd/key/withdraw/withdraw.go
@@ -0,0 +1,51 @@
+// Package withdraw withdraws a key from an organisation.
+package withdraw
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/rhubarbwick/rhubarbwick/cmd/access"
+	"github.com/rhubarbwick/rhubarbwick/cmd/streams"
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/entry"
+)
+
+// Options are the options of the key withdraw command.
+type Options struct {
+	Streams      streams.Streams
+	Access       access.Options
+	Organisation string
+	ID           string
+	Author       string
+}
+
+// NewCommand returns the key withdraw command.
+func NewCommand(s streams.Streams) *cli.Command {
+	opts := &Options{Streams: s}
+	return &cli.Command{
+		Name:        "withdraw",
+		Usage:       "withdraw a key; open connections that use it are refused at their next statement",
+		Description: "Example:\n\n   rhubarbwick key withdraw --organisation clinic --id autumn",
+		Flags: append(opts.Access.Flags(),
+			&cli.StringFlag{Name: "organisation", Usage: "the organisation's `NAME`", Required: true, Destination: &opts.Organisation},
+			&cli.StringFlag{Name: "id", Usage: "the key's `NAME`", Required: true, Destination: &opts.ID},
+			&cli.StringFlag{Name: "author", Usage: "the name for the audit trail", Value: "operator", Destination: &opts.Author},
+		),
+		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
+	}
+}
+
+func run(ctx context.Context, opts *Options) error {
+	revision, err := opts.Access.Client().Edit(ctx, entry.EditRequest{
+		Edit:   document.WithdrawKey{Organisation: opts.Organisation, KeyID: opts.ID},
+		Author: opts.Author,
+	})
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(opts.Streams.Out, "revision\t%d\n", revision)
+	return err
+}
--- /dev/null
+++ b/cmd/organisation/list/list.go
@@ -0,0 +1,69 @@
+// Package list prints the organisations.
+package list
+
+import (
+	"context"
+	"strconv"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/rhubarbwick/rhubarbwick/cmd/access"
+	"github.com/rhubarbwick/rhubarbwick/cmd/streams"
+	"github.com/rhubarbwick/rhubarbwick/document"
+)
+
+// Options are the options of the organisation list command.
+type Options struct {
+	Streams streams.Streams
+	Access  access.Options
+	JSON    bool
+}
+
+// NewCommand returns the organisation list command.
+func NewCommand(s streams.Streams) *cli.Command {
+	opts := &Options{Streams: s}
+	return &cli.Command{
+		Name:        "list",
+		Usage:       "print the organisations with their rates and the names of their keys",
+		Description: "Example:\n\n   rhubarbwick organisation list",
+		Flags: append(opts.Access.Flags(),
+			&cli.BoolFlag{Name: "json", Usage: "print JSON", Destination: &opts.JSON}),
+		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
+	}
+}
+
+// row is the JSON of an organisation. Key hashes are left out.
+type row struct {
+	Name  string   `json:"name"`
+	Rate  float64  `json:"rate"`
+	Burst float64  `json:"burst"`
+	Keys  []string `json:"keys"`
+}
+
+func run(ctx context.Context, opts *Options) error {
+	d, err := opts.Access.Client().Document(ctx)
+	if err != nil {
+		return err
+	}
+	list := make([]row, 0, len(d.Organisations))
+	table := make([][]string, 0, len(d.Organisations))
+	for _, o := range d.Organisations {
+		list = append(list, row{o.Name, o.Rate, o.Burst, keyIDs(o)})
+		table = append(table, []string{o.Name, number(o.Rate), number(o.Burst), strings.Join(keyIDs(o), " ")})
+	}
+	if opts.JSON {
+		return opts.Streams.JSON(list)
+	}
+	return opts.Streams.Table([]string{"ORGANISATION", "RATE", "BURST", "KEYS"}, table)
+}
+
+func keyIDs(o document.Organisation) []string {
+	ids := make([]string, 0, len(o.Keys))
+	for _, k := range o.Keys {
+		ids = append(ids, k.ID)
+	}
+	return ids
+}
+
+func number(f float64) string { return strconv.FormatFloat(f, 'g', -1, 64) }
--- a/cmd/root/root.go
+++ b/cmd/root/root.go
@@ -9,7 +9,12 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/rhubarbwick/rhubarbwick/cmd/document"
+	"github.com/rhubarbwick/rhubarbwick/cmd/group"
+	"github.com/rhubarbwick/rhubarbwick/cmd/instance"
+	"github.com/rhubarbwick/rhubarbwick/cmd/key"
+	"github.com/rhubarbwick/rhubarbwick/cmd/organisation"
 	"github.com/rhubarbwick/rhubarbwick/cmd/serve"
+	"github.com/rhubarbwick/rhubarbwick/cmd/session"
 	"github.com/rhubarbwick/rhubarbwick/cmd/settings"
 	"github.com/rhubarbwick/rhubarbwick/cmd/streams"
 	"github.com/rhubarbwick/rhubarbwick/cmd/version"
@@ -51,6 +56,11 @@
 		Commands: []*cli.Command{
 			serve.NewCommand(s),
 			document.NewCommand(s),
+			organisation.NewCommand(s),
+			key.NewCommand(s),
+			group.NewCommand(s),
+			instance.NewCommand(s),
+			session.NewCommand(s),
 			settings.NewCommand(s),
 			version.NewCommand(s),
 		},
--- a/cmd/serve/process.go
+++ b/cmd/serve/process.go
@@ -40,6 +40,7 @@
 	store    port.Store
 	follower *entry.Follower
 	editor   *entry.Editor
+	survey   *entry.Survey
 	keeper   *entry.Keeper
 	groups   *entry.Groups
 	pool     *postgres.Pool
@@ -51,9 +52,9 @@
 }
 
 // newProcess opens the sockets and assembles the parts.
-func newProcess(cfg settings.Settings, incarnation string, log *zap.Logger) (*process, error) {
+func newProcess(ctx context.Context, cfg settings.Settings, incarnation string, log *zap.Logger) (*process, error) {
 	p := &process{cfg: cfg, log: log, timer: clock.NewService()}
-	if err := p.listen(); err != nil {
+	if err := p.listen(ctx); err != nil {
 		return nil, err
 	}
 	p.self = instance.Instance{
@@ -76,7 +77,8 @@
 	return p, p.assembleCallers()
 }
 
-func (p *process) listen() error {
+func (p *process) listen(ctx context.Context) error {
+	var sockets net.ListenConfig
 	for _, open := range []struct {
 		socket  *net.Listener
 		key     string
@@ -86,7 +88,7 @@
 		{&p.peer, "peer_listen", p.cfg.Instance.PeerListen},
 		{&p.operator, "admin_listen", p.cfg.Instance.AdminListen},
 	} {
-		socket, err := net.Listen("tcp", open.address)
+		socket, err := sockets.Listen(ctx, "tcp", open.address)
 		if err != nil {
 			return port.Wrapf(err, port.Invalid, "[instance] %s = %q cannot be opened", open.key, open.address)
 		}
@@ -120,6 +122,12 @@
 		NewID:    newIncarnation,
 		Log:      func(line string) { log.Info(line) },
 	})
+	p.survey = entry.NewSurvey(entry.SurveyConfig{
+		Self:     p.self,
+		Follower: p.follower,
+		Relays:   relays,
+		Timer:    p.timer,
+	})
 	p.peers, err = peer.NewServer(p.follower, secret)
 	return err
 }
@@ -165,13 +173,28 @@
 		IdleLimit:    settings.Milliseconds(p.cfg.Callers.IdleDrainMS),
 		TLS:          certificate,
 	}, gate, director, p.pool, p.timer, p.log)
+	p.assembleOperators(signer)
+	return nil
+}
+
+// assembleOperators makes what operators and the platform reach.
+func (p *process) assembleOperators(signer session.Signer) {
+	explainer := entry.NewExplainer(entry.ExplainerConfig{
+		DataCentre: p.self.DataCentre,
+		Follower:   p.follower,
+		Signer:     signer,
+		Timer:      p.timer,
+		Monitor:    p.groups.Monitor,
+	})
 	p.admin = admin.NewServer(admin.Config{Follower: p.follower, Log: p.log})
 	p.admin.Handle(operator.NewServer(operator.Config{
 		Follower:       p.follower,
 		Editor:         p.editor,
+		Groups:         p.groups,
+		Survey:         p.survey,
+		Explainer:      explainer,
 		PasswordSHA256: p.cfg.Console.PasswordSHA256,
 	}).Handler())
-	return nil
 }
 
 func (p *process) connect(m group.Member) port.Server {
--- a/cmd/serve/serve.go
+++ b/cmd/serve/serve.go
@@ -57,7 +57,7 @@
 	defer func() { _ = log.Sync() }()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	p, err := newProcess(cfg, opts.Incarnation, log)
+	p, err := newProcess(ctx, cfg, opts.Incarnation, log)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/cmd/session/session.go
@@ -0,0 +1,18 @@
+// Package session holds the commands on callers' sessions.
+package session
+
+import (
+	"github.com/urfave/cli/v3"
+
+	"github.com/rhubarbwick/rhubarbwick/cmd/session/explain"
+	"github.com/rhubarbwick/rhubarbwick/cmd/streams"
+)
+
+// NewCommand returns the session command.
+func NewCommand(s streams.Streams) *cli.Command {
+	return &cli.Command{
+		Name:     "session",
+		Usage:    "look into callers' sessions",
+		Commands: []*cli.Command{explain.NewCommand(s)},
+	}
+}
--- a/cmd/streams/streams.go
+++ b/cmd/streams/streams.go
@@ -2,6 +2,7 @@
 package streams
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -38,6 +39,13 @@
 	return w.Flush()
 }
 
+// JSON prints v as indented JSON.
+func (s Streams) JSON(v any) error {
+	encoder := json.NewEncoder(s.Out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(v)
+}
+
 func writeRows(w io.Writer, rows [][]string) error {
 	for _, row := range rows {
 		if _, err := fmt.Fprintln(w, strings.Join(row, "\t")); err != nil {
--- /dev/null
+++ b/entry/explainer.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/session"
+)
+
+// ExplainLimit is how long an explanation waits for the servers of a group that this instance has not used before.
+const ExplainLimit = 2 * time.Second
+
+// ExplainRequest names the caller whose next request is explained. The caller's key is not part of it.
+type ExplainRequest struct {
+	Organisation string
+	Route        string
+	// Token is empty, "new", or a session token.
+	Token string
+}
+
+// Explanation is what would happen to the request now.
+type Explanation struct {
+	Outcome Expected
+	// Reasons are whole sentences for a person.
+	Reasons []string
+}
+
+// Expected is one of ExpectServer, ExpectWait and ExpectRefusal.
+type Expected interface{ expected() }
+
+// ExpectServer says that the request goes to the server.
+type ExpectServer struct{ Server string }
+
+// ExpectWait says that the request waits up to PlacementLimit and is refused "not run" then.
+type ExpectWait struct{}
+
+// ExpectRefusal says that the request is refused at once.
+type ExpectRefusal struct{ Kind port.Kind }
+
+func (ExpectServer) expected()  {}
+func (ExpectWait) expected()    {}
+func (ExpectRefusal) expected() {}
+
+// ExplainerConfig is what an Explainer needs.
+type ExplainerConfig struct {
+	DataCentre string
+	Follower   *Follower
+	Signer     session.Signer
+	Timer      port.Timer
+	Monitor    func(ctx context.Context, groupName string) (*Monitor, bool)
+}
+
+// Explainer tells operators where requests go and why, by the same decisions that place them.
+type Explainer struct {
+	cfg ExplainerConfig
+}
+
+// NewExplainer returns an Explainer.
+func NewExplainer(cfg ExplainerConfig) *Explainer { return &Explainer{cfg: cfg} }
+
+// Explain tells what would happen to the next request of the caller.
+func (e *Explainer) Explain(ctx context.Context, r ExplainRequest) Explanation {
+	rules, fresh := e.cfg.Follower.Rules()
+	route, found := rules.FindRoute(r.Route)
+	if !found {
+		return refusal(port.UnknownRoute, "There is no route %q in revision %d of the document.", r.Route, rules.Document().Revision)
+	}
+	owner := r.Organisation
+	if route.Open {
+		owner = document.OpenOrganisation
+	}
+	if _, known := rules.FindOrganisation(owner); !known && !route.Open {
+		return refusal(port.KeyRefused, "There is no organisation %q, so no key of it can be right.", owner)
+	}
+	if !fresh && !route.Open {
+		return refusal(port.NotFresh, "This data centre can hear neither the platform nor the other data centres, "+
+			"so it cannot know which keys were withdrawn.")
+	}
+	s, err := e.session(route, owner, r.Token)
+	if err != nil {
+		return refusal(port.KindOf(err), "The session token is not usable: %s.", err)
+	}
+	m, ok := e.cfg.Monitor(ctx, route.Group)
+	if !ok {
+		return refusal(port.NoPrimary, "Group %q is not known at this instance.", route.Group)
+	}
+	return e.place(ctx, m, route, s)
+}
+
+func (e *Explainer) session(route document.Route, owner, token string) (session.Session, error) {
+	if route.Open && token == "" {
+		return session.Fresh(owner), nil
+	}
+	return e.cfg.Signer.Check(token, owner)
+}
+
+func (e *Explainer) place(ctx context.Context, m *Monitor, route document.Route, s session.Session) Explanation {
+	ctx, cancel := port.WithTimeout(ctx, e.cfg.Timer, ExplainLimit)
+	defer cancel()
+	r := session.Request{
+		Group:       route.Group,
+		Read:        route.Kind == document.Read,
+		AcceptedAge: route.AcceptedAge(),
+		DataCentre:  e.cfg.DataCentre,
+	}
+	reasons := []string{describeRequest(r, s)}
+	if _, known := s.Floor(r.Group); r.Read && !known {
+		newest, err := m.Newest(ctx)
+		if err != nil {
+			return Explanation{ExpectWait{}, append(reasons, "No majority of the group's servers answers, so the newest data is not known.")}
+		}
+		r = r.WithNewest(newest)
+	}
+	fits := func(v group.View) bool { return isPlaced(session.Place(r, s, v, e.cfg.Timer.Now())) }
+	v, err := m.Await(ctx, fits)
+	if err != nil {
+		v = m.View()
+	}
+	outcome, reason := describePlacement(session.Place(r, s, v, e.cfg.Timer.Now()))
+	return Explanation{outcome, append(reasons, reason)}
+}
+
+func isPlaced(p session.Placement) bool {
+	switch p.(type) {
+	case session.ToPrimary, session.ToServer:
+		return true
+	}
+	return false
+}
+
+func describeRequest(r session.Request, s session.Session) string {
+	if !r.Read {
+		return "This route writes, and a write always goes to the primary."
+	}
+	floor, known := s.Floor(r.Group)
+	switch {
+	case !known:
+		return "The caller shows no session token for this group, so it may have written anything before: its read needs the newest data."
+	case r.AcceptedAge > 0:
+		return fmt.Sprintf("The read needs a server that has the session's own writes (position %s) and whose data is at most %s old.",
+			floor, r.AcceptedAge)
+	default:
+		return fmt.Sprintf("The read needs a server that has the session's own writes (position %s).", floor)
+	}
+}
+
+func describePlacement(p session.Placement) (Expected, string) {
+	switch p := p.(type) {
+	case session.ToPrimary:
+		return ExpectServer{p.Server}, fmt.Sprintf("Server %s is the primary of term %d.", p.Server, p.Term)
+	case session.ToServer:
+		if p.Replica {
+			return ExpectServer{p.Server}, fmt.Sprintf("Replica %s has what the read needs, and replicas are preferred.", p.Server)
+		}
+		return ExpectServer{p.Server}, fmt.Sprintf("No replica has what the read needs, so the primary %s serves it.", p.Server)
+	case session.AwaitPrimary:
+		return ExpectWait{}, fmt.Sprintf("The group has no primary that answers; the write waits up to %s and is refused \"not run\" then.",
+			PlacementLimit)
+	default:
+		return ExpectWait{}, fmt.Sprintf("No server has what the read needs; it waits up to %s and is refused \"not run\" then.",
+			PlacementLimit)
+	}
+}
+
+func refusal(kind port.Kind, format string, args ...any) Explanation {
+	return Explanation{ExpectRefusal{kind}, []string{fmt.Sprintf(format, args...)}}
+}
--- a/entry/groups.go
+++ b/entry/groups.go
@@ -213,3 +213,35 @@
 	}
 	return members
 }
+
+// Overviews returns what is known of every group of the document. It starts no monitor.
+func (g *Groups) Overviews(d document.Document) []GroupOverview {
+	running := *g.published.Load()
+	overviews := make([]GroupOverview, 0, len(d.Groups))
+	for _, described := range d.Groups {
+		if m, ok := running[described.Name]; ok {
+			overviews = append(overviews, NewGroupOverview(described, m.View(), g.cfg.Timer.Now()))
+			continue
+		}
+		overviews = append(overviews, NewUnmonitoredOverview(described))
+	}
+	return overviews
+}
+
+// Overview returns what is known of one group. A group that is not monitored yet is asked, up to ExplainLimit.
+func (g *Groups) Overview(ctx context.Context, described document.Group) GroupOverview {
+	ctx, cancel := port.WithTimeout(ctx, g.cfg.Timer, ExplainLimit)
+	defer cancel()
+	m, ok := g.Monitor(ctx, described.Name)
+	if !ok {
+		return NewUnmonitoredOverview(described)
+	}
+	v, err := m.Await(ctx, func(v group.View) bool {
+		_, found := v.Primary()
+		return found
+	})
+	if err != nil {
+		v = m.View()
+	}
+	return NewGroupOverview(described, v, g.cfg.Timer.Now())
+}
--- /dev/null
+++ b/entry/overview.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/group"
+)
+
+// GroupOverview is what an instance knows of a group, for people to read.
+type GroupOverview struct {
+	Group string
+	// Monitored is false when the instance neither watches nor uses the group.
+	Monitored bool
+	// Primary is the name of the primary; empty when none is known.
+	Primary string
+	Term    group.Term
+	Servers []ServerOverview
+}
+
+// ServerOverview is what an instance knows of a server. The zero values stand for what is not known.
+type ServerOverview struct {
+	Server document.Server
+	// Answered is false while the server has never answered.
+	Answered bool
+	Seen     time.Duration
+	Role     group.Role
+	Term     group.Term
+	Position group.Position
+	// Lag is the number of log entries behind the primary.
+	Lag      uint64
+	LagKnown bool
+	Age      time.Duration
+	AgeKnown bool
+}
+
+// NewGroupOverview returns the overview of a group in the view at instant now.
+func NewGroupOverview(described document.Group, v group.View, now time.Duration) GroupOverview {
+	o := GroupOverview{Group: described.Name, Monitored: true, Term: v.Term()}
+	var head group.Position
+	if primary, ok := v.Primary(); ok {
+		o.Primary = primary.Name
+		seen, _ := v.Observation(primary.Name)
+		head = seen.Status.Last()
+	}
+	for _, s := range described.Servers {
+		o.Servers = append(o.Servers, newServerOverview(s, v, head, now))
+	}
+	return o
+}
+
+// NewUnmonitoredOverview returns the overview of a group of which only the document's part is known.
+func NewUnmonitoredOverview(described document.Group) GroupOverview {
+	o := GroupOverview{Group: described.Name}
+	for _, s := range described.Servers {
+		o.Servers = append(o.Servers, ServerOverview{Server: s})
+	}
+	return o
+}
+
+func newServerOverview(s document.Server, v group.View, head group.Position, now time.Duration) ServerOverview {
+	seen, ok := v.Observation(s.Name)
+	if !ok {
+		return ServerOverview{Server: s}
+	}
+	o := ServerOverview{
+		Server:   s,
+		Answered: true,
+		Seen:     now - seen.Asked,
+		Role:     seen.Status.Role,
+		Term:     seen.Status.Followed,
+		Position: seen.Status.Last(),
+	}
+	if !head.IsZero() && head.Term == o.Position.Term {
+		// The statuses are of different instants, so a replica can seem to be ahead.
+		o.Lag, o.LagKnown = max(head.Offset, o.Position.Offset)-o.Position.Offset, true
+	}
+	o.Age, o.AgeKnown = v.AgeAt(s.Name, now)
+	return o
+}
--- /dev/null
+++ b/entry/survey.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/instance"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/ring"
+)
+
+const (
+	// SurveyLimit is how long an instance may take to answer a survey.
+	SurveyLimit = time.Second
+	// MaxSurveyed bounds the instances that one survey asks, so that a page of a large fleet costs a bounded number of
+	// calls.
+	MaxSurveyed = 256
+
+	surveyDuties = 16
+)
+
+// Standing is an instance of the list with the revision in force there.
+type Standing struct {
+	Instance instance.Instance
+	// Asked is false for the instances beyond MaxSurveyed.
+	Asked bool
+	// Answered is false when the instance did not answer within SurveyLimit.
+	Answered bool
+	Revision document.Revision
+	// Age is how long ago the instance knew its revision to be the newest.
+	Age      time.Duration
+	AgeKnown bool
+}
+
+// SurveyConfig is what a Survey needs.
+type SurveyConfig struct {
+	Self     instance.Instance
+	Follower *Follower
+	Relays   RelayClient
+	Timer    port.Timer
+}
+
+// Survey asks the listed instances which document is in force there.
+type Survey struct {
+	cfg SurveyConfig
+}
+
+// NewSurvey returns a Survey.
+func NewSurvey(cfg SurveyConfig) *Survey { return &Survey{cfg: cfg} }
+
+// Standings returns the listed instances and this one, in the order of the list.
+func (s *Survey) Standings(ctx context.Context) []Standing {
+	listed := s.cfg.Follower.List().WithInstance(s.cfg.Self).All()
+	standings := make([]Standing, len(listed))
+	questions := ring.New[int](MaxSurveyed)
+	for i, in := range listed {
+		standings[i] = Standing{Instance: in, Asked: i < MaxSurveyed}
+		questions.Offer(i)
+	}
+	var duties sync.WaitGroup
+	for range min(surveyDuties, len(listed)) {
+		duties.Go(func() { s.run(ctx, questions, standings) })
+	}
+	duties.Wait()
+	return standings
+}
+
+// run asks instances until no question is left. Each question names another element of standings.
+func (s *Survey) run(ctx context.Context, questions *ring.Ring[int], standings []Standing) {
+	for {
+		i, ok := questions.TryTake()
+		if !ok {
+			return
+		}
+		standings[i] = s.ask(ctx, standings[i])
+	}
+}
+
+func (s *Survey) ask(ctx context.Context, standing Standing) Standing {
+	revision := s.cfg.Follower.Document().Revision
+	if standing.Instance.Incarnation == s.cfg.Self.Incarnation {
+		standing.Answered, standing.Revision = true, revision
+		standing.Age, standing.AgeKnown = s.cfg.Follower.Age()
+		return standing
+	}
+	ctx, cancel := port.WithTimeout(ctx, s.cfg.Timer, SurveyLimit)
+	defer cancel()
+	report, err := s.cfg.Relays.Follow(ctx, standing.Instance.Address, RelayPoll{Known: revision})
+	if err != nil {
+		return standing
+	}
+	standing.Answered, standing.Revision = true, report.Revision
+	standing.Age, standing.AgeKnown = report.Age, report.Confirmed
+	return standing
+}
--- a/gen/rhubarbwick/operator/v1/operatorv1connect/operator.connect.go
+++ b/gen/rhubarbwick/operator/v1/operatorv1connect/operator.connect.go
@@ -37,6 +37,17 @@
 	OperatorServiceShowProcedure = "/rhubarbwick.operator.v1.OperatorService/Show"
 	// OperatorServiceApplyProcedure is the fully-qualified name of the OperatorService's Apply RPC.
 	OperatorServiceApplyProcedure = "/rhubarbwick.operator.v1.OperatorService/Apply"
+	// OperatorServiceEditProcedure is the fully-qualified name of the OperatorService's Edit RPC.
+	OperatorServiceEditProcedure = "/rhubarbwick.operator.v1.OperatorService/Edit"
+	// OperatorServiceHistoryProcedure is the fully-qualified name of the OperatorService's History RPC.
+	OperatorServiceHistoryProcedure = "/rhubarbwick.operator.v1.OperatorService/History"
+	// OperatorServiceGroupsProcedure is the fully-qualified name of the OperatorService's Groups RPC.
+	OperatorServiceGroupsProcedure = "/rhubarbwick.operator.v1.OperatorService/Groups"
+	// OperatorServiceInstancesProcedure is the fully-qualified name of the OperatorService's Instances
+	// RPC.
+	OperatorServiceInstancesProcedure = "/rhubarbwick.operator.v1.OperatorService/Instances"
+	// OperatorServiceExplainProcedure is the fully-qualified name of the OperatorService's Explain RPC.
+	OperatorServiceExplainProcedure = "/rhubarbwick.operator.v1.OperatorService/Explain"
 )
 
 // OperatorServiceClient is a client for the rhubarbwick.operator.v1.OperatorService service.
@@ -45,6 +56,16 @@
 	Show(context.Context, *connect.Request[v1.ShowRequest]) (*connect.Response[v1.ShowResponse], error)
 	// Apply replaces everything that the document states.
 	Apply(context.Context, *connect.Request[v1.ApplyRequest]) (*connect.Response[v1.ApplyResponse], error)
+	// Edit makes one change to the document.
+	Edit(context.Context, *connect.Request[v1.EditRequest]) (*connect.Response[v1.EditResponse], error)
+	// History returns the latest changes, newest first.
+	History(context.Context, *connect.Request[v1.HistoryRequest]) (*connect.Response[v1.HistoryResponse], error)
+	// Groups returns what the asked instance knows of the groups.
+	Groups(context.Context, *connect.Request[v1.GroupsRequest]) (*connect.Response[v1.GroupsResponse], error)
+	// Instances returns the listed instances and the revision in force at each.
+	Instances(context.Context, *connect.Request[v1.InstancesRequest]) (*connect.Response[v1.InstancesResponse], error)
+	// Explain tells where a request would go now, and why.
+	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
 }
 
 // NewOperatorServiceClient constructs a client for the rhubarbwick.operator.v1.OperatorService
@@ -70,13 +91,48 @@
 			connect.WithSchema(operatorServiceMethods.ByName("Apply")),
 			connect.WithClientOptions(opts...),
 		),
+		edit: connect.NewClient[v1.EditRequest, v1.EditResponse](
+			httpClient,
+			baseURL+OperatorServiceEditProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Edit")),
+			connect.WithClientOptions(opts...),
+		),
+		history: connect.NewClient[v1.HistoryRequest, v1.HistoryResponse](
+			httpClient,
+			baseURL+OperatorServiceHistoryProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("History")),
+			connect.WithClientOptions(opts...),
+		),
+		groups: connect.NewClient[v1.GroupsRequest, v1.GroupsResponse](
+			httpClient,
+			baseURL+OperatorServiceGroupsProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Groups")),
+			connect.WithClientOptions(opts...),
+		),
+		instances: connect.NewClient[v1.InstancesRequest, v1.InstancesResponse](
+			httpClient,
+			baseURL+OperatorServiceInstancesProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Instances")),
+			connect.WithClientOptions(opts...),
+		),
+		explain: connect.NewClient[v1.ExplainRequest, v1.ExplainResponse](
+			httpClient,
+			baseURL+OperatorServiceExplainProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Explain")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // operatorServiceClient implements OperatorServiceClient.
 type operatorServiceClient struct {
-	show  *connect.Client[v1.ShowRequest, v1.ShowResponse]
-	apply *connect.Client[v1.ApplyRequest, v1.ApplyResponse]
+	show      *connect.Client[v1.ShowRequest, v1.ShowResponse]
+	apply     *connect.Client[v1.ApplyRequest, v1.ApplyResponse]
+	edit      *connect.Client[v1.EditRequest, v1.EditResponse]
+	history   *connect.Client[v1.HistoryRequest, v1.HistoryResponse]
+	groups    *connect.Client[v1.GroupsRequest, v1.GroupsResponse]
+	instances *connect.Client[v1.InstancesRequest, v1.InstancesResponse]
+	explain   *connect.Client[v1.ExplainRequest, v1.ExplainResponse]
 }
 
 // Show calls rhubarbwick.operator.v1.OperatorService.Show.
@@ -89,6 +145,31 @@
 	return c.apply.CallUnary(ctx, req)
 }
 
+// Edit calls rhubarbwick.operator.v1.OperatorService.Edit.
+func (c *operatorServiceClient) Edit(ctx context.Context, req *connect.Request[v1.EditRequest]) (*connect.Response[v1.EditResponse], error) {
+	return c.edit.CallUnary(ctx, req)
+}
+
+// History calls rhubarbwick.operator.v1.OperatorService.History.
+func (c *operatorServiceClient) History(ctx context.Context, req *connect.Request[v1.HistoryRequest]) (*connect.Response[v1.HistoryResponse], error) {
+	return c.history.CallUnary(ctx, req)
+}
+
+// Groups calls rhubarbwick.operator.v1.OperatorService.Groups.
+func (c *operatorServiceClient) Groups(ctx context.Context, req *connect.Request[v1.GroupsRequest]) (*connect.Response[v1.GroupsResponse], error) {
+	return c.groups.CallUnary(ctx, req)
+}
+
+// Instances calls rhubarbwick.operator.v1.OperatorService.Instances.
+func (c *operatorServiceClient) Instances(ctx context.Context, req *connect.Request[v1.InstancesRequest]) (*connect.Response[v1.InstancesResponse], error) {
+	return c.instances.CallUnary(ctx, req)
+}
+
+// Explain calls rhubarbwick.operator.v1.OperatorService.Explain.
+func (c *operatorServiceClient) Explain(ctx context.Context, req *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error) {
+	return c.explain.CallUnary(ctx, req)
+}
+
 // OperatorServiceHandler is an implementation of the rhubarbwick.operator.v1.OperatorService
 // service.
 type OperatorServiceHandler interface {
@@ -96,6 +177,16 @@
 	Show(context.Context, *connect.Request[v1.ShowRequest]) (*connect.Response[v1.ShowResponse], error)
 	// Apply replaces everything that the document states.
 	Apply(context.Context, *connect.Request[v1.ApplyRequest]) (*connect.Response[v1.ApplyResponse], error)
+	// Edit makes one change to the document.
+	Edit(context.Context, *connect.Request[v1.EditRequest]) (*connect.Response[v1.EditResponse], error)
+	// History returns the latest changes, newest first.
+	History(context.Context, *connect.Request[v1.HistoryRequest]) (*connect.Response[v1.HistoryResponse], error)
+	// Groups returns what the asked instance knows of the groups.
+	Groups(context.Context, *connect.Request[v1.GroupsRequest]) (*connect.Response[v1.GroupsResponse], error)
+	// Instances returns the listed instances and the revision in force at each.
+	Instances(context.Context, *connect.Request[v1.InstancesRequest]) (*connect.Response[v1.InstancesResponse], error)
+	// Explain tells where a request would go now, and why.
+	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
 }
 
 // NewOperatorServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -117,12 +208,52 @@
 		connect.WithSchema(operatorServiceMethods.ByName("Apply")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceEditHandler := connect.NewUnaryHandler(
+		OperatorServiceEditProcedure,
+		svc.Edit,
+		connect.WithSchema(operatorServiceMethods.ByName("Edit")),
+		connect.WithHandlerOptions(opts...),
+	)
+	operatorServiceHistoryHandler := connect.NewUnaryHandler(
+		OperatorServiceHistoryProcedure,
+		svc.History,
+		connect.WithSchema(operatorServiceMethods.ByName("History")),
+		connect.WithHandlerOptions(opts...),
+	)
+	operatorServiceGroupsHandler := connect.NewUnaryHandler(
+		OperatorServiceGroupsProcedure,
+		svc.Groups,
+		connect.WithSchema(operatorServiceMethods.ByName("Groups")),
+		connect.WithHandlerOptions(opts...),
+	)
+	operatorServiceInstancesHandler := connect.NewUnaryHandler(
+		OperatorServiceInstancesProcedure,
+		svc.Instances,
+		connect.WithSchema(operatorServiceMethods.ByName("Instances")),
+		connect.WithHandlerOptions(opts...),
+	)
+	operatorServiceExplainHandler := connect.NewUnaryHandler(
+		OperatorServiceExplainProcedure,
+		svc.Explain,
+		connect.WithSchema(operatorServiceMethods.ByName("Explain")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/rhubarbwick.operator.v1.OperatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorServiceShowProcedure:
 			operatorServiceShowHandler.ServeHTTP(w, r)
 		case OperatorServiceApplyProcedure:
 			operatorServiceApplyHandler.ServeHTTP(w, r)
+		case OperatorServiceEditProcedure:
+			operatorServiceEditHandler.ServeHTTP(w, r)
+		case OperatorServiceHistoryProcedure:
+			operatorServiceHistoryHandler.ServeHTTP(w, r)
+		case OperatorServiceGroupsProcedure:
+			operatorServiceGroupsHandler.ServeHTTP(w, r)
+		case OperatorServiceInstancesProcedure:
+			operatorServiceInstancesHandler.ServeHTTP(w, r)
+		case OperatorServiceExplainProcedure:
+			operatorServiceExplainHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -139,3 +270,23 @@
 func (UnimplementedOperatorServiceHandler) Apply(context.Context, *connect.Request[v1.ApplyRequest]) (*connect.Response[v1.ApplyResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbwick.operator.v1.OperatorService.Apply is not implemented"))
 }
+
+func (UnimplementedOperatorServiceHandler) Edit(context.Context, *connect.Request[v1.EditRequest]) (*connect.Response[v1.EditResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbwick.operator.v1.OperatorService.Edit is not implemented"))
+}
+
+func (UnimplementedOperatorServiceHandler) History(context.Context, *connect.Request[v1.HistoryRequest]) (*connect.Response[v1.HistoryResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbwick.operator.v1.OperatorService.History is not implemented"))
+}
+
+func (UnimplementedOperatorServiceHandler) Groups(context.Context, *connect.Request[v1.GroupsRequest]) (*connect.Response[v1.GroupsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbwick.operator.v1.OperatorService.Groups is not implemented"))
+}
+
+func (UnimplementedOperatorServiceHandler) Instances(context.Context, *connect.Request[v1.InstancesRequest]) (*connect.Response[v1.InstancesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbwick.operator.v1.OperatorService.Instances is not implemented"))
+}
+
+func (UnimplementedOperatorServiceHandler) Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbwick.operator.v1.OperatorService.Explain is not implemented"))
+}
