--- /dev/null
+++ b/adapter/fleet/client.go
@@ -0,0 +1,195 @@
+// Package fleet carries knowledge between the instances of one fleet over connect-go.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/rhubarbwick/rhubarbwick/dispatch"
+	"github.com/rhubarbwick/rhubarbwick/document"
+	fleetv1 "github.com/rhubarbwick/rhubarbwick/gen/rhubarbwick/fleet/v1"
+	"github.com/rhubarbwick/rhubarbwick/gen/rhubarbwick/fleet/v1/fleetv1connect"
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/primacy"
+	"github.com/rhubarbwick/rhubarbwick/proxy"
+)
+
+const (
+	// maxMessage is the greatest size of a message; a document has the same limit.
+	maxMessage = 16 << 20
+	// maxClients bounds the addresses for which clients are kept. Instances are replaced at other addresses over time.
+	maxClients = 512
+	// idleTime is how long an unused connection is kept. Instances exchange every second.
+	idleTime = 10 * time.Second
+)
+
+// Client reaches other instances. Use NewClient.
+type Client struct {
+	http *http.Client
+
+	mu      sync.Mutex
+	clients map[string]fleetv1connect.FleetServiceClient
+}
+
+var _ proxy.Fleet = (*Client)(nil)
+
+// NewClient returns a client that opens connections with the dialer.
+func NewClient(dialer *net.Dialer) *Client {
+	transport := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleTime, DisableCompression: true}
+	return &Client{http: &http.Client{Transport: transport}, clients: make(map[string]fleetv1connect.FleetServiceClient)}
+}
+
+func (c *Client) at(address string) fleetv1connect.FleetServiceClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client, found := c.clients[address]
+	if !found {
+		if len(c.clients) >= maxClients {
+			clear(c.clients)
+		}
+		client = fleetv1connect.NewFleetServiceClient(c.http, "http://"+address, connect.WithReadMaxBytes(maxMessage))
+		c.clients[address] = client
+	}
+	return client
+}
+
+// failure returns the error of a call. A refused connection shows that the process is gone.
+func failure(err error, address string) error {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		err = errors.Join(proxy.ErrNoProcess, err)
+	}
+	return port.Wrapf(err, port.Unavailable, "instance at %s", address)
+}
+
+// Exchange asks a relay for what it knows.
+func (c *Client) Exchange(ctx context.Context, address string, ask proxy.Ask) (proxy.Report, error) {
+	req := &fleetv1.ExchangeRequest{
+		From:          &fleetv1.Member{Name: ask.From.Name, Incarnation: ask.From.Incarnation, Address: ask.From.Address, DataCentre: ask.From.DataCentre},
+		KnownRevision: uint64(ask.Revision), KnownRecords: ask.Records, KnownServers: uint64(ask.Servers),
+		Demands: encodeDemand(ask.Demand), Points: encodePoints(ask.Points), WaitMs: uint32(ask.Wait.Milliseconds()),
+		Relay: ask.FromRelay,
+	}
+	res, err := c.at(address).Exchange(ctx, connect.NewRequest(req))
+	if err != nil {
+		return proxy.Report{}, failure(err, address)
+	}
+	return decodeReport(res.Msg)
+}
+
+// Suspend has the instance stop using the primary of the record's term.
+func (c *Client) Suspend(ctx context.Context, address string, r primacy.Record) (string, error) {
+	data, err := r.Encode()
+	if err != nil {
+		return "", port.Wrapf(err, port.Internal, "the record cannot be encoded")
+	}
+	res, err := c.at(address).Suspend(ctx, connect.NewRequest(&fleetv1.SuspendRequest{Record: data}))
+	if err != nil {
+		return "", failure(err, address)
+	}
+	return res.Msg.GetIncarnation(), nil
+}
+
+// Survey asks how long ago the instance heard from the server.
+func (c *Client) Survey(ctx context.Context, address, server string) (proxy.Hearing, error) {
+	res, err := c.at(address).Survey(ctx, connect.NewRequest(&fleetv1.SurveyRequest{Server: server}))
+	if err != nil {
+		return proxy.Hearing{}, failure(err, address)
+	}
+	return proxy.Hearing{
+		Incarnation: res.Msg.GetIncarnation(), Age: millis(res.Msg.GetHeardMs()), Heard: res.Msg.HeardMs != nil,
+	}, nil
+}
+
+func decodeReport(m *fleetv1.ExchangeResponse) (proxy.Report, error) {
+	r := proxy.Report{
+		Held: millis(uint64(m.GetHeldMs())), DocumentAge: millis(m.GetDocumentAgeMs()),
+		RecordsVersion: m.GetRecordsVersion(), RecordsAge: millis(m.GetRecordsAgeMs()),
+		ServersVersion: port.Version(m.GetServersVersion()), Totals: decodeDemand(m.GetTotals()),
+		Own: decodeDemand(m.GetOwn()), Points: decodePoints(m.GetPoints()), Fresh: m.GetFresh(),
+	}
+	if len(m.GetDocument()) > 0 {
+		r.Document = &document.Document{}
+		if err := json.Unmarshal(m.GetDocument(), r.Document); err != nil {
+			return proxy.Report{}, port.Wrapf(err, port.Unavailable, "the relay's document cannot be read")
+		}
+	}
+	for _, o := range m.GetRecords() {
+		r.Records = append(r.Records, port.Object{Name: o.GetName(), Version: port.Version(o.GetVersion()), Data: o.GetData()})
+	}
+	if len(m.GetServers()) > 0 {
+		r.Servers = make(map[string]dispatch.Listing, len(m.GetServers()))
+		for _, s := range m.GetServers() {
+			r.Servers[s.GetName()] = decodeServer(s)
+		}
+	}
+	return r, nil
+}
+
+func decodeServer(s *fleetv1.Server) dispatch.Listing {
+	l := dispatch.Listing{
+		Name: s.GetName(), Group: s.GetGroup(), Address: s.GetAddress(), DataCentre: s.GetDataCentre(),
+		Slots: int(s.GetSlots()), Departing: s.GetDeparting(), Born: s.GetBorn(),
+	}
+	if s.GetPrimary() {
+		l.Role = dispatch.Primary
+	}
+	return l
+}
+
+func encodeDemand(d proxy.Demand) []*fleetv1.Demand {
+	// Rates below this are noise and would only make messages longer.
+	const least = 0.01
+	var demands []*fleetv1.Demand
+	for name, rate := range d {
+		if rate >= least {
+			demands = append(demands, &fleetv1.Demand{Organisation: name, PerSecond: rate})
+		}
+	}
+	return demands
+}
+
+func decodeDemand(demands []*fleetv1.Demand) proxy.Demand {
+	d := make(proxy.Demand, len(demands))
+	for _, one := range demands {
+		d[one.GetOrganisation()] = one.GetPerSecond()
+	}
+	return d
+}
+
+func encodePoints(points []proxy.GroupPoint) []*fleetv1.Point {
+	var encoded []*fleetv1.Point
+	for _, p := range points {
+		encoded = append(encoded, &fleetv1.Point{
+			Group: p.Group, Term: uint64(p.Position.Term), Offset: p.Position.Offset, AgeMs: roundUp(p.Age),
+		})
+	}
+	return encoded
+}
+
+func decodePoints(points []*fleetv1.Point) []proxy.GroupPoint {
+	var decoded []proxy.GroupPoint
+	for _, p := range points {
+		decoded = append(decoded, proxy.GroupPoint{
+			Group:    p.GetGroup(),
+			Position: group.Position{Term: group.Term(p.GetTerm()), Offset: p.GetOffset()},
+			Age:      millis(p.GetAgeMs()),
+		})
+	}
+	return decoded
+}
+
+func millis(n uint64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// roundUp returns an age in whole milliseconds that is not below d.
+func roundUp(d time.Duration) uint64 {
+	return uint64((max(d, 0) + time.Millisecond - 1) / time.Millisecond)
+}
--- /dev/null
+++ b/adapter/fleet/server.go
@@ -0,0 +1,117 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	fleetv1 "github.com/rhubarbwick/rhubarbwick/gen/rhubarbwick/fleet/v1"
+	"github.com/rhubarbwick/rhubarbwick/gen/rhubarbwick/fleet/v1/fleetv1connect"
+
+	"github.com/rhubarbwick/rhubarbwick/dispatch"
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/primacy"
+	"github.com/rhubarbwick/rhubarbwick/proxy"
+)
+
+// headerTimeout is how long an instance may take to send the header of a call.
+const headerTimeout = 2 * time.Second
+
+// Server answers other instances. Use NewServer, then call Run.
+type Server struct {
+	hub    *proxy.Hub
+	socket net.Listener
+	http   *http.Server
+}
+
+var _ fleetv1connect.FleetServiceHandler = (*Server)(nil)
+
+// NewServer returns a server on the socket.
+func NewServer(hub *proxy.Hub, socket net.Listener) *Server {
+	s := &Server{hub: hub, socket: socket}
+	_, handler := fleetv1connect.NewFleetServiceHandler(s, connect.WithReadMaxBytes(maxMessage))
+	s.http = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * idleTime}
+	return s
+}
+
+// Run answers until Close.
+func (s *Server) Run() { _ = s.http.Serve(s.socket) }
+
+// Close ends the server and its connections.
+func (s *Server) Close() { _ = s.http.Close() }
+
+// Exchange answers an instance.
+func (s *Server) Exchange(
+	ctx context.Context, req *connect.Request[fleetv1.ExchangeRequest],
+) (*connect.Response[fleetv1.ExchangeResponse], error) {
+	m := req.Msg
+	from := m.GetFrom()
+	r := s.hub.Exchange(ctx, proxy.Ask{
+		From: proxy.Member{
+			Name: from.GetName(), Incarnation: from.GetIncarnation(), Address: from.GetAddress(), DataCentre: from.GetDataCentre(),
+		},
+		Revision: document.Revision(m.GetKnownRevision()), Records: m.GetKnownRecords(),
+		Servers: port.Version(m.GetKnownServers()), Demand: decodeDemand(m.GetDemands()), Points: decodePoints(m.GetPoints()),
+		Wait: millis(uint64(m.GetWaitMs())), FromRelay: m.GetRelay(),
+	})
+	res, err := encodeReport(r)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(res), nil
+}
+
+// Suspend stops using a group's primary.
+func (s *Server) Suspend(
+	_ context.Context, req *connect.Request[fleetv1.SuspendRequest],
+) (*connect.Response[fleetv1.SuspendResponse], error) {
+	record, err := primacy.ParseRecord(req.Msg.GetRecord())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	return connect.NewResponse(&fleetv1.SuspendResponse{Incarnation: s.hub.Suspend(record)}), nil
+}
+
+// Survey tells how long ago a server answered this instance.
+func (s *Server) Survey(
+	_ context.Context, req *connect.Request[fleetv1.SurveyRequest],
+) (*connect.Response[fleetv1.SurveyResponse], error) {
+	h := s.hub.Survey(req.Msg.GetServer())
+	res := &fleetv1.SurveyResponse{Incarnation: h.Incarnation}
+	if h.Heard {
+		age := roundUp(h.Age)
+		res.HeardMs = &age
+	}
+	return connect.NewResponse(res), nil
+}
+
+// encodeReport rounds ages up and the time held down, so that nothing looks younger than it is.
+func encodeReport(r proxy.Report) (*fleetv1.ExchangeResponse, error) {
+	m := &fleetv1.ExchangeResponse{
+		HeldMs: uint32(r.Held.Milliseconds()), DocumentAgeMs: roundUp(r.DocumentAge), RecordsVersion: r.RecordsVersion,
+		RecordsAgeMs: roundUp(r.RecordsAge), ServersVersion: uint64(r.ServersVersion), Totals: encodeDemand(r.Totals),
+		Own: encodeDemand(r.Own), Points: encodePoints(r.Points), Fresh: r.Fresh,
+	}
+	if r.Document != nil {
+		data, err := json.Marshal(r.Document)
+		if err != nil {
+			return nil, port.Wrapf(err, port.Internal, "the document cannot be encoded")
+		}
+		m.Document = data
+	}
+	for _, o := range r.Records {
+		m.Records = append(m.Records, &fleetv1.Record{Name: o.Name, Version: uint64(o.Version), Data: o.Data})
+	}
+	for _, l := range r.Servers {
+		m.Servers = append(m.Servers, &fleetv1.Server{
+			Name: l.Name, Group: l.Group, Address: l.Address, DataCentre: l.DataCentre, Primary: l.Role == dispatch.Primary,
+			Slots: int32(l.Slots), Departing: l.Departing, Born: l.Born,
+		})
+	}
+	return m, nil
+}
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -10,7 +10,8 @@
 	"go.uber.org/zap"
 
 	"github.com/rhubarbwick/rhubarbwick/adapter/clock"
-	"github.com/rhubarbwick/rhubarbwick/dispatch"
+	"github.com/rhubarbwick/rhubarbwick/adapter/decisions"
+	"github.com/rhubarbwick/rhubarbwick/adapter/fleet"
 	"github.com/rhubarbwick/rhubarbwick/platform"
 	"github.com/rhubarbwick/rhubarbwick/proxy"
 )
@@ -26,56 +27,76 @@
 
 // process is one entry instance with all its duties.
 type process struct {
-	settings  platform.Settings
-	log       *zap.Logger
-	timer     *clock.Service
-	views     *proxy.Views
-	documents *proxy.DocumentFollower
-	listings  *proxy.ListingFollower
-	registry  *proxy.Registry
-	desk      *proxy.Desk
-	house     *proxy.House
-	promoter  *proxy.Promoter
-	listener  *platform.Listener
-	readiness *platform.Readiness
-	draining  atomic.Bool
+	settings     platform.Settings
+	log          *zap.Logger
+	timer        *clock.Service
+	views        *proxy.Views
+	knowledge    *proxy.Knowledge
+	registration *proxy.Registration
+	desk         *proxy.Desk
+	house        *proxy.House
+	courier      *proxy.Courier
+	promoter     *proxy.Promoter
+	listener     *platform.Listener
+	readiness    *platform.Readiness
+	peers        *fleet.Server
+	decisions    *decisions.Log
+	draining     atomic.Bool
 }
 
 // newProcess opens the sockets and assembles the parts.
 func newProcess(ctx context.Context, s platform.Settings, incarnation string, log *zap.Logger) (*process, error) {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	p := &process{settings: s, log: log, timer: clock.NewBootService()}
+	p.decisions = decisions.New(log, p.timer)
+	self := proxy.Member{Name: s.Name, Incarnation: incarnation, Address: s.PeerAddress, DataCentre: s.DataCentre}
 	store := platform.NewStore(s.StoreAddress)
 	dialer := platform.NewServerDialer()
-	self := proxy.Member{Name: s.Name, Incarnation: incarnation, Address: s.PeerAddress, DataCentre: s.DataCentre}
 	p.views = proxy.NewViews(p.timer)
-	p.documents = proxy.NewDocumentFollower(store, p.timer, s.RevokeWithin, nil)
-	p.registry = proxy.NewRegistry(proxy.RegistryConfig{Self: self, Records: store, Views: p.views, Timer: p.timer})
+	p.knowledge = proxy.NewKnowledge(p.timer, p.views, s.RevokeWithin)
+	p.registration = &proxy.Registration{Self: self, Records: store, Timer: p.timer}
 	p.desk = proxy.NewDesk(proxy.DeskConfig{
 		DataCentre: s.DataCentre, Timer: p.timer, Views: p.views, Dialer: dialer,
-		Limit: p.documents.Connections, Instances: p.registry.Instances,
+		Limit: p.knowledge.Connections, Instances: p.knowledge.Instances,
 	})
-	p.listings = proxy.NewListingFollower(store, p.timer, func(m map[string]dispatch.Listing) { p.desk.SetListings(m) })
+	p.knowledge.OnServers(p.desk.SetListings)
+	rates := proxy.NewSharedRates(p.timer, p.knowledge, p.knowledge.Instances, s.Rates)
 	p.house = proxy.NewHouse(proxy.HouseConfig{
-		Timer: p.timer, Desk: p.desk, Views: p.views, Rules: p.documents,
-		Rates: proxy.NewEvenRates(p.timer, p.documents, p.registry.Instances),
+		Timer: p.timer, Desk: p.desk, Views: p.views, Rules: p.knowledge, Rates: rates, Recorder: p.decisions,
+		DocumentAge: p.knowledge.DocumentAge,
+	})
+	hub := proxy.NewHub(proxy.HubConfig{
+		Self: self, Timer: p.timer, Knowledge: p.knowledge, Views: p.views, Desk: p.desk, Demand: rates.Demand,
+	})
+	others := fleet.NewClient(platform.NewDialer())
+	readers := &proxy.StoreReaders{Documents: store, Listings: store, Records: store, Knowledge: p.knowledge, Timer: p.timer}
+	p.courier = proxy.NewCourier(proxy.CourierConfig{
+		Self: self, Timer: p.timer, Knowledge: p.knowledge, Fleet: others, Hub: hub, Readers: readers, Rates: rates,
 	})
 	p.promoter = proxy.NewPromoter(proxy.PromoterConfig{
-		Self: self, Timer: p.timer, Registry: p.registry, Listings: p.listings, Documents: p.documents, Views: p.views,
-		Desk: p.desk, Dialer: dialer, Records: store, Promotions: platform.NewCloud(s.CloudAddress),
+		Self: self, Timer: p.timer, Knowledge: p.knowledge, Readers: readers, Fleet: others, Views: p.views, Desk: p.desk,
+		Dialer: dialer, Records: store, Promotions: platform.NewCloud(s.CloudAddress),
 	})
-	var err error
-	if p.listener, err = platform.NewListener(ctx, s, p.house, p.timer); err != nil {
-		return nil, err
+	return p, p.open(ctx, hub)
+}
+
+// open opens the sockets.
+func (p *process) open(ctx context.Context, hub *proxy.Hub) error {
+	socket, err := platform.Listen(ctx, p.settings.PeerAddress, "other instances")
+	if err != nil {
+		return err
+	}
+	p.peers = fleet.NewServer(hub, socket)
+	if p.listener, err = platform.NewListener(ctx, p.settings, p.house, p.timer); err != nil {
+		return err
 	}
-	p.readiness, err = platform.NewReadiness(ctx, s, p.isReady)
-	return p, err
+	p.readiness, err = platform.NewReadiness(ctx, p.settings, p.isReady)
+	return err
 }
 
 // isReady reports whether new callers can be served.
 func (p *process) isReady() bool {
-	_, known := p.registry.Snapshot()
-	return known && p.documents.IsKnown() && p.listings.All() != nil && !p.draining.Load()
+	return p.knowledge.IsComplete() && !p.draining.Load()
 }
 
 // run serves until ctx ends, then stops without cutting a request.
@@ -85,20 +106,29 @@
 	defer stop()
 	var duties sync.WaitGroup
 	for _, duty := range []func(context.Context){
-		p.timer.Run, p.desk.Run, p.documents.Run, p.listings.Run, p.registry.Run, p.promoter.Run, p.listener.Run,
+		p.timer.Run, p.desk.Run, p.runKnowledge, p.promoter.Run, p.listener.Run, p.decisions.Run,
 	} {
 		duties.Go(func() { duty(working) })
 	}
 	duties.Go(p.readiness.Run)
+	duties.Go(p.peers.Run)
 	<-ctx.Done()
 	p.stop()
 	stop()
 	p.readiness.Close()
+	p.peers.Close()
 	duties.Wait()
 	p.log.Info("instance: stopped")
 	return nil
 }
 
+// runKnowledge registers the instance and keeps its knowledge fresh.
+func (p *process) runKnowledge(ctx context.Context) {
+	p.registration.Register(ctx)
+	p.views.Begin(p.timer.Now())
+	p.courier.Run(ctx)
+}
+
 // stop takes no new callers, lets the sessions end, and removes the instance from the records.
 func (p *process) stop() {
 	p.log.Info("instance: stopping")
@@ -109,7 +139,7 @@
 	cancel()
 	limited, cancel = context.WithTimeout(context.Background(), deregisterLimit)
 	defer cancel()
-	if err := p.registry.Deregister(limited); err != nil {
+	if err := p.registration.Deregister(limited); err != nil {
 		p.log.Warn("instance: its record stays", zap.Error(err))
 	}
 }
--- /dev/null
+++ b/proxy/courier.go
@@ -0,0 +1,227 @@
+package proxy
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/instance"
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+const (
+	// exchangeWait is how long a relay may hold an answer back, and so the most time between two exchanges.
+	exchangeWait = time.Second
+	// exchangeLimit is how long an exchange may take beyond that.
+	exchangeLimit = 700 * time.Millisecond
+	// relayPause is how long a relay that did not answer is passed over.
+	relayPause = 5 * time.Second
+	// soonest is the least time between two exchanges, also when the relay has news all the time.
+	soonest = 50 * time.Millisecond
+)
+
+// CourierConfig is what a Courier needs.
+type CourierConfig struct {
+	Self      Member
+	Timer     port.Timer
+	Knowledge *Knowledge
+	Fleet     Fleet
+	Hub       *Hub
+	Readers   *StoreReaders
+	Rates     *SharedRates
+}
+
+// Courier is the duty that keeps the instance's knowledge fresh: from the relay of its data centre, or from the store
+// while it is the relay itself or no relay knows more.
+type Courier struct {
+	cfg     CourierConfig
+	failed  map[string]time.Duration
+	reading context.CancelFunc
+	running sync.WaitGroup
+}
+
+// NewCourier returns a courier.
+func NewCourier(cfg CourierConfig) *Courier {
+	return &Courier{cfg: cfg, failed: make(map[string]time.Duration)}
+}
+
+// Run keeps the knowledge fresh until ctx ends.
+func (c *Courier) Run(ctx context.Context) {
+	c.loop(ctx)
+	c.stopReaders()
+	c.running.Wait()
+}
+
+func (c *Courier) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := c.cfg.Timer.Now()
+		relay, found := c.relay(began)
+		isRelay := found && relay.Incarnation == c.cfg.Self.Incarnation
+		c.cfg.Hub.SetRelay(isRelay)
+		switch {
+		case isRelay:
+			c.startReaders(ctx)
+			c.exchangeAreas(ctx)
+			if totals, known := c.cfg.Hub.Totals(); known {
+				c.cfg.Rates.SetTotals(totals, c.cfg.Rates.Demand())
+			}
+			_ = port.Wait(ctx, c.cfg.Timer, exchangeWait)
+		case found:
+			c.follow(ctx, relay)
+			if took := c.cfg.Timer.Now() - began; took < soonest {
+				_ = port.Wait(ctx, c.cfg.Timer, soonest-took)
+			}
+		default:
+			c.startReaders(ctx)
+			_ = port.Wait(ctx, c.cfg.Timer, firstPause)
+		}
+	}
+}
+
+// relay returns the first in rank of the own data centre's instances that did not fail of late.
+func (c *Courier) relay(now time.Duration) (Member, bool) {
+	relays := c.ranked(c.cfg.Self.DataCentre)
+	i := slices.IndexFunc(relays, func(m Member) bool { return !c.hasFailed(m, now) })
+	if i < 0 {
+		return Member{}, false
+	}
+	return relays[i], true
+}
+
+func (c *Courier) hasFailed(m Member, now time.Duration) bool {
+	at, failed := c.failed[m.Incarnation]
+	return failed && now-at < relayPause && m.Incarnation != c.cfg.Self.Incarnation
+}
+
+// ranked returns the instances of a data centre in the order in which they are its relay.
+func (c *Courier) ranked(dataCentre string) []Member {
+	s, _ := c.cfg.Knowledge.Records()
+	var members []Member
+	for _, m := range s.Members {
+		if m.DataCentre == dataCentre {
+			members = append(members, m)
+		}
+	}
+	slices.SortFunc(members, func(a, b Member) int {
+		return cmp.Compare(instance.RankOf(dataCentre, b.Incarnation), instance.RankOf(dataCentre, a.Incarnation))
+	})
+	return members
+}
+
+// follow exchanges with the relay. While the relay has lost the store, this instance reads the store itself.
+func (c *Courier) follow(ctx context.Context, relay Member) {
+	report, err := c.exchange(ctx, relay, c.cfg.Rates.Demand(), exchangeWait, false)
+	switch {
+	case err != nil:
+		c.fail(relay)
+		c.startReaders(ctx)
+	case !report.Fresh:
+		c.startReaders(ctx)
+	default:
+		c.stopReaders()
+	}
+	if len(report.Totals) > 0 {
+		c.cfg.Rates.SetTotals(report.Totals, report.Own)
+	}
+}
+
+func (c *Courier) fail(m Member) {
+	now := c.cfg.Timer.Now()
+	for incarnation, at := range c.failed {
+		if now-at >= relayPause {
+			delete(c.failed, incarnation)
+		}
+	}
+	c.failed[m.Incarnation] = now
+}
+
+// exchangeAreas tells the relays of the other data centres the demand of this one, and learns what they know.
+func (c *Courier) exchangeAreas(ctx context.Context) {
+	demand, known := c.cfg.Hub.AreaDemand()
+	if !known {
+		return
+	}
+	s, _ := c.cfg.Knowledge.Records()
+	areas := make(map[string]bool)
+	for _, m := range s.Members {
+		areas[m.DataCentre] = true
+	}
+	delete(areas, c.cfg.Self.DataCentre)
+	var asked sync.WaitGroup
+	now := c.cfg.Timer.Now()
+	for area := range areas {
+		relays := c.ranked(area)
+		i := slices.IndexFunc(relays, func(m Member) bool { return !c.hasFailed(m, now) })
+		if i < 0 {
+			continue
+		}
+		asked.Go(func() {
+			// A relay that is cut off is asked again at the next turn; its last word counts until then.
+			_, _ = c.exchange(ctx, relays[i], demand, 0, true)
+		})
+	}
+	asked.Wait()
+}
+
+// exchange asks a relay and takes over what it knows.
+func (c *Courier) exchange(
+	ctx context.Context, relay Member, demand Demand, wait time.Duration, fromRelay bool,
+) (Report, error) {
+	k := c.cfg.Knowledge
+	index, _ := k.Rules()
+	_, serversAt := k.Servers()
+	records, _ := k.Records()
+	asked := c.cfg.Timer.Now()
+	limited, cancel := port.WithTimeout(ctx, c.cfg.Timer, wait+exchangeLimit)
+	defer cancel()
+	report, err := c.cfg.Fleet.Exchange(limited, relay.Address, Ask{
+		From: c.cfg.Self, Revision: index.Document().Revision, Records: records.Version(), Servers: serversAt,
+		Demand: demand, Wait: wait, FromRelay: fromRelay,
+	})
+	if err != nil {
+		return Report{}, err
+	}
+	c.apply(report, asked)
+	return report, nil
+}
+
+// apply takes over a report. Its ages count back from the instant at which it left, which is at the earliest the instant
+// of the question plus the time that it was held.
+func (c *Courier) apply(r Report, asked time.Duration) {
+	k := c.cfg.Knowledge
+	left := asked + r.Held
+	if r.Document != nil {
+		k.TakeDocument(*r.Document, left-r.DocumentAge)
+	} else {
+		index, _ := k.Rules()
+		k.ConfirmDocument(index.Document().Revision, left-r.DocumentAge)
+	}
+	if r.Servers != nil {
+		k.TakeServers(r.Servers, r.ServersVersion)
+	}
+	known, _ := k.Records()
+	objects := r.Records
+	if objects == nil && known.Version() == r.RecordsVersion {
+		objects = known.Objects
+	}
+	if objects != nil {
+		k.TakeRecords(NewSnapshot(objects, left-r.RecordsAge))
+	}
+}
+
+func (c *Courier) startReaders(ctx context.Context) {
+	if c.reading != nil {
+		return
+	}
+	ctx, c.reading = context.WithCancel(ctx)
+	c.running.Go(func() { c.cfg.Readers.Run(ctx) })
+}
+
+func (c *Courier) stopReaders() {
+	if c.reading != nil {
+		c.reading()
+		c.reading = nil
+	}
+}
--- a/proxy/desk.go
+++ b/proxy/desk.go
@@ -54,6 +54,9 @@
 	waiting  []*waiter
 	nextID   uint64
 	checking bool
+
+	// heard holds when each server last answered.
+	heard sync.Map
 }
 
 // serverDesk is what the desk has at one server.
@@ -198,6 +201,15 @@
 	d.duties.Wait()
 }
 
+// HeardAt returns when the server last answered, and false when it never did or left.
+func (d *Desk) HeardAt(server string) (time.Duration, bool) {
+	at, found := d.heard.Load(server)
+	if !found {
+		return 0, false
+	}
+	return at.(time.Duration), true
+}
+
 // Acquire returns a connection to a server that fits. Errors are of kind Busy or NoPrimary; nothing has run.
 func (d *Desk) Acquire(ctx context.Context, want Want) (Grant, error) {
 	w := &waiter{want: want, reply: ring.New[grant](1)}
@@ -223,7 +235,7 @@
 // Heard tells the desk what a server answered.
 func (d *Desk) Heard(a Answered) { d.tell(answered{answer: a}) }
 
-// Lacked, Refused and Unreached tell the desk why a server did not run a statement.
+// Lacked tells the desk that the server's log did not hold the position that the choice asked for.
 func (d *Desk) Lacked(server string, choice dispatch.ToServer) {
 	d.tell(troubled{server: server, trouble: lacked{choice}})
 }
@@ -322,6 +334,7 @@
 		return
 	}
 	s.server = s.server.WithAnswer(a.Position, a.At-a.SentAt, a.At)
+	d.heard.Store(a.Server, a.At)
 	groupName := s.server.Listing.Group
 	if d.cfg.Views.Leads(groupName, a.Server, a.Position.Term) {
 		d.evidence[groupName] = d.evidence[groupName].WithPoint(primacy.Point{Position: a.Position, At: a.SentAt})
@@ -393,6 +406,7 @@
 		s.closeIdle(func(*Connection) bool { return true })
 		if s.total == 0 {
 			delete(d.servers, name)
+			d.heard.Delete(name)
 		}
 	}
 }
--- /dev/null
+++ b/proxy/event.go
@@ -0,0 +1,78 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+// Event is a decision that touches a request or changes what the instance believes. It is one of RequestAnswered,
+// PrimaryChanged, PromotionStep, ServerChanged and SourceChanged.
+type Event interface{ event() }
+
+// RequestAnswered says what a request came to.
+type RequestAnswered struct {
+	ID           string
+	Organisation string
+	Route        string
+	// Kind is empty for a success.
+	Kind   port.Kind
+	Reason string
+	// Server ran the request last; it is empty when none did.
+	Server string
+	Tries  int
+	Took   time.Duration
+	// Revision is that of the document in force, and DocumentAge how long ago it was known to be the newest.
+	Revision    uint64
+	DocumentAge time.Duration
+	// PrimaryAge is the age of the knowledge of the group's primary.
+	PrimaryAge time.Duration
+}
+
+// PrimaryChanged says that the instance learnt of another primary, or that one is being replaced.
+type PrimaryChanged struct {
+	Group     string
+	Primary   string
+	Term      group.Term
+	Replacing bool
+	Age       time.Duration
+}
+
+// PromotionStep says what a promoter did.
+type PromotionStep struct {
+	Group  string
+	Step   string
+	Server string
+	Epoch  uint64
+	Reason string
+}
+
+// ServerChanged says that a server began to fail or answers again.
+type ServerChanged struct {
+	Server  string
+	Group   string
+	Failing bool
+	Reason  string
+}
+
+// SourceChanged says from where the instance learns what it knows.
+type SourceChanged struct {
+	Source string
+	Reason string
+}
+
+func (RequestAnswered) event() {}
+func (PrimaryChanged) event()  {}
+func (PromotionStep) event()   {}
+func (ServerChanged) event()   {}
+func (SourceChanged) event()   {}
+
+// Recorder takes events. Note must not block.
+type Recorder interface{ Note(e Event) }
+
+// silent drops events.
+type silent struct{}
+
+// Note drops the event.
+func (silent) Note(Event) {}
--- /dev/null
+++ b/proxy/fleet.go
@@ -0,0 +1,80 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/dispatch"
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/primacy"
+)
+
+// ErrNoProcess is in the chain of an error when nothing listens at an instance's address, so that its process is gone.
+var ErrNoProcess = errors.New("no process listens there")
+
+// Fleet reaches other instances. Errors are of kind Unavailable.
+type Fleet interface {
+	// Exchange asks a relay for what it knows.
+	Exchange(ctx context.Context, address string, ask Ask) (Report, error)
+	// Suspend has the instance stop using the primary of the record's term, and returns its incarnation.
+	Suspend(ctx context.Context, address string, r primacy.Record) (string, error)
+	// Survey asks how long ago the instance heard from the server, and returns its incarnation.
+	Survey(ctx context.Context, address, server string) (Hearing, error)
+}
+
+// Hearing is what an instance says of a server.
+type Hearing struct {
+	Incarnation string
+	// Age is how long ago the server answered it, if Heard is true.
+	Age   time.Duration
+	Heard bool
+}
+
+// Demand is the number of operations a second that callers ask for, by organisation.
+type Demand map[string]float64
+
+// GroupPoint says that Age before a message left every confirmed write of the group lay at or before the position.
+type GroupPoint struct {
+	Group    string
+	Position group.Position
+	Age      time.Duration
+}
+
+// Ask is an instance's question to a relay.
+type Ask struct {
+	From     Member
+	Revision document.Revision
+	// Records and Servers are the versions that the instance knows.
+	Records uint64
+	Servers port.Version
+	Demand  Demand
+	Points  []GroupPoint
+	// Wait is how long the relay may wait for something new.
+	Wait time.Duration
+	// FromRelay is true between relays, whose demand is that of their data centre.
+	FromRelay bool
+}
+
+// Report is a relay's answer. Its ages count back from the instant at which it left.
+type Report struct {
+	Held time.Duration
+	// Document is nil when the asker has the newest.
+	Document    *document.Document
+	DocumentAge time.Duration
+	// Records is nil when the asker has the newest.
+	Records        []port.Object
+	RecordsVersion uint64
+	RecordsAge     time.Duration
+	// Servers is nil when the asker has the newest.
+	Servers        map[string]dispatch.Listing
+	ServersVersion port.Version
+	// Totals is the demand of the fleet and Own the asker's part of it. Totals is empty while the relay does not know all.
+	Totals Demand
+	Own    Demand
+	Points []GroupPoint
+	// Fresh is false when the relay's own knowledge is old.
+	Fresh bool
+}
--- a/proxy/house.go
+++ b/proxy/house.go
@@ -37,6 +37,10 @@
 	Views *Views
 	Rules Rules
 	Rates Rates
+	// Recorder may be nil.
+	Recorder Recorder
+	// DocumentAge returns how long ago the document was known to be the newest. It may be nil.
+	DocumentAge func() time.Duration
 }
 
 // House is what all sessions of an instance share.
@@ -50,6 +54,12 @@
 
 // NewHouse returns a house without sessions.
 func NewHouse(cfg HouseConfig) *House {
+	if cfg.Recorder == nil {
+		cfg.Recorder = silent{}
+	}
+	if cfg.DocumentAge == nil {
+		cfg.DocumentAge = func() time.Duration { return 0 }
+	}
 	draining, drain := context.WithCancel(context.Background())
 	return &House{cfg: cfg, draining: draining, drain: drain}
 }
@@ -91,6 +101,21 @@
 	close(ended)
 }
 
+// record notes what a request came to. Requests that the proxy answers by itself are left out unless they fail.
+func (h *House) record(s *Session, req statement.Request, a statement.Answer, began time.Duration) {
+	if a.Failure.IsZero() && a.Proof == "" {
+		return
+	}
+	now := h.cfg.Timer.Now()
+	rules, _ := h.cfg.Rules.Rules()
+	h.cfg.Recorder.Note(RequestAnswered{
+		ID: req.ID, Organisation: s.admitted.Organisation, Route: s.admitted.Route.Name, Kind: a.Failure.Kind,
+		Reason: a.Failure.Text, Server: s.server, Tries: s.tries, Took: now - began,
+		Revision: uint64(rules.Document().Revision), DocumentAge: h.cfg.DocumentAge(),
+		PrimaryAge: now - h.cfg.Views.View(s.admitted.Route.Group).AskedAt,
+	})
+}
+
 // recheck decides whether an admitted caller may run another operation.
 func (h *House) recheck(a organisation.Admitted) (organisation.Admitted, statement.Failure) {
 	rules, fresh := h.cfg.Rules.Rules()
--- /dev/null
+++ b/proxy/hub.go
@@ -0,0 +1,204 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/primacy"
+)
+
+const (
+	// longestWait bounds how long a relay holds an answer back.
+	longestWait = time.Second
+	// settleTime is how long an instance has to be a relay before it tells the fleet's demand: by then all instances of
+	// its data centre have told theirs.
+	settleTime = 3 * time.Second
+	// demandLife is how long the demand of a silent instance counts.
+	demandLife = 5 * time.Second
+	// freshRecords is the age up to which a relay's records are worth having: an older relay has lost the store, and
+	// another one may reach it.
+	freshRecords = 4 * time.Second
+)
+
+// HubConfig is what a Hub needs.
+type HubConfig struct {
+	Self      Member
+	Timer     port.Timer
+	Knowledge *Knowledge
+	Views     *Views
+	Desk      *Desk
+	// Demand returns this instance's own demand.
+	Demand func() Demand
+}
+
+// Hub answers other instances. It is safe for concurrent use.
+type Hub struct {
+	cfg HubConfig
+
+	mu sync.Mutex
+	// demands holds what the instances of the data centre told, and areas what the relays of the others told.
+	demands map[string]toldDemand
+	areas   map[string]toldDemand
+	// relaySince is when the instance became a relay.
+	relaySince time.Duration
+	isRelay    bool
+}
+
+// toldDemand is a demand with the instant at which it was told.
+type toldDemand struct {
+	demand Demand
+	at     time.Duration
+}
+
+// NewHub returns a hub that was told nothing.
+func NewHub(cfg HubConfig) *Hub {
+	return &Hub{cfg: cfg, demands: make(map[string]toldDemand), areas: make(map[string]toldDemand)}
+}
+
+// SetRelay tells the hub whether the instance is the relay of its data centre.
+func (h *Hub) SetRelay(isRelay bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if isRelay && !h.isRelay {
+		h.relaySince = h.cfg.Timer.Now()
+		clear(h.demands)
+	}
+	h.isRelay = isRelay
+}
+
+// Exchange answers an instance. It waits for something that the instance does not know.
+func (h *Hub) Exchange(ctx context.Context, ask Ask) Report {
+	began := h.cfg.Timer.Now()
+	h.take(ask, began)
+	h.await(ctx, ask, began+min(ask.Wait, longestWait))
+	now := h.cfg.Timer.Now()
+	r := Report{Held: now - began}
+	h.tellKnowledge(&r, ask, now)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.isRelay && now-h.relaySince >= settleTime {
+		r.Totals = h.totals(now)
+		r.Own = h.demands[ask.From.Incarnation].demand
+	}
+	return r
+}
+
+// Suspend stops using the primary of the record's term.
+func (h *Hub) Suspend(r primacy.Record) string {
+	h.cfg.Views.Take(r, h.cfg.Timer.Now())
+	return h.cfg.Self.Incarnation
+}
+
+// Survey tells how long ago the server answered this instance.
+func (h *Hub) Survey(server string) Hearing {
+	heardAt, heard := h.cfg.Desk.HeardAt(server)
+	return Hearing{Incarnation: h.cfg.Self.Incarnation, Age: h.cfg.Timer.Now() - heardAt, Heard: heard}
+}
+
+// AreaDemand returns the demand of the instance's data centre, and false while not all of it is known.
+func (h *Hub) AreaDemand() (Demand, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.cfg.Timer.Now()
+	return h.area(now), h.isRelay && now-h.relaySince >= settleTime
+}
+
+// Totals returns the demand of the fleet, and false while it is not known.
+func (h *Hub) Totals() (Demand, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.cfg.Timer.Now()
+	return h.totals(now), h.isRelay && now-h.relaySince >= settleTime
+}
+
+func (h *Hub) take(ask Ask, now time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	told := toldDemand{demand: ask.Demand, at: now}
+	if ask.FromRelay {
+		h.areas[ask.From.DataCentre] = told
+		return
+	}
+	h.demands[ask.From.Incarnation] = told
+}
+
+// area sums up the demand of the data centre. The lock is held.
+func (h *Hub) area(now time.Duration) Demand {
+	sum := make(Demand)
+	sum.add(h.cfg.Demand())
+	for incarnation, told := range h.demands {
+		if now-told.at > demandLife {
+			delete(h.demands, incarnation)
+			continue
+		}
+		sum.add(told.demand)
+	}
+	return sum
+}
+
+// totals sums up the demand of the fleet. The last word of a silent data centre counts on: its callers go on too. The
+// lock is held.
+func (h *Hub) totals(now time.Duration) Demand {
+	sum := h.area(now)
+	for _, told := range h.areas {
+		sum.add(told.demand)
+	}
+	return sum
+}
+
+func (d Demand) add(other Demand) {
+	for name, rate := range other {
+		d[name] += rate
+	}
+}
+
+// await returns when the asker lacks something or the instant has come.
+func (h *Hub) await(ctx context.Context, ask Ask, until time.Duration) {
+	for {
+		changed := h.cfg.Knowledge.Changed()
+		left := until - h.cfg.Timer.Now()
+		if left <= 0 || h.isNews(ask) {
+			return
+		}
+		waiting, cancel := port.WithTimeout(ctx, h.cfg.Timer, left)
+		select {
+		case <-changed:
+		case <-waiting.Done():
+		}
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+func (h *Hub) isNews(ask Ask) bool {
+	index, _ := h.cfg.Knowledge.Rules()
+	_, at := h.cfg.Knowledge.Servers()
+	records, _ := h.cfg.Knowledge.Records()
+	return index.Document().Revision > ask.Revision || at > ask.Servers || records.Version() > ask.Records
+}
+
+// tellKnowledge fills in what the asker does not know.
+func (h *Hub) tellKnowledge(r *Report, ask Ask, now time.Duration) {
+	k := h.cfg.Knowledge
+	index, _ := k.Rules()
+	if d := index.Document(); d.Revision > ask.Revision {
+		r.Document = &d
+	}
+	r.DocumentAge = k.DocumentAge()
+	if servers, at := k.Servers(); servers != nil && at != ask.Servers {
+		r.Servers, r.ServersVersion = servers, at
+	}
+	records, known := k.Records()
+	if !known {
+		return
+	}
+	r.RecordsVersion, r.RecordsAge = records.Version(), now-records.AskedAt
+	r.Fresh = r.RecordsAge <= freshRecords
+	if r.RecordsVersion != ask.Records {
+		r.Records = records.Objects
+	}
+}
--- /dev/null
+++ b/proxy/knowledge.go
@@ -0,0 +1,253 @@
+package proxy
+
+import (
+	"encoding/json"
+	"maps"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/dispatch"
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/primacy"
+)
+
+const (
+	instancePrefix = "instance/"
+	primacyPrefix  = "primacy/"
+	dutyName       = "duty/promotion"
+)
+
+// Member is an instance as its own record tells.
+type Member struct {
+	// Name is the same for all starts on one machine.
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+	// Address is where other instances reach it.
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+}
+
+// StoredPrimacy is a record with its version in the store.
+type StoredPrimacy struct {
+	Record  primacy.Record
+	Version port.Version
+}
+
+// Duty says who may promote. The holder renews it before each promotion.
+type Duty struct {
+	Holder string `json:"holder"`
+	Epoch  uint64 `json:"epoch"`
+	// Use grows with each use, so that others see that the holder is at work.
+	Use uint64 `json:"use"`
+}
+
+// StoredDuty is the duty with its version in the store; version zero means that nobody has held it.
+type StoredDuty struct {
+	Duty    Duty
+	Version port.Version
+}
+
+// Snapshot holds the product's objects in the store, as one read gave them. They must not be changed.
+type Snapshot struct {
+	// AskedAt is when the read began.
+	AskedAt   time.Duration
+	Objects   []port.Object
+	Members   []Member
+	Primacies map[string]StoredPrimacy
+	Duty      StoredDuty
+}
+
+// NewSnapshot sorts the objects. One that cannot be read names nothing.
+func NewSnapshot(objects []port.Object, askedAt time.Duration) Snapshot {
+	s := Snapshot{AskedAt: askedAt, Objects: objects, Primacies: make(map[string]StoredPrimacy)}
+	for _, o := range objects {
+		switch {
+		case strings.HasPrefix(o.Name, instancePrefix):
+			var m Member
+			if json.Unmarshal(o.Data, &m) == nil && m.Incarnation != "" {
+				s.Members = append(s.Members, m)
+			}
+		case strings.HasPrefix(o.Name, primacyPrefix):
+			if record, err := primacy.ParseRecord(o.Data); err == nil {
+				s.Primacies[record.Group] = StoredPrimacy{Record: record, Version: o.Version}
+			}
+		case o.Name == dutyName:
+			if json.Unmarshal(o.Data, &s.Duty.Duty) == nil {
+				s.Duty.Version = o.Version
+			}
+		}
+	}
+	return s
+}
+
+// Version tells two states of the records apart: a write raises the greatest version, and a removal alone the count.
+func (s Snapshot) Version() uint64 {
+	const mostObjects = 1 << 16
+	newest := port.Version(0)
+	for _, o := range s.Objects {
+		newest = max(newest, o.Version)
+	}
+	return uint64(newest)*mostObjects + uint64(len(s.Objects))
+}
+
+// Find returns the object of the name.
+func (s Snapshot) Find(name string) (port.Object, bool) {
+	for _, o := range s.Objects {
+		if o.Name == name {
+			return o, true
+		}
+	}
+	return port.Object{}, false
+}
+
+// Knowledge is what an instance knows of the platform: the document, the servers and the records. It comes from the
+// store or from a relay. Knowledge is safe for concurrent use.
+type Knowledge struct {
+	timer port.Timer
+	views *Views
+	// staleAfter is the age from which the document is not relied on; zero means that it always is.
+	staleAfter time.Duration
+	onServers  func(map[string]dispatch.Listing)
+
+	mu          sync.Mutex
+	index       document.Index
+	hasDocument bool
+	confirmedAt time.Duration
+	servers     map[string]dispatch.Listing
+	serversAt   port.Version
+	records     Snapshot
+	hasRecords  bool
+	changed     chan struct{}
+}
+
+// NewKnowledge returns the knowledge of an instance that has just started.
+func NewKnowledge(timer port.Timer, views *Views, staleAfter time.Duration) *Knowledge {
+	return &Knowledge{timer: timer, views: views, staleAfter: staleAfter, changed: make(chan struct{})}
+}
+
+// OnServers has deliver called with each changed list of servers. It is to be called before the knowledge is used.
+func (k *Knowledge) OnServers(deliver func(map[string]dispatch.Listing)) { k.onServers = deliver }
+
+// Rules returns the document in force and whether it may be relied on.
+func (k *Knowledge) Rules() (document.Index, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	fresh := k.hasDocument && (k.staleAfter == 0 || k.timer.Now()-k.confirmedAt <= k.staleAfter)
+	return k.index, fresh
+}
+
+// DocumentAge returns how long ago the document was known to be the newest.
+func (k *Knowledge) DocumentAge() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.timer.Now() - k.confirmedAt
+}
+
+// Connections returns how many connections the fleet may hold to each server of the group.
+func (k *Knowledge) Connections(groupName string) int {
+	index, _ := k.Rules()
+	g, _ := index.FindGroup(groupName)
+	return g.Connections
+}
+
+// Servers returns the listed servers by name, and the version of the store at which they were listed. The map must not
+// be changed. It is nil while none is known.
+func (k *Knowledge) Servers() (map[string]dispatch.Listing, port.Version) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.servers, k.serversAt
+}
+
+// Records returns the newest records, and false while none were read.
+func (k *Knowledge) Records() (Snapshot, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.records, k.hasRecords
+}
+
+// Instances returns the number of registered instances, at least one.
+func (k *Knowledge) Instances() int {
+	s, _ := k.Records()
+	return max(len(s.Members), 1)
+}
+
+// IsComplete reports whether callers can be served by what is known.
+func (k *Knowledge) IsComplete() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.hasDocument && k.servers != nil && k.hasRecords
+}
+
+// Changed returns a channel that is closed at the next change.
+func (k *Knowledge) Changed() <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.changed
+}
+
+// TakeDocument takes over a document that was the newest at the instant. The document in force never goes back.
+func (k *Knowledge) TakeDocument(d document.Document, at time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.hasDocument && d.Revision < k.index.Document().Revision {
+		return
+	}
+	k.confirmedAt = max(k.confirmedAt, at)
+	if !k.hasDocument || d.Revision > k.index.Document().Revision {
+		k.index, k.hasDocument = document.NewIndex(d), true
+		k.announce()
+	}
+}
+
+// ConfirmDocument notes that no document newer than the revision was known at the instant.
+func (k *Knowledge) ConfirmDocument(r document.Revision, at time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if r >= k.index.Document().Revision {
+		k.confirmedAt = max(k.confirmedAt, at)
+	}
+}
+
+// TakeServers takes over the list of servers at a version of the store, unless a newer one is known.
+func (k *Knowledge) TakeServers(servers map[string]dispatch.Listing, at port.Version) {
+	k.mu.Lock()
+	if at < k.serversAt {
+		k.mu.Unlock()
+		return
+	}
+	differs := k.servers == nil || !maps.Equal(k.servers, servers)
+	if differs {
+		// The version of the last difference stays, so that a relay's callers are not told the same list again.
+		k.servers, k.serversAt = servers, at
+		k.announce()
+	}
+	k.mu.Unlock()
+	if differs && k.onServers != nil {
+		k.onServers(servers)
+	}
+}
+
+// TakeRecords takes over what a read of the records gave, unless a newer read is known.
+func (k *Knowledge) TakeRecords(s Snapshot) {
+	for _, p := range s.Primacies {
+		k.views.Take(p.Record, s.AskedAt)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.hasRecords && s.AskedAt <= k.records.AskedAt {
+		return
+	}
+	differs := !k.hasRecords || s.Version() != k.records.Version()
+	k.records, k.hasRecords = s, true
+	if differs {
+		k.announce()
+	}
+}
+
+// announce tells those who wait for a change. The lock is held.
+func (k *Knowledge) announce() {
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -27,9 +27,9 @@
 type PromoterConfig struct {
 	Self       Member
 	Timer      port.Timer
-	Registry   *Registry
-	Listings   *ListingFollower
-	Documents  *DocumentFollower
+	Knowledge  *Knowledge
+	Readers    *StoreReaders
+	Fleet      Fleet
 	Views      *Views
 	Desk       *Desk
 	Dialer     Dialer
@@ -54,11 +54,11 @@
 
 func (p *Promoter) loop(ctx context.Context) {
 	for port.Wait(ctx, p.cfg.Timer, promoterPeriod) == nil {
-		snapshot, known := p.cfg.Registry.Snapshot()
-		if !known || p.cfg.Listings.All() == nil {
+		if !p.cfg.Knowledge.IsComplete() {
 			continue
 		}
-		index, _ := p.cfg.Documents.Rules()
+		snapshot, _ := p.cfg.Knowledge.Records()
+		index, _ := p.cfg.Knowledge.Rules()
 		for _, g := range index.Document().Groups {
 			if _, found := snapshot.Primacies[g.Name]; !found {
 				p.introduce(ctx, snapshot, g.Name)
@@ -95,7 +95,7 @@
 		limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, callLimit)
 		_, _ = p.cfg.Records.Put(limited, primacyPrefix+groupName, data, 0)
 		cancel()
-		p.cfg.Registry.Hurry()
+		_ = p.cfg.Readers.ReadRecords(ctx)
 		p.unknownSince[groupName] = p.cfg.Timer.Now()
 		return
 	}
@@ -116,7 +116,8 @@
 // members returns the listed servers of the group by name.
 func (p *Promoter) members(groupName string) []dispatch.Listing {
 	var members []dispatch.Listing
-	for _, l := range p.cfg.Listings.All() {
+	servers, _ := p.cfg.Knowledge.Servers()
+	for _, l := range servers {
 		if l.Group == groupName {
 			members = append(members, l)
 		}
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -211,6 +211,7 @@
 		return nil, err
 	}
 	s.affinity = grant.Connection.ID
+	s.server, s.tries = grant.Connection.Endpoint.Server, s.tries+1
 	l := &loan{connection: grant.Connection, choice: grant.Choice}
 	if primary, term, ok := s.house.cfg.Views.Primary(w.route.Group); ok && primary == grant.Connection.Endpoint.Server {
 		l.asPrimary, l.term = true, term
--- a/proxy/rates.go
+++ b/proxy/rates.go
@@ -2,30 +2,90 @@
 
 import (
 	"context"
+	"math"
 	"sync"
+	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/allotment"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/port"
 )
 
-// EvenRates gives each instance an even part of every organisation's rate and burst.
-type EvenRates struct {
+const (
+	// evenPart is the part of every rate that is divided evenly; the rest follows demand. It serves callers that an
+	// instance has not told of yet.
+	evenPart = 0.15
+	// demandSpan is the time over which demand is averaged. A shorter one follows the chance arrivals of few callers.
+	demandSpan = 4 * time.Second
+	// usedTolerance is the part of the tolerance that is used; the rest covers parts that change while they are told.
+	usedTolerance = 0.5
+	// defaultWindow is the span over which a rate is counted where the platform states none.
+	defaultWindow = 5 * time.Second
+	// totalsLife is how long the fleet's demand is relied on.
+	totalsLife = 6 * time.Second
+)
+
+// Tolerance is how far the platform lets an organisation exceed its rate and burst in a window, so that the parts of an
+// instance need not be exact. The zero value tolerates nothing.
+type Tolerance struct {
+	Window time.Duration
+	// Over is the part of the limit by which it may be exceeded, and Slack a number of operations besides.
+	Over  float64
+	Slack float64
+}
+
+// SharedRates gives each instance a part of every organisation's rate and burst that follows the callers' demand. The
+// parts of all instances add up to the whole, because each takes its own demand from the same sum as all others.
+type SharedRates struct {
 	timer     port.Timer
 	rules     Rules
 	instances func() int
+	tolerance Tolerance
 
-	mu      sync.Mutex
-	buckets map[string]allotment.Bucket
+	mu       sync.Mutex
+	accounts map[string]rateAccount
+	started  time.Duration
+	totals   Demand
+	own      Demand
+	totalsAt time.Duration
 }
 
-// NewEvenRates returns rates that start without tokens: an instance that died may have spent them.
-func NewEvenRates(timer port.Timer, rules Rules, instances func() int) *EvenRates {
-	return &EvenRates{timer: timer, rules: rules, instances: instances, buckets: make(map[string]allotment.Bucket)}
+// rateAccount is what this instance has spent of an organisation's rate. A rateAccount is never changed in place.
+type rateAccount struct {
+	// bucket holds the mean rate to the organisation's, and window the number in every window to its rate and burst.
+	bucket allotment.Bucket
+	window allotment.Window
+	meter  rateMeter
+}
+
+// rateMeter is a mean of operations a second that forgets over demandSpan. The zero value has seen none.
+type rateMeter struct {
+	count float64
+	at    time.Duration
+}
+
+// with returns the meter after n more operations.
+func (m rateMeter) with(now time.Duration, n float64) rateMeter {
+	return rateMeter{count: m.count*math.Exp(-float64(now-m.at)/float64(demandSpan)) + n, at: now}
+}
+
+func (m rateMeter) rate(now time.Duration) float64 {
+	return m.with(now, 0).count / demandSpan.Seconds()
+}
+
+// NewSharedRates returns rates that start without tokens: an instance that died may have spent them.
+func NewSharedRates(timer port.Timer, rules Rules, instances func() int, t Tolerance) *SharedRates {
+	if t.Window <= 0 {
+		t.Window = defaultWindow
+	}
+	return &SharedRates{
+		timer: timer, rules: rules, instances: instances, tolerance: t,
+		accounts: make(map[string]rateAccount), started: timer.Now(),
+	}
 }
 
 // Take takes one operation from the organisation's part.
-func (r *EvenRates) Take(_ context.Context, organisation string) error {
+func (r *SharedRates) Take(_ context.Context, organisation string) error {
 	index, _ := r.rules.Rules()
 	o, found := index.FindOrganisation(organisation)
 	if !found {
@@ -34,18 +94,73 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.timer.Now()
-	bucket, ok := r.buckets[organisation].WithShare(now, r.share(o)).Take(now, allotment.Statement)
-	r.buckets[organisation] = bucket
+	a, known := r.accounts[organisation]
+	if !known {
+		a = r.newAccount(o)
+	}
+	a, ok := a.take(now, r.share(o, now))
+	r.accounts[organisation] = a
 	if !ok {
-		return port.Failf(port.OverRate, "the rate of organisation %s is used up", organisation)
+		return port.Failf(port.OverRate, "this instance's part of the rate of organisation %s is used up", organisation)
 	}
 	return nil
 }
 
-func (r *EvenRates) share(o document.Organisation) allotment.Amount {
-	n := float64(max(r.instances(), 1))
+// newAccount returns the account of an organisation whose callers have not asked for anything since the start.
+func (r *SharedRates) newAccount(o document.Organisation) rateAccount {
+	return rateAccount{
+		bucket: allotment.Bucket{}.WithShare(r.started, r.share(o, r.started)),
+		window: allotment.NewWindow(r.tolerance.Window),
+	}
+}
+
+// take takes one operation from the share, whose burst also bounds the number in a window.
+func (a rateAccount) take(now time.Duration, share allotment.Amount) (rateAccount, bool) {
+	a.meter = a.meter.with(now, 1)
+	a.window = a.window.At(now)
+	a.bucket = a.bucket.WithShare(now, share)
+	if a.window.Count() >= int64(share.Burst/allotment.Statement) {
+		return a, false
+	}
+	bucket, ok := a.bucket.Take(now, allotment.Statement)
+	a.bucket = bucket
+	if ok {
+		a.window = a.window.With(now, 1)
+	}
+	return a, ok
+}
+
+// Demand returns what this instance's callers ask for.
+func (r *SharedRates) Demand() Demand {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.timer.Now()
+	d := make(Demand, len(r.accounts))
+	for name, a := range r.accounts {
+		d[name] = a.meter.rate(now)
+	}
+	return d
+}
+
+// SetTotals takes over the demand of the fleet, and this instance's part as it was counted there.
+func (r *SharedRates) SetTotals(totals, own Demand) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.totals, r.own, r.totalsAt = totals, own, r.timer.Now()
+}
+
+// share returns this instance's part of the organisation's rate and burst. The lock is held.
+func (r *SharedRates) share(o document.Organisation, now time.Duration) allotment.Amount {
+	n := float64(r.instances())
+	weight := 1 / n
+	if total := r.totals[o.Name]; total > 0 && now-r.totalsAt <= totalsLife {
+		weight = evenPart/n + (1-evenPart)*r.own[o.Name]/total
+	}
+	t := r.tolerance
+	window := o.Rate*t.Window.Seconds() + o.Burst
+	window += usedTolerance * (t.Over*window + t.Slack)
 	return allotment.Amount{
-		Rate:  allotment.ToStatements(1.25 * o.Rate / n),
-		Burst: allotment.ToStatements(max(1, (0.3*o.Burst+20)/n)),
+		Rate:  allotment.ToStatements(o.Rate * weight),
+		Burst: allotment.ToStatements(max(1, window*weight)),
 	}
 }
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -31,7 +31,10 @@
 	context  statement.Context
 	newest   group.Position
 	affinity uint64
-	tx       *transaction
+	// server ran the latest request last, and tries counts the servers to which it was offered.
+	server string
+	tries  int
+	tx     *transaction
 }
 
 // transaction is an open transaction of a caller.
@@ -75,7 +78,7 @@
 		case err != nil:
 			return
 		default:
-			err = s.caller.Reply(s.handle(ctx, req))
+			err = s.caller.Reply(s.answer(ctx, req))
 		}
 		if err != nil {
 			return
@@ -124,6 +127,15 @@
 	}
 }
 
+// answer returns the answer to a request and records the decision.
+func (s *Session) answer(ctx context.Context, req statement.Request) statement.Answer {
+	began := s.house.cfg.Timer.Now()
+	s.server, s.tries = "", 0
+	a := s.handle(ctx, req)
+	s.house.record(s, req, a, began)
+	return a
+}
+
 // handle returns the answer to a request.
 func (s *Session) handle(ctx context.Context, req statement.Request) statement.Answer {
 	if s.tx != nil && s.tx.failed {
--- a/proxy/views.go
+++ b/proxy/views.go
@@ -17,6 +17,9 @@
 	views map[string]primacy.View
 	// changed is closed when a record changed.
 	changed chan struct{}
+	// notBefore is when the instance was registered. What was asked for earlier grants nothing: a promoter that does not
+	// know the instance does not wait for it.
+	notBefore time.Duration
 }
 
 // NewViews returns views of no group.
@@ -24,10 +27,20 @@
 	return &Views{timer: timer, views: make(map[string]primacy.View), changed: make(chan struct{})}
 }
 
+// Begin has the views rely only on records that were asked for from the instant on.
+func (v *Views) Begin(at time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.notBefore = at
+}
+
 // Take notes a record that was asked for at the instant, and reports whether it is news.
 func (v *Views) Take(r primacy.Record, askedAt time.Duration) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if askedAt < v.notBefore {
+		return false
+	}
 	before := v.views[r.Group]
 	after := before.WithRecord(r, askedAt)
 	v.views[r.Group] = after
