--- a/adapter/fleet/client.go
+++ b/adapter/fleet/client.go
@@ -19,7 +19,6 @@
 	"github.com/rhubarbwick/rhubarbwick/gen/rhubarbwick/fleet/v1/fleetv1connect"
 	"github.com/rhubarbwick/rhubarbwick/group"
 	"github.com/rhubarbwick/rhubarbwick/port"
-	"github.com/rhubarbwick/rhubarbwick/primacy"
 	"github.com/rhubarbwick/rhubarbwick/proxy"
 )
 
@@ -73,8 +72,7 @@
 // Exchange asks a relay for what it knows.
 func (c *Client) Exchange(ctx context.Context, address string, ask proxy.Ask) (proxy.Report, error) {
 	req := &fleetv1.ExchangeRequest{
-		From:          &fleetv1.Member{Name: ask.From.Name, Incarnation: ask.From.Incarnation, Address: ask.From.Address, DataCentre: ask.From.DataCentre},
-		KnownRevision: uint64(ask.Revision), KnownRecords: ask.Records, KnownServers: uint64(ask.Servers),
+		From: encodeMember(ask.From), KnownRevision: uint64(ask.Revision), KnownRecords: ask.Records, KnownServers: uint64(ask.Servers),
 		Demands: encodeDemand(ask.Demand), Points: encodePoints(ask.Points), WaitMs: uint32(ask.Wait.Milliseconds()),
 		Relay: ask.FromRelay,
 	}
@@ -86,16 +84,24 @@
 }
 
 // Suspend has the instance stop using the primary of the record's term.
-func (c *Client) Suspend(ctx context.Context, address string, r primacy.Record) (string, error) {
-	data, err := r.Encode()
+func (c *Client) Suspend(ctx context.Context, address string, p proxy.StoredPrimacy) error {
+	data, err := p.Record.Encode()
 	if err != nil {
-		return "", port.Wrapf(err, port.Internal, "the record cannot be encoded")
+		return port.Wrapf(err, port.Internal, "the record cannot be encoded")
 	}
-	res, err := c.at(address).Suspend(ctx, connect.NewRequest(&fleetv1.SuspendRequest{Record: data}))
-	if err != nil {
-		return "", failure(err, address)
+	req := &fleetv1.SuspendRequest{Record: &fleetv1.Record{Name: p.Record.Group, Version: uint64(p.Version), Data: data}}
+	if _, err = c.at(address).Suspend(ctx, connect.NewRequest(req)); err != nil {
+		return failure(err, address)
 	}
-	return res.Msg.GetIncarnation(), nil
+	return nil
+}
+
+// Notify has the instance ask the member for the newest records.
+func (c *Client) Notify(ctx context.Context, address string, m proxy.Member) error {
+	if _, err := c.at(address).Notify(ctx, connect.NewRequest(&fleetv1.NotifyRequest{From: encodeMember(m)})); err != nil {
+		return failure(err, address)
+	}
+	return nil
 }
 
 // Survey asks how long ago the instance heard from the server.
@@ -109,6 +115,16 @@
 	}, nil
 }
 
+func encodeMember(m proxy.Member) *fleetv1.Member {
+	return &fleetv1.Member{Name: m.Name, Incarnation: m.Incarnation, Address: m.Address, DataCentre: m.DataCentre}
+}
+
+func decodeMember(m *fleetv1.Member) proxy.Member {
+	return proxy.Member{
+		Name: m.GetName(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), DataCentre: m.GetDataCentre(),
+	}
+}
+
 func decodeReport(m *fleetv1.ExchangeResponse) (proxy.Report, error) {
 	r := proxy.Report{
 		Held: millis(uint64(m.GetHeldMs())), DocumentAge: millis(m.GetDocumentAgeMs()),
--- a/adapter/fleet/server.go
+++ b/adapter/fleet/server.go
@@ -50,12 +50,8 @@
 	ctx context.Context, req *connect.Request[fleetv1.ExchangeRequest],
 ) (*connect.Response[fleetv1.ExchangeResponse], error) {
 	m := req.Msg
-	from := m.GetFrom()
 	r := s.hub.Exchange(ctx, proxy.Ask{
-		From: proxy.Member{
-			Name: from.GetName(), Incarnation: from.GetIncarnation(), Address: from.GetAddress(), DataCentre: from.GetDataCentre(),
-		},
-		Revision: document.Revision(m.GetKnownRevision()), Records: m.GetKnownRecords(),
+		From: decodeMember(m.GetFrom()), Revision: document.Revision(m.GetKnownRevision()), Records: m.GetKnownRecords(),
 		Servers: port.Version(m.GetKnownServers()), Demand: decodeDemand(m.GetDemands()), Points: decodePoints(m.GetPoints()),
 		Wait: millis(uint64(m.GetWaitMs())), FromRelay: m.GetRelay(),
 	})
@@ -68,13 +64,22 @@
 
 // Suspend stops using a group's primary.
 func (s *Server) Suspend(
-	_ context.Context, req *connect.Request[fleetv1.SuspendRequest],
+	ctx context.Context, req *connect.Request[fleetv1.SuspendRequest],
 ) (*connect.Response[fleetv1.SuspendResponse], error) {
-	record, err := primacy.ParseRecord(req.Msg.GetRecord())
+	record, err := primacy.ParseRecord(req.Msg.GetRecord().GetData())
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	return connect.NewResponse(&fleetv1.SuspendResponse{Incarnation: s.hub.Suspend(record)}), nil
+	s.hub.Suspend(ctx, proxy.StoredPrimacy{Record: record, Version: port.Version(req.Msg.GetRecord().GetVersion())})
+	return connect.NewResponse(&fleetv1.SuspendResponse{}), nil
+}
+
+// Notify has the newest records asked for at a member.
+func (s *Server) Notify(
+	_ context.Context, req *connect.Request[fleetv1.NotifyRequest],
+) (*connect.Response[fleetv1.NotifyResponse], error) {
+	s.hub.Notify(decodeMember(req.Msg.GetFrom()))
+	return connect.NewResponse(&fleetv1.NotifyResponse{}), nil
 }
 
 // Survey tells how long ago a server answered this instance.
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -14,6 +14,7 @@
 	"github.com/rhubarbwick/rhubarbwick/adapter/fleet"
 	"github.com/rhubarbwick/rhubarbwick/platform"
 	"github.com/rhubarbwick/rhubarbwick/proxy"
+	"github.com/rhubarbwick/rhubarbwick/ring"
 )
 
 const (
@@ -65,17 +66,21 @@
 		Timer: p.timer, Desk: p.desk, Views: p.views, Rules: p.knowledge, Rates: rates, Recorder: p.decisions,
 		DocumentAge: p.knowledge.DocumentAge,
 	})
+	notices := ring.New[proxy.Member](0)
 	hub := proxy.NewHub(proxy.HubConfig{
 		Self: self, Timer: p.timer, Knowledge: p.knowledge, Views: p.views, Desk: p.desk, Demand: rates.Demand,
+		Notices: notices,
 	})
 	others := fleet.NewClient(platform.NewDialer())
 	readers := &proxy.StoreReaders{Documents: store, Listings: store, Records: store, Knowledge: p.knowledge, Timer: p.timer}
 	p.courier = proxy.NewCourier(proxy.CourierConfig{
 		Self: self, Timer: p.timer, Knowledge: p.knowledge, Fleet: others, Hub: hub, Readers: readers, Rates: rates,
+		Notices: notices,
 	})
 	p.promoter = proxy.NewPromoter(proxy.PromoterConfig{
 		Self: self, Timer: p.timer, Knowledge: p.knowledge, Readers: readers, Fleet: others, Views: p.views, Desk: p.desk,
 		Dialer: dialer, Records: store, Promotions: platform.NewCloud(s.CloudAddress),
+		Recorder: p.decisions,
 	})
 	return p, p.open(ctx, hub)
 }
--- a/gen/rhubarbwick/fleet/v1/fleetv1connect/fleet.connect.go
+++ b/gen/rhubarbwick/fleet/v1/fleetv1connect/fleet.connect.go
@@ -37,6 +37,8 @@
 	FleetServiceExchangeProcedure = "/rhubarbwick.fleet.v1.FleetService/Exchange"
 	// FleetServiceSuspendProcedure is the fully-qualified name of the FleetService's Suspend RPC.
 	FleetServiceSuspendProcedure = "/rhubarbwick.fleet.v1.FleetService/Suspend"
+	// FleetServiceNotifyProcedure is the fully-qualified name of the FleetService's Notify RPC.
+	FleetServiceNotifyProcedure = "/rhubarbwick.fleet.v1.FleetService/Notify"
 	// FleetServiceSurveyProcedure is the fully-qualified name of the FleetService's Survey RPC.
 	FleetServiceSurveyProcedure = "/rhubarbwick.fleet.v1.FleetService/Survey"
 )
@@ -48,6 +50,8 @@
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
 	// Suspend has the instance stop using a group's primary because it is to be replaced.
 	Suspend(context.Context, *connect.Request[v1.SuspendRequest]) (*connect.Response[v1.SuspendResponse], error)
+	// Notify has the instance ask a member for the newest records.
+	Notify(context.Context, *connect.Request[v1.NotifyRequest]) (*connect.Response[v1.NotifyResponse], error)
 	// Survey asks how long ago the instance heard from a server.
 	Survey(context.Context, *connect.Request[v1.SurveyRequest]) (*connect.Response[v1.SurveyResponse], error)
 }
@@ -75,6 +79,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Suspend")),
 			connect.WithClientOptions(opts...),
 		),
+		notify: connect.NewClient[v1.NotifyRequest, v1.NotifyResponse](
+			httpClient,
+			baseURL+FleetServiceNotifyProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Notify")),
+			connect.WithClientOptions(opts...),
+		),
 		survey: connect.NewClient[v1.SurveyRequest, v1.SurveyResponse](
 			httpClient,
 			baseURL+FleetServiceSurveyProcedure,
@@ -88,6 +98,7 @@
 type fleetServiceClient struct {
 	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
 	suspend  *connect.Client[v1.SuspendRequest, v1.SuspendResponse]
+	notify   *connect.Client[v1.NotifyRequest, v1.NotifyResponse]
 	survey   *connect.Client[v1.SurveyRequest, v1.SurveyResponse]
 }
 
@@ -101,6 +112,11 @@
 	return c.suspend.CallUnary(ctx, req)
 }
 
+// Notify calls rhubarbwick.fleet.v1.FleetService.Notify.
+func (c *fleetServiceClient) Notify(ctx context.Context, req *connect.Request[v1.NotifyRequest]) (*connect.Response[v1.NotifyResponse], error) {
+	return c.notify.CallUnary(ctx, req)
+}
+
 // Survey calls rhubarbwick.fleet.v1.FleetService.Survey.
 func (c *fleetServiceClient) Survey(ctx context.Context, req *connect.Request[v1.SurveyRequest]) (*connect.Response[v1.SurveyResponse], error) {
 	return c.survey.CallUnary(ctx, req)
@@ -113,6 +129,8 @@
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
 	// Suspend has the instance stop using a group's primary because it is to be replaced.
 	Suspend(context.Context, *connect.Request[v1.SuspendRequest]) (*connect.Response[v1.SuspendResponse], error)
+	// Notify has the instance ask a member for the newest records.
+	Notify(context.Context, *connect.Request[v1.NotifyRequest]) (*connect.Response[v1.NotifyResponse], error)
 	// Survey asks how long ago the instance heard from a server.
 	Survey(context.Context, *connect.Request[v1.SurveyRequest]) (*connect.Response[v1.SurveyResponse], error)
 }
@@ -136,6 +154,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Suspend")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceNotifyHandler := connect.NewUnaryHandler(
+		FleetServiceNotifyProcedure,
+		svc.Notify,
+		connect.WithSchema(fleetServiceMethods.ByName("Notify")),
+		connect.WithHandlerOptions(opts...),
+	)
 	fleetServiceSurveyHandler := connect.NewUnaryHandler(
 		FleetServiceSurveyProcedure,
 		svc.Survey,
@@ -148,6 +172,8 @@
 			fleetServiceExchangeHandler.ServeHTTP(w, r)
 		case FleetServiceSuspendProcedure:
 			fleetServiceSuspendHandler.ServeHTTP(w, r)
+		case FleetServiceNotifyProcedure:
+			fleetServiceNotifyHandler.ServeHTTP(w, r)
 		case FleetServiceSurveyProcedure:
 			fleetServiceSurveyHandler.ServeHTTP(w, r)
 		default:
@@ -167,6 +193,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbwick.fleet.v1.FleetService.Suspend is not implemented"))
 }
 
+func (UnimplementedFleetServiceHandler) Notify(context.Context, *connect.Request[v1.NotifyRequest]) (*connect.Response[v1.NotifyResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbwick.fleet.v1.FleetService.Notify is not implemented"))
+}
+
 func (UnimplementedFleetServiceHandler) Survey(context.Context, *connect.Request[v1.SurveyRequest]) (*connect.Response[v1.SurveyResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbwick.fleet.v1.FleetService.Survey is not implemented"))
 }
--- a/primacy/record.go
+++ b/primacy/record.go
@@ -34,8 +34,8 @@
 	Promoter string `json:"promoter"`
 	// Epoch grows with each holder of the duty to promote.
 	Epoch uint64 `json:"epoch"`
-	// Attempt tells the announcements of one promoter apart.
-	Attempt uint64 `json:"attempt"`
+	// Planned is true when the primary still works, so that what runs there may end first.
+	Planned bool `json:"planned"`
 }
 
 // ParseRecord reads the stored form.
@@ -65,54 +65,57 @@
 	return r
 }
 
-// Succeeds reports whether the record is newer than the other one of the same group. Terms grow, and within a term a
-// record with an announcement follows one without.
-func (r Record) Succeeds(other Record) bool {
-	if r.Term != other.Term {
-		return r.Term > other.Term
-	}
-	return r.attempt() > other.attempt()
-}
-
-func (r Record) attempt() uint64 {
-	if r.Replacement == nil {
-		return 0
-	}
-	return r.Replacement.Epoch<<20 + r.Replacement.Attempt
-}
-
-// View is a record with the instant at which it was asked for. A View is never changed in place; the zero value relies
+// View is what an instance may rely on about a group's primary. A View is never changed in place; the zero value relies
 // on nothing.
 type View struct {
-	Record Record
-	// AskedAt is on the clock of this process, which also counts the time that the machine is suspended.
+	// Record is the newest record, and Version its version in the store.
+	Record  Record
+	Version uint64
+	// AskedAt is when a record with the present primary and no announcement was last asked for, on a clock of this process
+	// that also counts the time in which the machine is suspended.
 	AskedAt time.Duration
+	// released is true once the instance has confirmed that it no longer uses the primary of the record's term.
+	released bool
 }
 
-// WithRecord returns the view after the record was asked for at the instant. An older record changes nothing: its answer
-// was late.
-func (v View) WithRecord(r Record, askedAt time.Duration) View {
+// WithRecord returns the view after the record was asked for at the instant. A record of an older version changes
+// nothing: its answer was late.
+func (v View) WithRecord(r Record, version uint64, askedAt time.Duration) View {
 	switch {
-	case r.Succeeds(v.Record):
-		return View{Record: r, AskedAt: askedAt}
-	case v.Record.Succeeds(r):
+	case version < v.Version:
 		return v
-	default:
+	case version > v.Version && (r.Term != v.Record.Term || r.Primary != v.Record.Primary):
+		v = View{Record: r, Version: version}
+	case version > v.Version:
+		// The lease of an announced replacement goes on until the instance releases it. After a withdrawn announcement the
+		// primary leads again.
+		v.Record, v.Version, v.released = r, version, v.released && r.Replacement != nil
+	}
+	if r.Replacement == nil {
 		v.AskedAt = max(v.AskedAt, askedAt)
-		return v
 	}
+	return v
+}
+
+// WithRelease returns the view after the instance confirmed that it no longer uses the primary of the term.
+func (v View) WithRelease(term group.Term) View {
+	if v.Record.Term == term {
+		v.released = true
+	}
+	return v
 }
 
-// PrimaryAt returns the server that the instance may treat as primary at now, and its term.
+// PrimaryAt returns the server to which new statements for the primary may go at now, and its term.
 func (v View) PrimaryAt(now time.Duration) (string, group.Term, bool) {
-	if v.Record.Primary == "" || v.Record.Replacement != nil || now-v.AskedAt > Lease {
+	if v.Record.Replacement != nil || !v.Leads(v.Record.Primary, v.Record.Term, now) {
 		return "", 0, false
 	}
 	return v.Record.Primary, v.Record.Term, true
 }
 
-// Leads reports whether the server is the primary of the term at now.
+// Leads reports whether answers of the server, as primary of the term, may be relied on at now. They may until the
+// instance has released the primary, also while its replacement is announced.
 func (v View) Leads(server string, term group.Term, now time.Duration) bool {
-	primary, current, ok := v.PrimaryAt(now)
-	return ok && primary == server && current == term
+	return v.Record.Primary != "" && v.Record.Primary == server && v.Record.Term == term && !v.released &&
+		v.AskedAt > 0 && now-v.AskedAt <= Lease
 }
--- a/proxy/courier.go
+++ b/proxy/courier.go
@@ -9,6 +9,7 @@
 
 	"github.com/rhubarbwick/rhubarbwick/instance"
 	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/ring"
 )
 
 const (
@@ -31,6 +32,8 @@
 	Hub       *Hub
 	Readers   *StoreReaders
 	Rates     *SharedRates
+	// Notices gives the members that have newer records.
+	Notices *ring.Ring[Member]
 }
 
 // Courier is the duty that keeps the instance's knowledge fresh: from the relay of its data centre, or from the store
@@ -49,6 +52,8 @@
 
 // Run keeps the knowledge fresh until ctx ends.
 func (c *Courier) Run(ctx context.Context) {
+	n := &noticeReader{courier: c}
+	c.running.Go(func() { n.loop(ctx) })
 	c.loop(ctx)
 	c.stopReaders()
 	c.running.Wait()
@@ -80,6 +85,21 @@
 	}
 }
 
+// noticeReader is the duty that asks members that have newer records.
+type noticeReader struct{ courier *Courier }
+
+func (n *noticeReader) loop(ctx context.Context) {
+	c := n.courier
+	for {
+		m, err := c.cfg.Notices.Take(ctx)
+		if err != nil {
+			return
+		}
+		// Without an answer, the relay or the store tells the same a little later.
+		_, _ = c.exchange(ctx, m, nil, 0, true)
+	}
+}
+
 // relay returns the first in rank of the own data centre's instances that did not fail of late.
 func (c *Courier) relay(now time.Duration) (Member, bool) {
 	relays := c.ranked(c.cfg.Self.DataCentre)
--- a/proxy/desk.go
+++ b/proxy/desk.go
@@ -15,6 +15,8 @@
 
 const (
 	deskCapacity = 256
+	// doubtCapacity bounds the doubts that wait; the oldest are dropped, because a server that is gone raises more.
+	doubtCapacity = 16
 	// waitCheck is how often the deadlines of waiting statements are looked at.
 	waitCheck = 20 * time.Millisecond
 	// dialLimit is how long a new connection may take. A server that is well takes some 12 ms.
@@ -57,6 +59,8 @@
 
 	// heard holds when each server last answered.
 	heard sync.Map
+	// doubts are servers that may be gone.
+	doubts *ring.Ring[string]
 }
 
 // serverDesk is what the desk has at one server.
@@ -119,7 +123,7 @@
 }
 
 // deskCommand is what the desk takes from its ring. It is one of wanted, abandoned, returned, answered, troubled, opened,
-// notOpened, listingsChanged, checked and checkWaits.
+// notOpened, listingsChanged, counted, checked and checkWaits.
 type deskCommand interface{ deskCommand() }
 
 type wanted struct{ waiter *waiter }
@@ -153,6 +157,12 @@
 
 type listingsChanged struct{ listings map[string]dispatch.Listing }
 
+// counted asks for the number of connections to a server that are lent.
+type counted struct {
+	server string
+	reply  *ring.Ring[int]
+}
+
 type checked struct{}
 
 func (wanted) deskCommand()          {}
@@ -163,6 +173,7 @@
 func (opened) deskCommand()          {}
 func (notOpened) deskCommand()       {}
 func (listingsChanged) deskCommand() {}
+func (counted) deskCommand()         {}
 func (checked) deskCommand()         {}
 
 // trouble is why a server did not do what it was asked. It is one of lacked, refused and unreached.
@@ -182,7 +193,7 @@
 func NewDesk(cfg DeskConfig) *Desk {
 	ended, end := context.WithCancel(context.Background())
 	return &Desk{
-		cfg: cfg, commands: ring.New[deskCommand](deskCapacity), ended: ended, end: end,
+		cfg: cfg, commands: ring.New[deskCommand](deskCapacity), ended: ended, end: end, doubts: ring.New[string](doubtCapacity),
 		servers: make(map[string]*serverDesk), evidence: make(map[string]primacy.Evidence),
 	}
 }
@@ -244,7 +255,27 @@
 func (d *Desk) Refused(server string) { d.tell(troubled{server: server, trouble: refused{}}) }
 
 // Unreached tells the desk that the server's connection was lost or that it did not answer.
-func (d *Desk) Unreached(server string) { d.tell(troubled{server: server, trouble: unreached{}}) }
+func (d *Desk) Unreached(server string) {
+	d.Doubt(server)
+	d.tell(troubled{server: server, trouble: unreached{}})
+}
+
+// Doubt says that the server may be gone.
+func (d *Desk) Doubt(server string) { d.doubts.Push(server) }
+
+// Doubts gives the servers that may be gone.
+func (d *Desk) Doubts() *ring.Ring[string] { return d.doubts }
+
+// Outstanding returns the number of connections to the server that are lent.
+func (d *Desk) Outstanding(server string) int {
+	c := counted{server: server, reply: ring.New[int](1)}
+	d.tell(c)
+	n, err := c.reply.Take(d.ended)
+	if err != nil {
+		return 0
+	}
+	return n
+}
 
 // SetListings tells the desk which servers there are.
 func (d *Desk) SetListings(listings map[string]dispatch.Listing) { d.tell(listingsChanged{listings}) }
@@ -284,6 +315,12 @@
 		d.noteNotOpened(c, now)
 	case listingsChanged:
 		d.setListings(c.listings)
+	case counted:
+		n := 0
+		if s := d.at(c.server); s != nil {
+			n = s.total - len(s.idle)
+		}
+		c.reply.Offer(n)
 	case checked:
 		d.trim(now)
 	case checkWaits:
@@ -381,6 +418,7 @@
 	case port.Busy:
 		s.server = s.server.WithRefusal(now)
 	default:
+		d.Doubt(c.endpoint.Server)
 		s.server = s.server.WithFailure(now)
 	}
 }
--- /dev/null
+++ b/proxy/duty.go
@@ -0,0 +1,98 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+const (
+	// dutyLease is how long a holder may use the duty to promote after it last renewed it, and dutyWait how long the
+	// duty has to be unchanged before another instance takes it from a holder that may still live.
+	dutyLease = 2 * time.Second
+	dutyWait  = 3 * time.Second
+)
+
+// dutyHolder holds the duty to promote, which one instance has at a time, for this instance.
+type dutyHolder struct {
+	cfg *PromoterConfig
+
+	mu sync.Mutex
+	// seen is the newest version, and since when it was first seen.
+	seen  port.Version
+	since time.Duration
+	// renewed is the instant before the last renewal of the epoch by this instance.
+	renewed time.Duration
+	epoch   uint64
+}
+
+// observe notes the duty as a read of the records told.
+func (d *dutyHolder) observe(s Snapshot) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s.Duty.Version > d.seen {
+		d.seen, d.since = s.Duty.Version, d.cfg.Timer.Now()
+	}
+}
+
+// acquire takes or renews the duty and returns its epoch. It fails with kind Conflict while another instance may be
+// using it.
+func (d *dutyHolder) acquire(ctx context.Context, s Snapshot) (uint64, error) {
+	d.observe(s)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	held := s.Duty.Duty
+	next := Duty{Holder: d.cfg.Self.Incarnation, Epoch: held.Epoch, Use: held.Use + 1}
+	if held.Holder != d.cfg.Self.Incarnation || held.Epoch != d.epoch {
+		now := d.cfg.Timer.Now()
+		lives := slices.ContainsFunc(s.Members, func(m Member) bool { return m.Incarnation == held.Holder })
+		if lives && s.Duty.Version != 0 && now-d.since < dutyWait {
+			return 0, port.Failf(port.Conflict, "instance %s may still be promoting", held.Holder)
+		}
+		next = Duty{Holder: d.cfg.Self.Incarnation, Epoch: held.Epoch + 1}
+	}
+	return next.Epoch, d.put(ctx, next, s.Duty.Version)
+}
+
+// confirm renews the duty of the epoch if it was not renewed of late. It fails when another instance has taken it.
+func (d *dutyHolder) confirm(ctx context.Context, epoch uint64) error {
+	d.mu.Lock()
+	if d.epoch == epoch && d.cfg.Timer.Now()-d.renewed < dutyLease/2 {
+		d.mu.Unlock()
+		return nil
+	}
+	d.mu.Unlock()
+	if err := d.cfg.Readers.ReadRecords(ctx); err != nil {
+		return err
+	}
+	s, _ := d.cfg.Knowledge.Records()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	held := s.Duty.Duty
+	if held.Holder != d.cfg.Self.Incarnation || held.Epoch != epoch {
+		return port.Failf(port.Conflict, "instance %s has taken the duty to promote", held.Holder)
+	}
+	held.Use++
+	return d.put(ctx, held, s.Duty.Version)
+}
+
+// put writes the duty. The lock is held.
+func (d *dutyHolder) put(ctx context.Context, next Duty, expected port.Version) error {
+	data, err := json.Marshal(next)
+	if err != nil {
+		return port.Wrapf(err, port.Internal, "the duty cannot be encoded")
+	}
+	began := d.cfg.Timer.Now()
+	limited, cancel := port.WithTimeout(ctx, d.cfg.Timer, callLimit)
+	defer cancel()
+	version, err := d.cfg.Records.Put(limited, dutyName, data, expected)
+	if err != nil {
+		return err
+	}
+	d.seen, d.since, d.renewed, d.epoch = version, began, began, next.Epoch
+	return nil
+}
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -9,7 +9,6 @@
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/group"
 	"github.com/rhubarbwick/rhubarbwick/port"
-	"github.com/rhubarbwick/rhubarbwick/primacy"
 )
 
 // ErrNoProcess is in the chain of an error when nothing listens at an instance's address, so that its process is gone.
@@ -19,8 +18,10 @@
 type Fleet interface {
 	// Exchange asks a relay for what it knows.
 	Exchange(ctx context.Context, address string, ask Ask) (Report, error)
-	// Suspend has the instance stop using the primary of the record's term, and returns its incarnation.
-	Suspend(ctx context.Context, address string, r primacy.Record) (string, error)
+	// Suspend has the instance stop using the primary of the record's term.
+	Suspend(ctx context.Context, address string, p StoredPrimacy) error
+	// Notify has the instance ask the member for the newest records.
+	Notify(ctx context.Context, address string, m Member) error
 	// Survey asks how long ago the instance heard from the server, and returns its incarnation.
 	Survey(ctx context.Context, address, server string) (Hearing, error)
 }
--- a/proxy/house.go
+++ b/proxy/house.go
@@ -16,6 +16,9 @@
 	rollbackLimit = time.Second
 	// leadCheck is how often an instance whose view has lapsed looks whether it was renewed.
 	leadCheck = 20 * time.Millisecond
+	// slowAnswer is how long an answer may take before the server is doubted. It is above what statements take that wait
+	// in a server's full queue.
+	slowAnswer = 350 * time.Millisecond
 )
 
 // Rates limits the operations of organisations over the whole fleet.
@@ -141,7 +144,9 @@
 func (h *House) do(ctx context.Context, l *loan, orders ...statement.Order) (statement.Answer, error) {
 	sent := h.cfg.Timer.Now()
 	server := l.connection.Endpoint.Server
+	stop := h.cfg.Timer.After(slowAnswer, func(time.Duration) { h.cfg.Desk.Doubt(server) })
 	answers, err := l.connection.Link.Do(ctx, orders...)
+	stop()
 	if err != nil {
 		h.cfg.Desk.Unreached(server)
 		return statement.Answer{}, err
--- a/proxy/hub.go
+++ b/proxy/hub.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/port"
-	"github.com/rhubarbwick/rhubarbwick/primacy"
+	"github.com/rhubarbwick/rhubarbwick/ring"
 )
 
 const (
@@ -20,6 +20,10 @@
 	// freshRecords is the age up to which a relay's records are worth having: an older relay has lost the store, and
 	// another one may reach it.
 	freshRecords = 4 * time.Second
+	// lastStatements is how long statements at a primary that is replaced as planned have to end.
+	lastStatements = 500 * time.Millisecond
+	// outstandingCheck is how often an instance looks whether they have.
+	outstandingCheck = 10 * time.Millisecond
 )
 
 // HubConfig is what a Hub needs.
@@ -31,6 +35,8 @@
 	Desk      *Desk
 	// Demand returns this instance's own demand.
 	Demand func() Demand
+	// Notices takes the members that have newer records.
+	Notices *ring.Ring[Member]
 }
 
 // Hub answers other instances. It is safe for concurrent use.
@@ -85,14 +91,27 @@
 	return r
 }
 
-// Suspend stops using the primary of the record's term.
-func (h *Hub) Suspend(r primacy.Record) string {
-	h.cfg.Views.Take(r, h.cfg.Timer.Now())
-	return h.cfg.Self.Incarnation
+// Suspend stops using the primary of the record's term. In a planned replacement, statements that run there may end
+// first.
+func (h *Hub) Suspend(ctx context.Context, p StoredPrimacy) {
+	h.cfg.Views.Take(p, 0)
+	if p.Record.Replacement != nil && p.Record.Replacement.Planned {
+		until := h.cfg.Timer.Now() + lastStatements
+		for h.cfg.Desk.Outstanding(p.Record.Primary) > 0 && h.cfg.Timer.Now() < until {
+			if port.Wait(ctx, h.cfg.Timer, outstandingCheck) != nil {
+				break
+			}
+		}
+	}
+	h.cfg.Views.Release(p.Record)
 }
 
-// Survey tells how long ago the server answered this instance.
+// Notify has the newest records asked for at the member.
+func (h *Hub) Notify(m Member) { h.cfg.Notices.Push(m) }
+
+// Survey tells how long ago the server answered this instance. Whoever asks has doubts about the server.
 func (h *Hub) Survey(server string) Hearing {
+	h.cfg.Desk.Doubt(server)
 	heardAt, heard := h.cfg.Desk.HeardAt(server)
 	return Hearing{Incarnation: h.cfg.Self.Incarnation, Age: h.cfg.Timer.Now() - heardAt, Heard: heard}
 }
@@ -114,6 +133,9 @@
 }
 
 func (h *Hub) take(ask Ask, now time.Duration) {
+	if len(ask.Demand) == 0 {
+		return
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	told := toldDemand{demand: ask.Demand, at: now}
--- a/proxy/knowledge.go
+++ b/proxy/knowledge.go
@@ -232,7 +232,7 @@
 // TakeRecords takes over what a read of the records gave, unless a newer read is known.
 func (k *Knowledge) TakeRecords(s Snapshot) {
 	for _, p := range s.Primacies {
-		k.views.Take(p.Record, s.AskedAt)
+		k.views.Take(p, s.AskedAt)
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -3,13 +3,15 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
-	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/instance"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/primacy"
+	"github.com/rhubarbwick/rhubarbwick/ring"
 	"github.com/rhubarbwick/rhubarbwick/statement"
 )
 
@@ -19,6 +21,19 @@
 	// introductionStep is how much later each next instance in rank writes the first record of a group, in case the ones
 	// before it do not.
 	introductionStep = time.Second
+	// replacementStep is how much later each next instance in rank begins a replacement.
+	replacementStep = 600 * time.Millisecond
+	// missingLimit is how long a primary may be missing from the list of servers before it counts as gone. Entries that
+	// lapsed in an outage of the store are back within about two seconds.
+	missingLimit = 2500 * time.Millisecond
+	// probeLimit is how long a server that is well may take to accept a connection.
+	probeLimit = 500 * time.Millisecond
+	// hearingLimit is how recently an instance must have heard from a primary for it to count as well there.
+	hearingLimit = 500 * time.Millisecond
+	// callPeers is how long calls to other instances may take.
+	callPeers = 400 * time.Millisecond
+	// takeOverLimit is how long a replacement may stand before another instance takes it over.
+	takeOverLimit = 4 * time.Second
 	// systemCaller is the name under which the system itself connects to servers.
 	systemCaller = "rhubarbwick"
 )
@@ -35,72 +50,254 @@
 	Dialer     Dialer
 	Records    Records
 	Promotions Promotions
+	// Recorder may be nil.
+	Recorder Recorder
 }
 
 // Promoter is the duty that sees to it that every group has a primary.
 type Promoter struct {
-	cfg PromoterConfig
-	// unknownSince holds since when a group was seen without a record.
-	unknownSince map[string]time.Duration
+	cfg  PromoterConfig
+	duty dutyHolder
+	// running are the replacements that this instance carries out.
+	running sync.WaitGroup
+
+	mu     sync.Mutex
+	active map[string]bool
+
+	// The following belong to the loop.
+	since map[string]time.Duration
 }
 
 // NewPromoter returns a promoter.
 func NewPromoter(cfg PromoterConfig) *Promoter {
-	return &Promoter{cfg: cfg, unknownSince: make(map[string]time.Duration)}
+	if cfg.Recorder == nil {
+		cfg.Recorder = silent{}
+	}
+	p := &Promoter{cfg: cfg, active: make(map[string]bool), since: make(map[string]time.Duration)}
+	p.duty = dutyHolder{cfg: &p.cfg}
+	return p
 }
 
 // Run looks after the groups until ctx ends.
-func (p *Promoter) Run(ctx context.Context) { p.loop(ctx) }
+func (p *Promoter) Run(ctx context.Context) {
+	p.loop(ctx)
+	p.running.Wait()
+}
 
 func (p *Promoter) loop(ctx context.Context) {
-	for port.Wait(ctx, p.cfg.Timer, promoterPeriod) == nil {
+	for ctx.Err() == nil {
+		waiting, cancel := port.WithTimeout(ctx, p.cfg.Timer, promoterPeriod)
+		server, err := p.cfg.Desk.Doubts().Take(waiting)
+		cancel()
 		if !p.cfg.Knowledge.IsComplete() {
 			continue
 		}
+		if err == nil {
+			p.look(ctx, server)
+			continue
+		}
 		snapshot, _ := p.cfg.Knowledge.Records()
+		p.duty.observe(snapshot)
 		index, _ := p.cfg.Knowledge.Rules()
 		for _, g := range index.Document().Groups {
-			if _, found := snapshot.Primacies[g.Name]; !found {
-				p.introduce(ctx, snapshot, g.Name)
+			p.review(ctx, snapshot, g)
+		}
+	}
+}
+
+// review sees to one group.
+func (p *Promoter) review(ctx context.Context, s Snapshot, g document.Group) {
+	stored, found := s.Primacies[g.Name]
+	if !found {
+		p.introduce(ctx, s, g.Name)
+		return
+	}
+	now := p.cfg.Timer.Now()
+	switch reason, wait := p.reason(stored.Record); {
+	case reason == "":
+		delete(p.since, g.Name)
+	default:
+		since, seen := p.since[g.Name]
+		if !seen {
+			p.since[g.Name], since = now, now
+		}
+		if now-since >= wait+time.Duration(p.rank(s, g.Name))*replacementStep {
+			p.replace(ctx, g, reason)
+		}
+	}
+}
+
+// reason returns why a primary has to be replaced as far as the records and the list tell, and how long that has to last.
+func (p *Promoter) reason(r primacy.Record) (string, time.Duration) {
+	servers, _ := p.cfg.Knowledge.Servers()
+	l, listed := servers[r.Primary]
+	switch {
+	case r.Replacement != nil && r.Replacement.Promoter == p.cfg.Self.Incarnation:
+		return "this instance's replacement has not ended", 0
+	case r.Replacement != nil:
+		return "the replacement has not ended", takeOverLimit
+	case !listed:
+		return "the primary is not listed", missingLimit
+	case l.Departing:
+		return "the primary departs", 0
+	default:
+		return "", 0
+	}
+}
+
+// look finds out whether a doubted server is a primary that has to be replaced. The instance of the first rank decides;
+// the others tell it of the doubt.
+func (p *Promoter) look(ctx context.Context, server string) {
+	servers, _ := p.cfg.Knowledge.Servers()
+	l, listed := servers[server]
+	if !listed {
+		return
+	}
+	view := p.cfg.Views.View(l.Group)
+	if view.Record.Primary != server || view.Record.Replacement != nil || p.isActive(l.Group) {
+		return
+	}
+	snapshot, _ := p.cfg.Knowledge.Records()
+	first, isSelf := p.first(snapshot, l.Group)
+	if !isSelf {
+		limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, callPeers)
+		defer cancel()
+		if _, err := p.cfg.Fleet.Survey(limited, first.Address, server); err == nil {
+			return
+		}
+	}
+	if p.answers(ctx, l) || p.isHeard(ctx, snapshot, server) {
+		return
+	}
+	index, _ := p.cfg.Knowledge.Rules()
+	if g, found := index.FindGroup(l.Group); found {
+		p.replace(ctx, g, "the primary answers no instance")
+	}
+}
+
+// answers reports whether a server says anything to a new connection.
+func (p *Promoter) answers(ctx context.Context, l dispatch.Listing) bool {
+	limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, probeLimit)
+	defer cancel()
+	link, _, err := p.cfg.Dialer.Dial(limited, Endpoint{
+		Group: l.Group, Server: l.Name, Address: l.Address, Organisation: systemCaller,
+	})
+	if err == nil {
+		link.Close()
+		return true
+	}
+	switch port.KindOf(err) {
+	case port.Busy, port.NoConnection:
+		return true
+	default:
+		return false
+	}
+}
+
+// isHeard reports whether another instance heard from the server of late.
+func (p *Promoter) isHeard(ctx context.Context, s Snapshot, server string) bool {
+	limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, callPeers)
+	defer cancel()
+	hearings := ring.New[Hearing](len(s.Members) + 1)
+	var asked sync.WaitGroup
+	for _, m := range s.Members {
+		if m.Incarnation == p.cfg.Self.Incarnation {
+			continue
+		}
+		asked.Go(func() {
+			if h, err := p.cfg.Fleet.Survey(limited, m.Address, server); err == nil {
+				hearings.Offer(h)
 			}
+		})
+	}
+	asked.Wait()
+	for {
+		h, ok := hearings.TryTake()
+		if !ok {
+			return false
+		}
+		if h.Heard && h.Age <= hearingLimit {
+			return true
 		}
 	}
 }
 
+// replace starts a replacement unless one is under way here.
+func (p *Promoter) replace(ctx context.Context, g document.Group, reason string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.active[g.Name] {
+		return
+	}
+	p.active[g.Name] = true
+	r := &replacement{promoter: p, group: g, reason: reason}
+	p.running.Go(func() { r.run(ctx) })
+}
+
+func (p *Promoter) isActive(groupName string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.active[groupName]
+}
+
+func (p *Promoter) end(groupName string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.active, groupName)
+}
+
 // introduce writes the first record of a group: the server that is its primary and leads its newest term. The instance
 // of the first rank does it at once, the others only if it does not.
 func (p *Promoter) introduce(ctx context.Context, s Snapshot, groupName string) {
 	now := p.cfg.Timer.Now()
-	since, seen := p.unknownSince[groupName]
+	since, seen := p.since[groupName]
 	if !seen {
 		since = now
-		p.unknownSince[groupName] = now
+		p.since[groupName] = now
 	}
 	if now-since < time.Duration(p.rank(s, groupName))*introductionStep {
 		return
 	}
-	for _, l := range p.members(groupName) {
+	for _, l := range p.servers(groupName) {
 		if l.Role != dispatch.Primary || l.Departing {
 			continue
 		}
-		position, err := p.position(ctx, l)
-		if err != nil || position.Term == 0 {
+		answers, err := p.ask(ctx, l)
+		if err != nil || answers[0].Position.Term == 0 {
 			continue
 		}
-		record := primacy.Record{Group: groupName, Primary: l.Name, Term: position.Term}
-		data, err := record.Encode()
-		if err != nil {
-			return
+		record := primacy.Record{Group: groupName, Primary: l.Name, Term: answers[0].Position.Term}
+		if _, err := p.put(ctx, record, 0); err == nil {
+			p.cfg.Recorder.Note(PromotionStep{Group: groupName, Step: "introduced", Server: l.Name})
 		}
-		limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, callLimit)
-		_, _ = p.cfg.Records.Put(limited, primacyPrefix+groupName, data, 0)
-		cancel()
 		_ = p.cfg.Readers.ReadRecords(ctx)
-		p.unknownSince[groupName] = p.cfg.Timer.Now()
+		delete(p.since, groupName)
 		return
 	}
 }
 
+// put writes a record and returns its version.
+func (p *Promoter) put(ctx context.Context, r primacy.Record, expected port.Version) (port.Version, error) {
+	data, err := r.Encode()
+	if err != nil {
+		return 0, port.Wrapf(err, port.Internal, "the record cannot be encoded")
+	}
+	limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, callLimit)
+	defer cancel()
+	return p.cfg.Records.Put(limited, primacyPrefix+r.Group, data, expected)
+}
+
+// first returns the instance of the first rank for the group, and whether it is this one.
+func (p *Promoter) first(s Snapshot, groupName string) (Member, bool) {
+	best := p.cfg.Self
+	for _, m := range s.Members {
+		if instance.RankOf(groupName, m.Incarnation) > instance.RankOf(groupName, best.Incarnation) {
+			best = m
+		}
+	}
+	return best, best.Incarnation == p.cfg.Self.Incarnation
+}
+
 // rank is this instance's place among all for the group.
 func (p *Promoter) rank(s Snapshot, groupName string) int {
 	own := instance.RankOf(groupName, p.cfg.Self.Incarnation)
@@ -113,11 +310,11 @@
 	return rank
 }
 
-// members returns the listed servers of the group by name.
-func (p *Promoter) members(groupName string) []dispatch.Listing {
+// servers returns the listed servers of the group by name.
+func (p *Promoter) servers(groupName string) []dispatch.Listing {
+	all, _ := p.cfg.Knowledge.Servers()
 	var members []dispatch.Listing
-	servers, _ := p.cfg.Knowledge.Servers()
-	for _, l := range servers {
+	for _, l := range all {
 		if l.Group == groupName {
 			members = append(members, l)
 		}
@@ -126,15 +323,6 @@
 	return members
 }
 
-// position connects to a server and returns the last position that it tells.
-func (p *Promoter) position(ctx context.Context, l dispatch.Listing) (group.Position, error) {
-	answers, err := p.ask(ctx, l)
-	if err != nil {
-		return group.Position{}, err
-	}
-	return answers[0].Position, nil
-}
-
 // ask connects to a server, sends the orders and returns the answer to the greeting and to each order.
 func (p *Promoter) ask(ctx context.Context, l dispatch.Listing, orders ...statement.Order) ([]statement.Answer, error) {
 	limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, dialLimit)
@@ -152,3 +340,20 @@
 	answers, err := link.Do(limited, orders...)
 	return append([]statement.Answer{greeting}, answers...), err
 }
+
+// status asks a server for its status.
+func (p *Promoter) status(ctx context.Context, l dispatch.Listing) (primacy.Status, error) {
+	answers, err := p.ask(ctx, l, statement.AskStatus{})
+	if err != nil {
+		return primacy.Status{}, err
+	}
+	return statusOf(l.Name, answers[len(answers)-1])
+}
+
+func statusOf(server string, a statement.Answer) (primacy.Status, error) {
+	if !a.Failure.IsZero() {
+		return primacy.Status{}, port.Failf(a.Failure.Kind, "server %s gave no status: %s", server, a.Failure.Text)
+	}
+	s := a.Status
+	return primacy.Status{Server: server, Leads: s.Leads, Term: s.Term, Received: s.Received}, nil
+}
--- a/proxy/rates.go
+++ b/proxy/rates.go
@@ -35,7 +35,8 @@
 }
 
 // SharedRates gives each instance a part of every organisation's rate and burst that follows the callers' demand. The
-// parts of all instances add up to the whole, because each takes its own demand from the same sum as all others.
+// parts of all instances add up to the whole, because each takes its own demand from the same sum as all others. A rate
+// and burst bound the number of operations in every window of the platform's length.
 type SharedRates struct {
 	timer     port.Timer
 	rules     Rules
@@ -52,8 +53,6 @@
 
 // rateAccount is what this instance has spent of an organisation's rate. A rateAccount is never changed in place.
 type rateAccount struct {
-	// bucket holds the mean rate to the organisation's, and window the number in every window to its rate and burst.
-	bucket allotment.Bucket
 	window allotment.Window
 	meter  rateMeter
 }
@@ -73,7 +72,7 @@
 	return m.with(now, 0).count / demandSpan.Seconds()
 }
 
-// NewSharedRates returns rates that start without tokens: an instance that died may have spent them.
+// NewSharedRates returns rates of which nothing has been spent.
 func NewSharedRates(timer port.Timer, rules Rules, instances func() int, t Tolerance) *SharedRates {
 	if t.Window <= 0 {
 		t.Window = defaultWindow
@@ -96,7 +95,7 @@
 	now := r.timer.Now()
 	a, known := r.accounts[organisation]
 	if !known {
-		a = r.newAccount(o)
+		a = r.newAccount()
 	}
 	a, ok := a.take(now, r.share(o, now))
 	r.accounts[organisation] = a
@@ -107,27 +106,19 @@
 }
 
 // newAccount returns the account of an organisation whose callers have not asked for anything since the start.
-func (r *SharedRates) newAccount(o document.Organisation) rateAccount {
-	return rateAccount{
-		bucket: allotment.Bucket{}.WithShare(r.started, r.share(o, r.started)),
-		window: allotment.NewWindow(r.tolerance.Window),
-	}
+func (r *SharedRates) newAccount() rateAccount {
+	return rateAccount{window: allotment.NewWindow(r.tolerance.Window)}
 }
 
-// take takes one operation from the share, whose burst also bounds the number in a window.
-func (a rateAccount) take(now time.Duration, share allotment.Amount) (rateAccount, bool) {
+// take takes one operation of the number that the share allows in a window.
+func (a rateAccount) take(now time.Duration, share float64) (rateAccount, bool) {
 	a.meter = a.meter.with(now, 1)
 	a.window = a.window.At(now)
-	a.bucket = a.bucket.WithShare(now, share)
-	if a.window.Count() >= int64(share.Burst/allotment.Statement) {
+	if float64(a.window.Count()+1) > share {
 		return a, false
 	}
-	bucket, ok := a.bucket.Take(now, allotment.Statement)
-	a.bucket = bucket
-	if ok {
-		a.window = a.window.With(now, 1)
-	}
-	return a, ok
+	a.window = a.window.With(now, 1)
+	return a, true
 }
 
 // Demand returns what this instance's callers ask for.
@@ -149,18 +140,18 @@
 	r.totals, r.own, r.totalsAt = totals, own, r.timer.Now()
 }
 
-// share returns this instance's part of the organisation's rate and burst. The lock is held.
-func (r *SharedRates) share(o document.Organisation, now time.Duration) allotment.Amount {
+// share returns how many of the organisation's operations this instance may take in a window: a part of what the rate and
+// burst come to. The lock is held.
+func (r *SharedRates) share(o document.Organisation, now time.Duration) float64 {
+	t := r.tolerance
+	whole := o.Rate*t.Window.Seconds() + o.Burst
+	whole += usedTolerance * (t.Over*whole + t.Slack)
 	n := float64(r.instances())
-	weight := 1 / n
 	if total := r.totals[o.Name]; total > 0 && now-r.totalsAt <= totalsLife {
-		weight = evenPart/n + (1-evenPart)*r.own[o.Name]/total
-	}
-	t := r.tolerance
-	window := o.Rate*t.Window.Seconds() + o.Burst
-	window += usedTolerance * (t.Over*window + t.Slack)
-	return allotment.Amount{
-		Rate:  allotment.ToStatements(o.Rate * weight),
-		Burst: allotment.ToStatements(max(1, window*weight)),
+		return max(1, whole*(evenPart/n+(1-evenPart)*r.own[o.Name]/total))
 	}
+	// Without the fleet's demand the instance may have started just now, together with all others, and earlier starts may
+	// have used up the window.
+	started := min(1, float64(now-r.started)/float64(t.Window))
+	return max(1, whole*started/n)
 }
--- /dev/null
+++ b/proxy/replacement.go
@@ -0,0 +1,307 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/dispatch"
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/primacy"
+	"github.com/rhubarbwick/rhubarbwick/statement"
+)
+
+const (
+	// leaseMargin is waited beyond the lease of an instance that does not answer; it covers clocks that run at slightly
+	// different speeds.
+	leaseMargin = 250 * time.Millisecond
+	// suspendPause is the pause before an instance that did not confirm is asked again.
+	suspendPause = 100 * time.Millisecond
+	// catchUpLimit is how long a successor may take to receive what a departing primary holds.
+	catchUpLimit = 1500 * time.Millisecond
+	// statusPause is the pause between two looks at the servers of the group.
+	statusPause = 60 * time.Millisecond
+	// successorLimit is how long a promoter looks for a successor, and leadLimit how long a promoted server may take to
+	// lead, before the replacement starts anew.
+	successorLimit = 5 * time.Second
+	leadLimit      = 5 * time.Second
+)
+
+// replacement is the duty that replaces one group's primary.
+type replacement struct {
+	promoter *Promoter
+	group    document.Group
+	reason   string
+	stored   StoredPrimacy
+	epoch    uint64
+	planned  bool
+}
+
+func (r *replacement) run(ctx context.Context) {
+	defer r.promoter.end(r.group.Name)
+	if err := r.carryOut(ctx); err != nil {
+		r.note("gave up", "", err.Error())
+		_ = port.Wait(ctx, r.promoter.cfg.Timer, statusPause)
+	}
+}
+
+func (r *replacement) note(step, server, reason string) {
+	r.promoter.cfg.Recorder.Note(PromotionStep{Group: r.group.Name, Step: step, Server: server, Epoch: r.epoch, Reason: reason})
+}
+
+func (r *replacement) carryOut(ctx context.Context) error {
+	p := r.promoter
+	if err := p.cfg.Readers.ReadRecords(ctx); err != nil {
+		return err
+	}
+	snapshot, _ := p.cfg.Knowledge.Records()
+	stored, found := snapshot.Primacies[r.group.Name]
+	if !found {
+		return port.Failf(port.NotFound, "the record of the group is gone")
+	}
+	r.stored = stored
+	epoch, err := p.duty.acquire(ctx, snapshot)
+	if err != nil {
+		return err
+	}
+	r.epoch = epoch
+	if err := r.announce(ctx); err != nil {
+		return err
+	}
+	if err := r.suspendAll(ctx); err != nil {
+		return err
+	}
+	r.note("every instance has let go", r.stored.Record.Primary, "")
+	successor, err := r.promote(ctx)
+	if err != nil {
+		return err
+	}
+	return r.install(ctx, successor)
+}
+
+// announce writes to the store that the primary is being replaced. Whoever reads the record from then on does not use
+// the primary.
+func (r *replacement) announce(ctx context.Context) error {
+	p := r.promoter
+	servers, _ := p.cfg.Knowledge.Servers()
+	old, listed := servers[r.stored.Record.Primary]
+	r.planned = listed && old.Departing
+	record := r.stored.Record.WithReplacement(primacy.Replacement{
+		Promoter: p.cfg.Self.Incarnation, Epoch: r.epoch, Planned: r.planned,
+	})
+	version, err := p.put(ctx, record, r.stored.Version)
+	if err != nil {
+		return err
+	}
+	r.stored = StoredPrimacy{Record: record, Version: version}
+	r.note("announced", record.Primary, r.reason)
+	return nil
+}
+
+// suspendAll returns when no instance uses the old primary any more: each has confirmed it, its process is gone, or its
+// lease has run out since the announcement.
+func (r *replacement) suspendAll(ctx context.Context) error {
+	p := r.promoter
+	until := p.cfg.Timer.Now() + primacy.Lease + leaseMargin
+	for {
+		err := p.cfg.Readers.ReadRecords(ctx)
+		if err == nil {
+			break
+		}
+		if p.cfg.Timer.Now() >= until || port.Wait(ctx, p.cfg.Timer, suspendPause) != nil {
+			return err
+		}
+	}
+	// Instances that register from now on read the announcement first.
+	snapshot, _ := p.cfg.Knowledge.Records()
+	if current := snapshot.Primacies[r.group.Name]; current.Version != r.stored.Version {
+		return port.Failf(port.Conflict, "another instance has changed the record")
+	}
+	var asked sync.WaitGroup
+	for _, m := range snapshot.Members {
+		s := &suspension{replacement: r, member: m, until: until}
+		asked.Go(func() { s.run(ctx) })
+	}
+	asked.Wait()
+	return context.Cause(ctx)
+}
+
+// suspension is the duty that has one instance stop using the old primary.
+type suspension struct {
+	replacement *replacement
+	member      Member
+	until       time.Duration
+}
+
+func (s *suspension) run(ctx context.Context) {
+	p := s.replacement.promoter
+	limit := callPeers
+	if s.replacement.planned {
+		limit += lastStatements
+	}
+	for p.cfg.Timer.Now() < s.until {
+		limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, limit)
+		err := p.cfg.Fleet.Suspend(limited, s.member.Address, s.replacement.stored)
+		cancel()
+		if err == nil || errors.Is(err, ErrNoProcess) {
+			return
+		}
+		if port.Wait(ctx, p.cfg.Timer, suspendPause) != nil {
+			return
+		}
+	}
+}
+
+// promote names the successor to the platform and returns its status once it leads.
+func (r *replacement) promote(ctx context.Context) (primacy.Status, error) {
+	p := r.promoter
+	until := p.cfg.Timer.Now() + successorLimit
+	for p.cfg.Timer.Now() < until {
+		order, complete := r.candidates(ctx)
+		if complete {
+			for _, candidate := range order {
+				status, err := r.promoteOne(ctx, candidate)
+				if err == nil {
+					return status, nil
+				}
+				r.note("candidate failed", candidate.Server, err.Error())
+				if port.KindOf(err) != port.Conflict {
+					return primacy.Status{}, err
+				}
+			}
+		}
+		if err := port.Wait(ctx, p.cfg.Timer, statusPause); err != nil {
+			return primacy.Status{}, err
+		}
+	}
+	return primacy.Status{}, port.Failf(port.NoPrimary, "no server of the group can be promoted")
+}
+
+// candidates asks the group's servers and returns those that may be promoted, the best first. It reports false while one
+// that did not answer may hold more.
+func (r *replacement) candidates(ctx context.Context) ([]primacy.Status, bool) {
+	p := r.promoter
+	old := r.stored.Record.Primary
+	until := p.cfg.Timer.Now() + catchUpLimit
+	for {
+		succession := primacy.Succession{Synchronous: r.group.SynchronousReplicas}
+		var held primacy.Status
+		for _, s := range r.statuses(ctx) {
+			switch {
+			case s.err == nil && s.status.Leads && s.status.Term > r.stored.Record.Term:
+				// An earlier promoter's choice leads already.
+				return []primacy.Status{s.status}, true
+			case s.listing.Name == old:
+				held = s.status
+				continue
+			case s.listing.Departing:
+				continue
+			case s.err == nil:
+				succession.Candidates = append(succession.Candidates, s.status)
+			}
+			succession.Replicas++
+		}
+		order, complete := succession.Order()
+		isBehind := complete && r.planned && held.Received.Compare(order[0].Received) > 0
+		if !isBehind || p.cfg.Timer.Now() >= until || port.Wait(ctx, p.cfg.Timer, statusPause) != nil {
+			return order, complete
+		}
+	}
+}
+
+// answeredStatus is what one server said when asked for its status.
+type answeredStatus struct {
+	listing dispatch.Listing
+	status  primacy.Status
+	err     error
+}
+
+// statuses asks all servers of the group at the same time.
+func (r *replacement) statuses(ctx context.Context) []answeredStatus {
+	p := r.promoter
+	servers := p.servers(r.group.Name)
+	answers := make([]answeredStatus, len(servers))
+	var asked sync.WaitGroup
+	for i, l := range servers {
+		answers[i].listing = l
+		asked.Go(func() { answers[i].status, answers[i].err = p.status(ctx, l) })
+	}
+	asked.Wait()
+	return answers
+}
+
+// promoteOne has the old primary step down if it can be reached, names the candidate, and waits until it leads.
+func (r *replacement) promoteOne(ctx context.Context, candidate primacy.Status) (primacy.Status, error) {
+	p := r.promoter
+	next := max(r.stored.Record.Term, candidate.Term) + 1
+	servers, _ := p.cfg.Knowledge.Servers()
+	if old, listed := servers[r.stored.Record.Primary]; listed && !candidate.Leads {
+		// A primary that cannot be reached is kept from being used by the suspension.
+		_, _ = p.ask(ctx, old, statement.StepDown{Term: next})
+	}
+	until := p.cfg.Timer.Now() + leadLimit
+	for !candidate.Leads {
+		if err := p.duty.confirm(ctx, r.epoch); err != nil {
+			return primacy.Status{}, err
+		}
+		limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, callLimit)
+		err := p.cfg.Promotions.Promote(limited, r.group.Name, candidate.Server, p.cfg.Self.Incarnation, r.epoch)
+		cancel()
+		if err == nil {
+			break
+		}
+		if port.KindOf(err) == port.Conflict || p.cfg.Timer.Now() >= until {
+			return primacy.Status{}, err
+		}
+		if err := port.Wait(ctx, p.cfg.Timer, suspendPause); err != nil {
+			return primacy.Status{}, err
+		}
+	}
+	r.note("named", candidate.Server, "")
+	return r.awaitLead(ctx, candidate.Server, until)
+}
+
+// awaitLead waits until the server leads a term after the old one.
+func (r *replacement) awaitLead(ctx context.Context, server string, until time.Duration) (primacy.Status, error) {
+	p := r.promoter
+	for p.cfg.Timer.Now() < until {
+		servers, _ := p.cfg.Knowledge.Servers()
+		l, listed := servers[server]
+		if listed {
+			status, err := p.status(ctx, l)
+			if err == nil && status.Leads && status.Term > r.stored.Record.Term {
+				return status, nil
+			}
+		}
+		if err := port.Wait(ctx, p.cfg.Timer, statusPause); err != nil {
+			return primacy.Status{}, err
+		}
+	}
+	return primacy.Status{}, port.Failf(port.Conflict, "server %s was promoted and does not lead", server)
+}
+
+// install writes the successor's term to the record and tells all instances.
+func (r *replacement) install(ctx context.Context, s primacy.Status) error {
+	p := r.promoter
+	if _, err := p.put(ctx, r.stored.Record.WithPrimary(s.Server, s.Term), r.stored.Version); err != nil {
+		return err
+	}
+	r.note("leads", s.Server, "")
+	if err := p.cfg.Readers.ReadRecords(ctx); err != nil {
+		return err
+	}
+	snapshot, _ := p.cfg.Knowledge.Records()
+	var told sync.WaitGroup
+	limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, callPeers)
+	defer cancel()
+	for _, m := range snapshot.Members {
+		if m.Incarnation != p.cfg.Self.Incarnation {
+			// Who cannot be told reads the record within a second or two.
+			told.Go(func() { _ = p.cfg.Fleet.Notify(limited, m.Address, p.cfg.Self) })
+		}
+	}
+	told.Wait()
+	return nil
+}
--- a/proxy/views.go
+++ b/proxy/views.go
@@ -35,21 +35,29 @@
 }
 
 // Take notes a record that was asked for at the instant, and reports whether it is news.
-func (v *Views) Take(r primacy.Record, askedAt time.Duration) bool {
+func (v *Views) Take(p StoredPrimacy, askedAt time.Duration) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	before := v.views[p.Record.Group]
 	if askedAt < v.notBefore {
-		return false
+		// The record is noted, but grants nothing.
+		askedAt = 0
 	}
-	before := v.views[r.Group]
-	after := before.WithRecord(r, askedAt)
-	v.views[r.Group] = after
-	isNews := after.Record.Succeeds(before.Record)
-	if isNews {
-		close(v.changed)
-		v.changed = make(chan struct{})
+	after := before.WithRecord(p.Record, uint64(p.Version), askedAt)
+	v.views[p.Record.Group] = after
+	if after.Version == before.Version {
+		return false
 	}
-	return isNews
+	close(v.changed)
+	v.changed = make(chan struct{})
+	return true
+}
+
+// Release confirms that this instance no longer uses the primary of the record's term.
+func (v *Views) Release(r primacy.Record) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.views[r.Group] = v.views[r.Group].WithRelease(r.Term)
 }
 
 // View returns the view of the group.
--- a/statement/order.go
+++ b/statement/order.go
@@ -84,6 +84,17 @@
 	Failure  Failure
 	State    State
 	Position group.Position
+	// Status is set in the answer to AskStatus, StepDown and Pause.
+	Status ServerStatus
+}
+
+// ServerStatus is what a server says of itself.
+type ServerStatus struct {
+	Leads bool
+	// Term is the term that the server follows or leads.
+	Term group.Term
+	// Received is the last position in the server's log; what is applied may lag behind.
+	Received group.Position
 }
 
 // WithState returns the answer with another transaction state.
