--- a/adapter/fleet/client.go
+++ b/adapter/fleet/client.go
@@ -4,11 +4,9 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -61,11 +59,9 @@
 	return client
 }
 
-// failure returns the error of a call. A refused connection shows that the process is gone.
+// failure returns the error of a call. A refused connection does not show that the process is gone: a cut network may
+// refuse as well.
 func failure(err error, address string) error {
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		err = errors.Join(proxy.ErrNoProcess, err)
-	}
 	return port.Wrapf(err, port.Unavailable, "instance at %s", address)
 }
 
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
@@ -11,9 +10,6 @@
 	"github.com/rhubarbwick/rhubarbwick/port"
 )
 
-// ErrNoProcess is in the chain of an error when nothing listens at an instance's address, so that its process is gone.
-var ErrNoProcess = errors.New("no process listens there")
-
 // Fleet reaches other instances. Errors are of kind Unavailable.
 type Fleet interface {
 	// Exchange asks a relay for what it knows.
--- a/proxy/knowledge.go
+++ b/proxy/knowledge.go
@@ -116,7 +116,10 @@
 	hasDocument bool
 	confirmedAt time.Duration
 	servers     map[string]dispatch.Listing
+	// serversAt is the version of the store at which the list last changed, and serversSeen the newest one at which it was
+	// read.
 	serversAt   port.Version
+	serversSeen port.Version
 	records     Snapshot
 	hasRecords  bool
 	changed     chan struct{}
@@ -213,22 +216,55 @@
 // TakeServers takes over the list of servers at a version of the store, unless a newer one is known.
 func (k *Knowledge) TakeServers(servers map[string]dispatch.Listing, at port.Version) {
 	k.mu.Lock()
-	if at < k.serversAt {
-		k.mu.Unlock()
-		return
+	differs := k.takeServers(servers, at)
+	k.mu.Unlock()
+	if differs && k.onServers != nil {
+		k.onServers(servers)
 	}
-	differs := k.servers == nil || !maps.Equal(k.servers, servers)
-	if differs {
-		// The version of the last difference stays, so that a relay's callers are not told the same list again.
-		k.servers, k.serversAt = servers, at
-		k.announce()
+}
+
+// ChangeServers takes over changes that were made up to a version of the store, unless a newer list is known.
+func (k *Knowledge) ChangeServers(changes []ListingChange, at port.Version) {
+	if len(changes) == 0 {
+		return
 	}
+	k.mu.Lock()
+	servers := withChanges(k.servers, changes)
+	differs := k.takeServers(servers, at)
 	k.mu.Unlock()
 	if differs && k.onServers != nil {
 		k.onServers(servers)
 	}
 }
 
+// takeServers reports whether the list differs from the known one. The lock is held.
+func (k *Knowledge) takeServers(servers map[string]dispatch.Listing, at port.Version) bool {
+	if at < k.serversSeen {
+		return false
+	}
+	k.serversSeen = at
+	if k.servers != nil && maps.Equal(k.servers, servers) {
+		return false
+	}
+	k.servers, k.serversAt = servers, at
+	k.announce()
+	return true
+}
+
+func withChanges(servers map[string]dispatch.Listing, changes []ListingChange) map[string]dispatch.Listing {
+	changed := make(map[string]dispatch.Listing, len(servers)+1)
+	maps.Copy(changed, servers)
+	for _, c := range changes {
+		switch c := c.(type) {
+		case Listed:
+			changed[c.Listing.Name] = c.Listing
+		case Delisted:
+			delete(changed, c.Name)
+		}
+	}
+	return changed
+}
+
 // TakeRecords takes over what a read of the records gave, unless a newer read is known.
 func (k *Knowledge) TakeRecords(s Snapshot) {
 	for _, p := range s.Primacies {
--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -32,6 +33,8 @@
 	hearingLimit = 500 * time.Millisecond
 	// callPeers is how long calls to other instances may take.
 	callPeers = 400 * time.Millisecond
+	// staleRecords is the age from which records show that this instance has lost the store.
+	staleRecords = 4 * time.Second
 	// takeOverLimit is how long a replacement may stand before another instance takes it over.
 	takeOverLimit = 4 * time.Second
 	// systemCaller is the name under which the system itself connects to servers.
@@ -97,6 +100,10 @@
 			continue
 		}
 		snapshot, _ := p.cfg.Knowledge.Records()
+		if p.cfg.Timer.Now()-snapshot.AskedAt > staleRecords {
+			// Without the store nothing can be announced.
+			continue
+		}
 		p.duty.observe(snapshot)
 		index, _ := p.cfg.Knowledge.Rules()
 		for _, g := range index.Document().Groups {
@@ -121,7 +128,7 @@
 		if !seen {
 			p.since[g.Name], since = now, now
 		}
-		if now-since >= wait+time.Duration(p.rank(s, g.Name))*replacementStep {
+		if now-since >= wait+time.Duration(p.rank(s))*replacementStep {
 			p.replace(ctx, g, reason)
 		}
 	}
@@ -158,7 +165,7 @@
 		return
 	}
 	snapshot, _ := p.cfg.Knowledge.Records()
-	first, isSelf := p.first(snapshot, l.Group)
+	first, isSelf := p.first(snapshot)
 	if !isSelf {
 		limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, callPeers)
 		defer cancel()
@@ -166,6 +173,9 @@
 			return
 		}
 	}
+	if p.cfg.Timer.Now()-snapshot.AskedAt > staleRecords {
+		return
+	}
 	if p.answers(ctx, l) || p.isHeard(ctx, snapshot, server) {
 		return
 	}
@@ -255,7 +265,7 @@
 		since = now
 		p.since[groupName] = now
 	}
-	if now-since < time.Duration(p.rank(s, groupName))*introductionStep {
+	if now-since < time.Duration(p.rank(s))*introductionStep {
 		return
 	}
 	for _, l := range p.servers(groupName) {
@@ -287,29 +297,37 @@
 	return p.cfg.Records.Put(limited, primacyPrefix+r.Group, data, expected)
 }
 
-// first returns the instance of the first rank for the group, and whether it is this one.
-func (p *Promoter) first(s Snapshot, groupName string) (Member, bool) {
+// first returns the instance that replaces primaries, and whether it is this one: the holder of the duty while it lives,
+// and otherwise the first in rank.
+func (p *Promoter) first(s Snapshot) (Member, bool) {
 	best := p.cfg.Self
 	for _, m := range s.Members {
-		if instance.RankOf(groupName, m.Incarnation) > instance.RankOf(groupName, best.Incarnation) {
+		if p.standing(s, m) > p.standing(s, best) {
 			best = m
 		}
 	}
 	return best, best.Incarnation == p.cfg.Self.Incarnation
 }
 
-// rank is this instance's place among all for the group.
-func (p *Promoter) rank(s Snapshot, groupName string) int {
-	own := instance.RankOf(groupName, p.cfg.Self.Incarnation)
+// rank is this instance's place among those that replace primaries.
+func (p *Promoter) rank(s Snapshot) int {
+	own := p.standing(s, p.cfg.Self)
 	rank := 0
 	for _, m := range s.Members {
-		if instance.RankOf(groupName, m.Incarnation) > own {
+		if p.standing(s, m) > own {
 			rank++
 		}
 	}
 	return rank
 }
 
+func (p *Promoter) standing(s Snapshot, m Member) instance.Rank {
+	if m.Incarnation == s.Duty.Duty.Holder {
+		return math.MaxUint64
+	}
+	return instance.RankOf(dutyName, m.Incarnation)
+}
+
 // servers returns the listed servers of the group by name.
 func (p *Promoter) servers(groupName string) []dispatch.Listing {
 	all, _ := p.cfg.Knowledge.Servers()
--- a/proxy/readers.go
+++ b/proxy/readers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"sync"
 	"time"
 
@@ -15,6 +14,11 @@
 	// awaitChange is how long one wait for a change lasts. Each is a priced call; a longer one notices a silent connection
 	// later.
 	awaitChange = 8 * time.Second
+	// documentPeriod and serversPeriod are how often the document and the list of servers are read in full, besides. A
+	// store that forgets its history may leave a waiting call without the changes made meanwhile; documents have to be in
+	// force within seconds.
+	documentPeriod = 1500 * time.Millisecond
+	serversPeriod  = 3 * time.Second
 	// callLimit is how long a call to the store may take, apart from the time it was asked to wait.
 	callLimit = 2 * time.Second
 	// readPeriod is how often the records are read. Each read is a priced call; with the lease it decides how long an
@@ -47,17 +51,45 @@
 
 // Run reads until ctx ends.
 func (r *StoreReaders) Run(ctx context.Context) {
-	documents := &documentReader{StoreReaders: r}
-	servers := &serverReader{StoreReaders: r}
-	records := &recordReader{StoreReaders: r}
 	var running sync.WaitGroup
-	running.Go(func() { documents.loop(ctx) })
-	running.Go(func() { servers.loop(ctx) })
-	running.Go(func() { records.loop(ctx) })
+	for _, duty := range []interface{ loop(ctx context.Context) }{
+		&documentReader{StoreReaders: r}, &documentWatcher{StoreReaders: r},
+		&serverReader{StoreReaders: r}, &serverWatcher{StoreReaders: r}, &recordReader{StoreReaders: r},
+	} {
+		running.Go(func() { duty.loop(ctx) })
+	}
 	running.Wait()
 }
 
-// documentReader is the duty that follows the document in the store.
+// readDocument reads the document and returns the version from which its changes can be waited for.
+func (r *StoreReaders) readDocument(ctx context.Context) (port.Version, error) {
+	asked := r.Timer.Now()
+	limited, cancel := port.WithTimeout(ctx, r.Timer, callLimit)
+	defer cancel()
+	d, version, err := r.Documents.Read(limited)
+	if err == nil {
+		r.Knowledge.TakeDocument(d, asked)
+	}
+	return version, err
+}
+
+// readServers reads the list of servers and returns the version from which its changes can be waited for.
+func (r *StoreReaders) readServers(ctx context.Context) (port.Version, error) {
+	limited, cancel := port.WithTimeout(ctx, r.Timer, callLimit)
+	defer cancel()
+	all, version, err := r.Listings.ReadAll(limited)
+	if err != nil {
+		return 0, err
+	}
+	servers := make(map[string]dispatch.Listing, len(all))
+	for _, l := range all {
+		servers[l.Name] = l
+	}
+	r.Knowledge.TakeServers(servers, version)
+	return version, nil
+}
+
+// documentReader is the duty that reads the document every documentPeriod.
 type documentReader struct {
 	*StoreReaders
 	failed pauses
@@ -65,40 +97,49 @@
 
 func (r *documentReader) loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		asked := r.Timer.Now()
-		limited, cancel := port.WithTimeout(ctx, r.Timer, callLimit)
-		d, version, err := r.Documents.Read(limited)
-		cancel()
-		if err == nil {
-			r.Knowledge.TakeDocument(d, asked)
-			r.await(ctx, version)
+		if _, err := r.readDocument(ctx); err != nil {
+			r.failed.wait(ctx, r.Timer)
+			continue
 		}
-		r.failed.wait(ctx, r.Timer)
+		r.failed.reset()
+		_ = port.Wait(ctx, r.Timer, documentPeriod)
+	}
+}
+
+// documentWatcher is the duty that waits for changes of the document.
+type documentWatcher struct {
+	*StoreReaders
+	failed pauses
+}
+
+func (w *documentWatcher) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if version, err := w.readDocument(ctx); err == nil {
+			w.await(ctx, version)
+		}
+		w.failed.wait(ctx, w.Timer)
 	}
 }
 
 // await takes over changes until a wait fails.
-func (r *documentReader) await(ctx context.Context, version port.Version) {
+func (w *documentWatcher) await(ctx context.Context, version port.Version) {
 	for ctx.Err() == nil {
-		asked := r.Timer.Now()
-		limited, cancel := port.WithTimeout(ctx, r.Timer, awaitChange+callLimit)
-		d, changed, next, err := r.Documents.Await(limited, version, awaitChange)
+		asked := w.Timer.Now()
+		limited, cancel := port.WithTimeout(ctx, w.Timer, awaitChange+callLimit)
+		d, changed, next, err := w.Documents.Await(limited, version, awaitChange)
 		cancel()
 		if err != nil {
 			return
 		}
-		r.failed.reset()
+		w.failed.reset()
 		version = next
 		if changed {
-			r.Knowledge.TakeDocument(d, asked)
-			continue
+			w.Knowledge.TakeDocument(d, asked)
 		}
-		index, _ := r.Knowledge.Rules()
-		r.Knowledge.ConfirmDocument(index.Document().Revision, asked)
 	}
 }
 
-// serverReader is the duty that follows the list of servers in the store.
+// serverReader is the duty that reads the list of servers every serversPeriod.
 type serverReader struct {
 	*StoreReaders
 	failed pauses
@@ -106,50 +147,42 @@
 
 func (r *serverReader) loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		limited, cancel := port.WithTimeout(ctx, r.Timer, callLimit)
-		all, version, err := r.Listings.ReadAll(limited)
-		cancel()
-		if err == nil {
-			servers := make(map[string]dispatch.Listing, len(all))
-			for _, l := range all {
-				servers[l.Name] = l
-			}
-			r.Knowledge.TakeServers(servers, version)
-			r.await(ctx, servers, version)
+		if _, err := r.readServers(ctx); err != nil {
+			r.failed.wait(ctx, r.Timer)
+			continue
 		}
-		r.failed.wait(ctx, r.Timer)
+		r.failed.reset()
+		_ = port.Wait(ctx, r.Timer, serversPeriod)
 	}
 }
 
-func (r *serverReader) await(ctx context.Context, servers map[string]dispatch.Listing, version port.Version) {
+// serverWatcher is the duty that waits for changes of the list of servers.
+type serverWatcher struct {
+	*StoreReaders
+	failed pauses
+}
+
+func (w *serverWatcher) loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		limited, cancel := port.WithTimeout(ctx, r.Timer, awaitChange+callLimit)
-		changes, next, err := r.Listings.AwaitChanges(limited, version, awaitChange)
-		cancel()
-		if err != nil {
-			return
+		if version, err := w.readServers(ctx); err == nil {
+			w.await(ctx, version)
 		}
-		r.failed.reset()
-		version = next
-		servers = withChanges(servers, changes)
-		r.Knowledge.TakeServers(servers, version)
+		w.failed.wait(ctx, w.Timer)
 	}
 }
 
-func withChanges(servers map[string]dispatch.Listing, changes []ListingChange) map[string]dispatch.Listing {
-	if len(changes) == 0 {
-		return servers
-	}
-	servers = maps.Clone(servers)
-	for _, c := range changes {
-		switch c := c.(type) {
-		case Listed:
-			servers[c.Listing.Name] = c.Listing
-		case Delisted:
-			delete(servers, c.Name)
+func (w *serverWatcher) await(ctx context.Context, version port.Version) {
+	for ctx.Err() == nil {
+		limited, cancel := port.WithTimeout(ctx, w.Timer, awaitChange+callLimit)
+		changes, next, err := w.Listings.AwaitChanges(limited, version, awaitChange)
+		cancel()
+		if err != nil {
+			return
 		}
+		w.failed.reset()
+		version = next
+		w.Knowledge.ChangeServers(changes, version)
 	}
-	return servers
 }
 
 // recordReader is the duty that reads the records in the store.
--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +10,7 @@
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/primacy"
+	"github.com/rhubarbwick/rhubarbwick/ring"
 	"github.com/rhubarbwick/rhubarbwick/statement"
 )
 
@@ -100,39 +101,73 @@
 	return nil
 }
 
-// suspendAll returns when no instance uses the old primary any more: each has confirmed it, its process is gone, or its
-// lease has run out since the announcement.
+// suspendAll returns when no instance uses the old primary any more: each has confirmed it, its process was replaced by
+// another one, or its lease has run out since the announcement. It withdraws the announcement when the old primary
+// answers again meanwhile.
 func (r *replacement) suspendAll(ctx context.Context) error {
 	p := r.promoter
 	until := p.cfg.Timer.Now() + primacy.Lease + leaseMargin
+	confirmed := make(map[string]bool)
 	for {
-		err := p.cfg.Readers.ReadRecords(ctx)
-		if err == nil {
-			break
+		// Instances that register after this read know the announcement before they use a primary.
+		members, err := r.members(ctx)
+		if err == nil && r.askAll(ctx, members, confirmed) {
+			return nil
+		}
+		if port.KindOf(err) == port.Conflict {
+			return err
 		}
-		if p.cfg.Timer.Now() >= until || port.Wait(ctx, p.cfg.Timer, suspendPause) != nil {
+		if p.cfg.Timer.Now() >= until {
 			return err
 		}
+		if !r.planned && err == nil && r.isBack(ctx) {
+			return r.withdraw(ctx)
+		}
+		if err := port.Wait(ctx, p.cfg.Timer, suspendPause); err != nil {
+			return err
+		}
+	}
+}
+
+// members reads the records and returns the instances that are listed now.
+func (r *replacement) members(ctx context.Context) ([]Member, error) {
+	p := r.promoter
+	if err := p.cfg.Readers.ReadRecords(ctx); err != nil {
+		return nil, err
 	}
-	// Instances that register from now on read the announcement first.
 	snapshot, _ := p.cfg.Knowledge.Records()
-	if current := snapshot.Primacies[r.group.Name]; current.Version != r.stored.Version {
-		return port.Failf(port.Conflict, "another instance has changed the record")
+	if snapshot.Primacies[r.group.Name].Version != r.stored.Version {
+		return nil, port.Failf(port.Conflict, "another instance has changed the record")
 	}
+	return snapshot.Members, nil
+}
+
+// askAll asks the instances that have not confirmed yet, and reports whether all have.
+func (r *replacement) askAll(ctx context.Context, members []Member, confirmed map[string]bool) bool {
+	answers := ring.New[string](len(members) + 1)
 	var asked sync.WaitGroup
-	for _, m := range snapshot.Members {
-		s := &suspension{replacement: r, member: m, until: until}
-		asked.Go(func() { s.run(ctx) })
+	for _, m := range members {
+		if !confirmed[m.Incarnation] {
+			s := &suspension{replacement: r, member: m, answers: answers}
+			asked.Go(func() { s.run(ctx) })
+		}
 	}
 	asked.Wait()
-	return context.Cause(ctx)
+	for {
+		incarnation, ok := answers.TryTake()
+		if !ok {
+			break
+		}
+		confirmed[incarnation] = true
+	}
+	return !slices.ContainsFunc(members, func(m Member) bool { return !confirmed[m.Incarnation] })
 }
 
-// suspension is the duty that has one instance stop using the old primary.
+// suspension is the duty that asks one instance to stop using the old primary.
 type suspension struct {
 	replacement *replacement
 	member      Member
-	until       time.Duration
+	answers     *ring.Ring[string]
 }
 
 func (s *suspension) run(ctx context.Context) {
@@ -141,19 +176,36 @@
 	if s.replacement.planned {
 		limit += lastStatements
 	}
-	for p.cfg.Timer.Now() < s.until {
-		limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, limit)
-		err := p.cfg.Fleet.Suspend(limited, s.member.Address, s.replacement.stored)
-		cancel()
-		if err == nil || errors.Is(err, ErrNoProcess) {
-			return
-		}
-		if port.Wait(ctx, p.cfg.Timer, suspendPause) != nil {
-			return
-		}
+	limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, limit)
+	defer cancel()
+	if p.cfg.Fleet.Suspend(limited, s.member.Address, s.replacement.stored) == nil {
+		s.answers.Offer(s.member.Incarnation)
 	}
 }
 
+// isBack reports whether the old primary answers as such.
+func (r *replacement) isBack(ctx context.Context) bool {
+	p := r.promoter
+	servers, _ := p.cfg.Knowledge.Servers()
+	old, listed := servers[r.stored.Record.Primary]
+	if !listed || old.Departing {
+		return false
+	}
+	status, err := p.status(ctx, old)
+	return err == nil && status.Leads && status.Term == r.stored.Record.Term
+}
+
+// withdraw takes the announcement back.
+func (r *replacement) withdraw(ctx context.Context) error {
+	record := r.stored.Record
+	record.Replacement = nil
+	if _, err := r.promoter.put(ctx, record, r.stored.Version); err != nil {
+		return err
+	}
+	r.tellAll(ctx)
+	return port.Failf(port.Conflict, "the primary answers again and stays")
+}
+
 // promote names the successor to the platform and returns its status once it leads.
 func (r *replacement) promote(ctx context.Context) (primacy.Status, error) {
 	p := r.promoter
@@ -289,19 +341,25 @@
 		return err
 	}
 	r.note("leads", s.Server, "")
+	r.tellAll(ctx)
+	return nil
+}
+
+// tellAll has all instances ask this one for the newest records.
+func (r *replacement) tellAll(ctx context.Context) {
+	p := r.promoter
 	if err := p.cfg.Readers.ReadRecords(ctx); err != nil {
-		return err
+		// They read the records themselves within a second or two.
+		return
 	}
 	snapshot, _ := p.cfg.Knowledge.Records()
-	var told sync.WaitGroup
 	limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, callPeers)
 	defer cancel()
+	var told sync.WaitGroup
 	for _, m := range snapshot.Members {
 		if m.Incarnation != p.cfg.Self.Incarnation {
-			// Who cannot be told reads the record within a second or two.
 			told.Go(func() { _ = p.cfg.Fleet.Notify(limited, m.Address, p.cfg.Self) })
 		}
 	}
 	told.Wait()
-	return nil
 }
