--- a/adapter/fleet/client.go
+++ b/adapter/fleet/client.go
@@ -100,6 +100,19 @@
 	return nil
 }
 
+// Extend asks whether the instance knows of no newer record.
+func (c *Client) Extend(ctx context.Context, address string, versions map[string]port.Version) (bool, error) {
+	req := &fleetv1.ExtendRequest{Versions: make(map[string]uint64, len(versions))}
+	for name, version := range versions {
+		req.Versions[name] = uint64(version)
+	}
+	res, err := c.at(address).Extend(ctx, connect.NewRequest(req))
+	if err != nil {
+		return false, failure(err, address)
+	}
+	return res.Msg.GetAgreed(), nil
+}
+
 // Survey asks how long ago the instance heard from the server.
 func (c *Client) Survey(ctx context.Context, address, server string) (proxy.Hearing, error) {
 	res, err := c.at(address).Survey(ctx, connect.NewRequest(&fleetv1.SurveyRequest{Server: server}))
@@ -125,6 +138,7 @@
 	r := proxy.Report{
 		Held: millis(uint64(m.GetHeldMs())), DocumentAge: millis(m.GetDocumentAgeMs()),
 		RecordsVersion: m.GetRecordsVersion(), RecordsAge: millis(m.GetRecordsAgeMs()),
+		ReadAge:        millis(m.GetReadAgeMs()),
 		ServersVersion: port.Version(m.GetServersVersion()), Totals: decodeDemand(m.GetTotals()),
 		Own: decodeDemand(m.GetOwn()), Points: decodePoints(m.GetPoints()), Fresh: m.GetFresh(),
 	}
--- a/adapter/fleet/server.go
+++ b/adapter/fleet/server.go
@@ -82,6 +82,17 @@
 	return connect.NewResponse(&fleetv1.NotifyResponse{}), nil
 }
 
+// Extend tells whether this instance knows of no newer record.
+func (s *Server) Extend(
+	_ context.Context, req *connect.Request[fleetv1.ExtendRequest],
+) (*connect.Response[fleetv1.ExtendResponse], error) {
+	versions := make(map[string]port.Version, len(req.Msg.GetVersions()))
+	for name, version := range req.Msg.GetVersions() {
+		versions[name] = port.Version(version)
+	}
+	return connect.NewResponse(&fleetv1.ExtendResponse{Agreed: s.hub.Extend(versions)}), nil
+}
+
 // Survey tells how long ago a server answered this instance.
 func (s *Server) Survey(
 	_ context.Context, req *connect.Request[fleetv1.SurveyRequest],
@@ -99,7 +110,7 @@
 func encodeReport(r proxy.Report) (*fleetv1.ExchangeResponse, error) {
 	m := &fleetv1.ExchangeResponse{
 		HeldMs: uint32(r.Held.Milliseconds()), DocumentAgeMs: roundUp(r.DocumentAge), RecordsVersion: r.RecordsVersion,
-		RecordsAgeMs: roundUp(r.RecordsAge), ServersVersion: uint64(r.ServersVersion), Totals: encodeDemand(r.Totals),
+		RecordsAgeMs: roundUp(r.RecordsAge), ReadAgeMs: roundUp(r.ReadAge), ServersVersion: uint64(r.ServersVersion), Totals: encodeDemand(r.Totals),
 		Own: encodeDemand(r.Own), Points: encodePoints(r.Points), Fresh: r.Fresh,
 	}
 	if r.Document != nil {
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -54,8 +54,10 @@
 	store := platform.NewStore(s.StoreAddress)
 	dialer := platform.NewServerDialer()
 	p.views = proxy.NewViews(p.timer)
-	p.knowledge = proxy.NewKnowledge(p.timer, p.views, s.RevokeWithin)
-	p.registration = &proxy.Registration{Self: self, Records: store, Timer: p.timer}
+	p.knowledge = proxy.NewKnowledge(self, p.timer, p.views, s.RevokeWithin)
+	p.registration = &proxy.Registration{
+		Self: self, Records: store, Knowledge: p.knowledge, Timer: p.timer,
+	}
 	p.desk = proxy.NewDesk(proxy.DeskConfig{
 		DataCentre: s.DataCentre, Timer: p.timer, Views: p.views, Dialer: dialer,
 		Limit: p.knowledge.Connections, Instances: p.knowledge.Instances,
@@ -111,7 +113,7 @@
 	defer stop()
 	var duties sync.WaitGroup
 	for _, duty := range []func(context.Context){
-		p.timer.Run, p.desk.Run, p.runKnowledge, p.promoter.Run, p.listener.Run, p.decisions.Run,
+		p.timer.Run, p.desk.Run, p.runKnowledge, p.promoter.Run, p.listener.Run, p.decisions.Run, p.registration.Run,
 	} {
 		duties.Go(func() { duty(working) })
 	}
@@ -130,7 +132,6 @@
 // runKnowledge registers the instance and keeps its knowledge fresh.
 func (p *process) runKnowledge(ctx context.Context) {
 	p.registration.Register(ctx)
-	p.views.Begin(p.timer.Now())
 	p.courier.Run(ctx)
 }
 
--- a/gen/rhubarbwick/fleet/v1/fleetv1connect/fleet.connect.go
+++ b/gen/rhubarbwick/fleet/v1/fleetv1connect/fleet.connect.go
@@ -39,6 +39,8 @@
 	FleetServiceSuspendProcedure = "/rhubarbwick.fleet.v1.FleetService/Suspend"
 	// FleetServiceNotifyProcedure is the fully-qualified name of the FleetService's Notify RPC.
 	FleetServiceNotifyProcedure = "/rhubarbwick.fleet.v1.FleetService/Notify"
+	// FleetServiceExtendProcedure is the fully-qualified name of the FleetService's Extend RPC.
+	FleetServiceExtendProcedure = "/rhubarbwick.fleet.v1.FleetService/Extend"
 	// FleetServiceSurveyProcedure is the fully-qualified name of the FleetService's Survey RPC.
 	FleetServiceSurveyProcedure = "/rhubarbwick.fleet.v1.FleetService/Survey"
 )
@@ -52,6 +54,8 @@
 	Suspend(context.Context, *connect.Request[v1.SuspendRequest]) (*connect.Response[v1.SuspendResponse], error)
 	// Notify has the instance ask a member for the newest records.
 	Notify(context.Context, *connect.Request[v1.NotifyRequest]) (*connect.Response[v1.NotifyResponse], error)
+	// Extend asks whether the instance knows of no newer record than those of the versions.
+	Extend(context.Context, *connect.Request[v1.ExtendRequest]) (*connect.Response[v1.ExtendResponse], error)
 	// Survey asks how long ago the instance heard from a server.
 	Survey(context.Context, *connect.Request[v1.SurveyRequest]) (*connect.Response[v1.SurveyResponse], error)
 }
@@ -85,6 +89,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Notify")),
 			connect.WithClientOptions(opts...),
 		),
+		extend: connect.NewClient[v1.ExtendRequest, v1.ExtendResponse](
+			httpClient,
+			baseURL+FleetServiceExtendProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Extend")),
+			connect.WithClientOptions(opts...),
+		),
 		survey: connect.NewClient[v1.SurveyRequest, v1.SurveyResponse](
 			httpClient,
 			baseURL+FleetServiceSurveyProcedure,
@@ -99,6 +109,7 @@
 	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
 	suspend  *connect.Client[v1.SuspendRequest, v1.SuspendResponse]
 	notify   *connect.Client[v1.NotifyRequest, v1.NotifyResponse]
+	extend   *connect.Client[v1.ExtendRequest, v1.ExtendResponse]
 	survey   *connect.Client[v1.SurveyRequest, v1.SurveyResponse]
 }
 
@@ -117,6 +128,11 @@
 	return c.notify.CallUnary(ctx, req)
 }
 
+// Extend calls rhubarbwick.fleet.v1.FleetService.Extend.
+func (c *fleetServiceClient) Extend(ctx context.Context, req *connect.Request[v1.ExtendRequest]) (*connect.Response[v1.ExtendResponse], error) {
+	return c.extend.CallUnary(ctx, req)
+}
+
 // Survey calls rhubarbwick.fleet.v1.FleetService.Survey.
 func (c *fleetServiceClient) Survey(ctx context.Context, req *connect.Request[v1.SurveyRequest]) (*connect.Response[v1.SurveyResponse], error) {
 	return c.survey.CallUnary(ctx, req)
@@ -131,6 +147,8 @@
 	Suspend(context.Context, *connect.Request[v1.SuspendRequest]) (*connect.Response[v1.SuspendResponse], error)
 	// Notify has the instance ask a member for the newest records.
 	Notify(context.Context, *connect.Request[v1.NotifyRequest]) (*connect.Response[v1.NotifyResponse], error)
+	// Extend asks whether the instance knows of no newer record than those of the versions.
+	Extend(context.Context, *connect.Request[v1.ExtendRequest]) (*connect.Response[v1.ExtendResponse], error)
 	// Survey asks how long ago the instance heard from a server.
 	Survey(context.Context, *connect.Request[v1.SurveyRequest]) (*connect.Response[v1.SurveyResponse], error)
 }
@@ -160,6 +178,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Notify")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceExtendHandler := connect.NewUnaryHandler(
+		FleetServiceExtendProcedure,
+		svc.Extend,
+		connect.WithSchema(fleetServiceMethods.ByName("Extend")),
+		connect.WithHandlerOptions(opts...),
+	)
 	fleetServiceSurveyHandler := connect.NewUnaryHandler(
 		FleetServiceSurveyProcedure,
 		svc.Survey,
@@ -174,6 +198,8 @@
 			fleetServiceSuspendHandler.ServeHTTP(w, r)
 		case FleetServiceNotifyProcedure:
 			fleetServiceNotifyHandler.ServeHTTP(w, r)
+		case FleetServiceExtendProcedure:
+			fleetServiceExtendHandler.ServeHTTP(w, r)
 		case FleetServiceSurveyProcedure:
 			fleetServiceSurveyHandler.ServeHTTP(w, r)
 		default:
@@ -197,6 +223,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbwick.fleet.v1.FleetService.Notify is not implemented"))
 }
 
+func (UnimplementedFleetServiceHandler) Extend(context.Context, *connect.Request[v1.ExtendRequest]) (*connect.Response[v1.ExtendResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbwick.fleet.v1.FleetService.Extend is not implemented"))
+}
+
 func (UnimplementedFleetServiceHandler) Survey(context.Context, *connect.Request[v1.SurveyRequest]) (*connect.Response[v1.SurveyResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbwick.fleet.v1.FleetService.Survey is not implemented"))
 }
--- a/primacy/record.go
+++ b/primacy/record.go
@@ -4,6 +4,10 @@
 // The platform's store holds one Record for each group. An instance relies on a record for Lease after the instant at
 // which it asked the store for it. Who replaces a primary first writes that to the record, and promotes a successor only
 // when every instance has either confirmed that it stopped using the old primary or had time for its lease to run out.
+//
+// While the store cannot be reached, two thirds of the instances can extend a lease: each says that it knows of no newer
+// record. An instance that confirmed a replacement does not say so any more. Two such sets share an instance, so no lease
+// is extended once two thirds have confirmed a replacement. MaxLease bounds the extensions.
 package primacy
 
 import (
@@ -14,9 +18,18 @@
 	"github.com/rhubarbwick/rhubarbwick/group"
 )
 
-// Lease is how long an instance relies on a record that it read. It outlasts the outages of the store that users told
-// of (up to nine seconds); a longer one delays the replacement of a primary while an instance is cut off.
-const Lease = 10 * time.Second
+const (
+	// Lease is how long an instance relies on a record that it read. It is three times the period of the reads; a longer
+	// one delays the replacement of a primary while an instance is cut off.
+	Lease = 3 * time.Second
+	// MaxLease is how long extended leases last after the last read. It outlasts the outages of the store that the users
+	// told of, of up to nine seconds.
+	MaxLease = 12 * time.Second
+)
+
+// Majority returns how many of n instances have to agree. Two sets of this size share an instance even if the second
+// was taken from a third more instances.
+func Majority(n int) int { return (2*n + 2) / 3 }
 
 // Record states which server leads a group. A Record is never changed in place. The zero value belongs to a group
 // without a known primary.
@@ -74,13 +87,15 @@
 	// AskedAt is when a record with the present primary and no announcement was last asked for, on a clock of this process
 	// that also counts the time in which the machine is suspended.
 	AskedAt time.Duration
+	// ReadAt is when the store was last asked for it; AskedAt is later when the lease was extended.
+	ReadAt time.Duration
 	// released is true once the instance has confirmed that it no longer uses the primary of the record's term.
 	released bool
 }
 
-// WithRecord returns the view after the record was asked for at the instant. A record of an older version changes
-// nothing: its answer was late.
-func (v View) WithRecord(r Record, version uint64, askedAt time.Duration) View {
+// WithRecord returns the view after the record was asked for at one instant, and read from the store at another one that
+// is not later. A record of an older version changes nothing: its answer was late.
+func (v View) WithRecord(r Record, version uint64, askedAt, readAt time.Duration) View {
 	switch {
 	case version < v.Version:
 		return v
@@ -92,7 +107,7 @@
 		v.Record, v.Version, v.released = r, version, v.released && r.Replacement != nil
 	}
 	if r.Replacement == nil {
-		v.AskedAt = max(v.AskedAt, askedAt)
+		v.AskedAt, v.ReadAt = max(v.AskedAt, askedAt), max(v.ReadAt, readAt)
 	}
 	return v
 }
@@ -117,5 +132,5 @@
 // instance has released the primary, also while its replacement is announced.
 func (v View) Leads(server string, term group.Term, now time.Duration) bool {
 	return v.Record.Primary != "" && v.Record.Primary == server && v.Record.Term == term && !v.released &&
-		v.AskedAt > 0 && now-v.AskedAt <= Lease
+		v.AskedAt > 0 && now-v.AskedAt <= Lease && now-v.ReadAt <= MaxLease
 }
--- a/proxy/courier.go
+++ b/proxy/courier.go
@@ -9,6 +9,7 @@
 
 	"github.com/rhubarbwick/rhubarbwick/instance"
 	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/primacy"
 	"github.com/rhubarbwick/rhubarbwick/ring"
 )
 
@@ -19,6 +20,9 @@
 	exchangeLimit = 700 * time.Millisecond
 	// relayPause is how long a relay that did not answer is passed over.
 	relayPause = 5 * time.Second
+	// extendAge is the age of the records from which a relay has their lease extended. It is above the age that they reach
+	// while the store answers.
+	extendAge = 1300 * time.Millisecond
 	// soonest is the least time between two exchanges, also when the relay has news all the time.
 	soonest = 50 * time.Millisecond
 )
@@ -69,6 +73,7 @@
 		case isRelay:
 			c.startReaders(ctx)
 			c.exchangeAreas(ctx)
+			c.extend(ctx)
 			if totals, known := c.cfg.Hub.Totals(); known {
 				c.cfg.Rates.SetTotals(totals, c.cfg.Rates.Demand())
 			}
@@ -185,6 +190,34 @@
 	asked.Wait()
 }
 
+// extend has the other instances extend the leases while the store cannot be read.
+func (c *Courier) extend(ctx context.Context) {
+	s, known := c.cfg.Knowledge.Records()
+	asked := c.cfg.Timer.Now()
+	if !known || asked-s.AskedAt < extendAge || asked-s.ReadAt > primacy.MaxLease {
+		return
+	}
+	versions := make(map[string]port.Version, len(s.Primacies))
+	for name, p := range s.Primacies {
+		versions[name] = p.Version
+	}
+	limited, cancel := port.WithTimeout(ctx, c.cfg.Timer, exchangeLimit)
+	defer cancel()
+	agreed := ring.New[struct{}](len(s.Members) + 1)
+	var running sync.WaitGroup
+	for _, m := range s.Members {
+		running.Go(func() {
+			if ok, err := c.cfg.Fleet.Extend(limited, m.Address, versions); err == nil && ok {
+				agreed.Offer(struct{}{})
+			}
+		})
+	}
+	running.Wait()
+	if agreed.Len() >= primacy.Majority(len(s.Members)) {
+		c.cfg.Knowledge.TakeRecords(s.WithAskedAt(asked))
+	}
+}
+
 // exchange asks a relay and takes over what it knows.
 func (c *Courier) exchange(
 	ctx context.Context, relay Member, demand Demand, wait time.Duration, fromRelay bool,
@@ -227,7 +260,7 @@
 		objects = known.Objects
 	}
 	if objects != nil {
-		k.TakeRecords(NewSnapshot(objects, left-r.RecordsAge))
+		k.TakeRecords(NewSnapshot(objects, left-r.ReadAge).WithAskedAt(left - r.RecordsAge))
 	}
 }
 
--- a/proxy/duty.go
+++ b/proxy/duty.go
@@ -39,6 +39,24 @@
 	}
 }
 
+// mayAcquire reports whether the duty can be taken as far as the records tell.
+func (d *dutyHolder) mayAcquire(s Snapshot) bool {
+	d.observe(s)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.isFree(s)
+}
+
+// isFree reports whether this instance holds the duty or nobody who lives uses it. The lock is held.
+func (d *dutyHolder) isFree(s Snapshot) bool {
+	held := s.Duty.Duty
+	if s.Duty.Version == 0 || held.Holder == d.cfg.Self.Incarnation {
+		return true
+	}
+	lives := slices.ContainsFunc(s.Members, func(m Member) bool { return m.Incarnation == held.Holder })
+	return !lives || d.cfg.Timer.Now()-d.since >= dutyWait
+}
+
 // acquire takes or renews the duty and returns its epoch. It fails with kind Conflict while another instance may be
 // using it.
 func (d *dutyHolder) acquire(ctx context.Context, s Snapshot) (uint64, error) {
@@ -47,12 +65,10 @@
 	defer d.mu.Unlock()
 	held := s.Duty.Duty
 	next := Duty{Holder: d.cfg.Self.Incarnation, Epoch: held.Epoch, Use: held.Use + 1}
+	if !d.isFree(s) {
+		return 0, port.Failf(port.Conflict, "instance %s may still be promoting", held.Holder)
+	}
 	if held.Holder != d.cfg.Self.Incarnation || held.Epoch != d.epoch {
-		now := d.cfg.Timer.Now()
-		lives := slices.ContainsFunc(s.Members, func(m Member) bool { return m.Incarnation == held.Holder })
-		if lives && s.Duty.Version != 0 && now-d.since < dutyWait {
-			return 0, port.Failf(port.Conflict, "instance %s may still be promoting", held.Holder)
-		}
 		next = Duty{Holder: d.cfg.Self.Incarnation, Epoch: held.Epoch + 1}
 	}
 	return next.Epoch, d.put(ctx, next, s.Duty.Version)
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -18,6 +18,8 @@
 	Suspend(ctx context.Context, address string, p StoredPrimacy) error
 	// Notify has the instance ask the member for the newest records.
 	Notify(ctx context.Context, address string, m Member) error
+	// Extend asks whether the instance knows of no newer record of any group than those of the versions.
+	Extend(ctx context.Context, address string, versions map[string]port.Version) (bool, error)
 	// Survey asks how long ago the instance heard from the server, and returns its incarnation.
 	Survey(ctx context.Context, address, server string) (Hearing, error)
 }
@@ -65,6 +67,8 @@
 	Records        []port.Object
 	RecordsVersion uint64
 	RecordsAge     time.Duration
+	// ReadAge is how long before the answer the store was asked for the records.
+	ReadAge time.Duration
 	// Servers is nil when the asker has the newest.
 	Servers        map[string]dispatch.Listing
 	ServersVersion port.Version
--- a/proxy/hub.go
+++ b/proxy/hub.go
@@ -94,7 +94,7 @@
 // Suspend stops using the primary of the record's term. In a planned replacement, statements that run there may end
 // first.
 func (h *Hub) Suspend(ctx context.Context, p StoredPrimacy) {
-	h.cfg.Views.Take(p, 0)
+	h.cfg.Views.Take(p, 0, 0)
 	if p.Record.Replacement != nil && p.Record.Replacement.Planned {
 		until := h.cfg.Timer.Now() + lastStatements
 		for h.cfg.Desk.Outstanding(p.Record.Primary) > 0 && h.cfg.Timer.Now() < until {
@@ -106,6 +106,20 @@
 	h.cfg.Views.Release(p.Record)
 }
 
+// Extend reports whether this instance knows of no newer record than those of the versions. It may say so only after it
+// has read the records itself: an earlier start may have confirmed a replacement.
+func (h *Hub) Extend(versions map[string]port.Version) bool {
+	if _, known := h.cfg.Knowledge.Records(); !known {
+		return false
+	}
+	for name, known := range h.cfg.Views.Versions() {
+		if known > versions[name] {
+			return false
+		}
+	}
+	return true
+}
+
 // Notify has the newest records asked for at the member.
 func (h *Hub) Notify(m Member) { h.cfg.Notices.Push(m) }
 
@@ -218,8 +232,8 @@
 	if !known {
 		return
 	}
-	r.RecordsVersion, r.RecordsAge = records.Version(), now-records.AskedAt
-	r.Fresh = r.RecordsAge <= freshRecords
+	r.RecordsVersion, r.RecordsAge, r.ReadAge = records.Version(), now-records.AskedAt, now-records.ReadAt
+	r.Fresh = r.ReadAge <= freshRecords
 	if r.RecordsVersion != ask.Records {
 		r.Records = records.Objects
 	}
--- a/proxy/knowledge.go
+++ b/proxy/knowledge.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/primacy"
+	"github.com/rhubarbwick/rhubarbwick/ring"
 )
 
 const (
@@ -27,6 +29,9 @@
 	// Address is where other instances reach it.
 	Address    string `json:"address"`
 	DataCentre string `json:"data_centre"`
+	// Leaving is set by another instance when this one has been silent. An instance that lives lists itself anew; the
+	// record of one that does not is removed later.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // StoredPrimacy is a record with its version in the store.
@@ -51,7 +56,9 @@
 
 // Snapshot holds the product's objects in the store, as one read gave them. They must not be changed.
 type Snapshot struct {
-	// AskedAt is when the read began.
+	// ReadAt is when the read began. AskedAt is later when two thirds of the instances have said since that they know of
+	// no newer record.
+	ReadAt    time.Duration
 	AskedAt   time.Duration
 	Objects   []port.Object
 	Members   []Member
@@ -60,8 +67,8 @@
 }
 
 // NewSnapshot sorts the objects. One that cannot be read names nothing.
-func NewSnapshot(objects []port.Object, askedAt time.Duration) Snapshot {
-	s := Snapshot{AskedAt: askedAt, Objects: objects, Primacies: make(map[string]StoredPrimacy)}
+func NewSnapshot(objects []port.Object, readAt time.Duration) Snapshot {
+	s := Snapshot{AskedAt: readAt, ReadAt: readAt, Objects: objects, Primacies: make(map[string]StoredPrimacy)}
 	for _, o := range objects {
 		switch {
 		case strings.HasPrefix(o.Name, instancePrefix):
@@ -82,6 +89,12 @@
 	return s
 }
 
+// WithAskedAt returns the records after they were confirmed at a later instant.
+func (s Snapshot) WithAskedAt(at time.Duration) Snapshot {
+	s.AskedAt = max(s.AskedAt, at)
+	return s
+}
+
 // Version tells two states of the records apart: a write raises the greatest version, and a removal alone the count.
 func (s Snapshot) Version() uint64 {
 	const mostObjects = 1 << 16
@@ -92,6 +105,11 @@
 	return uint64(newest)*mostObjects + uint64(len(s.Objects))
 }
 
+// Lists reports whether the instance is listed and not about to be removed.
+func (s Snapshot) Lists(self Member) bool {
+	return slices.Contains(s.Members, self)
+}
+
 // Find returns the object of the name.
 func (s Snapshot) Find(name string) (port.Object, bool) {
 	for _, o := range s.Objects {
@@ -105,6 +123,7 @@
 // Knowledge is what an instance knows of the platform: the document, the servers and the records. It comes from the
 // store or from a relay. Knowledge is safe for concurrent use.
 type Knowledge struct {
+	self  Member
 	timer port.Timer
 	views *Views
 	// staleAfter is the age from which the document is not relied on; zero means that it always is.
@@ -123,11 +142,15 @@
 	records     Snapshot
 	hasRecords  bool
 	changed     chan struct{}
+	delisted    *ring.Ring[struct{}]
 }
 
 // NewKnowledge returns the knowledge of an instance that has just started.
-func NewKnowledge(timer port.Timer, views *Views, staleAfter time.Duration) *Knowledge {
-	return &Knowledge{timer: timer, views: views, staleAfter: staleAfter, changed: make(chan struct{})}
+func NewKnowledge(self Member, timer port.Timer, views *Views, staleAfter time.Duration) *Knowledge {
+	return &Knowledge{
+		self: self, timer: timer, views: views, staleAfter: staleAfter, changed: make(chan struct{}),
+		delisted: ring.New[struct{}](1),
+	}
 }
 
 // OnServers has deliver called with each changed list of servers. It is to be called before the knowledge is used.
@@ -170,12 +193,21 @@
 	return k.records, k.hasRecords
 }
 
-// Instances returns the number of registered instances, at least one.
+// Instances returns the number of instances that are listed and not about to be removed, at least one.
 func (k *Knowledge) Instances() int {
 	s, _ := k.Records()
-	return max(len(s.Members), 1)
+	n := 0
+	for _, m := range s.Members {
+		if !m.Leaving {
+			n++
+		}
+	}
+	return max(n, 1)
 }
 
+// Delisted takes a token whenever this instance is found missing from the records.
+func (k *Knowledge) Delisted() *ring.Ring[struct{}] { return k.delisted }
+
 // IsComplete reports whether callers can be served by what is known.
 func (k *Knowledge) IsComplete() bool {
 	k.mu.Lock()
@@ -267,8 +299,16 @@
 
 // TakeRecords takes over what a read of the records gave, unless a newer read is known.
 func (k *Knowledge) TakeRecords(s Snapshot) {
-	for _, p := range s.Primacies {
-		k.views.Take(p, s.AskedAt)
+	if !s.Lists(k.self) {
+		// A promoter does not wait for an instance that is not listed.
+		for _, p := range s.Primacies {
+			k.views.Take(p, 0, 0)
+		}
+		k.delisted.Offer(struct{}{})
+	} else {
+		for _, p := range s.Primacies {
+			k.views.Take(p, s.AskedAt, s.ReadAt)
+		}
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -128,7 +128,7 @@
 		if !seen {
 			p.since[g.Name], since = now, now
 		}
-		if now-since >= wait+time.Duration(p.rank(s))*replacementStep {
+		if now-since >= wait+time.Duration(p.rank(s))*replacementStep && p.duty.mayAcquire(s) {
 			p.replace(ctx, g, reason)
 		}
 	}
--- a/proxy/readers.go
+++ b/proxy/readers.go
@@ -23,7 +23,7 @@
 	callLimit = 2 * time.Second
 	// readPeriod is how often the records are read. Each read is a priced call; with the lease it decides how long an
 	// outage of the store may last before primaries are no longer used.
-	readPeriod = 1500 * time.Millisecond
+	readPeriod = time.Second
 	// firstPause and lastPause bound the pause before a failed call is repeated.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
@@ -215,12 +215,25 @@
 	return nil
 }
 
-// Registration lists this instance among the others.
+// Registration is the duty that lists this instance among the others, again whenever its record was removed.
 type Registration struct {
-	Self    Member
-	Records Records
-	Timer   port.Timer
-	failed  pauses
+	Self      Member
+	Records   Records
+	Knowledge *Knowledge
+	Timer     port.Timer
+	failed    pauses
+}
+
+// Run keeps the instance listed until ctx ends.
+func (r *Registration) Run(ctx context.Context) { r.loop(ctx) }
+
+func (r *Registration) loop(ctx context.Context) {
+	for {
+		if _, err := r.Knowledge.Delisted().Take(ctx); err != nil {
+			return
+		}
+		r.Register(ctx)
+	}
 }
 
 // Register writes this instance's record, in the place of that of an earlier start on the machine, and repeats that
--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -102,24 +102,35 @@
 }
 
 // suspendAll returns when no instance uses the old primary any more: each has confirmed it, its process was replaced by
-// another one, or its lease has run out since the announcement. It withdraws the announcement when the old primary
-// answers again meanwhile.
+// another one, or its lease has run out since the announcement. Leases are extended only until two thirds of the
+// instances have confirmed; without these, the longest lease is waited for. The announcement is withdrawn when the old
+// primary answers again meanwhile.
 func (r *replacement) suspendAll(ctx context.Context) error {
 	p := r.promoter
-	until := p.cfg.Timer.Now() + primacy.Lease + leaseMargin
+	until := p.cfg.Timer.Now() + primacy.MaxLease + leaseMargin
 	confirmed := make(map[string]bool)
 	for {
 		// Instances that register after this read know the announcement before they use a primary.
 		members, err := r.members(ctx)
-		if err == nil && r.askAll(ctx, members, confirmed) {
-			return nil
-		}
 		if port.KindOf(err) == port.Conflict {
 			return err
 		}
+		if err == nil {
+			before := len(confirmed)
+			if r.askAll(ctx, members, confirmed) {
+				return nil
+			}
+			majority := primacy.Majority(len(members))
+			if before < majority && len(confirmed) >= majority {
+				until = min(until, p.cfg.Timer.Now()+primacy.Lease+leaseMargin)
+			}
+		}
 		if p.cfg.Timer.Now() >= until {
 			return err
 		}
+		if err := p.duty.confirm(ctx, r.epoch); port.KindOf(err) == port.Conflict {
+			return err
+		}
 		if !r.planned && err == nil && r.isBack(ctx) {
 			return r.withdraw(ctx)
 		}
--- a/proxy/views.go
+++ b/proxy/views.go
@@ -17,9 +17,6 @@
 	views map[string]primacy.View
 	// changed is closed when a record changed.
 	changed chan struct{}
-	// notBefore is when the instance was registered. What was asked for earlier grants nothing: a promoter that does not
-	// know the instance does not wait for it.
-	notBefore time.Duration
 }
 
 // NewViews returns views of no group.
@@ -27,23 +24,13 @@
 	return &Views{timer: timer, views: make(map[string]primacy.View), changed: make(chan struct{})}
 }
 
-// Begin has the views rely only on records that were asked for from the instant on.
-func (v *Views) Begin(at time.Duration) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.notBefore = at
-}
-
-// Take notes a record that was asked for at the instant, and reports whether it is news.
-func (v *Views) Take(p StoredPrimacy, askedAt time.Duration) bool {
+// Take notes a record that was asked for at one instant and read from the store at another, and reports whether it is
+// news.
+func (v *Views) Take(p StoredPrimacy, askedAt, readAt time.Duration) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	before := v.views[p.Record.Group]
-	if askedAt < v.notBefore {
-		// The record is noted, but grants nothing.
-		askedAt = 0
-	}
-	after := before.WithRecord(p.Record, uint64(p.Version), askedAt)
+	after := before.WithRecord(p.Record, uint64(p.Version), askedAt, readAt)
 	v.views[p.Record.Group] = after
 	if after.Version == before.Version {
 		return false
@@ -53,6 +40,17 @@
 	return true
 }
 
+// Versions returns the version of each group's newest record.
+func (v *Views) Versions() map[string]port.Version {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	versions := make(map[string]port.Version, len(v.views))
+	for name, view := range v.views {
+		versions[name] = port.Version(view.Version)
+	}
+	return versions
+}
+
 // Release confirms that this instance no longer uses the primary of the record's term.
 func (v *Views) Release(r primacy.Record) {
 	v.mu.Lock()
