--- /dev/null
+++ b/cmd/gateway/fleet_test.go
@@ -0,0 +1,269 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/cmd/streams"
+	"github.com/rhubarbwick/rhubarbwick/standin/database"
+	"github.com/rhubarbwick/rhubarbwick/standin/objects"
+)
+
+const (
+	groupName = "formula-core-a"
+	testKey   = "key-of-clinic"
+	patience  = 20 * time.Second
+)
+
+// testFleet is a stand-in platform with one group of servers and gateways over it.
+type testFleet struct {
+	t        *testing.T
+	platform *objects.Server
+	address  string
+	group    *database.Group
+	gateways map[string]*gateway
+}
+
+// gateway is one running entry instance.
+type gateway struct {
+	callers string
+	ready   string
+	stop    context.CancelFunc
+	ended   chan error
+	out     *syncBuffer
+}
+
+// syncBuffer is a buffer that a process writes while a test reads.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write appends.
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+// String returns what was written.
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+func newFleet(t *testing.T) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, platform: objects.NewServer(), group: database.NewGroup(groupName), gateways: make(map[string]*gateway)}
+	f.group.Lag = 10 * time.Millisecond
+	f.group.OnRole = f.list
+	f.platform.Promote = func(p objects.Promotion) int {
+		if f.group.Promote(p.ID) {
+			return http.StatusOK
+		}
+		return http.StatusConflict
+	}
+	web := httptest.NewServer(f.platform.Handler())
+	t.Cleanup(web.Close)
+	f.address = strings.TrimPrefix(web.URL, "http://")
+	for _, id := range []string{"i-a", "i-b", "i-c"} {
+		s, err := f.group.Start(id)
+		require.NoError(t, err)
+		t.Cleanup(s.Stop)
+		f.list(s)
+	}
+	f.setDocument(1, testKey)
+	return f
+}
+
+// list writes a server's entry.
+func (f *testFleet) list(s *database.Server) {
+	role := "replica"
+	if s.IsPrimary() {
+		role = "primary"
+	}
+	f.platform.Store.Set("servers", s.ID, map[string]any{ //nolint:gocritic // The entry's form is the platform's.
+		"service": groupName, "address": s.Address(), "zone": "kig-a", "slots": 3, "state": "ready", "database_role": role, "born": 1,
+	})
+}
+
+func (f *testFleet) setDocument(version int, key string) {
+	f.platform.Store.Set("config", "main", map[string]any{
+		"version": version,
+		"routes": []map[string]any{
+			{"name": "r1", "host": "orders", "kind": "primary", "timeout_ms": 2000, "target_latency_ms": 500, "service": groupName},
+			{
+				"name": "r2", "host": "stock", "kind": "read_your_writes", "timeout_ms": 2000, "target_latency_ms": 500,
+				"service": groupName, "max_staleness_ms": 500,
+			},
+		},
+		"services": []map[string]any{{"name": groupName, "connection_limit": 20}},
+		"limits":   map[string]any{"transaction_idle_ms": 3000},
+		"tenants":  []map[string]any{{"name": "clinic", "api_keys": []string{key}, "rate_per_s": 1e6, "burst": 1e6}},
+	})
+}
+
+// start starts a gateway and waits until it is ready.
+func (f *testFleet) start(name string) *gateway {
+	f.t.Helper()
+	ports := freePorts(f.t, 4)
+	g := &gateway{callers: ports[0], ready: ports[1], out: &syncBuffer{}, ended: make(chan error, 1)}
+	path := filepath.Join(f.t.TempDir(), name+".conf")
+	_, first, _ := net.SplitHostPort(ports[2])
+	last := fmt.Sprint(atoi(f.t, first) + 1)
+	settings := strings.Join([]string{
+		"node_name=" + name, "zone=kig-a", "ip_address=127.0.0.1", "listen_addresses.frontend=" + g.callers,
+		"listen_addresses.ready=" + g.ready, "internal_ports=" + first + "," + last, "platform.address=" + f.address,
+		"cloud.address=" + f.address, "limits.memory_mb=200", "limits.file_descriptors=2000", "bounds.grace_s=6",
+		"bounds.quota_window_s=5",
+	}, "\n")
+	require.NoError(f.t, os.WriteFile(path, []byte(settings), 0o600))
+	ctx, stop := context.WithCancel(f.t.Context())
+	g.stop = stop
+	running := &runner{opts: &Options{Streams: streams.Streams{Out: g.out, Err: g.out}, Path: path}, ended: g.ended}
+	go running.run(ctx)
+	f.gateways[name] = g
+	require.Eventually(f.t, func() bool { return isReady(g.ready) }, patience, 20*time.Millisecond, "gateway %s: %s", name, g.out)
+	f.t.Cleanup(func() { f.stop(name) })
+	return g
+}
+
+// runner runs a gateway in the background.
+type runner struct {
+	opts  *Options
+	ended chan error
+}
+
+func (r *runner) run(ctx context.Context) { r.ended <- run(ctx, r.opts) }
+
+func (f *testFleet) stop(name string) {
+	g := f.gateways[name]
+	if g == nil {
+		return
+	}
+	delete(f.gateways, name)
+	g.stop()
+	select {
+	case err := <-g.ended:
+		require.NoError(f.t, err)
+	case <-time.After(patience):
+		require.Fail(f.t, "the gateway did not stop", "%s", g.out)
+	}
+}
+
+func atoi(t *testing.T, text string) int {
+	t.Helper()
+	var n int
+	_, err := fmt.Sscan(text, &n)
+	require.NoError(t, err)
+	return n
+}
+
+// freePorts returns loopback addresses that the system has just given out.
+func freePorts(t *testing.T, n int) []string {
+	t.Helper()
+	var addresses []string
+	var open []net.Listener
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		open = append(open, l)
+		addresses = append(addresses, l.Addr().String())
+	}
+	for _, l := range open {
+		require.NoError(t, l.Close())
+	}
+	return addresses
+}
+
+func isReady(address string) bool {
+	resp, err := http.Get("http://" + address + "/api/readiness")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
+
+// client is a caller that speaks the line protocol.
+type client struct {
+	t     *testing.T
+	conn  net.Conn
+	lines *bufio.Reader
+	ids   int
+}
+
+func dial(t *testing.T, address, database, key string) *client {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	c := &client{t: t, conn: conn, lines: bufio.NewReader(conn)}
+	c.send("START " + database + " " + key)
+	return c
+}
+
+func (c *client) send(line string) {
+	c.t.Helper()
+	_, err := c.conn.Write([]byte(line + "\r\n"))
+	require.NoError(c.t, err)
+}
+
+func (c *client) line() string {
+	c.t.Helper()
+	require.NoError(c.t, c.conn.SetReadDeadline(time.Now().Add(patience)))
+	line, err := c.lines.ReadString('\n')
+	require.NoError(c.t, err)
+	return strings.TrimSuffix(line, "\r\n")
+}
+
+// query sends a query and returns its lines.
+func (c *client) query(text string) []string {
+	c.t.Helper()
+	c.ids++
+	c.send(fmt.Sprintf("QUERY %p-%d %s", c, c.ids, text))
+	var lines []string
+	for {
+		line := c.line()
+		lines = append(lines, line)
+		if strings.HasPrefix(line, "READY ") {
+			return lines
+		}
+	}
+}
+
+func requireSuccess(t *testing.T, lines []string) {
+	t.Helper()
+	require.True(t, strings.HasPrefix(lines[len(lines)-2], "COMPLETE "), "%v", lines)
+}
+
+func requireProof(t *testing.T, lines []string) {
+	t.Helper()
+	requireSuccess(t, lines)
+	require.NotEqual(t, "COMPLETE -", lines[len(lines)-2])
+}
+
+func requireRow(t *testing.T, want string, lines []string) {
+	t.Helper()
+	requireProof(t, lines)
+	require.Equal(t, "ROW "+want, lines[0])
+}
+
+func requireError(t *testing.T, code string, lines []string) {
+	t.Helper()
+	require.True(t, strings.HasPrefix(lines[0], "ERROR "+code+" "), "%v", lines)
+}
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -4,7 +4,6 @@
 	"context"
 	"runtime/debug"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -42,7 +41,7 @@
 	readiness    *platform.Readiness
 	peers        *fleet.Server
 	decisions    *decisions.Log
-	draining     atomic.Bool
+	opening      *proxy.Opening
 }
 
 // newProcess opens the sockets and assembles the parts.
@@ -55,6 +54,7 @@
 	dialer := platform.NewServerDialer()
 	p.views = proxy.NewViews(p.timer)
 	p.knowledge = proxy.NewKnowledge(self, p.timer, p.views, s.RevokeWithin)
+	p.opening = &proxy.Opening{Timer: p.timer, Knowledge: p.knowledge, Views: p.views}
 	p.registration = &proxy.Registration{
 		Self: self, Records: store, Knowledge: p.knowledge, Timer: p.timer,
 	}
@@ -97,15 +97,10 @@
 	if p.listener, err = platform.NewListener(ctx, p.settings, p.house, p.timer); err != nil {
 		return err
 	}
-	p.readiness, err = platform.NewReadiness(ctx, p.settings, p.isReady)
+	p.readiness, err = platform.NewReadiness(ctx, p.settings, p.opening.IsOpen)
 	return err
 }
 
-// isReady reports whether new callers can be served.
-func (p *process) isReady() bool {
-	return p.knowledge.IsComplete() && !p.draining.Load()
-}
-
 // run serves until ctx ends, then stops without cutting a request.
 func (p *process) run(ctx context.Context) error {
 	p.log.Info("instance: started", zap.String("name", p.settings.Name), zap.String("data_centre", p.settings.DataCentre))
@@ -138,7 +133,7 @@
 // stop takes no new callers, lets the sessions end, and removes the instance from the records.
 func (p *process) stop() {
 	p.log.Info("instance: stopping")
-	p.draining.Store(true)
+	p.opening.Close()
 	p.listener.Close()
 	limited, cancel := context.WithTimeout(context.Background(), time.Duration(drainShare*float64(p.settings.Drain)))
 	p.house.Drain(limited)
--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -119,18 +119,18 @@
 		p.introduce(ctx, s, g.Name)
 		return
 	}
-	now := p.cfg.Timer.Now()
-	switch reason, wait := p.reason(stored.Record); {
-	case reason == "":
+	reason, wait := p.reason(stored.Record)
+	if reason == "" {
 		delete(p.since, g.Name)
-	default:
-		since, seen := p.since[g.Name]
-		if !seen {
-			p.since[g.Name], since = now, now
-		}
-		if now-since >= wait+time.Duration(p.rank(s))*replacementStep && p.duty.mayAcquire(s) {
-			p.replace(ctx, g, reason)
-		}
+		return
+	}
+	now := p.cfg.Timer.Now()
+	since, seen := p.since[g.Name]
+	if !seen {
+		p.since[g.Name], since = now, now
+	}
+	if now-since >= wait+time.Duration(p.rank(s))*replacementStep && p.duty.mayAcquire(s) {
+		p.replace(ctx, g, reason)
 	}
 }
 
