--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,103 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/dispatch"
+	"github.com/rhubarbwick/rhubarbwick/group"
+)
+
+const ms = time.Millisecond
+
+func server(name, dataCentre string) dispatch.Server {
+	return dispatch.NewServer(dispatch.Listing{Name: name, Group: "g", Address: "10.0.0.1:1", DataCentre: dataCentre, Slots: 3, Born: 1})
+}
+
+func free(s dispatch.Server) dispatch.Candidate { return dispatch.Candidate{Server: s, HasIdle: true} }
+
+func at(offset uint64) group.Position { return group.Position{Term: 1, Offset: offset} }
+
+// situation has server "p" as primary and evidence of position 5 for every age.
+func situation() dispatch.Situation {
+	return dispatch.Situation{
+		Now: time.Second, DataCentre: "a", Primary: "p",
+		Floor: func(time.Duration) (group.Position, bool) { return at(5), true },
+	}
+}
+
+// Guards against statements at servers that must not, or cannot, run them.
+func TestChoose(t *testing.T) {
+	p, near, far := server("p", "a"), server("near", "a"), server("far", "b")
+	all := []dispatch.Candidate{free(p), free(near), free(far)}
+	reader := dispatch.NeedReader{Own: at(3), AcceptedAge: time.Second}
+	t.Run("a write goes to the primary", func(t *testing.T) {
+		requireServer(t, "p", group.Position{}, dispatch.Choose(dispatch.NeedPrimary{}, all, situation()))
+	})
+	t.Run("a write without a primary goes nowhere", func(t *testing.T) {
+		in := situation()
+		in.Primary = ""
+		require.Equal(t, dispatch.NoServer{}, dispatch.Choose(dispatch.NeedPrimary{}, all, in))
+	})
+	t.Run("a read goes to the replica in the own data centre", func(t *testing.T) {
+		requireServer(t, "near", at(5), dispatch.Choose(reader, all, situation()))
+	})
+	t.Run("a read sees the session's own writes", func(t *testing.T) {
+		own := dispatch.NeedReader{Own: at(8), AcceptedAge: time.Second}
+		requireServer(t, "near", at(8), dispatch.Choose(own, all, situation()))
+	})
+	t.Run("a replica that lacked the position is passed over", func(t *testing.T) {
+		lacking := free(near.WithLack(at(5), time.Second))
+		requireServer(t, "far", at(5), dispatch.Choose(reader, []dispatch.Candidate{free(p), lacking, free(far)}, situation()))
+	})
+	t.Run("a replica that lacked a later position is not", func(t *testing.T) {
+		lacking := free(near.WithLack(at(6), time.Second))
+		requireServer(t, "near", at(5), dispatch.Choose(reader, []dispatch.Candidate{free(p), lacking, free(far)}, situation()))
+	})
+	t.Run("a replica that has applied the position since is not", func(t *testing.T) {
+		caughtUp := free(near.WithLack(at(5), time.Second).WithAnswer(at(5), 20*ms, time.Second))
+		requireServer(t, "near", at(5), dispatch.Choose(reader, []dispatch.Candidate{free(p), caughtUp}, situation()))
+	})
+	t.Run("without evidence only the primary serves reads", func(t *testing.T) {
+		in := situation()
+		in.Floor = func(time.Duration) (group.Position, bool) { return group.Position{}, false }
+		requireServer(t, "p", group.Position{}, dispatch.Choose(reader, all, in))
+	})
+	t.Run("departing, failing and excluded servers are passed over", func(t *testing.T) {
+		departing := dispatch.Listing{Name: "near", Group: "g", Departing: true}
+		requireServer(t, "p", group.Position{}, dispatch.Choose(reader, []dispatch.Candidate{
+			free(p), free(dispatch.NewServer(departing)), free(far.WithFailure(time.Second)),
+		}, situation()))
+		in := situation()
+		in.Excluded = []string{"p"}
+		require.Equal(t, dispatch.NoServer{}, dispatch.Choose(dispatch.NeedPrimary{}, all, in))
+	})
+	t.Run("a server without a free connection is waited for", func(t *testing.T) {
+		full := []dispatch.Candidate{{Server: p}}
+		require.Equal(t, dispatch.NoConnection{}, dispatch.Choose(dispatch.NeedPrimary{}, full, situation()))
+	})
+	t.Run("the load of this instance spreads", func(t *testing.T) {
+		loaded := free(near.WithOutstanding(2))
+		requireServer(t, "far", at(5), dispatch.Choose(reader, []dispatch.Candidate{free(p), loaded, free(far)}, situation()))
+	})
+}
+
+func requireServer(t *testing.T, want string, after group.Position, got dispatch.Choice) {
+	t.Helper()
+	require.Equal(t, dispatch.ToServer{Server: want, After: after}, got)
+}
+
+// Guards against what was learnt of a server that holds for its next start or for another server at its address.
+func TestServerStartsAnew(t *testing.T) {
+	s := server("a", "a").WithFailure(time.Second).WithOutstanding(2)
+	_, failing := s.FailingSince()
+	require.True(t, failing)
+	again := s.Listing
+	again.Born = 2
+	s = s.WithListing(again)
+	_, failing = s.FailingSince()
+	require.False(t, failing)
+	require.Equal(t, 2, s.Outstanding, "connections are counted on")
+}
