Shorten leases to two seconds, bar extensions by a majority, send callers away from isolated instances

Cause: in a zone cut no majority of two thirds was left (12 of 19), so a replacement waited for the longest lease; the cut zone kept callers that it could not serve; after a start rates were refused for five seconds; a replacement whose promoter had died was taken over only after four.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -66,7 +66,7 @@
 	rates := proxy.NewSharedRates(p.timer, p.knowledge, p.knowledge.Instances, s.Rates)
 	p.house = proxy.NewHouse(proxy.HouseConfig{
 		Timer: p.timer, Desk: p.desk, Views: p.views, Rules: p.knowledge, Rates: rates, Recorder: p.decisions,
-		DocumentAge: p.knowledge.DocumentAge,
+		DocumentAge: p.knowledge.DocumentAge, IsIsolated: p.opening.IsIsolated,
 	})
 	notices := ring.New[proxy.Member](0)
 	hub := proxy.NewHub(proxy.HubConfig{
@@ -77,16 +77,29 @@
 	readers := &proxy.StoreReaders{Documents: store, Listings: store, Records: store, Knowledge: p.knowledge, Timer: p.timer}
 	p.courier = proxy.NewCourier(proxy.CourierConfig{
 		Self: self, Timer: p.timer, Knowledge: p.knowledge, Fleet: others, Hub: hub, Readers: readers, Rates: rates,
-		Notices: notices,
+		Notices: notices, Isolated: p.setIsolated,
 	})
 	p.promoter = proxy.NewPromoter(proxy.PromoterConfig{
 		Self: self, Timer: p.timer, Knowledge: p.knowledge, Readers: readers, Fleet: others, Views: p.views, Desk: p.desk,
 		Dialer: dialer, Records: store, Promotions: platform.NewCloud(s.CloudAddress),
-		Recorder: p.decisions,
+		Recorder: p.decisions, Sightings: p.knowledge.Sightings(),
 	})
 	return p, p.open(ctx, hub)
 }
 
+// setIsolated sends callers elsewhere while the instance is cut off.
+func (p *process) setIsolated(isolated bool) {
+	if !p.opening.SetIsolated(isolated) {
+		return
+	}
+	if isolated {
+		p.log.Warn("instance: isolated, callers are sent elsewhere")
+		p.house.Dismiss()
+		return
+	}
+	p.log.Info("instance: no longer isolated")
+}
+
 // open opens the sockets.
 func (p *process) open(ctx context.Context, hub *proxy.Hub) error {
 	socket, err := platform.Listen(ctx, p.settings.PeerAddress, "other instances")
--- a/primacy/record.go
+++ b/primacy/record.go
@@ -5,9 +5,10 @@
 // which it asked the store for it. Who replaces a primary first writes that to the record, and promotes a successor only
 // when every instance has either confirmed that it stopped using the old primary or had time for its lease to run out.
 //
-// While the store cannot be reached, two thirds of the instances can extend a lease: each says that it knows of no newer
-// record. An instance that confirmed a replacement does not say so any more. Two such sets share an instance, so no lease
-// is extended once two thirds have confirmed a replacement. MaxLease bounds the extensions.
+// While the store cannot be reached, a majority of the instances can extend a lease: each says that it knows of no newer
+// record. An instance that confirmed a replacement does not say so any more. Two majorities share an instance, so no lease
+// is extended once a majority has confirmed a replacement. MaxLease bounds the extensions, and with it the time for which
+// an instance may count on an older list of instances.
 package primacy
 
 import (
@@ -19,17 +20,24 @@
 )
 
 const (
-	// Lease is how long an instance relies on a record that it read. It is three times the period of the reads; a longer
-	// one delays the replacement of a primary while an instance is cut off.
-	Lease = 3 * time.Second
+	// Lease is how long an instance relies on a record that it read. Records are about 1.3 s old at most while the store
+	// answers; a longer lease delays the replacement of a primary while an instance is cut off.
+	Lease = 2 * time.Second
 	// MaxLease is how long extended leases last after the last read. It outlasts the outages of the store that the users
 	// told of, of up to nine seconds.
 	MaxLease = 12 * time.Second
 )
 
-// Majority returns how many of n instances have to agree. Two sets of this size share an instance even if the second
-// was taken from a third more instances.
-func Majority(n int) int { return (2*n + 2) / 3 }
+// Majority returns how many of n instances have to agree.
+func Majority(n int) int { return n/2 + 1 }
+
+// Bars reports whether no majority can extend a lease any more, once so many of the instances that were listed for
+// MaxLease have confirmed a replacement. An instance that extends a lease counts on a list that is not older than that; it
+// may know any part of those that were listed since.
+func Bars(listedForLong, listedOfLate, confirmed int) bool {
+	return listedForLong+listedOfLate-confirmed < Majority(listedForLong+listedOfLate) &&
+		listedForLong-confirmed < Majority(listedForLong)
+}
 
 // Record states which server leads a group. A Record is never changed in place. The zero value belongs to a group
 // without a known primary.
--- a/proxy/courier.go
+++ b/proxy/courier.go
@@ -15,14 +15,14 @@
 
 const (
 	// exchangeWait is how long a relay may hold an answer back, and so the most time between two exchanges.
-	exchangeWait = time.Second
+	exchangeWait = 500 * time.Millisecond
 	// exchangeLimit is how long an exchange may take beyond that.
 	exchangeLimit = 700 * time.Millisecond
 	// relayPause is how long a relay that did not answer is passed over.
 	relayPause = 5 * time.Second
 	// extendAge is the age of the records from which a relay has their lease extended. It is above the age that they reach
 	// while the store answers.
-	extendAge = 1300 * time.Millisecond
+	extendAge = 1100 * time.Millisecond
 	// soonest is the least time between two exchanges, also when the relay has news all the time.
 	soonest = 50 * time.Millisecond
 )
@@ -36,6 +36,8 @@
 	Hub       *Hub
 	Readers   *StoreReaders
 	Rates     *SharedRates
+	// Isolated is told whether the instance reaches neither the store nor a majority of the instances.
+	Isolated func(isolated bool)
 	// Notices gives the members that have newer records.
 	Notices *ring.Ring[Member]
 }
@@ -65,6 +67,7 @@
 
 func (c *Courier) loop(ctx context.Context) {
 	for ctx.Err() == nil {
+		c.extend(ctx)
 		began := c.cfg.Timer.Now()
 		relay, found := c.relay(began)
 		isRelay := found && relay.Incarnation == c.cfg.Self.Incarnation
@@ -73,7 +76,6 @@
 		case isRelay:
 			c.startReaders(ctx)
 			c.exchangeAreas(ctx)
-			c.extend(ctx)
 			if totals, known := c.cfg.Hub.Totals(); known {
 				c.cfg.Rates.SetTotals(totals, c.cfg.Rates.Demand())
 			}
@@ -190,11 +192,12 @@
 	asked.Wait()
 }
 
-// extend has the other instances extend the leases while the store cannot be read.
+// extend has the other instances extend the leases while the store cannot be read, here or by a relay.
 func (c *Courier) extend(ctx context.Context) {
 	s, known := c.cfg.Knowledge.Records()
 	asked := c.cfg.Timer.Now()
-	if !known || asked-s.AskedAt < extendAge || asked-s.ReadAt > primacy.MaxLease {
+	if !known || asked-s.AskedAt < extendAge {
+		c.cfg.Isolated(false)
 		return
 	}
 	versions := make(map[string]port.Version, len(s.Primacies))
@@ -203,19 +206,28 @@
 	}
 	limited, cancel := port.WithTimeout(ctx, c.cfg.Timer, exchangeLimit)
 	defer cancel()
-	agreed := ring.New[struct{}](len(s.Members) + 1)
+	answers := ring.New[bool](len(s.Members) + 1)
 	var running sync.WaitGroup
 	for _, m := range s.Members {
 		running.Go(func() {
-			if ok, err := c.cfg.Fleet.Extend(limited, m.Address, versions); err == nil && ok {
-				agreed.Offer(struct{}{})
+			if agreed, err := c.cfg.Fleet.Extend(limited, m.Address, versions); err == nil {
+				answers.Offer(agreed)
 			}
 		})
 	}
 	running.Wait()
-	if agreed.Len() >= primacy.Majority(len(s.Members)) {
+	agreed, reached := 0, answers.Len()
+	for range reached {
+		if ok, _ := answers.TryTake(); ok {
+			agreed++
+		}
+	}
+	majority := primacy.Majority(len(s.Members))
+	if agreed >= majority && asked-s.ReadAt <= primacy.MaxLease {
 		c.cfg.Knowledge.TakeRecords(s.WithAskedAt(asked))
 	}
+	newest, _ := c.cfg.Knowledge.Records()
+	c.cfg.Isolated(reached < majority && c.cfg.Timer.Now()-newest.AskedAt >= extendAge)
 }
 
 // exchange asks a relay and takes over what it knows.
--- a/proxy/duty.go
+++ b/proxy/duty.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"sync"
 	"time"
 
@@ -53,8 +52,7 @@
 	if s.Duty.Version == 0 || held.Holder == d.cfg.Self.Incarnation {
 		return true
 	}
-	lives := slices.ContainsFunc(s.Members, func(m Member) bool { return m.Incarnation == held.Holder })
-	return !lives || d.cfg.Timer.Now()-d.since >= dutyWait
+	return !s.HasIncarnation(held.Holder) || d.cfg.Timer.Now()-d.since >= dutyWait
 }
 
 // acquire takes or renews the duty and returns its epoch. It fails with kind Conflict while another instance may be
--- a/proxy/house.go
+++ b/proxy/house.go
@@ -40,6 +40,8 @@
 	Views *Views
 	Rules Rules
 	Rates Rates
+	// IsIsolated reports whether the instance is cut off. It may be nil.
+	IsIsolated func() bool
 	// Recorder may be nil.
 	Recorder Recorder
 	// DocumentAge returns how long ago the document was known to be the newest. It may be nil.
@@ -51,6 +53,11 @@
 	cfg      HouseConfig
 	draining context.Context
 	drain    context.CancelFunc
+
+	mu sync.Mutex
+	// staying ends when the sessions that have no transaction are to end.
+	staying  context.Context
+	dismiss  context.CancelFunc
 	sessions sync.WaitGroup
 	closers  sync.WaitGroup
 }
@@ -60,11 +67,15 @@
 	if cfg.Recorder == nil {
 		cfg.Recorder = silent{}
 	}
+	if cfg.IsIsolated == nil {
+		cfg.IsIsolated = func() bool { return false }
+	}
 	if cfg.DocumentAge == nil {
 		cfg.DocumentAge = func() time.Duration { return 0 }
 	}
 	draining, drain := context.WithCancel(context.Background())
-	return &House{cfg: cfg, draining: draining, drain: drain}
+	staying, dismiss := context.WithCancel(draining)
+	return &House{cfg: cfg, draining: draining, drain: drain, staying: staying, dismiss: dismiss}
 }
 
 // Admit decides about a caller that names a route and presents a key.
@@ -87,6 +98,21 @@
 	NewSession(h, c, a).Run(ctx)
 }
 
+// Dismiss ends the present sessions as soon as they have no transaction, so that their callers connect elsewhere.
+func (h *House) Dismiss() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.dismiss()
+	h.staying, h.dismiss = context.WithCancel(h.draining)
+}
+
+// stay returns a context that ends when the session is to end.
+func (h *House) stay() context.Context {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.staying
+}
+
 // Drain ends sessions as soon as they have no transaction, and waits until all have ended or ctx ends.
 func (h *House) Drain(ctx context.Context) {
 	h.drain()
--- a/proxy/hub.go
+++ b/proxy/hub.go
@@ -14,12 +14,12 @@
 	longestWait = time.Second
 	// settleTime is how long an instance has to be a relay before it tells the fleet's demand: by then all instances of
 	// its data centre have told theirs.
-	settleTime = 3 * time.Second
+	settleTime = 1200 * time.Millisecond
 	// demandLife is how long the demand of a silent instance counts.
 	demandLife = 5 * time.Second
 	// freshRecords is the age up to which a relay's records are worth having: an older relay has lost the store, and
 	// another one may reach it.
-	freshRecords = 4 * time.Second
+	freshRecords = 1500 * time.Millisecond
 	// lastStatements is how long statements at a primary that is replaced as planned have to end.
 	lastStatements = 500 * time.Millisecond
 	// outstandingCheck is how often an instance looks whether they have.
--- a/proxy/knowledge.go
+++ b/proxy/knowledge.go
@@ -110,6 +110,11 @@
 	return slices.Contains(s.Members, self)
 }
 
+// HasIncarnation reports whether an instance of the incarnation is listed.
+func (s Snapshot) HasIncarnation(incarnation string) bool {
+	return slices.ContainsFunc(s.Members, func(m Member) bool { return m.Incarnation == incarnation })
+}
+
 // Find returns the object of the name.
 func (s Snapshot) Find(name string) (port.Object, bool) {
 	for _, o := range s.Objects {
@@ -143,13 +148,14 @@
 	hasRecords  bool
 	changed     chan struct{}
 	delisted    *ring.Ring[struct{}]
+	sightings   *Sightings
 }
 
 // NewKnowledge returns the knowledge of an instance that has just started.
 func NewKnowledge(self Member, timer port.Timer, views *Views, staleAfter time.Duration) *Knowledge {
 	return &Knowledge{
 		self: self, timer: timer, views: views, staleAfter: staleAfter, changed: make(chan struct{}),
-		delisted: ring.New[struct{}](1),
+		delisted: ring.New[struct{}](1), sightings: NewSightings(),
 	}
 }
 
@@ -205,6 +211,9 @@
 	return max(n, 1)
 }
 
+// Sightings tells since when instances are listed.
+func (k *Knowledge) Sightings() *Sightings { return k.sightings }
+
 // Delisted takes a token whenever this instance is found missing from the records.
 func (k *Knowledge) Delisted() *ring.Ring[struct{}] { return k.delisted }
 
@@ -315,6 +324,7 @@
 	if k.hasRecords && s.AskedAt <= k.records.AskedAt {
 		return
 	}
+	k.sightings.Note(s, k.timer.Now())
 	differs := !k.hasRecords || s.Version() != k.records.Version()
 	k.records, k.hasRecords = s, true
 	if differs {
--- a/proxy/opening.go
+++ b/proxy/opening.go
@@ -22,6 +22,7 @@
 	known    bool
 	opened   bool
 	closed   bool
+	isolated bool
 }
 
 // Close has no more callers taken.
@@ -31,13 +32,33 @@
 	o.closed = true
 }
 
-// IsOpen reports whether callers may come. An instance that has opened stays open until Close, also when it loses the
-// store: its callers have nowhere better to go while all instances have lost it.
+// SetIsolated tells that the instance reaches neither the store nor a majority of the instances, or that it does again.
+// It returns whether that is news.
+func (o *Opening) SetIsolated(isolated bool) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	isNews := o.isolated != isolated
+	o.isolated = isolated
+	return isNews
+}
+
+// IsIsolated reports what SetIsolated told.
+func (o *Opening) IsIsolated() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.isolated
+}
+
+// IsOpen reports whether callers may come. An instance that has opened stays open when it loses the store together with
+// the others, because its callers have nowhere better to go. One that is cut off from the others as well sends them away.
 func (o *Opening) IsOpen() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.opened || o.closed {
-		return !o.closed
+	if o.closed || o.isolated {
+		return false
+	}
+	if o.opened {
+		return true
 	}
 	if !o.Knowledge.IsComplete() {
 		return false
--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -53,6 +53,7 @@
 	Dialer     Dialer
 	Records    Records
 	Promotions Promotions
+	Sightings  *Sightings
 	// Recorder may be nil.
 	Recorder Recorder
 }
@@ -119,7 +120,7 @@
 		p.introduce(ctx, s, g.Name)
 		return
 	}
-	reason, wait := p.reason(stored.Record)
+	reason, wait := p.reason(s, stored.Record)
 	if reason == "" {
 		delete(p.since, g.Name)
 		return
@@ -135,12 +136,14 @@
 }
 
 // reason returns why a primary has to be replaced as far as the records and the list tell, and how long that has to last.
-func (p *Promoter) reason(r primacy.Record) (string, time.Duration) {
+func (p *Promoter) reason(s Snapshot, r primacy.Record) (string, time.Duration) {
 	servers, _ := p.cfg.Knowledge.Servers()
 	l, listed := servers[r.Primary]
 	switch {
 	case r.Replacement != nil && r.Replacement.Promoter == p.cfg.Self.Incarnation:
 		return "this instance's replacement has not ended", 0
+	case r.Replacement != nil && !s.HasIncarnation(r.Replacement.Promoter):
+		return "the replacing instance is gone", 0
 	case r.Replacement != nil:
 		return "the replacement has not ended", takeOverLimit
 	case !listed:
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -203,10 +203,15 @@
 	if target == 0 {
 		target = defaultTimeout
 	}
-	grant, err := s.house.cfg.Desk.Acquire(ctx, Want{
+	want := Want{
 		Group: w.route.Group, Organisation: s.admitted.Organisation, Need: need, Excluded: slices.Clone(w.excluded),
 		Priority: w.route.Priority, Patience: target / patienceShare, Hope: target / hopeShare, Affinity: s.affinity,
-	})
+	}
+	if s.house.cfg.IsIsolated() {
+		// No primary can be learnt of until the cut ends.
+		want.Hope = 0
+	}
+	grant, err := s.house.cfg.Desk.Acquire(ctx, want)
 	if err != nil {
 		return nil, err
 	}
--- a/proxy/rates.go
+++ b/proxy/rates.go
@@ -143,15 +143,20 @@
 // share returns how many of the organisation's operations this instance may take in a window: a part of what the rate and
 // burst come to. The lock is held.
 func (r *SharedRates) share(o document.Organisation, now time.Duration) float64 {
-	t := r.tolerance
-	whole := o.Rate*t.Window.Seconds() + o.Burst
-	whole += usedTolerance * (t.Over*whole + t.Slack)
+	whole := r.whole(o, now)
 	n := float64(r.instances())
+	weight := 1 / n
 	if total := r.totals[o.Name]; total > 0 && now-r.totalsAt <= totalsLife {
-		return max(1, whole*(evenPart/n+(1-evenPart)*r.own[o.Name]/total))
+		weight = evenPart/n + (1-evenPart)*r.own[o.Name]/total
 	}
-	// Without the fleet's demand the instance may have started just now, together with all others, and earlier starts may
-	// have used up the window.
-	started := min(1, float64(now-r.started)/float64(t.Window))
-	return max(1, whole*started/n)
+	return max(1, whole*weight)
+}
+
+// whole returns how many operations all instances may take in a window. Soon after the start it is less: all instances
+// may have started together, and their earlier starts may have used the rate up to then.
+func (r *SharedRates) whole(o document.Organisation, now time.Duration) float64 {
+	t := r.tolerance
+	whole := o.Rate*t.Window.Seconds() + o.Burst
+	whole += usedTolerance * (t.Over*whole + t.Slack)
+	return min(whole, o.Burst/2+o.Rate*(now-r.started).Seconds())
 }
--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -102,8 +102,8 @@
 }
 
 // suspendAll returns when no instance uses the old primary any more: each has confirmed it, its process was replaced by
-// another one, or its lease has run out since the announcement. Leases are extended only until two thirds of the
-// instances have confirmed; without these, the longest lease is waited for. The announcement is withdrawn when the old
+// another one, or its lease has run out since the announcement. Leases are extended only until a majority of the instances
+// has confirmed; without it, the longest lease is waited for. The announcement is withdrawn when the old
 // primary answers again meanwhile.
 func (r *replacement) suspendAll(ctx context.Context) error {
 	p := r.promoter
@@ -116,12 +116,10 @@
 			return err
 		}
 		if err == nil {
-			before := len(confirmed)
 			if r.askAll(ctx, members, confirmed) {
 				return nil
 			}
-			majority := primacy.Majority(len(members))
-			if before < majority && len(confirmed) >= majority {
+			if p.cfg.Sightings.Bars(members, confirmed) {
 				until = min(until, p.cfg.Timer.Now()+primacy.Lease+leaseMargin)
 			}
 		}
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -28,6 +28,9 @@
 	caller   Caller
 	admitted organisation.Admitted
 
+	// stay ends when the session is to end.
+	stay context.Context
+
 	context  statement.Context
 	newest   group.Position
 	affinity uint64
@@ -60,7 +63,7 @@
 
 // NewSession returns the session of an admitted caller.
 func NewSession(h *House, c Caller, a organisation.Admitted) *Session {
-	return &Session{house: h, caller: c, admitted: a}
+	return &Session{house: h, caller: c, admitted: a, stay: h.stay()}
 }
 
 // Run serves the caller until it leaves or the instance stops.
@@ -99,7 +102,7 @@
 		defer stop()
 	}
 	if s.tx == nil {
-		stopped := context.AfterFunc(s.house.draining, func() { cancel(errStopping) })
+		stopped := context.AfterFunc(s.stay, func() { cancel(errStopping) })
 		defer stopped()
 	}
 	req, err := s.caller.Receive(waiting)
