--- a/adapter/fleet/client.go
+++ b/adapter/fleet/client.go
@@ -80,16 +80,17 @@
 }
 
 // Suspend has the instance stop using the primary of the record's term.
-func (c *Client) Suspend(ctx context.Context, address string, p proxy.StoredPrimacy) error {
+func (c *Client) Suspend(ctx context.Context, address string, p proxy.StoredPrimacy) ([]string, error) {
 	data, err := p.Record.Encode()
 	if err != nil {
-		return port.Wrapf(err, port.Internal, "the record cannot be encoded")
+		return nil, port.Wrapf(err, port.Internal, "the record cannot be encoded")
 	}
 	req := &fleetv1.SuspendRequest{Record: &fleetv1.Record{Name: p.Record.Group, Version: uint64(p.Version), Data: data}}
-	if _, err = c.at(address).Suspend(ctx, connect.NewRequest(req)); err != nil {
-		return failure(err, address)
+	res, err := c.at(address).Suspend(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, failure(err, address)
 	}
-	return nil
+	return res.Msg.GetLongListed(), nil
 }
 
 // Notify has the instance ask the member for the newest records.
--- a/adapter/fleet/server.go
+++ b/adapter/fleet/server.go
@@ -70,8 +70,10 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	s.hub.Suspend(ctx, proxy.StoredPrimacy{Record: record, Version: port.Version(req.Msg.GetRecord().GetVersion())})
-	return connect.NewResponse(&fleetv1.SuspendResponse{}), nil
+	names := s.hub.Suspend(ctx, proxy.StoredPrimacy{
+		Record: record, Version: port.Version(req.Msg.GetRecord().GetVersion()),
+	})
+	return connect.NewResponse(&fleetv1.SuspendResponse{LongListed: names}), nil
 }
 
 // Notify has the newest records asked for at a member.
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -82,7 +82,7 @@
 	p.promoter = proxy.NewPromoter(proxy.PromoterConfig{
 		Self: self, Timer: p.timer, Knowledge: p.knowledge, Readers: readers, Fleet: others, Views: p.views, Desk: p.desk,
 		Dialer: dialer, Records: store, Promotions: platform.NewCloud(s.CloudAddress),
-		Recorder: p.decisions, Sightings: p.knowledge.Sightings(),
+		Recorder: p.decisions,
 	})
 	return p, p.open(ctx, hub)
 }
--- a/proxy/hub.go
+++ b/proxy/hub.go
@@ -92,8 +92,8 @@
 }
 
 // Suspend stops using the primary of the record's term. In a planned replacement, statements that run there may end
-// first.
-func (h *Hub) Suspend(ctx context.Context, p StoredPrimacy) {
+// first. It returns the names of the instances that were listed for long.
+func (h *Hub) Suspend(ctx context.Context, p StoredPrimacy) []string {
 	h.cfg.Views.Take(p, 0, 0)
 	if p.Record.Replacement != nil && p.Record.Replacement.Planned {
 		until := h.cfg.Timer.Now() + lastStatements
@@ -104,6 +104,7 @@
 		}
 	}
 	h.cfg.Views.Release(p.Record)
+	return h.cfg.Knowledge.Sightings().LongListed()
 }
 
 // Extend reports whether this instance knows of no newer record than those of the versions. It may say so only after it
--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -34,7 +34,7 @@
 	// callPeers is how long calls to other instances may take.
 	callPeers = 400 * time.Millisecond
 	// staleRecords is the age from which records show that this instance has lost the store.
-	staleRecords = 4 * time.Second
+	staleRecords = 1500 * time.Millisecond
 	// takeOverLimit is how long a replacement may stand before another instance takes it over.
 	takeOverLimit = 4 * time.Second
 	// systemCaller is the name under which the system itself connects to servers.
@@ -53,7 +53,6 @@
 	Dialer     Dialer
 	Records    Records
 	Promotions Promotions
-	Sightings  *Sightings
 	// Recorder may be nil.
 	Recorder Recorder
 }
--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -108,7 +108,7 @@
 func (r *replacement) suspendAll(ctx context.Context) error {
 	p := r.promoter
 	until := p.cfg.Timer.Now() + primacy.MaxLease + leaseMargin
-	confirmed := make(map[string]bool)
+	confirmed := NewConfirmations()
 	for {
 		// Instances that register after this read know the announcement before they use a primary.
 		members, err := r.members(ctx)
@@ -119,7 +119,7 @@
 			if r.askAll(ctx, members, confirmed) {
 				return nil
 			}
-			if p.cfg.Sightings.Bars(members, confirmed) {
+			if confirmed.Bar(members) {
 				until = min(until, p.cfg.Timer.Now()+primacy.Lease+leaseMargin)
 			}
 		}
@@ -152,31 +152,32 @@
 }
 
 // askAll asks the instances that have not confirmed yet, and reports whether all have.
-func (r *replacement) askAll(ctx context.Context, members []Member, confirmed map[string]bool) bool {
-	answers := ring.New[string](len(members) + 1)
+func (r *replacement) askAll(ctx context.Context, members []Member, confirmed Confirmations) bool {
+	answers := ring.New[suspension](len(members) + 1)
 	var asked sync.WaitGroup
 	for _, m := range members {
-		if !confirmed[m.Incarnation] {
+		if !confirmed.Has(m) {
 			s := &suspension{replacement: r, member: m, answers: answers}
 			asked.Go(func() { s.run(ctx) })
 		}
 	}
 	asked.Wait()
 	for {
-		incarnation, ok := answers.TryTake()
+		s, ok := answers.TryTake()
 		if !ok {
 			break
 		}
-		confirmed[incarnation] = true
+		confirmed.Add(s.member.Incarnation, s.longListed)
 	}
-	return !slices.ContainsFunc(members, func(m Member) bool { return !confirmed[m.Incarnation] })
+	return !slices.ContainsFunc(members, func(m Member) bool { return !confirmed.Has(m) })
 }
 
 // suspension is the duty that asks one instance to stop using the old primary.
 type suspension struct {
 	replacement *replacement
 	member      Member
-	answers     *ring.Ring[string]
+	longListed  []string
+	answers     *ring.Ring[suspension]
 }
 
 func (s *suspension) run(ctx context.Context) {
@@ -187,8 +188,10 @@
 	}
 	limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, limit)
 	defer cancel()
-	if p.cfg.Fleet.Suspend(limited, s.member.Address, s.replacement.stored) == nil {
-		s.answers.Offer(s.member.Incarnation)
+	longListed, err := p.cfg.Fleet.Suspend(limited, s.member.Address, s.replacement.stored)
+	if err == nil {
+		s.longListed = longListed
+		s.answers.Offer(*s)
 	}
 }
 
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -83,7 +83,8 @@
 		default:
 			err = s.caller.Reply(s.answer(ctx, req))
 		}
-		if err != nil {
+		if err != nil || (s.tx == nil && s.house.cfg.IsIsolated()) {
+			// Callers of an isolated instance are better served where they connect next.
 			return
 		}
 	}
--- a/proxy/sightings.go
+++ b/proxy/sightings.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -10,12 +11,15 @@
 // Sightings remembers since when this instance has seen each other one listed. It is safe for concurrent use.
 type Sightings struct {
 	mu    sync.Mutex
-	since map[string]time.Duration
-	now   time.Duration
+	seen  map[string]sighting
+	now  time.Duration
 }
 
+// sighting is when a name was first and last listed.
+type sighting struct{ first, last time.Duration }
+
 // NewSightings returns sightings of nobody.
-func NewSightings() *Sightings { return &Sightings{since: make(map[string]time.Duration)} }
+func NewSightings() *Sightings { return &Sightings{seen: make(map[string]sighting)} }
 
 // Note takes over which instances are listed at now. A machine that starts anew keeps its name, and stays listed for
 // those who know it.
@@ -23,29 +27,66 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.now = now
-	listed := make(map[string]time.Duration, len(records.Members))
 	for _, m := range records.Members {
-		listed[m.Name] = now
-		if since, seen := s.since[m.Name]; seen {
-			listed[m.Name] = since
+		if _, known := s.seen[m.Name]; !known {
+			s.seen[m.Name] = sighting{first: now}
+		}
+		s.seen[m.Name] = sighting{first: s.seen[m.Name].first, last: now}
+	}
+	for name, sighted := range s.seen {
+		if now-sighted.last > primacy.MaxLease {
+			delete(s.seen, name)
 		}
 	}
-	s.since = listed
 }
 
-// Bars reports whether the confirmations keep every majority from extending a lease.
-func (s *Sightings) Bars(members []Member, confirmed map[string]bool) bool {
+// LongListed returns the names that were listed longer ago than MaxLease.
+func (s *Sightings) LongListed() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var names []string
+	for name, sighted := range s.seen {
+		if s.now-sighted.first > primacy.MaxLease {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Confirmations are the instances that have confirmed a replacement, with the names that any of them has seen listed for
+// long. The promoter itself may have started just now.
+type Confirmations struct {
+	incarnations map[string]bool
+	longListed   map[string]bool
+}
+
+// NewConfirmations returns no confirmation.
+func NewConfirmations() Confirmations {
+	return Confirmations{incarnations: make(map[string]bool), longListed: make(map[string]bool)}
+}
+
+// Add adds the confirmation of an instance.
+func (c Confirmations) Add(incarnation string, longListed []string) {
+	c.incarnations[incarnation] = true
+	for _, name := range longListed {
+		c.longListed[name] = true
+	}
+}
+
+// Has reports whether the instance has confirmed.
+func (c Confirmations) Has(m Member) bool { return c.incarnations[m.Incarnation] }
+
+// Bar reports whether the confirmations keep every majority from extending a lease.
+func (c Confirmations) Bar(members []Member) bool {
 	long, late, agreed := 0, 0, 0
 	for _, m := range members {
-		since, seen := s.since[m.Name]
-		if !seen || s.now-since <= primacy.MaxLease {
+		if !c.longListed[m.Name] {
 			late++
 			continue
 		}
 		long++
-		if confirmed[m.Incarnation] {
+		if c.Has(m) {
 			agreed++
 		}
 	}
