--- a/document/difference.go
+++ b/document/difference.go
@@ -47,6 +47,7 @@
 func organisationLines(path string, a, b Organisation) []string {
 	lines := valueLine(nil, path, "rate", a.Rate, b.Rate)
 	lines = valueLine(lines, path, "burst", a.Burst, b.Burst)
+	lines = valueLine(lines, path, "priority", a.Priority, b.Priority)
 	return append(lines, differ(path+" key", a.Keys, b.Keys, func(k Key) string { return k.ID }, keyLines)...)
 }
 
@@ -63,6 +64,8 @@
 		lines = append(lines, fmt.Sprintf("%s slots: [%s] to [%s]", path, strings.Join(a.Slots, " "), strings.Join(b.Slots, " ")))
 	}
 	lines = valueLine(lines, path, "serving instances", a.ServingInstances, b.ServingInstances)
+	lines = valueLine(lines, path, "connections", a.Connections, b.Connections)
+	lines = valueLine(lines, path, "synchronous replicas", a.SynchronousReplicas, b.SynchronousReplicas)
 	return append(lines, differ(path+" server", a.Servers, b.Servers, func(s Server) string { return s.Name }, serverLines)...)
 }
 
@@ -81,7 +84,11 @@
 	lines = valueLine(lines, path, "idempotent", a.Idempotent, b.Idempotent)
 	lines = valueLine(lines, path, "open", a.Open, b.Open)
 	lines = valueLine(lines, path, "rate", a.Rate, b.Rate)
-	return valueLine(lines, path, "burst", a.Burst, b.Burst)
+	lines = valueLine(lines, path, "burst", a.Burst, b.Burst)
+	lines = valueLine(lines, path, "freshness", a.Freshness, b.Freshness)
+	lines = valueLine(lines, path, "timeout", a.Timeout(), b.Timeout())
+	lines = valueLine(lines, path, "target latency", a.TargetLatency(), b.TargetLatency())
+	return valueLine(lines, path, "priority", a.Priority, b.Priority)
 }
 
 func valueLine[T comparable](lines []string, path, field string, a, b T) []string {
--- a/document/patch.go
+++ b/document/patch.go
@@ -163,10 +163,12 @@
 func routeName(r Route) string { return r.Name }
 
 func sameOrganisation(a, b Organisation) bool {
-	return a.Name == b.Name && a.Rate == b.Rate && a.Burst == b.Burst && slices.Equal(a.Keys, b.Keys)
+	return a.Name == b.Name && a.Rate == b.Rate && a.Burst == b.Burst && a.Priority == b.Priority &&
+		slices.Equal(a.Keys, b.Keys)
 }
 
 func sameGroup(a, b Group) bool {
-	return a.Name == b.Name && a.ServingInstances == b.ServingInstances && slices.Equal(a.Slots, b.Slots) &&
+	return a.Name == b.Name && a.ServingInstances == b.ServingInstances && a.Connections == b.Connections &&
+		a.SynchronousReplicas == b.SynchronousReplicas && slices.Equal(a.Slots, b.Slots) &&
 		slices.Equal(a.Servers, b.Servers)
 }
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -20,6 +20,9 @@
 	defaultTransactionIdle = 3 * time.Second
 	// confirmWait is how long an answer of a primary waits until the instance knows again that the server leads.
 	confirmWait = 400 * time.Millisecond
+	// sendAwayAfter is how long a session of an isolated instance has to be idle before it is ended. A caller that repeats
+	// a refused request at once must not lose it.
+	sendAwayAfter = 100 * time.Millisecond
 )
 
 // Session is the duty that serves one caller. Its fields belong to run.
@@ -83,8 +86,7 @@
 		default:
 			err = s.caller.Reply(s.answer(ctx, req))
 		}
-		if err != nil || (s.tx == nil && s.house.cfg.IsIsolated()) {
-			// Callers of an isolated instance are better served where they connect next.
+		if err != nil {
 			return
 		}
 	}
@@ -102,6 +104,11 @@
 		stop := s.house.cfg.Timer.After(s.house.transactionIdle(), func(time.Duration) { cancel(errIdle) })
 		defer stop()
 	}
+	if s.tx == nil && s.house.cfg.IsIsolated() {
+		// Callers of an isolated instance are better served where they connect next.
+		stop := s.house.cfg.Timer.After(sendAwayAfter, func(time.Duration) { cancel(errStopping) })
+		defer stop()
+	}
 	if s.tx == nil {
 		stopped := context.AfterFunc(s.stay, func() { cancel(errStopping) })
 		defer stopped()
