One relay reads the store for all data centres; test replacements and leases in virtual time

The tests run instances with their duties in a synctest bubble: dead, departing and half-reachable primaries, cut instances, promoters that die at eight moments, the store away, minorities.

--- a/proxy/courier.go
+++ b/proxy/courier.go
@@ -15,14 +15,16 @@
 
 const (
 	// exchangeWait is how long a relay may hold an answer back, and so the most time between two exchanges.
-	exchangeWait = 500 * time.Millisecond
+	exchangeWait = 300 * time.Millisecond
 	// exchangeLimit is how long an exchange may take beyond that.
 	exchangeLimit = 700 * time.Millisecond
+	// headRole ranks the data centres for the relay that reads the store for all.
+	headRole = "head"
 	// relayPause is how long a relay that did not answer is passed over.
 	relayPause = 5 * time.Second
 	// extendAge is the age of the records from which a relay has their lease extended. It is above the age that they reach
 	// while the store answers.
-	extendAge = 1100 * time.Millisecond
+	extendAge = 1400 * time.Millisecond
 	// soonest is the least time between two exchanges, also when the relay has news all the time.
 	soonest = 50 * time.Millisecond
 )
@@ -74,22 +76,56 @@
 		c.cfg.Hub.SetRelay(isRelay)
 		switch {
 		case isRelay:
-			c.startReaders(ctx)
-			c.exchangeAreas(ctx)
-			if totals, known := c.cfg.Hub.Totals(); known {
-				c.cfg.Rates.SetTotals(totals, c.cfg.Rates.Demand())
-			}
-			_ = port.Wait(ctx, c.cfg.Timer, exchangeWait)
+			c.relayOthers(ctx, began)
 		case found:
-			c.follow(ctx, relay)
-			if took := c.cfg.Timer.Now() - began; took < soonest {
-				_ = port.Wait(ctx, c.cfg.Timer, soonest-took)
-			}
+			c.follow(ctx, relay, false)
 		default:
 			c.startReaders(ctx)
-			_ = port.Wait(ctx, c.cfg.Timer, firstPause)
+		}
+		if took := c.cfg.Timer.Now() - began; took < soonest {
+			_ = port.Wait(ctx, c.cfg.Timer, soonest-took)
+		}
+	}
+}
+
+// relayOthers is what the relay of a data centre does. The first of all relays reads the store; the others follow it, so
+// that the calls to the store do not grow with the data centres.
+func (c *Courier) relayOthers(ctx context.Context, now time.Duration) {
+	if totals, known := c.cfg.Hub.Totals(); known {
+		c.cfg.Rates.SetTotals(totals, c.cfg.Rates.Demand())
+	}
+	head, found := c.head(now)
+	c.exchangeAreas(ctx, head)
+	if found && head.Incarnation != c.cfg.Self.Incarnation {
+		c.follow(ctx, head, true)
+		return
+	}
+	c.startReaders(ctx)
+	_ = port.Wait(ctx, c.cfg.Timer, exchangeWait)
+}
+
+// head returns the relay that reads the store for all: that of the first data centre in rank whose relay did not fail of
+// late.
+func (c *Courier) head(now time.Duration) (Member, bool) {
+	var best Member
+	for area := range c.areas() {
+		relays := c.ranked(area)
+		i := slices.IndexFunc(relays, func(m Member) bool { return !c.hasFailed(m, now) })
+		if i >= 0 && (best.Incarnation == "" || instance.RankOf(headRole, area) > instance.RankOf(headRole, best.DataCentre)) {
+			best = relays[i]
 		}
 	}
+	return best, best.Incarnation != ""
+}
+
+// areas returns the data centres with instances.
+func (c *Courier) areas() map[string]bool {
+	s, _ := c.cfg.Knowledge.Records()
+	areas := make(map[string]bool)
+	for _, m := range s.Members {
+		areas[m.DataCentre] = true
+	}
+	return areas
 }
 
 // noticeReader is the duty that asks members that have newer records.
@@ -137,9 +173,13 @@
 	return members
 }
 
-// follow exchanges with the relay. While the relay has lost the store, this instance reads the store itself.
-func (c *Courier) follow(ctx context.Context, relay Member) {
-	report, err := c.exchange(ctx, relay, c.cfg.Rates.Demand(), exchangeWait, false)
+// follow exchanges with a relay. While the relay has lost the store, this instance reads the store itself.
+func (c *Courier) follow(ctx context.Context, relay Member, fromRelay bool) {
+	demand := c.cfg.Rates.Demand()
+	if fromRelay {
+		demand, _ = c.cfg.Hub.AreaDemand()
+	}
+	report, err := c.exchange(ctx, relay, demand, exchangeWait, fromRelay)
 	switch {
 	case err != nil:
 		c.fail(relay)
@@ -149,7 +189,7 @@
 	default:
 		c.stopReaders()
 	}
-	if len(report.Totals) > 0 {
+	if len(report.Totals) > 0 && !fromRelay {
 		c.cfg.Rates.SetTotals(report.Totals, report.Own)
 	}
 }
@@ -164,18 +204,18 @@
 	c.failed[m.Incarnation] = now
 }
 
-// exchangeAreas tells the relays of the other data centres the demand of this one, and learns what they know.
-func (c *Courier) exchangeAreas(ctx context.Context) {
+// exchangeAreas tells the relays of the other data centres the demand of this one, and learns what they know. The head
+// is told when it is followed.
+func (c *Courier) exchangeAreas(ctx context.Context, head Member) {
 	demand, known := c.cfg.Hub.AreaDemand()
 	if !known {
 		return
 	}
-	s, _ := c.cfg.Knowledge.Records()
-	areas := make(map[string]bool)
-	for _, m := range s.Members {
-		areas[m.DataCentre] = true
-	}
+	areas := c.areas()
 	delete(areas, c.cfg.Self.DataCentre)
+	if head.Incarnation != c.cfg.Self.Incarnation {
+		delete(areas, head.DataCentre)
+	}
 	var asked sync.WaitGroup
 	now := c.cfg.Timer.Now()
 	for area := range areas {
--- /dev/null
+++ b/proxy/fake_test.go
@@ -0,0 +1,709 @@
+package proxy_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/adapter/clock"
+	"github.com/rhubarbwick/rhubarbwick/dispatch"
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/organisation"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/proxy"
+	"github.com/rhubarbwick/rhubarbwick/ring"
+	"github.com/rhubarbwick/rhubarbwick/statement"
+)
+
+const (
+	testGroup   = "core"
+	testOrg     = "clinic"
+	callLatency = 2 * time.Millisecond
+)
+
+// world is a store, a group of servers and instances in one synctest bubble. Its time is virtual.
+type world struct {
+	t *testing.T
+
+	mu        sync.Mutex
+	version   port.Version
+	objects   map[string]port.Object
+	doc       document.Document
+	docAt     port.Version
+	servers   map[string]*fakeServer
+	listed    map[string]dispatch.Listing
+	listedAt  port.Version
+	storeDown bool
+	// cut holds instances that reach nothing but their callers.
+	cut map[string]bool
+	// partial holds servers that an instance does not reach.
+	partial   map[string]bool
+	instances map[string]*testInstance
+	// promotions are the calls that named a primary, in order.
+	promotions []promotionCall
+	// usedAtPromotion lists instances that still relied on the old primary when a promotion took effect.
+	usedAtPromotion []string
+	refusePromotion bool
+	storeCalls      atomic.Int64
+}
+
+type promotionCall struct {
+	server string
+	epoch  uint64
+}
+
+// fakeServer is a server of the group. It runs statements at once.
+type fakeServer struct {
+	name    string
+	term    group.Term
+	primary bool
+	down    bool
+	offset  uint64
+	full    bool
+}
+
+// testInstance is an instance with the duties that the tests need.
+type testInstance struct {
+	self      proxy.Member
+	knowledge *proxy.Knowledge
+	views     *proxy.Views
+	desk      *proxy.Desk
+	house     *proxy.House
+	hub       *proxy.Hub
+	opening   *proxy.Opening
+	rates     *proxy.SharedRates
+	stop      context.CancelFunc
+	ended     chan struct{}
+}
+
+// inWorld runs a test with n instances in two data centres and three servers.
+func inWorld(t *testing.T, n int, test func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		for i := range n {
+			w.start(fmt.Sprintf("front-%d", i), []string{"a", "b"}[i%2])
+		}
+		defer w.stopAll()
+		w.await(func() bool { return w.allRelyOn("s1") })
+		test(w)
+	})
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{
+		t: t, objects: make(map[string]port.Object), servers: make(map[string]*fakeServer),
+		listed: make(map[string]dispatch.Listing), cut: make(map[string]bool), partial: make(map[string]bool),
+		instances: make(map[string]*testInstance), version: 10,
+	}
+	for i, name := range []string{"s1", "s2", "s3"} {
+		w.servers[name] = &fakeServer{name: name, term: 3, primary: i == 0, offset: 100 - uint64(i)}
+		w.list(name, false)
+	}
+	w.setDocument(document.Document{
+		Revision: 1, Groups: []document.Group{{Name: testGroup, Connections: 40}},
+		Organisations: []document.Organisation{{Name: testOrg, Rate: 1e6, Burst: 1e6}},
+		Routes: []document.Route{{
+			Name: "orders", Group: testGroup, Open: true, Freshness: document.EveryWrite, TimeoutMS: 1000, TargetLatencyMS: 400,
+		}},
+	})
+	return w
+}
+
+func (w *world) setDocument(d document.Document) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	w.doc, w.docAt = d, w.version
+}
+
+// list writes a server's entry. The lock is not held.
+func (w *world) list(name string, departing bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l := dispatch.Listing{Name: name, Group: testGroup, Address: name, DataCentre: "a", Slots: 3, Departing: departing, Born: 1}
+	if w.servers[name].primary {
+		l.Role = dispatch.Primary
+	}
+	w.version++
+	w.listed[name], w.listedAt = l, w.version
+}
+
+func (w *world) start(name, dataCentre string) {
+	self := proxy.Member{Name: name, Incarnation: fmt.Sprintf("%s@%d", name, len(w.instances)+int(w.version)), Address: name, DataCentre: dataCentre}
+	ctx, stop := context.WithCancel(context.Background())
+	i := &testInstance{self: self, stop: stop, ended: make(chan struct{})}
+	timer := clock.NewService()
+	reach := &reach{world: w, name: name}
+	i.views = proxy.NewViews(timer)
+	i.knowledge = proxy.NewKnowledge(self, timer, i.views, 0)
+	i.opening = &proxy.Opening{Timer: timer, Knowledge: i.knowledge, Views: i.views}
+	i.desk = proxy.NewDesk(proxy.DeskConfig{
+		DataCentre: dataCentre, Timer: timer, Views: i.views, Dialer: reach, Limit: i.knowledge.Connections,
+		Instances: i.knowledge.Instances,
+	})
+	i.knowledge.OnServers(i.desk.SetListings)
+	i.rates = proxy.NewSharedRates(timer, i.knowledge, i.knowledge.Instances, proxy.Tolerance{Window: 5 * time.Second})
+	i.house = proxy.NewHouse(proxy.HouseConfig{
+		Timer: timer, Desk: i.desk, Views: i.views, Rules: i.knowledge, Rates: i.rates, IsIsolated: i.opening.IsIsolated,
+	})
+	notices := ring.New[proxy.Member](0)
+	i.hub = proxy.NewHub(proxy.HubConfig{
+		Self: self, Timer: timer, Knowledge: i.knowledge, Views: i.views, Desk: i.desk, Demand: i.rates.Demand, Notices: notices,
+	})
+	readers := &proxy.StoreReaders{Documents: reach, Listings: reach, Records: reach, Knowledge: i.knowledge, Timer: timer}
+	courier := proxy.NewCourier(proxy.CourierConfig{
+		Self: self, Timer: timer, Knowledge: i.knowledge, Fleet: reach, Hub: i.hub, Readers: readers, Rates: i.rates,
+		Notices: notices, Isolated: func(isolated bool) { i.opening.SetIsolated(isolated) },
+	})
+	promoter := proxy.NewPromoter(proxy.PromoterConfig{
+		Self: self, Timer: timer, Knowledge: i.knowledge, Readers: readers, Fleet: reach, Views: i.views, Desk: i.desk,
+		Dialer: reach, Records: reach, Promotions: reach,
+	})
+	registration := &proxy.Registration{Self: self, Records: reach, Knowledge: i.knowledge, Timer: timer}
+	w.mu.Lock()
+	w.instances[name] = i
+	w.mu.Unlock()
+	b := &body{duties: []func(context.Context){
+		timer.Run, i.desk.Run, promoter.Run, registration.Run,
+		func(ctx context.Context) {
+			registration.Register(ctx)
+			courier.Run(ctx)
+		},
+	}, ended: i.ended}
+	go b.run(ctx)
+}
+
+// body runs the duties of an instance.
+type body struct {
+	duties []func(context.Context)
+	ended  chan struct{}
+}
+
+func (b *body) run(ctx context.Context) {
+	var running sync.WaitGroup
+	for _, duty := range b.duties {
+		running.Go(func() { duty(ctx) })
+	}
+	running.Wait()
+	close(b.ended)
+}
+
+// kill ends an instance without a word.
+func (w *world) kill(name string) {
+	w.mu.Lock()
+	i := w.instances[name]
+	delete(w.instances, name)
+	w.mu.Unlock()
+	i.stop()
+	<-i.ended
+}
+
+func (w *world) stopAll() {
+	for _, name := range w.names() {
+		w.kill(name)
+	}
+}
+
+func (w *world) names() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var names []string
+	for name := range w.instances {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (w *world) at(name string) *testInstance {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.instances[name]
+}
+
+// await lets virtual time pass until the condition holds.
+func (w *world) await(holds func() bool) time.Duration {
+	w.t.Helper()
+	const limit = 40 * time.Second
+	began := time.Now()
+	for !holds() {
+		require.Less(w.t, time.Since(began), limit, "the condition did not come to hold")
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+func (w *world) allRelyOn(server string) bool {
+	for _, name := range w.names() {
+		if got, _, ok := w.at(name).views.Primary(testGroup); !ok || got != server {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *world) relies(name, server string) bool {
+	got, _, ok := w.at(name).views.Primary(testGroup)
+	return ok && got == server
+}
+
+func (w *world) allHaveRevision(r document.Revision) bool {
+	for _, name := range w.names() {
+		if index, _ := w.at(name).knowledge.Rules(); index.Document().Revision != r {
+			return false
+		}
+	}
+	return true
+}
+
+// doubt has every instance doubt the server, as its callers' statements would.
+func (w *world) doubt(server string) {
+	for _, name := range w.names() {
+		w.at(name).desk.Doubt(server)
+	}
+}
+
+// promoter returns the instance that the duty to promote names.
+func (w *world) promoter() (string, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var duty proxy.Duty
+	if json.Unmarshal(w.objects["duty/promotion"].Data, &duty) != nil {
+		return "", false
+	}
+	for name, i := range w.instances {
+		if i.self.Incarnation == duty.Holder {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+// runWrites has instances write at the primary.
+func (w *world) runWrites(names ...string) {
+	for _, name := range names {
+		c := &fakeCaller{requests: []statement.Request{{ID: "w", Statement: statement.Write{Text: "WRITE a 1"}}}}
+		w.at(name).serve(c)
+		require.Len(w.t, c.answers, 1)
+	}
+}
+
+// serve runs a caller's session to its end.
+func (i *testInstance) serve(c *fakeCaller) {
+	index, _ := i.knowledge.Rules()
+	route, _ := index.FindRoute("orders")
+	route.Open = true
+	i.house.Serve(context.Background(), c, organisation.Admitted{Organisation: testOrg, Route: route})
+}
+
+// fakeCaller sends its requests one after the other and keeps the answers.
+type fakeCaller struct {
+	requests []statement.Request
+	answers  []statement.Answer
+}
+
+// Receive returns the next request.
+func (c *fakeCaller) Receive(context.Context) (statement.Request, error) {
+	if len(c.requests) == 0 {
+		return statement.Request{}, errors.New("the caller has left")
+	}
+	next := c.requests[0]
+	c.requests = c.requests[1:]
+	return next, nil
+}
+
+// HasRequest reports whether there is a request.
+func (c *fakeCaller) HasRequest() bool { return len(c.requests) > 0 }
+
+// Reply keeps an answer.
+func (c *fakeCaller) Reply(a statement.Answer) error {
+	c.answers = append(c.answers, a)
+	return nil
+}
+
+// Close does nothing.
+func (c *fakeCaller) Close() {}
+
+// epochs returns the epochs of the promotions in order.
+func (w *world) epochs() []uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var epochs []uint64
+	for _, p := range w.promotions {
+		epochs = append(epochs, p.epoch)
+	}
+	return epochs
+}
+
+func (w *world) setDown(server string, down bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.servers[server].down = down
+}
+
+func (w *world) setCut(cut bool, names ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, name := range names {
+		w.cut[name] = cut
+	}
+}
+
+func (w *world) setStoreDown(down bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.storeDown = down
+}
+
+// reach is the world as one instance reaches it.
+type reach struct {
+	world *world
+	name  string
+}
+
+var (
+	_ proxy.Records    = (*reach)(nil)
+	_ proxy.Documents  = (*reach)(nil)
+	_ proxy.Listings   = (*reach)(nil)
+	_ proxy.Fleet      = (*reach)(nil)
+	_ proxy.Dialer     = (*reach)(nil)
+	_ proxy.Promotions = (*reach)(nil)
+)
+
+// call takes the time of a call and locks the world. A call that does not get through ends with its context.
+func (r *reach) call(ctx context.Context, toStore bool) (func(), error) {
+	w := r.world
+	if toStore {
+		w.storeCalls.Add(1)
+	}
+	time.Sleep(callLatency)
+	w.mu.Lock()
+	if (toStore && w.storeDown) || w.cut[r.name] {
+		w.mu.Unlock()
+		<-ctx.Done()
+		return nil, port.Failf(port.Unavailable, "no answer")
+	}
+	return w.mu.Unlock, nil
+}
+
+// pass lets virtual time pass unless ctx ends.
+func pass(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return port.Wrapf(context.Cause(ctx), port.Unavailable, "given up")
+	}
+}
+
+// All returns every record.
+func (r *reach) All(ctx context.Context) ([]port.Object, error) {
+	done, err := r.call(ctx, true)
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	var objects []port.Object
+	for _, o := range r.world.objects {
+		objects = append(objects, o)
+	}
+	slices.SortFunc(objects, func(a, b port.Object) int { return strings.Compare(a.Name, b.Name) })
+	return objects, nil
+}
+
+// Put writes a record if its version is still expected.
+func (r *reach) Put(ctx context.Context, name string, data []byte, expected port.Version) (port.Version, error) {
+	done, err := r.call(ctx, true)
+	if err != nil {
+		return 0, err
+	}
+	defer done()
+	if r.world.objects[name].Version != expected {
+		return 0, port.Failf(port.Conflict, "another version")
+	}
+	r.world.version++
+	r.world.objects[name] = port.Object{Name: name, Version: r.world.version, Data: data}
+	return r.world.version, nil
+}
+
+// Delete removes a record.
+func (r *reach) Delete(ctx context.Context, name string, _ port.Version) error {
+	done, err := r.call(ctx, true)
+	if err != nil {
+		return err
+	}
+	defer done()
+	delete(r.world.objects, name)
+	return nil
+}
+
+// Read returns the document.
+func (r *reach) Read(ctx context.Context) (document.Document, port.Version, error) {
+	done, err := r.call(ctx, true)
+	if err != nil {
+		return document.Document{}, 0, err
+	}
+	defer done()
+	return r.world.doc, r.world.version, nil
+}
+
+// Await returns a newer document after the wait. It hears nothing earlier, as a store does that forgets its history.
+func (r *reach) Await(ctx context.Context, since port.Version, wait time.Duration) (document.Document, bool, port.Version, error) {
+	if err := pass(ctx, wait); err != nil {
+		return document.Document{}, false, 0, err
+	}
+	done, err := r.call(ctx, true)
+	if err != nil {
+		return document.Document{}, false, 0, err
+	}
+	defer done()
+	return r.world.doc, r.world.docAt > since, r.world.version, nil
+}
+
+// ReadAll returns the listed servers.
+func (r *reach) ReadAll(ctx context.Context) ([]dispatch.Listing, port.Version, error) {
+	done, err := r.call(ctx, true)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer done()
+	var all []dispatch.Listing
+	for _, l := range r.world.listed {
+		all = append(all, l)
+	}
+	return all, r.world.version, nil
+}
+
+// AwaitChanges hears nothing.
+func (r *reach) AwaitChanges(ctx context.Context, _ port.Version, wait time.Duration) ([]proxy.ListingChange, port.Version, error) {
+	if err := pass(ctx, wait); err != nil {
+		return nil, 0, err
+	}
+	done, err := r.call(ctx, true)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer done()
+	return nil, r.world.version, nil
+}
+
+// Promote makes the server primary of the next term.
+func (r *reach) Promote(ctx context.Context, _, server, _ string, epoch uint64) error {
+	done, err := r.call(ctx, true)
+	if err != nil {
+		return err
+	}
+	w := r.world
+	if w.servers[server].down || w.refusePromotion {
+		done()
+		return port.Failf(port.Conflict, "server %s does not run", server)
+	}
+	w.promotions = append(w.promotions, promotionCall{server: server, epoch: epoch})
+	var old *fakeServer
+	newest := group.Term(0)
+	for _, s := range w.servers {
+		newest = max(newest, s.term)
+		if s.primary {
+			old = s
+		}
+	}
+	chosen := w.servers[server]
+	if !chosen.primary {
+		for _, s := range w.servers {
+			s.primary = false
+		}
+		chosen.primary, chosen.term = true, newest+1
+	}
+	instances := make(map[string]*testInstance, len(w.instances))
+	for name, i := range w.instances {
+		instances[name] = i
+	}
+	done()
+	if old != nil && old.name != server {
+		w.noteUsers(instances, old.name, newest)
+	}
+	return nil
+}
+
+// noteUsers notes the instances that rely on a primary that was replaced just now.
+func (w *world) noteUsers(instances map[string]*testInstance, server string, term group.Term) {
+	for name, i := range instances {
+		if i.views.Leads(testGroup, server, term) {
+			w.mu.Lock()
+			w.usedAtPromotion = append(w.usedAtPromotion, name)
+			w.mu.Unlock()
+		}
+	}
+}
+
+// peer returns the instance at the address, if it can be reached.
+func (r *reach) peer(ctx context.Context, address string) (*testInstance, error) {
+	done, err := r.call(ctx, false)
+	if err != nil {
+		return nil, err
+	}
+	i, found := r.world.instances[address]
+	isCut := r.world.cut[address]
+	done()
+	if isCut {
+		<-ctx.Done()
+		return nil, port.Failf(port.Unavailable, "no answer")
+	}
+	if !found {
+		return nil, port.Failf(port.Unavailable, "nobody there")
+	}
+	return i, nil
+}
+
+// Exchange asks a relay.
+func (r *reach) Exchange(ctx context.Context, address string, ask proxy.Ask) (proxy.Report, error) {
+	i, err := r.peer(ctx, address)
+	if err != nil {
+		return proxy.Report{}, err
+	}
+	report := i.hub.Exchange(ctx, ask)
+	// A cut may begin while the relay holds the answer.
+	if _, err := r.peer(ctx, address); err != nil {
+		return proxy.Report{}, err
+	}
+	return report, nil
+}
+
+// Suspend has an instance let go of a primary.
+func (r *reach) Suspend(ctx context.Context, address string, p proxy.StoredPrimacy) ([]string, error) {
+	i, err := r.peer(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return i.hub.Suspend(ctx, p), nil
+}
+
+// Notify has an instance ask a member.
+func (r *reach) Notify(ctx context.Context, address string, m proxy.Member) error {
+	i, err := r.peer(ctx, address)
+	if err == nil {
+		i.hub.Notify(m)
+	}
+	return err
+}
+
+// Extend asks an instance to extend leases.
+func (r *reach) Extend(ctx context.Context, address string, versions map[string]port.Version) (bool, error) {
+	i, err := r.peer(ctx, address)
+	if err != nil {
+		return false, err
+	}
+	return i.hub.Extend(versions), nil
+}
+
+// Survey asks an instance about a server.
+func (r *reach) Survey(ctx context.Context, address, server string) (proxy.Hearing, error) {
+	i, err := r.peer(ctx, address)
+	if err != nil {
+		return proxy.Hearing{}, err
+	}
+	return i.hub.Survey(server), nil
+}
+
+// Dial connects to a server.
+func (r *reach) Dial(ctx context.Context, e proxy.Endpoint) (proxy.Link, statement.Answer, error) {
+	done, err := r.call(ctx, false)
+	if err != nil {
+		return nil, statement.Answer{}, err
+	}
+	defer done()
+	s := r.world.servers[e.Server]
+	switch {
+	case s == nil || s.down || r.world.partial[r.name+"/"+e.Server]:
+		return nil, statement.Answer{}, port.Failf(port.Unavailable, "no server there")
+	case s.full:
+		return nil, statement.Answer{}, port.Failf(port.NoConnection, "too many connections")
+	}
+	return &fakeLink{reach: r, server: s, lost: make(chan struct{})}, statement.Answer{Position: s.position()}, nil
+}
+
+func (s *fakeServer) position() group.Position { return group.Position{Term: s.term, Offset: s.offset} }
+
+// fakeLink is a connection to a fake server.
+type fakeLink struct {
+	reach  *reach
+	server *fakeServer
+	lost   chan struct{}
+	inTx   bool
+}
+
+// Do runs the orders.
+func (l *fakeLink) Do(ctx context.Context, orders ...statement.Order) ([]statement.Answer, error) {
+	done, err := l.reach.call(ctx, false)
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	if l.server.down {
+		return nil, port.Failf(port.Unavailable, "the connection is lost")
+	}
+	answers := make([]statement.Answer, 0, len(orders))
+	for _, o := range orders {
+		answers = append(answers, l.run(o))
+	}
+	return answers, nil
+}
+
+func (l *fakeLink) run(o statement.Order) statement.Answer {
+	s := l.server
+	a := statement.Answer{Proof: "proof", Position: s.position()}
+	switch o := o.(type) {
+	case statement.Open:
+		l.inTx = true
+	case statement.Abandon:
+		l.inTx = false
+	case statement.Forward:
+		a.Failure = l.forward(o)
+		a.Position = s.position()
+	case statement.AskStatus:
+		a.Status = statement.ServerStatus{Leads: s.primary, Term: s.term, Received: s.position()}
+	case statement.StepDown:
+		if o.Term > s.term {
+			s.primary = false
+		}
+	}
+	if l.inTx {
+		a.State = statement.InTransaction
+	}
+	return a
+}
+
+func (l *fakeLink) forward(o statement.Forward) statement.Failure {
+	s := l.server
+	if _, ends := o.Request.Statement.(statement.Commit); ends {
+		l.inTx = false
+	}
+	_, writes := o.Request.Statement.(statement.Write)
+	switch {
+	case writes && !s.primary:
+		return statement.Failure{Kind: port.ReadOnly}
+	case writes:
+		s.offset++
+	case o.After.Offset > s.offset:
+		return statement.Failure{Kind: port.Lagging}
+	}
+	return statement.Failure{}
+}
+
+// Lost is never closed.
+func (l *fakeLink) Lost() <-chan struct{} { return l.lost }
+
+// Close does nothing.
+func (l *fakeLink) Close() {}
--- a/proxy/readers.go
+++ b/proxy/readers.go
@@ -23,7 +23,7 @@
 	callLimit = 2 * time.Second
 	// readPeriod is how often the records are read. Each read is a priced call; with the lease it decides how long an
 	// outage of the store may last before primaries are no longer used.
-	readPeriod = 700 * time.Millisecond
+	readPeriod = 500 * time.Millisecond
 	// firstPause and lastPause bound the pause before a failed call is repeated.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
--- /dev/null
+++ b/proxy/replacement_test.go
@@ -0,0 +1,182 @@
+package proxy_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/primacy"
+)
+
+// requireOrder fails when two holders used one epoch, or an epoch came after a greater one.
+func requireOrder(w *world) {
+	w.t.Helper()
+	require.True(w.t, slices.IsSorted(w.epochs()), "epochs %v", w.epochs())
+}
+
+// requireNobodyLeft fails when an instance still relied on a primary that a promotion replaced.
+func requireNobodyLeft(w *world) {
+	w.t.Helper()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	require.Empty(w.t, w.usedAtPromotion)
+}
+
+// Guards against a group without a primary, against two primaries, and against a promoter that gives up.
+func TestReplacement(t *testing.T) {
+	t.Run("a dead primary is replaced by the server that received most", func(t *testing.T) {
+		inWorld(t, 6, func(w *world) {
+			w.setDown("s1", true)
+			w.doubt("s1")
+			took := w.await(func() bool { return w.allRelyOn("s2") })
+			require.Less(t, took, 2*time.Second)
+			requireNobodyLeft(w)
+		})
+	})
+	t.Run("a departing primary is replaced before it ends", func(t *testing.T) {
+		inWorld(t, 6, func(w *world) {
+			w.list("s1", true)
+			w.await(func() bool { return w.allRelyOn("s2") })
+			requireNobodyLeft(w)
+		})
+	})
+	t.Run("a primary that others reach stays", func(t *testing.T) {
+		inWorld(t, 6, func(w *world) {
+			w.mu.Lock()
+			w.partial["front-0/s1"] = true
+			w.mu.Unlock()
+			for range 20 {
+				w.runWrites("front-1", "front-2")
+				w.at("front-0").desk.Doubt("s1")
+				time.Sleep(100 * time.Millisecond)
+			}
+			require.Empty(t, w.epochs())
+			require.True(t, w.allRelyOn("s1"))
+		})
+	})
+	t.Run("an instance that is cut off is waited for until its lease has run out", func(t *testing.T) {
+		inWorld(t, 6, func(w *world) {
+			time.Sleep(primacy.MaxLease + time.Second)
+			w.setCut(true, "front-3")
+			w.setDown("s1", true)
+			w.doubt("s1")
+			took := w.await(func() bool { return len(w.epochs()) > 0 })
+			require.GreaterOrEqual(t, took, primacy.Lease)
+			require.Less(t, took, primacy.Lease+3*time.Second)
+			requireNobodyLeft(w)
+		})
+	})
+	t.Run("without a majority the longest lease is waited for", func(t *testing.T) {
+		inWorld(t, 6, func(w *world) {
+			w.setCut(true, "front-0", "front-1", "front-2", "front-3")
+			w.setDown("s1", true)
+			w.doubt("s1")
+			took := w.await(func() bool { return len(w.epochs()) > 0 })
+			require.GreaterOrEqual(t, took, primacy.MaxLease)
+			requireNobodyLeft(w)
+		})
+	})
+	t.Run("an announcement is withdrawn when the primary is back", func(t *testing.T) {
+		inWorld(t, 6, func(w *world) {
+			w.setCut(true, "front-3")
+			w.setDown("s1", true)
+			w.doubt("s1")
+			w.await(func() bool { return !w.relies("front-0", "s1") })
+			w.setDown("s1", false)
+			w.await(func() bool { return w.relies("front-0", "s1") })
+			w.setCut(false, "front-3")
+			w.await(func() bool { return w.allRelyOn("s1") })
+			require.Empty(t, w.epochs())
+		})
+	})
+	t.Run("a promoter that dies at any step is followed by another one", func(t *testing.T) {
+		for _, after := range []time.Duration{0, 5, 10, 20, 40, 80, 160, 320} {
+			inWorld(t, 6, func(w *world) {
+				w.setDown("s1", true)
+				w.doubt("s1")
+				time.Sleep(after * time.Millisecond)
+				if promoter, found := w.promoter(); found {
+					w.kill(promoter)
+					w.start(promoter, "a")
+				}
+				w.doubt("s1")
+				w.await(func() bool { return w.allRelyOn("s2") || w.allRelyOn("s3") })
+				requireOrder(w)
+				requireNobodyLeft(w)
+			})
+		}
+	})
+}
+
+// Guards against an outage of the store that takes the primaries away, and against one that lets two lead.
+func TestLeasesWithoutStore(t *testing.T) {
+	t.Run("a majority extends them", func(t *testing.T) {
+		inWorld(t, 6, func(w *world) {
+			w.setStoreDown(true)
+			until := time.Now().Add(primacy.MaxLease - 2*time.Second)
+			for time.Now().Before(until) {
+				require.True(t, w.allRelyOn("s1"))
+				time.Sleep(50 * time.Millisecond)
+			}
+			w.setStoreDown(false)
+		})
+	})
+	t.Run("they end at last", func(t *testing.T) {
+		inWorld(t, 6, func(w *world) {
+			w.setStoreDown(true)
+			time.Sleep(primacy.MaxLease + primacy.Lease)
+			require.False(t, w.relies("front-0", "s1"))
+			w.setStoreDown(false)
+			w.await(func() bool { return w.allRelyOn("s1") })
+		})
+	})
+	t.Run("a minority loses them and sends callers away", func(t *testing.T) {
+		inWorld(t, 6, func(w *world) {
+			w.setCut(true, "front-1")
+			w.await(func() bool { return w.at("front-1").opening.IsIsolated() && !w.relies("front-1", "s1") })
+			require.False(t, w.at("front-1").opening.IsOpen())
+			require.True(t, w.relies("front-0", "s1"))
+			w.setCut(false, "front-1")
+			w.await(func() bool { return w.at("front-1").opening.IsOpen() && w.allRelyOn("s1") })
+		})
+	})
+	t.Run("no instance takes itself for isolated while all have lost the store", func(t *testing.T) {
+		inWorld(t, 6, func(w *world) {
+			w.setStoreDown(true)
+			time.Sleep(primacy.MaxLease + 5*time.Second)
+			for _, name := range w.names() {
+				require.False(t, w.at(name).opening.IsIsolated(), name)
+			}
+			w.setStoreDown(false)
+		})
+	})
+}
+
+// Guards against a document that goes back, and against one that the waiting calls did not tell of.
+func TestDocumentSpreads(t *testing.T) {
+	inWorld(t, 6, func(w *world) {
+		next := w.doc
+		next.Revision = 9
+		w.setDocument(next)
+		took := w.await(func() bool { return w.allHaveRevision(9) })
+		require.Less(t, took, 3*time.Second)
+		older := w.doc
+		older.Revision = 4
+		w.setDocument(older)
+		time.Sleep(5 * time.Second)
+		require.True(t, w.allHaveRevision(9))
+	})
+}
+
+// Guards against calls to the store that grow with the instances.
+func TestRelaysSpareTheStore(t *testing.T) {
+	inWorld(t, 12, func(w *world) {
+		time.Sleep(5 * time.Second)
+		before := w.storeCalls.Load()
+		time.Sleep(10 * time.Second)
+		calls := float64(w.storeCalls.Load()-before) / 10
+		require.Less(t, calls, 5.0, "calls a second of 12 instances")
+	})
+}
--- a/proxy/sightings.go
+++ b/proxy/sightings.go
@@ -10,8 +10,8 @@
 
 // Sightings remembers since when this instance has seen each other one listed. It is safe for concurrent use.
 type Sightings struct {
-	mu    sync.Mutex
-	seen  map[string]sighting
+	mu   sync.Mutex
+	seen map[string]sighting
 	now  time.Duration
 }
 
