--- a/proxy/courier.go
+++ b/proxy/courier.go
@@ -25,6 +25,8 @@
 	// extendAge is the age of the records from which a relay has their lease extended. It is above the age that they reach
 	// while the store answers.
 	extendAge = 1400 * time.Millisecond
+	// lostRecords is the age of the records from which an instance no longer leaves it to the relays to find the store.
+	lostRecords = 4 * time.Second
 	// soonest is the least time between two exchanges, also when the relay has news all the time.
 	soonest = 50 * time.Millisecond
 )
@@ -50,7 +52,9 @@
 	cfg     CourierConfig
 	failed  map[string]time.Duration
 	reading context.CancelFunc
-	running sync.WaitGroup
+	// readingSince is when this instance began to read the store.
+	readingSince time.Duration
+	running      sync.WaitGroup
 }
 
 // NewCourier returns a courier.
@@ -102,6 +106,16 @@
 	}
 	c.startReaders(ctx)
 	_ = port.Wait(ctx, c.cfg.Timer, exchangeWait)
+	if now = c.cfg.Timer.Now(); now-max(c.readingSince, c.readAt()) > freshRecords {
+		// The store turns this instance away or is gone; another relay may reach it.
+		c.fail(c.cfg.Self)
+	}
+}
+
+// readAt returns when the store was asked for the newest records.
+func (c *Courier) readAt() time.Duration {
+	s, _ := c.cfg.Knowledge.Records()
+	return s.ReadAt
 }
 
 // head returns the relay that reads the store for all: that of the first data centre in rank whose relay did not fail of
@@ -110,7 +124,7 @@
 	var best Member
 	for area := range c.areas() {
 		relays := c.ranked(area)
-		i := slices.IndexFunc(relays, func(m Member) bool { return !c.hasFailed(m, now) })
+		i := slices.IndexFunc(relays, func(m Member) bool { return !c.failedOfLate(m, now) })
 		if i >= 0 && (best.Incarnation == "" || instance.RankOf(headRole, area) > instance.RankOf(headRole, best.DataCentre)) {
 			best = relays[i]
 		}
@@ -153,9 +167,14 @@
 	return relays[i], true
 }
 
+// hasFailed reports whether another instance failed of late.
 func (c *Courier) hasFailed(m Member, now time.Duration) bool {
+	return c.failedOfLate(m, now) && m.Incarnation != c.cfg.Self.Incarnation
+}
+
+func (c *Courier) failedOfLate(m Member, now time.Duration) bool {
 	at, failed := c.failed[m.Incarnation]
-	return failed && now-at < relayPause && m.Incarnation != c.cfg.Self.Incarnation
+	return failed && now-at < relayPause
 }
 
 // ranked returns the instances of a data centre in the order in which they are its relay.
@@ -173,7 +192,8 @@
 	return members
 }
 
-// follow exchanges with a relay. While the relay has lost the store, this instance reads the store itself.
+// follow exchanges with a relay. When the relay is silent, or has lost the store for long, this instance reads the store
+// itself.
 func (c *Courier) follow(ctx context.Context, relay Member, fromRelay bool) {
 	demand := c.cfg.Rates.Demand()
 	if fromRelay {
@@ -184,10 +204,14 @@
 	case err != nil:
 		c.fail(relay)
 		c.startReaders(ctx)
-	case !report.Fresh:
-		c.startReaders(ctx)
-	default:
+	case report.Fresh:
 		c.stopReaders()
+	case fromRelay:
+		c.fail(relay)
+		c.startReaders(ctx)
+	case c.cfg.Timer.Now()-c.readAt() > lostRecords:
+		// The relays have not found a way to the store for a while.
+		c.startReaders(ctx)
 	}
 	if len(report.Totals) > 0 && !fromRelay {
 		c.cfg.Rates.SetTotals(report.Totals, report.Own)
@@ -321,6 +345,7 @@
 		return
 	}
 	ctx, c.reading = context.WithCancel(ctx)
+	c.readingSince = c.cfg.Timer.Now()
 	c.running.Go(func() { c.cfg.Readers.Run(ctx) })
 }
 
--- a/proxy/duty.go
+++ b/proxy/duty.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/ring"
 )
 
 const (
@@ -19,6 +20,9 @@
 // dutyHolder holds the duty to promote, which one instance has at a time, for this instance.
 type dutyHolder struct {
 	cfg *PromoterConfig
+	// turn has an item while the duty is read and written, so that replacements of two groups do not take each other's
+	// renewal for that of another instance.
+	turn *ring.Ring[struct{}]
 
 	mu sync.Mutex
 	// seen is the newest version, and since when it was first seen.
@@ -29,6 +33,10 @@
 	epoch   uint64
 }
 
+func newDutyHolder(cfg *PromoterConfig) *dutyHolder {
+	return &dutyHolder{cfg: cfg, turn: ring.New[struct{}](1)}
+}
+
 // observe notes the duty as a read of the records told.
 func (d *dutyHolder) observe(s Snapshot) {
 	d.mu.Lock()
@@ -57,35 +65,46 @@
 
 // acquire takes or renews the duty and returns its epoch. It fails with kind Conflict while another instance may be
 // using it.
-func (d *dutyHolder) acquire(ctx context.Context, s Snapshot) (uint64, error) {
-	d.observe(s)
+func (d *dutyHolder) acquire(ctx context.Context) (uint64, error) {
+	if err := d.turn.Put(ctx, struct{}{}); err != nil {
+		return 0, err
+	}
+	defer d.turn.TryTake()
+	s, err := d.read(ctx)
+	if err != nil {
+		return 0, err
+	}
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	isFree, own := d.isFree(s), d.epoch
+	d.mu.Unlock()
 	held := s.Duty.Duty
-	next := Duty{Holder: d.cfg.Self.Incarnation, Epoch: held.Epoch, Use: held.Use + 1}
-	if !d.isFree(s) {
+	if !isFree {
 		return 0, port.Failf(port.Conflict, "instance %s may still be promoting", held.Holder)
 	}
-	if held.Holder != d.cfg.Self.Incarnation || held.Epoch != d.epoch {
+	next := Duty{Holder: d.cfg.Self.Incarnation, Epoch: held.Epoch, Use: held.Use + 1}
+	if held.Holder != d.cfg.Self.Incarnation || held.Epoch != own {
 		next = Duty{Holder: d.cfg.Self.Incarnation, Epoch: held.Epoch + 1}
 	}
 	return next.Epoch, d.put(ctx, next, s.Duty.Version)
 }
 
-// confirm renews the duty of the epoch if it was not renewed of late. It fails when another instance has taken it.
+// confirm renews the duty of the epoch if it was not renewed of late. It fails with kind Conflict when another instance
+// has taken it.
 func (d *dutyHolder) confirm(ctx context.Context, epoch uint64) error {
+	if err := d.turn.Put(ctx, struct{}{}); err != nil {
+		return err
+	}
+	defer d.turn.TryTake()
 	d.mu.Lock()
-	if d.epoch == epoch && d.cfg.Timer.Now()-d.renewed < dutyLease/2 {
-		d.mu.Unlock()
+	isRecent := d.epoch == epoch && d.cfg.Timer.Now()-d.renewed < dutyLease/2
+	d.mu.Unlock()
+	if isRecent {
 		return nil
 	}
-	d.mu.Unlock()
-	if err := d.cfg.Readers.ReadRecords(ctx); err != nil {
+	s, err := d.read(ctx)
+	if err != nil {
 		return err
 	}
-	s, _ := d.cfg.Knowledge.Records()
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	held := s.Duty.Duty
 	if held.Holder != d.cfg.Self.Incarnation || held.Epoch != epoch {
 		return port.Failf(port.Conflict, "instance %s has taken the duty to promote", held.Holder)
@@ -94,7 +113,17 @@
 	return d.put(ctx, held, s.Duty.Version)
 }
 
-// put writes the duty. The lock is held.
+// read reads the records.
+func (d *dutyHolder) read(ctx context.Context) (Snapshot, error) {
+	if err := d.cfg.Readers.ReadRecords(ctx); err != nil {
+		return Snapshot{}, err
+	}
+	s, _ := d.cfg.Knowledge.Records()
+	d.observe(s)
+	return s, nil
+}
+
+// put writes the duty.
 func (d *dutyHolder) put(ctx context.Context, next Duty, expected port.Version) error {
 	data, err := json.Marshal(next)
 	if err != nil {
@@ -107,6 +136,8 @@
 	if err != nil {
 		return err
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.seen, d.since, d.renewed, d.epoch = version, began, began, next.Epoch
 	return nil
 }
--- a/proxy/fake_test.go
+++ b/proxy/fake_test.go
@@ -66,6 +66,7 @@
 // fakeServer is a server of the group. It runs statements at once.
 type fakeServer struct {
 	name    string
+	group   string
 	term    group.Term
 	primary bool
 	down    bool
@@ -87,7 +88,10 @@
 	ended     chan struct{}
 }
 
-// inWorld runs a test with n instances in two data centres and three servers.
+// secondGroup has servers "t1", "t2" and "t3", of which the first is the primary.
+const secondGroup = "second"
+
+// inWorld runs a test with n instances in two data centres and two groups of three servers.
 func inWorld(t *testing.T, n int, test func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -96,7 +100,7 @@
 			w.start(fmt.Sprintf("front-%d", i), []string{"a", "b"}[i%2])
 		}
 		defer w.stopAll()
-		w.await(func() bool { return w.allRelyOn("s1") })
+		w.await(func() bool { return w.allRelyOn("s1") && w.allRelyOn("t1") })
 		test(w)
 	})
 }
@@ -107,12 +111,16 @@
 		listed: make(map[string]dispatch.Listing), cut: make(map[string]bool), partial: make(map[string]bool),
 		instances: make(map[string]*testInstance), version: 10,
 	}
-	for i, name := range []string{"s1", "s2", "s3"} {
-		w.servers[name] = &fakeServer{name: name, term: 3, primary: i == 0, offset: 100 - uint64(i)}
+	for i, name := range []string{"s1", "s2", "s3", "t1", "t2", "t3"} {
+		s := &fakeServer{name: name, group: testGroup, term: 3, primary: i%3 == 0, offset: 100 - uint64(i%3)}
+		if i >= 3 {
+			s.group = secondGroup
+		}
+		w.servers[name] = s
 		w.list(name, false)
 	}
 	w.setDocument(document.Document{
-		Revision: 1, Groups: []document.Group{{Name: testGroup, Connections: 40}},
+		Revision: 1, Groups: []document.Group{{Name: testGroup, Connections: 40}, {Name: secondGroup, Connections: 40}},
 		Organisations: []document.Organisation{{Name: testOrg, Rate: 1e6, Burst: 1e6}},
 		Routes: []document.Route{{
 			Name: "orders", Group: testGroup, Open: true, Freshness: document.EveryWrite, TimeoutMS: 1000, TargetLatencyMS: 400,
@@ -132,7 +140,7 @@
 func (w *world) list(name string, departing bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	l := dispatch.Listing{Name: name, Group: testGroup, Address: name, DataCentre: "a", Slots: 3, Departing: departing, Born: 1}
+	l := dispatch.Listing{Name: name, Group: w.servers[name].group, Address: name, DataCentre: "a", Slots: 3, Departing: departing, Born: 1}
 	if w.servers[name].primary {
 		l.Role = dispatch.Primary
 	}
@@ -246,8 +254,9 @@
 }
 
 func (w *world) allRelyOn(server string) bool {
+	groupName := w.servers[server].group
 	for _, name := range w.names() {
-		if got, _, ok := w.at(name).views.Primary(testGroup); !ok || got != server {
+		if got, _, ok := w.at(name).views.Primary(groupName); !ok || got != server {
 			return false
 		}
 	}
@@ -353,6 +362,15 @@
 	w.servers[server].down = down
 }
 
+// catchUp has the replicas receive what the primaries hold.
+func (w *world) catchUp() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.servers {
+		s.offset = 100
+	}
+}
+
 func (w *world) setCut(cut bool, names ...string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -513,15 +531,16 @@
 	w.promotions = append(w.promotions, promotionCall{server: server, epoch: epoch})
 	var old *fakeServer
 	newest := group.Term(0)
-	for _, s := range w.servers {
+	chosen := w.servers[server]
+	members := w.members(chosen.group)
+	for _, s := range members {
 		newest = max(newest, s.term)
 		if s.primary {
 			old = s
 		}
 	}
-	chosen := w.servers[server]
 	if !chosen.primary {
-		for _, s := range w.servers {
+		for _, s := range members {
 			s.primary = false
 		}
 		chosen.primary, chosen.term = true, newest+1
@@ -532,15 +551,26 @@
 	}
 	done()
 	if old != nil && old.name != server {
-		w.noteUsers(instances, old.name, newest)
+		w.noteUsers(instances, old, newest)
 	}
 	return nil
 }
 
+// members returns the servers of a group. The lock is held.
+func (w *world) members(groupName string) []*fakeServer {
+	var members []*fakeServer
+	for _, s := range w.servers {
+		if s.group == groupName {
+			members = append(members, s)
+		}
+	}
+	return members
+}
+
 // noteUsers notes the instances that rely on a primary that was replaced just now.
-func (w *world) noteUsers(instances map[string]*testInstance, server string, term group.Term) {
+func (w *world) noteUsers(instances map[string]*testInstance, old *fakeServer, term group.Term) {
 	for name, i := range instances {
-		if i.views.Leads(testGroup, server, term) {
+		if i.views.Leads(old.group, old.name, term) {
 			w.mu.Lock()
 			w.usedAtPromotion = append(w.usedAtPromotion, name)
 			w.mu.Unlock()
--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -60,7 +60,7 @@
 // Promoter is the duty that sees to it that every group has a primary.
 type Promoter struct {
 	cfg  PromoterConfig
-	duty dutyHolder
+	duty *dutyHolder
 	// running are the replacements that this instance carries out.
 	running sync.WaitGroup
 
@@ -77,7 +77,7 @@
 		cfg.Recorder = silent{}
 	}
 	p := &Promoter{cfg: cfg, active: make(map[string]bool), since: make(map[string]time.Duration)}
-	p.duty = dutyHolder{cfg: &p.cfg}
+	p.duty = newDutyHolder(&p.cfg)
 	return p
 }
 
--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -54,20 +54,17 @@
 
 func (r *replacement) carryOut(ctx context.Context) error {
 	p := r.promoter
-	if err := p.cfg.Readers.ReadRecords(ctx); err != nil {
+	epoch, err := p.duty.acquire(ctx)
+	if err != nil {
 		return err
 	}
+	r.epoch = epoch
 	snapshot, _ := p.cfg.Knowledge.Records()
 	stored, found := snapshot.Primacies[r.group.Name]
 	if !found {
 		return port.Failf(port.NotFound, "the record of the group is gone")
 	}
 	r.stored = stored
-	epoch, err := p.duty.acquire(ctx, snapshot)
-	if err != nil {
-		return err
-	}
-	r.epoch = epoch
 	if err := r.announce(ctx); err != nil {
 		return err
 	}
--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -35,6 +35,21 @@
 			requireNobodyLeft(w)
 		})
 	})
+	t.Run("two primaries that depart together are replaced at the same time", func(t *testing.T) {
+		inWorld(t, 6, func(w *world) {
+			time.Sleep(primacy.MaxLease + time.Second)
+			w.catchUp()
+			w.setCut(true, "front-3")
+			w.list("s1", true)
+			w.list("t1", true)
+			w.await(func() bool { return !w.relies("front-0", "s1") })
+			// Each look at the instances takes a second while one of them is silent.
+			took := w.await(func() bool { return len(w.epochs()) == 2 })
+			require.Less(t, took, primacy.Lease+2*time.Second)
+			requireOrder(w)
+			requireNobodyLeft(w)
+		})
+	})
 	t.Run("a departing primary is replaced before it ends", func(t *testing.T) {
 		inWorld(t, 6, func(w *world) {
 			w.list("s1", true)
