--- a/proxy/fake_test.go
+++ b/proxy/fake_test.go
@@ -21,6 +21,7 @@
 	"github.com/rhubarbwick/rhubarbwick/group"
 	"github.com/rhubarbwick/rhubarbwick/organisation"
 	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/primacy"
 	"github.com/rhubarbwick/rhubarbwick/proxy"
 	"github.com/rhubarbwick/rhubarbwick/ring"
 	"github.com/rhubarbwick/rhubarbwick/statement"
@@ -56,6 +57,7 @@
 	usedAtPromotion []string
 	refusePromotion bool
 	storeCalls      atomic.Int64
+	dials           atomic.Int64
 }
 
 type promotionCall struct {
@@ -63,8 +65,25 @@
 	epoch  uint64
 }
 
+// fault is what a fake server does wrong.
+type fault int
+
+const (
+	// loseAnswer runs statements and does not answer them; loseCommit does so with commits alone.
+	loseAnswer fault = iota + 1
+	loseCommit
+	// busy refuses statements.
+	busy
+	// slow answers late.
+	slow
+)
+
+// slowness is how long a slow server takes.
+const slowness = 300 * time.Millisecond
+
 // fakeServer is a server of the group. It runs statements at once.
 type fakeServer struct {
+	fault   fault
 	name    string
 	group   string
 	term    group.Term
@@ -72,6 +91,7 @@
 	down    bool
 	offset  uint64
 	full    bool
+	conns   int
 }
 
 // testInstance is an instance with the duties that the tests need.
@@ -310,11 +330,13 @@
 }
 
 // serve runs a caller's session to its end.
-func (i *testInstance) serve(c *fakeCaller) {
+func (i *testInstance) serve(c *fakeCaller) { i.serveFor(c, testOrg) }
+
+func (i *testInstance) serveFor(c *fakeCaller, name string) {
 	index, _ := i.knowledge.Rules()
 	route, _ := index.FindRoute("orders")
 	route.Open = true
-	i.house.Serve(context.Background(), c, organisation.Admitted{Organisation: testOrg, Route: route})
+	i.house.Serve(context.Background(), c, organisation.Admitted{Organisation: name, Route: route})
 }
 
 // fakeCaller sends its requests one after the other and keeps the answers.
@@ -362,6 +384,35 @@
 	w.servers[server].down = down
 }
 
+func (w *world) setFault(server string, f fault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.servers[server].fault = f
+}
+
+// offset returns the end of a server's log, and open the number of its connections.
+func (w *world) offset(server string) uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.servers[server].offset
+}
+
+func (w *world) open(server string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.servers[server].conns
+}
+
+// replaceDuring has an instance let go of the primary while a slow statement runs there.
+func (w *world) replaceDuring(name string) {
+	time.Sleep(slowness / 2)
+	records, _ := w.at(name).knowledge.Records()
+	stored := records.Primacies[testGroup]
+	stored.Record = stored.Record.WithReplacement(primacy.Replacement{Promoter: "p", Epoch: 1})
+	stored.Version++
+	w.at(name).hub.Suspend(context.Background(), stored)
+}
+
 // catchUp has the replicas receive what the primaries hold.
 func (w *world) catchUp() {
 	w.mu.Lock()
@@ -649,6 +700,7 @@
 
 // Dial connects to a server.
 func (r *reach) Dial(ctx context.Context, e proxy.Endpoint) (proxy.Link, statement.Answer, error) {
+	r.world.dials.Add(1)
 	done, err := r.call(ctx, false)
 	if err != nil {
 		return nil, statement.Answer{}, err
@@ -661,6 +713,7 @@
 	case s.full:
 		return nil, statement.Answer{}, port.Failf(port.NoConnection, "too many connections")
 	}
+	s.conns++
 	return &fakeLink{reach: r, server: s, lost: make(chan struct{})}, statement.Answer{Position: s.position()}, nil
 }
 
@@ -672,6 +725,7 @@
 	server *fakeServer
 	lost   chan struct{}
 	inTx   bool
+	once   sync.Once
 }
 
 // Do runs the orders.
@@ -680,14 +734,30 @@
 	if err != nil {
 		return nil, err
 	}
-	defer done()
 	if l.server.down {
+		done()
 		return nil, port.Failf(port.Unavailable, "the connection is lost")
 	}
 	answers := make([]statement.Answer, 0, len(orders))
 	for _, o := range orders {
 		answers = append(answers, l.run(o))
 	}
+	fault := l.server.fault
+	done()
+	return l.deliver(answers, orders[len(orders)-1], fault)
+}
+
+// deliver returns the answers, or loses them.
+func (l *fakeLink) deliver(answers []statement.Answer, last statement.Order, f fault) ([]statement.Answer, error) {
+	forward, isForward := last.(statement.Forward)
+	_, isCommit := forward.Request.Statement.(statement.Commit)
+	switch {
+	case !isForward:
+	case f == loseAnswer, f == loseCommit && isCommit:
+		return nil, port.Failf(port.Unavailable, "the answer is lost")
+	case f == slow:
+		time.Sleep(slowness)
+	}
 	return answers, nil
 }
 
@@ -722,6 +792,8 @@
 	}
 	_, writes := o.Request.Statement.(statement.Write)
 	switch {
+	case s.fault == busy:
+		return statement.Failure{Kind: port.Busy}
 	case writes && !s.primary:
 		return statement.Failure{Kind: port.ReadOnly}
 	case writes:
@@ -735,5 +807,11 @@
 // Lost is never closed.
 func (l *fakeLink) Lost() <-chan struct{} { return l.lost }
 
-// Close does nothing.
-func (l *fakeLink) Close() {}
+// Close ends the connection.
+func (l *fakeLink) Close() {
+	l.once.Do(func() {
+		l.reach.world.mu.Lock()
+		defer l.reach.world.mu.Unlock()
+		l.server.conns--
+	})
+}
