--- a/adapter/decisions/log.go
+++ b/adapter/decisions/log.go
@@ -88,21 +88,13 @@
 	case proxy.PromotionStep:
 		l.zap.Info("promotion: "+e.Step, zap.String("group", e.Group), zap.String("server", e.Server),
 			zap.Uint64("epoch", e.Epoch), zap.String("reason", e.Reason))
-	case proxy.ServerChanged:
-		l.zap.Info("server: "+state(e.Failing), zap.String("server", e.Server), zap.String("group", e.Group),
-			zap.String("reason", e.Reason))
+	case proxy.MemberSilent:
+		l.zap.Info("fleet: instance is silent", zap.String("name", e.Name), zap.Bool("removed", e.Removed))
 	case proxy.SourceChanged:
 		l.zap.Info("knowledge: source changed", zap.String("source", e.Source), zap.String("reason", e.Reason))
 	}
 }
 
-func state(failing bool) string {
-	if failing {
-		return "fails"
-	}
-	return "answers again"
-}
-
 func (l *Log) writeRequest(e proxy.RequestAnswered) {
 	if e.Kind == "" {
 		l.successes++
--- /dev/null
+++ b/adapter/metrics/gateway.go
@@ -0,0 +1,107 @@
+package metrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/proxy"
+)
+
+// GatewayState is what a gateway's gauges show.
+type GatewayState struct {
+	// Revision is that of the document in force, and DocumentAge how long ago it was known to be the newest.
+	Revision    func() uint64
+	DocumentAge func() time.Duration
+	Instances   func() int
+	// LogLinesLeftOut counts log lines that were not written.
+	LogLinesLeftOut func() uint64
+	IsOpen          func() bool
+}
+
+// Gateway counts what a gateway does. Labels have few values: routes, organisations and servers are not among them.
+type Gateway struct {
+	registry   *prometheus.Registry
+	requests   *prometheus.CounterVec
+	latency    *prometheus.HistogramVec
+	promotions *prometheus.CounterVec
+	primaries  prometheus.Counter
+	storeCalls *prometheus.CounterVec
+	next       proxy.Recorder
+}
+
+var _ proxy.Recorder = (*Gateway)(nil)
+
+// NewGateway returns metrics that count from zero. Events go on to next.
+func NewGateway(s GatewayState, next proxy.Recorder) *Gateway {
+	g := &Gateway{
+		registry: prometheus.NewRegistry(),
+		requests: counter("gateway_requests_total", "Requests that were answered, by the route's freshness and the result.",
+			"freshness", "result"),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "gateway_request_seconds", Help: "Time from a request to its answer, by freshness.",
+			Buckets: prometheus.ExponentialBuckets(0.002, 2, 12),
+		}, []string{"freshness"}),
+		promotions: counter("gateway_promotion_steps_total", "Steps of replacements that this instance carried out.", "step"),
+		primaries: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "gateway_primary_changes_total", Help: "Changes of a group's record that were learnt.",
+		}),
+		storeCalls: counter("gateway_store_calls_total", "Calls to the platform's store, by kind of object and result.",
+			"kind", "result"),
+		next: next,
+	}
+	g.registry.MustRegister(g.requests, g.latency, g.promotions, g.primaries, g.storeCalls, collectors.NewGoCollector(),
+		gaugeOf("gateway_document_revision", "The revision of the document in force.", func() float64 { return float64(s.Revision()) }),
+		gaugeOf("gateway_document_age_seconds", "How long ago the document was known to be the newest.",
+			func() float64 { return s.DocumentAge().Seconds() }),
+		gaugeOf("gateway_instances", "Registered instances.", func() float64 { return float64(s.Instances()) }),
+		gaugeOf("gateway_log_lines_left_out", "Log lines that were not written.",
+			func() float64 { return float64(s.LogLinesLeftOut()) }),
+		gaugeOf("gateway_open", "1 while the instance takes callers.", func() float64 {
+			if s.IsOpen() {
+				return 1
+			}
+			return 0
+		}))
+	return g
+}
+
+func gaugeOf(name, help string, value func() float64) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value)
+}
+
+// Handler serves the metrics.
+func (g *Gateway) Handler() http.Handler {
+	return promhttp.HandlerFor(g.registry, promhttp.HandlerOpts{MaxRequestsInFlight: 4})
+}
+
+// Note counts an event and passes it on.
+func (g *Gateway) Note(e proxy.Event) {
+	switch e := e.(type) {
+	case proxy.RequestAnswered:
+		result := string(e.Kind)
+		if result == "" {
+			result = "success"
+		}
+		g.requests.WithLabelValues(string(e.Freshness), result).Inc()
+		g.latency.WithLabelValues(string(e.Freshness)).Observe(e.Took.Seconds())
+	case proxy.PromotionStep:
+		g.promotions.WithLabelValues(e.Step).Inc()
+	case proxy.PrimaryChanged:
+		g.primaries.Inc()
+	}
+	g.next.Note(e)
+}
+
+// StoreCalled counts a call to the store.
+func (g *Gateway) StoreCalled(kind string, err error) {
+	result := "success"
+	if err != nil {
+		result = string(port.KindOf(err))
+	}
+	g.storeCalls.WithLabelValues(kind, result).Inc()
+}
--- a/cmd/gateway/fleet_test.go
+++ b/cmd/gateway/fleet_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -41,6 +42,7 @@
 type gateway struct {
 	callers string
 	ready   string
+	metrics string
 	stop    context.CancelFunc
 	ended   chan error
 	out     *syncBuffer
@@ -125,6 +127,7 @@
 	path := filepath.Join(f.t.TempDir(), name+".conf")
 	_, first, _ := net.SplitHostPort(ports[2])
 	last := fmt.Sprint(atoi(f.t, first) + 1)
+	g.metrics = "127.0.0.1:" + last
 	settings := strings.Join([]string{
 		"node_name=" + name, "zone=kig-a", "ip_address=127.0.0.1", "listen_addresses.frontend=" + g.callers,
 		"listen_addresses.ready=" + g.ready, "internal_ports=" + first + "," + last, "platform.address=" + f.address,
@@ -190,6 +193,16 @@
 	return addresses
 }
 
+func get(t *testing.T, url string) string {
+	t.Helper()
+	resp, err := http.Get(url)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return string(body)
+}
+
 func isReady(address string) bool {
 	resp, err := http.Get("http://" + address + "/api/readiness")
 	if err != nil {
--- a/cmd/gateway/gateway_test.go
+++ b/cmd/gateway/gateway_test.go
@@ -66,6 +66,13 @@
 		requireError(t, "MALFORMED", c.query("NONSENSE"))
 		requireRow(t, "7", c.query("READ tin"))
 	})
+	t.Run("metrics are served and name no organisation", func(t *testing.T) {
+		text := get(t, "http://"+one.metrics+"/metrics")
+		require.Contains(t, text, `rhubarbwick_gateway_requests_total{freshness="every_write",result="success"}`)
+		require.Contains(t, text, "rhubarbwick_gateway_store_calls_total")
+		require.NotContains(t, text, "clinic")
+		require.NotContains(t, text, testKey)
+	})
 	t.Run("the log is bounded to decisions and holds no key", func(t *testing.T) {
 		require.NotContains(t, one.out.String(), testKey)
 		require.Contains(t, one.out.String(), "request: answered")
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -11,6 +11,7 @@
 	"github.com/rhubarbwick/rhubarbwick/adapter/clock"
 	"github.com/rhubarbwick/rhubarbwick/adapter/decisions"
 	"github.com/rhubarbwick/rhubarbwick/adapter/fleet"
+	"github.com/rhubarbwick/rhubarbwick/adapter/metrics"
 	"github.com/rhubarbwick/rhubarbwick/platform"
 	"github.com/rhubarbwick/rhubarbwick/proxy"
 	"github.com/rhubarbwick/rhubarbwick/ring"
@@ -38,9 +39,11 @@
 	courier      *proxy.Courier
 	promoter     *proxy.Promoter
 	listener     *platform.Listener
-	readiness    *platform.Readiness
+	readiness    *platform.Endpoint
 	peers        *fleet.Server
 	decisions    *decisions.Log
+	metrics      *metrics.Gateway
+	exposition   *platform.Endpoint
 	opening      *proxy.Opening
 }
 
@@ -49,10 +52,11 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	p := &process{settings: s, log: log, timer: clock.NewBootService()}
 	p.decisions = decisions.New(log, p.timer)
+	p.metrics = p.newMetrics()
 	self := proxy.Member{Name: s.Name, Incarnation: incarnation, Address: s.PeerAddress, DataCentre: s.DataCentre}
-	store := platform.NewStore(s.StoreAddress)
+	store := platform.NewStore(s.StoreAddress, p.metrics.StoreCalled)
 	dialer := platform.NewServerDialer()
-	p.views = proxy.NewViews(p.timer)
+	p.views = proxy.NewViews(p.timer, p.metrics)
 	p.knowledge = proxy.NewKnowledge(self, p.timer, p.views, s.RevokeWithin)
 	p.opening = &proxy.Opening{Timer: p.timer, Knowledge: p.knowledge, Views: p.views}
 	p.registration = &proxy.Registration{
@@ -65,7 +69,7 @@
 	p.knowledge.OnServers(p.desk.SetListings)
 	rates := proxy.NewSharedRates(p.timer, p.knowledge, p.knowledge.Instances, s.Rates)
 	p.house = proxy.NewHouse(proxy.HouseConfig{
-		Timer: p.timer, Desk: p.desk, Views: p.views, Rules: p.knowledge, Rates: rates, Recorder: p.decisions,
+		Timer: p.timer, Desk: p.desk, Views: p.views, Rules: p.knowledge, Rates: rates, Recorder: p.metrics,
 		DocumentAge: p.knowledge.DocumentAge, IsIsolated: p.opening.IsIsolated,
 	})
 	notices := ring.New[proxy.Member](0)
@@ -77,16 +81,29 @@
 	readers := &proxy.StoreReaders{Documents: store, Listings: store, Records: store, Knowledge: p.knowledge, Timer: p.timer}
 	p.courier = proxy.NewCourier(proxy.CourierConfig{
 		Self: self, Timer: p.timer, Knowledge: p.knowledge, Fleet: others, Hub: hub, Readers: readers, Rates: rates,
-		Notices: notices, Isolated: p.setIsolated,
+		Notices: notices, Isolated: p.setIsolated, Recorder: p.metrics,
 	})
 	p.promoter = proxy.NewPromoter(proxy.PromoterConfig{
 		Self: self, Timer: p.timer, Knowledge: p.knowledge, Readers: readers, Fleet: others, Views: p.views, Desk: p.desk,
 		Dialer: dialer, Records: store, Promotions: platform.NewCloud(s.CloudAddress),
-		Recorder: p.decisions,
+		Recorder: p.metrics,
 	})
 	return p, p.open(ctx, hub)
 }
 
+func (p *process) newMetrics() *metrics.Gateway {
+	return metrics.NewGateway(metrics.GatewayState{
+		Revision: func() uint64 {
+			rules, _ := p.knowledge.Rules()
+			return uint64(rules.Document().Revision)
+		},
+		DocumentAge:     func() time.Duration { return p.knowledge.DocumentAge() },
+		Instances:       func() int { return p.knowledge.Instances() },
+		LogLinesLeftOut: p.decisions.LeftOut,
+		IsOpen:          func() bool { return p.opening.IsOpen() },
+	}, p.decisions)
+}
+
 // setIsolated sends callers elsewhere while the instance is cut off.
 func (p *process) setIsolated(isolated bool) {
 	if !p.opening.SetIsolated(isolated) {
@@ -110,7 +127,10 @@
 	if p.listener, err = platform.NewListener(ctx, p.settings, p.house, p.timer); err != nil {
 		return err
 	}
-	p.readiness, err = platform.NewReadiness(ctx, p.settings, p.opening.IsOpen)
+	if p.readiness, err = platform.NewReadiness(ctx, p.settings, p.opening.IsOpen); err != nil {
+		return err
+	}
+	p.exposition, err = platform.NewEndpoint(ctx, p.settings.MetricsAddress, "GET /metrics", p.metrics.Handler())
 	return err
 }
 
@@ -126,11 +146,13 @@
 		duties.Go(func() { duty(working) })
 	}
 	duties.Go(p.readiness.Run)
+	duties.Go(p.exposition.Run)
 	duties.Go(p.peers.Run)
 	<-ctx.Done()
 	p.stop()
 	stop()
 	p.readiness.Close()
+	p.exposition.Close()
 	p.peers.Close()
 	duties.Wait()
 	p.log.Info("instance: stopped")
--- a/proxy/courier.go
+++ b/proxy/courier.go
@@ -18,6 +18,8 @@
 	exchangeWait = 300 * time.Millisecond
 	// exchangeLimit is how long an exchange may take beyond that.
 	exchangeLimit = 700 * time.Millisecond
+	// cleanPeriod is how often a relay looks for instances that are gone.
+	cleanPeriod = time.Second
 	// headRole ranks the data centres for the relay that reads the store for all.
 	headRole = "head"
 	// relayPause is how long a relay that did not answer is passed over.
@@ -40,6 +42,8 @@
 	Hub       *Hub
 	Readers   *StoreReaders
 	Rates     *SharedRates
+	// Recorder may be nil.
+	Recorder Recorder
 	// Isolated is told whether the instance reaches neither the store nor a majority of the instances.
 	Isolated func(isolated bool)
 	// Notices gives the members that have newer records.
@@ -51,6 +55,8 @@
 type Courier struct {
 	cfg     CourierConfig
 	failed  map[string]time.Duration
+	cleaner *cleaner
+	cleaned time.Duration
 	reading context.CancelFunc
 	// readingSince is when this instance began to read the store.
 	readingSince time.Duration
@@ -59,7 +65,12 @@
 
 // NewCourier returns a courier.
 func NewCourier(cfg CourierConfig) *Courier {
-	return &Courier{cfg: cfg, failed: make(map[string]time.Duration)}
+	if cfg.Recorder == nil {
+		cfg.Recorder = silent{}
+	}
+	c := &Courier{cfg: cfg, failed: make(map[string]time.Duration)}
+	c.cleaner = newCleaner(&c.cfg)
+	return c
 }
 
 // Run keeps the knowledge fresh until ctx ends.
@@ -98,6 +109,10 @@
 	if totals, known := c.cfg.Hub.Totals(); known {
 		c.cfg.Rates.SetTotals(totals, c.cfg.Rates.Demand())
 	}
+	if now-c.cleaned >= cleanPeriod {
+		c.cleaned = now
+		c.cleaner.clean(ctx)
+	}
 	head, found := c.head(now)
 	c.exchangeAreas(ctx, head)
 	if found && head.Incarnation != c.cfg.Self.Incarnation {
@@ -346,6 +361,7 @@
 	}
 	ctx, c.reading = context.WithCancel(ctx)
 	c.readingSince = c.cfg.Timer.Now()
+	c.cfg.Recorder.Note(SourceChanged{Source: "store", Reason: "this instance reads for others, or its relay knows too little"})
 	c.running.Go(func() { c.cfg.Readers.Run(ctx) })
 }
 
@@ -353,5 +369,6 @@
 	if c.reading != nil {
 		c.reading()
 		c.reading = nil
+		c.cfg.Recorder.Note(SourceChanged{Source: "relay", Reason: "the relay's knowledge is fresh"})
 	}
 }
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -3,12 +3,13 @@
 import (
 	"time"
 
+	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/group"
 	"github.com/rhubarbwick/rhubarbwick/port"
 )
 
 // Event is a decision that touches a request or changes what the instance believes. It is one of RequestAnswered,
-// PrimaryChanged, PromotionStep, ServerChanged and SourceChanged.
+// PrimaryChanged, PromotionStep, SourceChanged and MemberSilent.
 type Event interface{ event() }
 
 // RequestAnswered says what a request came to.
@@ -16,6 +17,7 @@
 	ID           string
 	Organisation string
 	Route        string
+	Freshness    document.Freshness
 	// Kind is empty for a success.
 	Kind   port.Kind
 	Reason string
@@ -48,24 +50,22 @@
 	Reason string
 }
 
-// ServerChanged says that a server began to fail or answers again.
-type ServerChanged struct {
-	Server  string
-	Group   string
-	Failing bool
-	Reason  string
-}
-
 // SourceChanged says from where the instance learns what it knows.
 type SourceChanged struct {
 	Source string
 	Reason string
 }
 
+// MemberSilent says that another instance has been silent and that its record was marked or removed.
+type MemberSilent struct {
+	Name    string
+	Removed bool
+}
+
 func (RequestAnswered) event() {}
+func (MemberSilent) event()    {}
 func (PrimaryChanged) event()  {}
 func (PromotionStep) event()   {}
-func (ServerChanged) event()   {}
 func (SourceChanged) event()   {}
 
 // Recorder takes events. Note must not block.
--- a/proxy/fake_test.go
+++ b/proxy/fake_test.go
@@ -174,7 +174,7 @@
 	i := &testInstance{self: self, stop: stop, ended: make(chan struct{})}
 	timer := clock.NewService()
 	reach := &reach{world: w, name: name}
-	i.views = proxy.NewViews(timer)
+	i.views = proxy.NewViews(timer, nil)
 	i.knowledge = proxy.NewKnowledge(self, timer, i.views, 0)
 	i.opening = &proxy.Opening{Timer: timer, Knowledge: i.knowledge, Views: i.views}
 	i.desk = proxy.NewDesk(proxy.DeskConfig{
@@ -304,6 +304,13 @@
 	}
 }
 
+func (w *world) hasRecord(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, found := w.objects["instance/"+name]
+	return found
+}
+
 // promoter returns the instance that the duty to promote names.
 func (w *world) promoter() (string, bool) {
 	w.mu.Lock()
--- a/proxy/hub.go
+++ b/proxy/hub.go
@@ -47,6 +47,8 @@
 	// demands holds what the instances of the data centre told, and areas what the relays of the others told.
 	demands map[string]toldDemand
 	areas   map[string]toldDemand
+	// heard holds when each instance last asked.
+	heard map[string]time.Duration
 	// relaySince is when the instance became a relay.
 	relaySince time.Duration
 	isRelay    bool
@@ -60,7 +62,10 @@
 
 // NewHub returns a hub that was told nothing.
 func NewHub(cfg HubConfig) *Hub {
-	return &Hub{cfg: cfg, demands: make(map[string]toldDemand), areas: make(map[string]toldDemand)}
+	return &Hub{
+		cfg: cfg, demands: make(map[string]toldDemand), areas: make(map[string]toldDemand),
+		heard: make(map[string]time.Duration),
+	}
 }
 
 // SetRelay tells the hub whether the instance is the relay of its data centre.
@@ -74,6 +79,19 @@
 	h.isRelay = isRelay
 }
 
+// HeardFrom returns when the instance last asked this one, and false when it did not for a while.
+func (h *Hub) HeardFrom(incarnation string) (time.Duration, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at, found := h.heard[incarnation]
+	for other, heard := range h.heard {
+		if h.cfg.Timer.Now()-heard > 2*silentLimit {
+			delete(h.heard, other)
+		}
+	}
+	return at, found
+}
+
 // Exchange answers an instance. It waits for something that the instance does not know.
 func (h *Hub) Exchange(ctx context.Context, ask Ask) Report {
 	began := h.cfg.Timer.Now()
@@ -148,11 +166,12 @@
 }
 
 func (h *Hub) take(ask Ask, now time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.heard[ask.From.Incarnation] = now
 	if len(ask.Demand) == 0 {
 		return
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	told := toldDemand{demand: ask.Demand, at: now}
 	if ask.FromRelay {
 		h.areas[ask.From.DataCentre] = told
--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -195,3 +195,23 @@
 		require.Less(t, calls, 5.0, "calls a second of 12 instances")
 	})
 }
+
+// Guards against records of dead instances that every replacement waits for, and against the removal of a living one.
+func TestSilentInstancesAreRemoved(t *testing.T) {
+	t.Run("dead", func(t *testing.T) {
+		inWorld(t, 6, func(w *world) {
+			w.kill("front-3")
+			took := w.await(func() bool { return w.at("front-0").knowledge.Instances() == 5 && !w.hasRecord("front-3") })
+			require.Greater(t, took, primacy.MaxLease+primacy.Lease)
+		})
+	})
+	t.Run("alive and cut off for a while", func(t *testing.T) {
+		inWorld(t, 6, func(w *world) {
+			w.setCut(true, "front-3")
+			w.await(func() bool { return w.at("front-0").knowledge.Instances() == 5 })
+			require.False(t, w.relies("front-3", "s1"))
+			w.setCut(false, "front-3")
+			w.await(func() bool { return w.at("front-0").knowledge.Instances() == 6 && w.relies("front-3", "s1") })
+		})
+	})
+}
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -111,11 +111,19 @@
 			kind  port.Kind
 			state statement.State
 		}{
-			{port.Protocol, statement.Idle}, {port.Protocol, statement.Idle},
-			{"", statement.InTransaction}, {port.Protocol, statement.InTransaction},
-			{"", statement.InTransaction}, {"", statement.Idle}, {port.UnknownStatement, statement.Idle},
-			{"", statement.InTransaction}, {port.UnknownStatement, statement.Failed}, {port.Protocol, statement.Failed},
-			{"", statement.Idle}, {"", statement.InTransaction}, {"", statement.Idle},
+			{port.Protocol, statement.Idle},
+			{port.Protocol, statement.Idle},
+			{"", statement.InTransaction},
+			{port.Protocol, statement.InTransaction},
+			{"", statement.InTransaction},
+			{"", statement.Idle},
+			{port.UnknownStatement, statement.Idle},
+			{"", statement.InTransaction},
+			{port.UnknownStatement, statement.Failed},
+			{port.Protocol, statement.Failed},
+			{"", statement.Idle},
+			{"", statement.InTransaction},
+			{"", statement.Idle},
 		}
 		for i, a := range answers {
 			require.Equal(t, want[i].kind, a.Failure.Kind, "answer %d: %s", i, a.Failure.Text)
--- a/proxy/views.go
+++ b/proxy/views.go
@@ -11,7 +11,8 @@
 
 // Views holds what this instance knows of the primaries of all groups. It is safe for concurrent use.
 type Views struct {
-	timer port.Timer
+	timer    port.Timer
+	recorder Recorder
 
 	mu    sync.Mutex
 	views map[string]primacy.View
@@ -19,9 +20,12 @@
 	changed chan struct{}
 }
 
-// NewViews returns views of no group.
-func NewViews(timer port.Timer) *Views {
-	return &Views{timer: timer, views: make(map[string]primacy.View), changed: make(chan struct{})}
+// NewViews returns views of no group. recorder may be nil.
+func NewViews(timer port.Timer, recorder Recorder) *Views {
+	if recorder == nil {
+		recorder = silent{}
+	}
+	return &Views{timer: timer, recorder: recorder, views: make(map[string]primacy.View), changed: make(chan struct{})}
 }
 
 // Take notes a record that was asked for at one instant and read from the store at another, and reports whether it is
@@ -37,6 +41,10 @@
 	}
 	close(v.changed)
 	v.changed = make(chan struct{})
+	v.recorder.Note(PrimaryChanged{
+		Group: p.Record.Group, Primary: p.Record.Primary, Term: p.Record.Term, Replacing: p.Record.Replacement != nil,
+		Age: v.timer.Now() - askedAt,
+	})
 	return true
 }
 
