--- a/cmd/gateway/fleet_test.go
+++ b/cmd/gateway/fleet_test.go
@@ -9,8 +9,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -19,6 +17,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rhubarbwick/rhubarbwick/cmd/streams"
+	"github.com/rhubarbwick/rhubarbwick/platform"
+	"github.com/rhubarbwick/rhubarbwick/proxy"
 	"github.com/rhubarbwick/rhubarbwick/standin/database"
 	"github.com/rhubarbwick/rhubarbwick/standin/objects"
 )
@@ -122,22 +122,18 @@
 // start starts a gateway and waits until it is ready.
 func (f *testFleet) start(name string) *gateway {
 	f.t.Helper()
-	ports := freePorts(f.t, 4)
-	g := &gateway{callers: ports[0], ready: ports[1], out: &syncBuffer{}, ended: make(chan error, 1)}
-	path := filepath.Join(f.t.TempDir(), name+".conf")
-	_, first, _ := net.SplitHostPort(ports[2])
-	last := fmt.Sprint(atoi(f.t, first) + 1)
-	g.metrics = "127.0.0.1:" + last
-	settings := strings.Join([]string{
-		"node_name=" + name, "zone=kig-a", "ip_address=127.0.0.1", "listen_addresses.frontend=" + g.callers,
-		"listen_addresses.ready=" + g.ready, "internal_ports=" + first + "," + last, "platform.address=" + f.address,
-		"cloud.address=" + f.address, "limits.memory_mb=200", "limits.file_descriptors=2000", "bounds.grace_s=6",
-		"bounds.quota_window_s=5",
-	}, "\n")
-	require.NoError(f.t, os.WriteFile(path, []byte(settings), 0o600))
+	g := &gateway{out: &syncBuffer{}, ended: make(chan error, 1)}
 	ctx, stop := context.WithCancel(f.t.Context())
+	const anyPort = "127.0.0.1:0"
+	p, err := newProcess(ctx, platform.Settings{
+		Name: name, DataCentre: "kig-a", CallerAddress: anyPort, ReadyAddress: anyPort, PeerAddress: anyPort,
+		MetricsAddress: anyPort, StoreAddress: f.address, CloudAddress: f.address, MemoryMB: 200, Descriptors: 2000,
+		Drain: 6 * time.Second, Rates: proxy.Tolerance{Window: 5 * time.Second},
+	}, newIncarnation(), newLogger(streams.Streams{Out: g.out, Err: g.out}))
+	require.NoError(f.t, err)
+	g.callers, g.ready, g.metrics = p.listener.Address(), p.readiness.Address(), p.exposition.Address()
 	g.stop = stop
-	running := &runner{opts: &Options{Streams: streams.Streams{Out: g.out, Err: g.out}, Path: path}, ended: g.ended}
+	running := &runner{process: p, ended: g.ended}
 	go running.run(ctx)
 	f.gateways[name] = g
 	require.Eventually(f.t, func() bool { return isReady(g.ready) }, patience, 20*time.Millisecond, "gateway %s: %s", name, g.out)
@@ -147,11 +143,11 @@
 
 // runner runs a gateway in the background.
 type runner struct {
-	opts  *Options
-	ended chan error
+	process *process
+	ended   chan error
 }
 
-func (r *runner) run(ctx context.Context) { r.ended <- run(ctx, r.opts) }
+func (r *runner) run(ctx context.Context) { r.ended <- r.process.run(ctx) }
 
 func (f *testFleet) stop(name string) {
 	g := f.gateways[name]
@@ -168,31 +164,6 @@
 	}
 }
 
-func atoi(t *testing.T, text string) int {
-	t.Helper()
-	var n int
-	_, err := fmt.Sscan(text, &n)
-	require.NoError(t, err)
-	return n
-}
-
-// freePorts returns loopback addresses that the system has just given out.
-func freePorts(t *testing.T, n int) []string {
-	t.Helper()
-	var addresses []string
-	var open []net.Listener
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		open = append(open, l)
-		addresses = append(addresses, l.Addr().String())
-	}
-	for _, l := range open {
-		require.NoError(t, l.Close())
-	}
-	return addresses
-}
-
 func get(t *testing.T, url string) string {
 	t.Helper()
 	resp, err := http.Get(url)
--- a/cmd/gateway/gateway_test.go
+++ b/cmd/gateway/gateway_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/primacy"
 	"github.com/rhubarbwick/rhubarbwick/standin/objects"
 )
@@ -180,3 +183,19 @@
 	_, found := f.platform.Store.Get("rhubarbwick", "instance.one")
 	require.False(t, found)
 }
+
+// Guards against a process that starts with half of its settings.
+func TestGatewaySettings(t *testing.T) {
+	t.Run("no file", func(t *testing.T) {
+		err := run(t.Context(), &Options{Path: filepath.Join(t.TempDir(), "missing.conf")})
+		require.Equal(t, port.Invalid, port.KindOf(err))
+	})
+	t.Run("faults", func(t *testing.T) {
+		path := filepath.Join(t.TempDir(), "settings.conf")
+		require.NoError(t, os.WriteFile(path, []byte("node_name=one\nzone=\n"), 0o600))
+		err := run(t.Context(), &Options{Path: path})
+		require.Equal(t, port.Invalid, port.KindOf(err))
+		require.ErrorContains(t, err, "zone")
+		require.ErrorContains(t, err, "platform.address")
+	})
+}
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -54,7 +54,13 @@
 	p := &process{settings: s, log: log, timer: clock.NewBootService()}
 	p.decisions = decisions.New(log, p.timer)
 	p.metrics = p.newMetrics()
-	self := proxy.Member{Name: s.Name, Incarnation: incarnation, Address: s.PeerAddress, DataCentre: s.DataCentre}
+	socket, err := platform.Listen(ctx, s.PeerAddress, "other instances")
+	if err != nil {
+		return nil, err
+	}
+	self := proxy.Member{
+		Name: s.Name, Incarnation: incarnation, Address: socket.Addr().String(), DataCentre: s.DataCentre,
+	}
 	store := platform.NewStore(s.StoreAddress, p.metrics.StoreCalled)
 	dialer := platform.NewServerDialer()
 	p.views = proxy.NewViews(p.timer, p.metrics)
@@ -89,7 +95,8 @@
 		Dialer: dialer, Records: store, Promotions: platform.NewCloud(s.CloudAddress),
 		Recorder: p.metrics,
 	})
-	return p, p.open(ctx, hub)
+	p.peers = fleet.NewServer(hub, socket)
+	return p, p.open(ctx)
 }
 
 func (p *process) newMetrics() *metrics.Gateway {
@@ -118,13 +125,9 @@
 	p.log.Info("instance: no longer isolated")
 }
 
-// open opens the sockets.
-func (p *process) open(ctx context.Context, hub *proxy.Hub) error {
-	socket, err := platform.Listen(ctx, p.settings.PeerAddress, "other instances")
-	if err != nil {
-		return err
-	}
-	p.peers = fleet.NewServer(hub, socket)
+// open opens the sockets for callers, the platform and the readers of metrics.
+func (p *process) open(ctx context.Context) error {
+	var err error
 	if p.listener, err = platform.NewListener(ctx, p.settings, p.house, p.timer); err != nil {
 		return err
 	}
--- a/proxy/rates.go
+++ b/proxy/rates.go
@@ -97,10 +97,13 @@
 	if !known {
 		a = r.newAccount()
 	}
-	a, ok := a.take(now, r.share(o, now))
+	share := r.share(o, now)
+	a, ok := a.take(now, share)
 	r.accounts[organisation] = a
 	if !ok {
-		return port.Failf(port.OverRate, "this instance's part of the rate of organisation %s is used up", organisation)
+		return port.Failf(port.OverRate,
+			"%d operations of organisation %s ran here in the last %s, and this instance's part is %.1f; the fleet asks for %.1f a second, known %s ago",
+			a.window.Count(), organisation, r.tolerance.Window, share, r.totals[organisation], (now-r.totalsAt).Round(time.Millisecond))
 	}
 	return nil
 }
