--- a/proxy/desk_serve.go
+++ b/proxy/desk_serve.go
@@ -19,11 +19,6 @@
 	}
 }
 
-// checkWaits has the waiting statements looked at.
-type checkWaits struct{}
-
-func (checkWaits) deskCommand() {}
-
 // serveOne reports whether the waiter got its answer.
 func (d *Desk) serveOne(w *waiter, now time.Duration) bool {
 	candidates := d.candidates(w, now)
--- a/proxy/fake_test.go
+++ b/proxy/fake_test.go
@@ -268,7 +268,7 @@
 	began := time.Now()
 	for !holds() {
 		require.Less(w.t, time.Since(began), limit, "the condition did not come to hold")
-		time.Sleep(10 * time.Millisecond)
+		elapse(10 * time.Millisecond)
 	}
 	return time.Since(began)
 }
@@ -412,7 +412,7 @@
 
 // replaceDuring has an instance let go of the primary while a slow statement runs there.
 func (w *world) replaceDuring(name string) {
-	time.Sleep(slowness / 2)
+	elapse(slowness / 2)
 	records, _ := w.at(name).knowledge.Records()
 	stored := records.Primacies[testGroup]
 	stored.Record = stored.Record.WithReplacement(primacy.Replacement{Promoter: "p", Epoch: 1})
@@ -464,7 +464,7 @@
 	if toStore {
 		w.storeCalls.Add(1)
 	}
-	time.Sleep(callLatency)
+	elapse(callLatency)
 	w.mu.Lock()
 	if (toStore && w.storeDown) || w.cut[r.name] {
 		w.mu.Unlock()
@@ -474,6 +474,9 @@
 	return w.mu.Unlock, nil
 }
 
+// elapse lets the bubble's virtual time pass.
+func elapse(d time.Duration) { <-time.After(d) }
+
 // pass lets virtual time pass unless ctx ends.
 func pass(ctx context.Context, d time.Duration) error {
 	select {
@@ -763,7 +766,7 @@
 	case f == loseAnswer, f == loseCommit && isCommit:
 		return nil, port.Failf(port.Unavailable, "the answer is lost")
 	case f == slow:
-		time.Sleep(slowness)
+		elapse(slowness)
 	}
 	return answers, nil
 }
--- a/proxy/rates.go
+++ b/proxy/rates.go
@@ -103,7 +103,7 @@
 	if !ok {
 		return port.Failf(port.OverRate,
 			"%d operations of organisation %s ran here in the last %s, and this instance's part is %.1f; the fleet asks for %.1f a second, known %s ago",
-			a.window.Count(), organisation, r.tolerance.Window, share, r.totals[organisation], (now-r.totalsAt).Round(time.Millisecond))
+			a.window.Count(), organisation, r.tolerance.Window, share, r.totals[organisation], (now - r.totalsAt).Round(time.Millisecond))
 	}
 	return nil
 }
--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -37,7 +37,7 @@
 	})
 	t.Run("two primaries that depart together are replaced at the same time", func(t *testing.T) {
 		inWorld(t, 6, func(w *world) {
-			time.Sleep(primacy.MaxLease + time.Second)
+			elapse(primacy.MaxLease + time.Second)
 			w.catchUp()
 			w.setCut(true, "front-3")
 			w.list("s1", true)
@@ -65,7 +65,7 @@
 			for range 20 {
 				w.runWrites("front-1", "front-2")
 				w.at("front-0").desk.Doubt("s1")
-				time.Sleep(100 * time.Millisecond)
+				elapse(100 * time.Millisecond)
 			}
 			require.Empty(t, w.epochs())
 			require.True(t, w.allRelyOn("s1"))
@@ -73,7 +73,7 @@
 	})
 	t.Run("an instance that is cut off is waited for until its lease has run out", func(t *testing.T) {
 		inWorld(t, 6, func(w *world) {
-			time.Sleep(primacy.MaxLease + time.Second)
+			elapse(primacy.MaxLease + time.Second)
 			w.setCut(true, "front-3")
 			w.setDown("s1", true)
 			w.doubt("s1")
@@ -111,7 +111,7 @@
 			inWorld(t, 6, func(w *world) {
 				w.setDown("s1", true)
 				w.doubt("s1")
-				time.Sleep(after * time.Millisecond)
+				elapse(after * time.Millisecond)
 				if promoter, found := w.promoter(); found {
 					w.kill(promoter)
 					w.start(promoter, "a")
@@ -133,7 +133,7 @@
 			until := time.Now().Add(primacy.MaxLease - 2*time.Second)
 			for time.Now().Before(until) {
 				require.True(t, w.allRelyOn("s1"))
-				time.Sleep(50 * time.Millisecond)
+				elapse(50 * time.Millisecond)
 			}
 			w.setStoreDown(false)
 		})
@@ -141,7 +141,7 @@
 	t.Run("they end at last", func(t *testing.T) {
 		inWorld(t, 6, func(w *world) {
 			w.setStoreDown(true)
-			time.Sleep(primacy.MaxLease + primacy.Lease)
+			elapse(primacy.MaxLease + primacy.Lease)
 			require.False(t, w.relies("front-0", "s1"))
 			w.setStoreDown(false)
 			w.await(func() bool { return w.allRelyOn("s1") })
@@ -160,7 +160,7 @@
 	t.Run("no instance takes itself for isolated while all have lost the store", func(t *testing.T) {
 		inWorld(t, 6, func(w *world) {
 			w.setStoreDown(true)
-			time.Sleep(primacy.MaxLease + 5*time.Second)
+			elapse(primacy.MaxLease + 5*time.Second)
 			for _, name := range w.names() {
 				require.False(t, w.at(name).opening.IsIsolated(), name)
 			}
@@ -180,7 +180,7 @@
 		older := w.doc
 		older.Revision = 4
 		w.setDocument(older)
-		time.Sleep(5 * time.Second)
+		elapse(5 * time.Second)
 		require.True(t, w.allHaveRevision(9))
 	})
 }
@@ -188,9 +188,9 @@
 // Guards against calls to the store that grow with the instances.
 func TestRelaysSpareTheStore(t *testing.T) {
 	inWorld(t, 12, func(w *world) {
-		time.Sleep(5 * time.Second)
+		elapse(5 * time.Second)
 		before := w.storeCalls.Load()
-		time.Sleep(10 * time.Second)
+		elapse(10 * time.Second)
 		calls := float64(w.storeCalls.Load()-before) / 10
 		require.Less(t, calls, 5.0, "calls a second of 12 instances")
 	})
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -92,7 +92,7 @@
 	t.Run("a frozen instance confirms nothing that it did before", func(t *testing.T) {
 		inWorld(t, 2, func(w *world) {
 			w.setCut(true, "front-0", "front-1")
-			time.Sleep(15 * time.Second)
+			elapse(15 * time.Second)
 			requireKind(t, port.NoPrimary, w.ask("front-0", write)[0])
 			w.setCut(false, "front-0", "front-1")
 		})
