--- a/cmd/gateway/fleet_test.go
+++ b/cmd/gateway/fleet_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -131,6 +132,7 @@
 		Drain: 6 * time.Second, Rates: proxy.Tolerance{Window: 5 * time.Second},
 	}, newIncarnation(), newLogger(streams.Streams{Out: g.out, Err: g.out}))
 	require.NoError(f.t, err)
+	p.path = filepath.Join(f.t.TempDir(), "missing.conf")
 	g.callers, g.ready, g.metrics = p.listener.Address(), p.readiness.Address(), p.exposition.Address()
 	g.stop = stop
 	running := &runner{process: p, ended: g.ended}
--- a/cmd/gateway/gateway.go
+++ b/cmd/gateway/gateway.go
@@ -53,6 +53,7 @@
 	if err != nil {
 		return err
 	}
+	p.path = opts.Path
 	return p.run(ctx)
 }
 
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,6 +30,10 @@
 // process is one entry instance with all its duties.
 type process struct {
 	settings     platform.Settings
+	path         string
+	drain        atomic.Int64
+	store        *platform.Store
+	cloud        *platform.Cloud
 	log          *zap.Logger
 	timer        *clock.Service
 	views        *proxy.Views
@@ -62,6 +67,8 @@
 		Name: s.Name, Incarnation: incarnation, Address: socket.Addr().String(), DataCentre: s.DataCentre,
 	}
 	store := platform.NewStore(s.StoreAddress, p.metrics.StoreCalled)
+	p.store, p.cloud = store, platform.NewCloud(s.CloudAddress)
+	p.drain.Store(int64(s.Drain))
 	dialer := platform.NewServerDialer()
 	p.views = proxy.NewViews(p.timer, p.metrics)
 	p.knowledge = proxy.NewKnowledge(self, p.timer, p.views, s.RevokeWithin)
@@ -92,7 +99,7 @@
 	})
 	p.promoter = proxy.NewPromoter(proxy.PromoterConfig{
 		Self: self, Timer: p.timer, Knowledge: p.knowledge, Readers: readers, Fleet: others, Views: p.views, Desk: p.desk,
-		Dialer: dialer, Records: store, Promotions: platform.NewCloud(s.CloudAddress),
+		Dialer: dialer, Records: store, Promotions: p.cloud,
 		Recorder: p.metrics,
 	})
 	p.peers = fleet.NewServer(hub, socket)
@@ -112,6 +119,17 @@
 	}, p.decisions)
 }
 
+// reload takes over changed settings. Addresses that the process listens on take effect at its next start.
+func (p *process) reload(s platform.Settings) {
+	p.store.SetAddress(s.StoreAddress)
+	p.cloud.SetAddress(s.CloudAddress)
+	p.drain.Store(int64(s.Drain))
+	restart := s.CallerAddress != p.settings.CallerAddress || s.ReadyAddress != p.settings.ReadyAddress ||
+		s.PeerAddress != p.settings.PeerAddress || s.DataCentre != p.settings.DataCentre || s.Name != p.settings.Name
+	p.log.Info("settings: reloaded", zap.String("store", s.StoreAddress), zap.Duration("drain", s.Drain),
+		zap.Bool("needs_restart", restart))
+}
+
 // setIsolated sends callers elsewhere while the instance is cut off.
 func (p *process) setIsolated(isolated bool) {
 	if !p.opening.SetIsolated(isolated) {
@@ -141,11 +159,14 @@
 // run serves until ctx ends, then stops without cutting a request.
 func (p *process) run(ctx context.Context) error {
 	p.log.Info("instance: started", zap.String("data_centre", p.settings.DataCentre))
+	reloader := platform.NewReloader(p.path, p.settings, p.timer, p.reload, func(err error) {
+		p.log.Warn("settings: the file cannot be used, the settings stay", zap.Error(err))
+	})
 	working, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var duties sync.WaitGroup
 	for _, duty := range []func(context.Context){
-		p.timer.Run, p.desk.Run, p.runKnowledge, p.promoter.Run, p.listener.Run, p.decisions.Run, p.registration.Run,
+		p.timer.Run, p.desk.Run, p.runKnowledge, p.promoter.Run, p.listener.Run, p.decisions.Run, p.registration.Run, reloader.Run,
 	} {
 		duties.Go(func() { duty(working) })
 	}
@@ -174,7 +195,7 @@
 	p.log.Info("instance: stopping")
 	p.opening.Close()
 	p.listener.Close()
-	limited, cancel := context.WithTimeout(context.Background(), time.Duration(drainShare*float64(p.settings.Drain)))
+	limited, cancel := context.WithTimeout(context.Background(), time.Duration(drainShare*float64(p.drain.Load())))
 	p.house.Drain(limited)
 	cancel()
 	limited, cancel = context.WithTimeout(context.Background(), deregisterLimit)
