--- a/proxy/courier.go
+++ b/proxy/courier.go
@@ -27,8 +27,10 @@
 	// extendAge is the age of the records from which a relay has their lease extended. It is above the age that they reach
 	// while the store answers.
 	extendAge = 1400 * time.Millisecond
+	// stalePause is how long a relay is passed over that answers and has lost the store.
+	stalePause = 400 * time.Millisecond
 	// lostRecords is the age of the records from which an instance no longer leaves it to the relays to find the store.
-	lostRecords = 4 * time.Second
+	lostRecords = 1800 * time.Millisecond
 	// soonest is the least time between two exchanges, also when the relay has news all the time.
 	soonest = 50 * time.Millisecond
 )
@@ -53,7 +55,8 @@
 // Courier is the duty that keeps the instance's knowledge fresh: from the relay of its data centre, or from the store
 // while it is the relay itself or no relay knows more.
 type Courier struct {
-	cfg     CourierConfig
+	cfg CourierConfig
+	// failed holds until when instances are passed over.
 	failed  map[string]time.Duration
 	cleaner *cleaner
 	cleaned time.Duration
@@ -123,7 +126,7 @@
 	_ = port.Wait(ctx, c.cfg.Timer, exchangeWait)
 	if now = c.cfg.Timer.Now(); now-max(c.readingSince, c.readAt()) > freshRecords {
 		// The store turns this instance away or is gone; another relay may reach it.
-		c.fail(c.cfg.Self)
+		c.fail(c.cfg.Self, relayPause)
 	}
 }
 
@@ -188,8 +191,7 @@
 }
 
 func (c *Courier) failedOfLate(m Member, now time.Duration) bool {
-	at, failed := c.failed[m.Incarnation]
-	return failed && now-at < relayPause
+	return now < c.failed[m.Incarnation]
 }
 
 // ranked returns the instances of a data centre in the order in which they are its relay.
@@ -217,12 +219,13 @@
 	report, err := c.exchange(ctx, relay, demand, exchangeWait, fromRelay)
 	switch {
 	case err != nil:
-		c.fail(relay)
+		c.fail(relay, relayPause)
 		c.startReaders(ctx)
 	case report.Fresh:
 		c.stopReaders()
 	case fromRelay:
-		c.fail(relay)
+		// It may be about to read the store in the place of another one.
+		c.fail(relay, stalePause)
 		c.startReaders(ctx)
 	case c.cfg.Timer.Now()-c.readAt() > lostRecords:
 		// The relays have not found a way to the store for a while.
@@ -233,14 +236,15 @@
 	}
 }
 
-func (c *Courier) fail(m Member) {
+// fail has the instance passed over for a while.
+func (c *Courier) fail(m Member, pause time.Duration) {
 	now := c.cfg.Timer.Now()
-	for incarnation, at := range c.failed {
-		if now-at >= relayPause {
+	for incarnation, until := range c.failed {
+		if now >= until {
 			delete(c.failed, incarnation)
 		}
 	}
-	c.failed[m.Incarnation] = now
+	c.failed[m.Incarnation] = now + pause
 }
 
 // exchangeAreas tells the relays of the other data centres the demand of this one, and learns what they know. The head
--- a/proxy/fake_test.go
+++ b/proxy/fake_test.go
@@ -48,6 +48,8 @@
 	storeDown bool
 	// cut holds instances that reach nothing but their callers.
 	cut map[string]bool
+	// turnedAway holds instances whose calls the store refuses.
+	turnedAway map[string]bool
 	// partial holds servers that an instance does not reach.
 	partial   map[string]bool
 	instances map[string]*testInstance
@@ -128,7 +130,7 @@
 func newWorld(t *testing.T) *world {
 	w := &world{
 		t: t, objects: make(map[string]port.Object), servers: make(map[string]*fakeServer),
-		listed: make(map[string]dispatch.Listing), cut: make(map[string]bool), partial: make(map[string]bool),
+		listed: make(map[string]dispatch.Listing), cut: make(map[string]bool), turnedAway: make(map[string]bool), partial: make(map[string]bool),
 		instances: make(map[string]*testInstance), version: 10,
 	}
 	for i, name := range []string{"s1", "s2", "s3", "t1", "t2", "t3"} {
@@ -420,6 +422,15 @@
 	w.at(name).hub.Suspend(context.Background(), stored)
 }
 
+// turnAway has the store refuse the instances of the numbers.
+func (w *world) turnAway(numbers ...int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range numbers {
+		w.turnedAway[fmt.Sprintf("front-%d", n)] = true
+	}
+}
+
 // catchUp has the replicas receive what the primaries hold.
 func (w *world) catchUp() {
 	w.mu.Lock()
@@ -471,6 +482,10 @@
 		<-ctx.Done()
 		return nil, port.Failf(port.Unavailable, "no answer")
 	}
+	if toStore && w.turnedAway[r.name] {
+		w.mu.Unlock()
+		return nil, port.Failf(port.Unavailable, "status 429")
+	}
 	return w.mu.Unlock, nil
 }
 
--- a/proxy/hub.go
+++ b/proxy/hub.go
@@ -19,7 +19,7 @@
 	demandLife = 5 * time.Second
 	// freshRecords is the age up to which a relay's records are worth having: an older relay has lost the store, and
 	// another one may reach it.
-	freshRecords = 1500 * time.Millisecond
+	freshRecords = 1200 * time.Millisecond
 	// lastStatements is how long statements at a primary that is replaced as planned have to end.
 	lastStatements = 500 * time.Millisecond
 	// outstandingCheck is how often an instance looks whether they have.
--- a/proxy/rates.go
+++ b/proxy/rates.go
@@ -18,7 +18,10 @@
 	// demandSpan is the time over which demand is averaged. A shorter one follows the chance arrivals of few callers.
 	demandSpan = 4 * time.Second
 	// usedTolerance is the part of the tolerance that is used; the rest covers parts that change while they are told.
-	usedTolerance = 0.5
+	usedTolerance = 0.3
+	// busyDemand is the demand, as a part of the rate, from which parts follow their mean over the window. Until then the
+	// parts add up to more than anybody asks for, and follow the demand at once.
+	busyDemand = 0.8
 	// defaultWindow is the span over which a rate is counted where the platform states none.
 	defaultWindow = 5 * time.Second
 	// totalsLife is how long the fleet's demand is relied on.
@@ -55,6 +58,19 @@
 type rateAccount struct {
 	window allotment.Window
 	meter  rateMeter
+	// weight is the mean of the instance's part over about the latest window, at the instant weighedAt.
+	weight    float64
+	weighedAt time.Duration
+}
+
+// withWeight returns the account with the part that holds at now taken into the mean.
+func (a rateAccount) withWeight(now, span time.Duration, weight float64) rateAccount {
+	if a.weighedAt == 0 {
+		a.weight = weight
+	}
+	kept := math.Exp(-float64(now-a.weighedAt) / float64(span))
+	a.weight, a.weighedAt = a.weight*kept+weight*(1-kept), now
+	return a
 }
 
 // rateMeter is a mean of operations a second that forgets over demandSpan. The zero value has seen none.
@@ -97,7 +113,13 @@
 	if !known {
 		a = r.newAccount()
 	}
-	share := r.share(o, now)
+	weight := r.weight(o, now)
+	a = a.withWeight(now, r.tolerance.Window/2, weight)
+	if r.totals[organisation] > busyDemand*o.Rate {
+		// An instance whose callers have just come may not use its whole part while those that they left have used theirs.
+		weight = min(weight, a.weight)
+	}
+	share := max(1, r.whole(o, now)*weight)
 	a, ok := a.take(now, share)
 	r.accounts[organisation] = a
 	if !ok {
@@ -143,16 +165,13 @@
 	r.totals, r.own, r.totalsAt = totals, own, r.timer.Now()
 }
 
-// share returns how many of the organisation's operations this instance may take in a window: a part of what the rate and
-// burst come to. The lock is held.
-func (r *SharedRates) share(o document.Organisation, now time.Duration) float64 {
-	whole := r.whole(o, now)
+// weight returns this instance's part of the organisation's rate and burst. The lock is held.
+func (r *SharedRates) weight(o document.Organisation, now time.Duration) float64 {
 	n := float64(r.instances())
-	weight := 1 / n
 	if total := r.totals[o.Name]; total > 0 && now-r.totalsAt <= totalsLife {
-		weight = evenPart/n + (1-evenPart)*r.own[o.Name]/total
+		return evenPart/n + (1-evenPart)*r.own[o.Name]/total
 	}
-	return max(1, whole*weight)
+	return 1 / n
 }
 
 // whole returns how many operations all instances may take in a window. Soon after the start it is less: all instances
--- a/proxy/rates_test.go
+++ b/proxy/rates_test.go
@@ -144,6 +144,15 @@
 			f.run(ratePerSecond*0.6, 10*time.Second)
 			f.requireWindows(t)
 		})
+		t.Run("callers of a busy organisation move between instances", func(t *testing.T) {
+			f := newRateFleet(seed)
+			f.run(ratePerSecond*0.6, 10*time.Second)
+			for range 8 {
+				f.run(ratePerSecond*8, 3*time.Second)
+				f.weights = append(f.weights[4:], f.weights[:4]...)
+			}
+			f.requireWindows(t)
+		})
 		t.Run("a fleet that starts anew does not give the rate out again", func(t *testing.T) {
 			f := newRateFleet(seed)
 			f.run(ratePerSecond*0.6, 10*time.Second)
--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -185,6 +185,24 @@
 	})
 }
 
+// Guards against relays that keep an old document while the store turns them away and serves others.
+func TestDocumentReachesTurnedAway(t *testing.T) {
+	for first := range 8 {
+		for second := range first {
+			inWorld(t, 8, func(w *world) {
+				elapse(2 * time.Second)
+				w.turnAway(first, second)
+				next := w.doc
+				next.Revision = 9
+				w.setDocument(next)
+				took := w.await(func() bool { return w.allHaveRevision(9) })
+				require.Less(t, took, 2500*time.Millisecond, "turned away: %d and %d", first, second)
+				require.True(t, w.allRelyOn("s1"))
+			})
+		}
+	}
+}
+
 // Guards against calls to the store that grow with the instances.
 func TestRelaysSpareTheStore(t *testing.T) {
 	inWorld(t, 12, func(w *world) {
