--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/primacy"
 )
 
@@ -169,6 +170,25 @@
 	})
 }
 
+// Guards against an instance that lets others go on with a primary of which it has confirmed the replacement.
+func TestConfirmationEndsExtensions(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		records, _ := w.at("front-0").knowledge.Records()
+		versions := make(map[string]port.Version)
+		for name, p := range records.Primacies {
+			versions[name] = p.Version
+		}
+		hub := w.at("front-0").hub
+		require.True(t, hub.Extend(versions))
+		stored := records.Primacies[testGroup]
+		stored.Record = stored.Record.WithReplacement(primacy.Replacement{Promoter: "p", Epoch: 1})
+		stored.Version++
+		hub.Suspend(t.Context(), stored)
+		require.False(t, hub.Extend(versions))
+		require.True(t, w.at("front-1").hub.Extend(versions))
+	})
+}
+
 // Guards against a document that goes back, and against one that the waiting calls did not tell of.
 func TestDocumentSpreads(t *testing.T) {
 	inWorld(t, 6, func(w *world) {
