--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -39,9 +39,9 @@
 	views        *proxy.Views
 	knowledge    *proxy.Knowledge
 	registration *proxy.Registration
-	desk         *proxy.Desk
-	house        *proxy.House
-	courier      *proxy.Courier
+	dispatcher   *proxy.Dispatcher
+	manager      *proxy.SessionManager
+	syncer       *proxy.Syncer
 	promoter     *proxy.Promoter
 	listener     *platform.Listener
 	readiness    *platform.Endpoint
@@ -49,7 +49,7 @@
 	decisions    *decisions.Log
 	metrics      *metrics.Gateway
 	exposition   *platform.Endpoint
-	opening      *proxy.Opening
+	gate         *proxy.ReadinessGate
 }
 
 // newProcess opens the sockets and assembles the parts.
@@ -72,33 +72,33 @@
 	dialer := platform.NewServerDialer()
 	p.views = proxy.NewViews(p.timer, p.metrics)
 	p.knowledge = proxy.NewKnowledge(self, p.timer, p.views, s.RevokeWithin)
-	p.opening = &proxy.Opening{Timer: p.timer, Knowledge: p.knowledge, Views: p.views}
+	p.gate = &proxy.ReadinessGate{Timer: p.timer, Knowledge: p.knowledge, Views: p.views}
 	p.registration = &proxy.Registration{
 		Self: self, Records: store, Knowledge: p.knowledge, Timer: p.timer,
 	}
-	p.desk = proxy.NewDesk(proxy.DeskConfig{
+	p.dispatcher = proxy.NewDispatcher(proxy.DispatcherConfig{
 		DataCentre: s.DataCentre, Timer: p.timer, Views: p.views, Dialer: dialer,
 		Limit: p.knowledge.Connections, Instances: p.knowledge.Instances,
 	})
-	p.knowledge.OnServers(p.desk.SetListings)
+	p.knowledge.OnServers(p.dispatcher.SetListings)
 	rates := proxy.NewSharedRates(p.timer, p.knowledge, p.knowledge.Instances, s.Rates)
-	p.house = proxy.NewHouse(proxy.HouseConfig{
-		Timer: p.timer, Desk: p.desk, Views: p.views, Rules: p.knowledge, Rates: rates, Recorder: p.metrics,
-		DocumentAge: p.knowledge.DocumentAge, IsIsolated: p.opening.IsIsolated,
+	p.manager = proxy.NewSessionManager(proxy.SessionManagerConfig{
+		Timer: p.timer, Dispatcher: p.dispatcher, Views: p.views, Rules: p.knowledge, Rates: rates, Recorder: p.metrics,
+		DocumentAge: p.knowledge.DocumentAge, IsIsolated: p.gate.IsIsolated,
 	})
 	notices := ring.New[proxy.Member](0)
 	hub := proxy.NewHub(proxy.HubConfig{
-		Self: self, Timer: p.timer, Knowledge: p.knowledge, Views: p.views, Desk: p.desk, Demand: rates.Demand,
+		Self: self, Timer: p.timer, Knowledge: p.knowledge, Views: p.views, Dispatcher: p.dispatcher, Demand: rates.Demand,
 		Notices: notices,
 	})
 	others := fleet.NewClient(platform.NewDialer())
 	readers := &proxy.StoreReaders{Documents: store, Listings: store, Records: store, Knowledge: p.knowledge, Timer: p.timer}
-	p.courier = proxy.NewCourier(proxy.CourierConfig{
+	p.syncer = proxy.NewSyncer(proxy.SyncerConfig{
 		Self: self, Timer: p.timer, Knowledge: p.knowledge, Fleet: others, Hub: hub, Readers: readers, Rates: rates,
 		Notices: notices, Isolated: p.setIsolated, Recorder: p.metrics,
 	})
 	p.promoter = proxy.NewPromoter(proxy.PromoterConfig{
-		Self: self, Timer: p.timer, Knowledge: p.knowledge, Readers: readers, Fleet: others, Views: p.views, Desk: p.desk,
+		Self: self, Timer: p.timer, Knowledge: p.knowledge, Readers: readers, Fleet: others, Views: p.views, Dispatcher: p.dispatcher,
 		Dialer: dialer, Records: store, Promotions: p.cloud,
 		Recorder: p.metrics,
 	})
@@ -115,7 +115,7 @@
 		DocumentAge:     func() time.Duration { return p.knowledge.DocumentAge() },
 		Instances:       func() int { return p.knowledge.Instances() },
 		LogLinesLeftOut: p.decisions.LeftOut,
-		IsOpen:          func() bool { return p.opening.IsOpen() },
+		IsOpen:          func() bool { return p.gate.IsOpen() },
 	}, p.decisions)
 }
 
@@ -132,12 +132,12 @@
 
 // setIsolated sends callers elsewhere while the instance is cut off.
 func (p *process) setIsolated(isolated bool) {
-	if !p.opening.SetIsolated(isolated) {
+	if !p.gate.SetIsolated(isolated) {
 		return
 	}
 	if isolated {
 		p.log.Warn("instance: isolated, callers are sent elsewhere")
-		p.house.Dismiss()
+		p.manager.Dismiss()
 		return
 	}
 	p.log.Info("instance: no longer isolated")
@@ -146,10 +146,10 @@
 // open opens the sockets for callers, the platform and the readers of metrics.
 func (p *process) open(ctx context.Context) error {
 	var err error
-	if p.listener, err = platform.NewListener(ctx, p.settings, p.house, p.timer); err != nil {
+	if p.listener, err = platform.NewListener(ctx, p.settings, p.manager, p.timer); err != nil {
 		return err
 	}
-	if p.readiness, err = platform.NewReadiness(ctx, p.settings, p.opening.IsOpen); err != nil {
+	if p.readiness, err = platform.NewReadiness(ctx, p.settings, p.gate.IsOpen); err != nil {
 		return err
 	}
 	p.exposition, err = platform.NewEndpoint(ctx, p.settings.MetricsAddress, "GET /metrics", p.metrics.Handler())
@@ -166,7 +166,7 @@
 	defer stop()
 	var duties sync.WaitGroup
 	for _, duty := range []func(context.Context){
-		p.timer.Run, p.desk.Run, p.runKnowledge, p.promoter.Run, p.listener.Run, p.decisions.Run, p.registration.Run, reloader.Run,
+		p.timer.Run, p.dispatcher.Run, p.runKnowledge, p.promoter.Run, p.listener.Run, p.decisions.Run, p.registration.Run, reloader.Run,
 	} {
 		duties.Go(func() { duty(working) })
 	}
@@ -187,16 +187,16 @@
 // runKnowledge registers the instance and keeps its knowledge fresh.
 func (p *process) runKnowledge(ctx context.Context) {
 	p.registration.Register(ctx)
-	p.courier.Run(ctx)
+	p.syncer.Run(ctx)
 }
 
 // stop takes no new callers, lets the sessions end, and removes the instance from the records.
 func (p *process) stop() {
 	p.log.Info("instance: stopping")
-	p.opening.Close()
+	p.gate.Close()
 	p.listener.Close()
 	limited, cancel := context.WithTimeout(context.Background(), time.Duration(drainShare*float64(p.drain.Load())))
-	p.house.Drain(limited)
+	p.manager.Drain(limited)
 	cancel()
 	limited, cancel = context.WithTimeout(context.Background(), deregisterLimit)
 	defer cancel()
--- a/proxy/cleaner.go
+++ b/proxy/cleaner.go
@@ -21,7 +21,7 @@
 // cleaner removes the records of instances of its data centre that are gone. Each replacement of a primary waits for
 // every listed instance, and each takes its part of the connections.
 type cleaner struct {
-	cfg *CourierConfig
+	cfg *SyncerConfig
 	// heard holds since when each instance is known to be silent: the instant of its last exchange, or that at which it
 	// was first missed.
 	heard map[string]time.Duration
@@ -29,7 +29,7 @@
 	marked map[string]time.Duration
 }
 
-func newCleaner(cfg *CourierConfig) *cleaner {
+func newCleaner(cfg *SyncerConfig) *cleaner {
 	return &cleaner{cfg: cfg, heard: make(map[string]time.Duration), marked: make(map[string]time.Duration)}
 }
 
--- a/proxy/desk.go
+++ b/proxy/dispatcher.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	deskCapacity = 256
+	dispatcherCapacity = 256
 	// doubtCapacity bounds the doubts that wait; the oldest are dropped, because a server that is gone raises more.
 	doubtCapacity = 16
 	// waitCheck is how often the deadlines of waiting statements are looked at.
@@ -30,8 +30,8 @@
 	defaultConnections = 16
 )
 
-// DeskConfig is what a Desk needs.
-type DeskConfig struct {
+// DispatcherConfig is what a Dispatcher needs.
+type DispatcherConfig struct {
 	DataCentre string
 	Timer      port.Timer
 	Views      *Views
@@ -42,16 +42,16 @@
 	Instances func() int
 }
 
-// Desk is the duty that owns the connections to servers and decides which statement goes where. Its loop owns the state.
-type Desk struct {
-	cfg      DeskConfig
-	commands *ring.Ring[deskCommand]
+// Dispatcher is the duty that owns the connections to servers and decides which statement goes where. Its loop owns the state.
+type Dispatcher struct {
+	cfg      DispatcherConfig
+	commands *ring.Ring[dispatcherCommand]
 	ended    context.Context
 	end      context.CancelFunc
 	duties   sync.WaitGroup
 
 	// The following belong to the loop.
-	servers  map[string]*serverDesk
+	servers  map[string]*serverState
 	evidence map[string]primacy.Evidence
 	waiting  []*waiter
 	nextID   uint64
@@ -63,8 +63,8 @@
 	doubts *ring.Ring[string]
 }
 
-// serverDesk is what the desk has at one server.
-type serverDesk struct {
+// serverState is what the dispatcher has at one server.
+type serverState struct {
 	server dispatch.Server
 	idle   []*Connection
 	// total counts all connections, those that are being opened included.
@@ -85,7 +85,7 @@
 	opens string
 }
 
-// Want is what a transaction asks the desk for.
+// Want is what a transaction asks the dispatcher for.
 type Want struct {
 	Group        string
 	Organisation string
@@ -93,9 +93,9 @@
 	Excluded     []string
 	// Priority orders waiting statements; zero comes first.
 	Priority int
-	// Patience is how long the statement waits for a connection, and Hope how long it waits while no server fits.
-	Patience time.Duration
-	Hope     time.Duration
+	// ConnectionWait is how long the statement waits for a connection, and ServerWait how long it waits while no server fits.
+	ConnectionWait time.Duration
+	ServerWait     time.Duration
 	// Affinity is the connection that the session used last.
 	Affinity uint64
 }
@@ -122,17 +122,17 @@
 	err   error
 }
 
-// NewDesk returns a desk without servers.
-func NewDesk(cfg DeskConfig) *Desk {
+// NewDispatcher returns a dispatcher without servers.
+func NewDispatcher(cfg DispatcherConfig) *Dispatcher {
 	ended, end := context.WithCancel(context.Background())
-	return &Desk{
-		cfg: cfg, commands: ring.New[deskCommand](deskCapacity), ended: ended, end: end, doubts: ring.New[string](doubtCapacity),
-		servers: make(map[string]*serverDesk), evidence: make(map[string]primacy.Evidence),
+	return &Dispatcher{
+		cfg: cfg, commands: ring.New[dispatcherCommand](dispatcherCapacity), ended: ended, end: end, doubts: ring.New[string](doubtCapacity),
+		servers: make(map[string]*serverState), evidence: make(map[string]primacy.Evidence),
 	}
 }
 
-// Run serves the desk until ctx ends, then closes all unused connections.
-func (d *Desk) Run(ctx context.Context) {
+// Run serves the dispatcher until ctx ends, then closes all unused connections.
+func (d *Dispatcher) Run(ctx context.Context) {
 	stop := d.cfg.Timer.Every(time.Second, func(time.Duration) { d.commands.Offer(checked{}) })
 	d.loop(ctx)
 	stop()
@@ -146,7 +146,7 @@
 }
 
 // HeardAt returns when the server last answered, and false when it never did or left.
-func (d *Desk) HeardAt(server string) (time.Duration, bool) {
+func (d *Dispatcher) HeardAt(server string) (time.Duration, bool) {
 	at, found := d.heard.Load(server)
 	if !found {
 		return 0, false
@@ -155,7 +155,7 @@
 }
 
 // Acquire returns a connection to a server that fits. Errors are of kind Busy or NoPrimary; nothing has run.
-func (d *Desk) Acquire(ctx context.Context, want Want) (Grant, error) {
+func (d *Dispatcher) Acquire(ctx context.Context, want Want) (Grant, error) {
 	w := &waiter{want: want, reply: ring.New[grant](1)}
 	if err := d.commands.Put(ctx, wanted{w}); err != nil {
 		return Grant{}, port.Wrapf(err, port.Stopping, "the statement was not placed")
@@ -169,38 +169,38 @@
 }
 
 // Return gives a connection back. It is closed unless it is usable.
-func (d *Desk) Return(c *Connection, usable bool) {
+func (d *Dispatcher) Return(c *Connection, usable bool) {
 	if !usable {
 		c.Link.Close()
 	}
 	d.tell(returned{connection: c, usable: usable})
 }
 
-// Heard tells the desk what a server answered.
-func (d *Desk) Heard(a Answered) { d.tell(answered{answer: a}) }
+// Heard tells the dispatcher what a server answered.
+func (d *Dispatcher) Heard(a Answered) { d.tell(answered{answer: a}) }
 
-// Lacked tells the desk that the server's log did not hold the position that the choice asked for.
-func (d *Desk) Lacked(server string, choice dispatch.ToServer) {
+// Lacked tells the dispatcher that the server's log did not hold the position that the choice asked for.
+func (d *Dispatcher) Lacked(server string, choice dispatch.ToServer) {
 	d.tell(troubled{server: server, trouble: lacked{choice}})
 }
 
-// Refused tells the desk that the server had too much work.
-func (d *Desk) Refused(server string) { d.tell(troubled{server: server, trouble: refused{}}) }
+// Refused tells the dispatcher that the server had too much work.
+func (d *Dispatcher) Refused(server string) { d.tell(troubled{server: server, trouble: refused{}}) }
 
-// Unreached tells the desk that the server's connection was lost or that it did not answer.
-func (d *Desk) Unreached(server string) {
+// Unreached tells the dispatcher that the server's connection was lost or that it did not answer.
+func (d *Dispatcher) Unreached(server string) {
 	d.Doubt(server)
 	d.tell(troubled{server: server, trouble: unreached{}})
 }
 
 // Doubt says that the server may be gone.
-func (d *Desk) Doubt(server string) { d.doubts.Push(server) }
+func (d *Dispatcher) Doubt(server string) { d.doubts.Push(server) }
 
 // Doubts gives the servers that may be gone.
-func (d *Desk) Doubts() *ring.Ring[string] { return d.doubts }
+func (d *Dispatcher) Doubts() *ring.Ring[string] { return d.doubts }
 
 // Outstanding returns the number of connections to the server that are lent.
-func (d *Desk) Outstanding(server string) int {
+func (d *Dispatcher) Outstanding(server string) int {
 	c := counted{server: server, reply: ring.New[int](1)}
 	d.tell(c)
 	n, err := c.reply.Take(d.ended)
@@ -210,12 +210,14 @@
 	return n
 }
 
-// SetListings tells the desk which servers there are.
-func (d *Desk) SetListings(listings map[string]dispatch.Listing) { d.tell(listingsChanged{listings}) }
+// SetListings tells the dispatcher which servers there are.
+func (d *Dispatcher) SetListings(listings map[string]dispatch.Listing) {
+	d.tell(listingsChanged{listings})
+}
 
-func (d *Desk) tell(c deskCommand) { _ = d.commands.Put(d.ended, c) }
+func (d *Dispatcher) tell(c dispatcherCommand) { _ = d.commands.Put(d.ended, c) }
 
-func (d *Desk) loop(ctx context.Context) {
+func (d *Dispatcher) loop(ctx context.Context) {
 	for {
 		c, err := d.commands.Take(ctx)
 		if err != nil {
@@ -225,7 +227,7 @@
 	}
 }
 
-func (d *Desk) handle(c deskCommand) {
+func (d *Dispatcher) handle(c dispatcherCommand) {
 	now := d.cfg.Timer.Now()
 	switch c := c.(type) {
 	case wanted:
@@ -263,7 +265,7 @@
 }
 
 // enqueue adds a waiter behind those of its priority.
-func (d *Desk) enqueue(w *waiter) {
+func (d *Dispatcher) enqueue(w *waiter) {
 	at := slices.IndexFunc(d.waiting, func(other *waiter) bool { return other.want.Priority > w.want.Priority })
 	if at < 0 {
 		at = len(d.waiting)
@@ -272,14 +274,14 @@
 }
 
 // abandon forgets a waiter. A connection that it was granted in the meantime is taken back.
-func (d *Desk) abandon(w *waiter) {
+func (d *Dispatcher) abandon(w *waiter) {
 	d.waiting = slices.DeleteFunc(d.waiting, func(other *waiter) bool { return other == w })
 	if g, ok := w.reply.TryTake(); ok && g.err == nil {
 		d.takeBack(g.grant.Connection, true, d.cfg.Timer.Now())
 	}
 }
 
-func (d *Desk) takeBack(c *Connection, usable bool, now time.Duration) {
+func (d *Dispatcher) takeBack(c *Connection, usable bool, now time.Duration) {
 	s := d.at(c.Endpoint.Server)
 	if s == nil {
 		c.Link.Close()
@@ -295,10 +297,10 @@
 	s.idle = append(s.idle, c)
 }
 
-func (d *Desk) at(server string) *serverDesk { return d.servers[server] }
+func (d *Dispatcher) at(server string) *serverState { return d.servers[server] }
 
 // note keeps what an answer tells. The primary's position is evidence only while the primary is known to lead.
-func (d *Desk) note(a Answered) {
+func (d *Dispatcher) note(a Answered) {
 	s := d.at(a.Server)
 	if s == nil {
 		return
@@ -311,7 +313,7 @@
 	}
 }
 
-func (d *Desk) noteTrouble(c troubled, now time.Duration) {
+func (d *Dispatcher) noteTrouble(c troubled, now time.Duration) {
 	s := d.at(c.server)
 	if s == nil {
 		return
@@ -327,7 +329,7 @@
 }
 
 // endOpening lets the first waiter for which a connection to the endpoint was being opened have another one opened.
-func (d *Desk) endOpening(e Endpoint) {
+func (d *Dispatcher) endOpening(e Endpoint) {
 	for _, w := range d.waiting {
 		if w.opens == e.Server && w.want.Organisation == e.Organisation {
 			w.opens = ""
@@ -336,7 +338,7 @@
 	}
 }
 
-func (d *Desk) noteNotOpened(c notOpened, now time.Duration) {
+func (d *Dispatcher) noteNotOpened(c notOpened, now time.Duration) {
 	d.endOpening(c.endpoint)
 	s := d.at(c.endpoint.Server)
 	if s == nil {
@@ -357,11 +359,11 @@
 }
 
 // setListings takes over the list of servers. Unused connections to servers that left or depart are closed.
-func (d *Desk) setListings(listings map[string]dispatch.Listing) {
+func (d *Dispatcher) setListings(listings map[string]dispatch.Listing) {
 	for name, l := range listings {
 		s := d.servers[name]
 		if s == nil {
-			s = &serverDesk{server: dispatch.NewServer(l)}
+			s = &serverState{server: dispatch.NewServer(l)}
 			d.servers[name] = s
 		}
 		s.server, s.delisted = s.server.WithListing(l), false
@@ -383,7 +385,7 @@
 }
 
 // trim closes connections that nobody used for a while and those above the share.
-func (d *Desk) trim(now time.Duration) {
+func (d *Dispatcher) trim(now time.Duration) {
 	for _, s := range d.servers {
 		excess := s.total - d.share(s, now)
 		s.closeIdle(func(c *Connection) bool {
@@ -399,7 +401,7 @@
 	}
 }
 
-func (s *serverDesk) closeIdle(match func(*Connection) bool) {
+func (s *serverState) closeIdle(match func(*Connection) bool) {
 	s.idle = slices.DeleteFunc(s.idle, func(c *Connection) bool {
 		if !match(c) {
 			return false
--- a/proxy/desk_command.go
+++ b/proxy/dispatcher_command.go
@@ -5,9 +5,9 @@
 	"github.com/rhubarbwick/rhubarbwick/ring"
 )
 
-// deskCommand is what the desk takes from its ring. It is one of wanted, abandoned, returned, answered, troubled, opened,
-// notOpened, listingsChanged, counted, checked and checkWaits.
-type deskCommand interface{ deskCommand() }
+// dispatcherCommand is what the dispatcher takes from its ring. It is one of wanted, abandoned, returned, answered,
+// troubled, opened, notOpened, listingsChanged, counted, checked and checkWaits.
+type dispatcherCommand interface{ dispatcherCommand() }
 
 type wanted struct{ waiter *waiter }
 
@@ -51,17 +51,17 @@
 // checkWaits has the waiting statements looked at.
 type checkWaits struct{}
 
-func (wanted) deskCommand()          {}
-func (abandoned) deskCommand()       {}
-func (returned) deskCommand()        {}
-func (answered) deskCommand()        {}
-func (troubled) deskCommand()        {}
-func (opened) deskCommand()          {}
-func (notOpened) deskCommand()       {}
-func (listingsChanged) deskCommand() {}
-func (counted) deskCommand()         {}
-func (checked) deskCommand()         {}
-func (checkWaits) deskCommand()      {}
+func (wanted) dispatcherCommand()          {}
+func (abandoned) dispatcherCommand()       {}
+func (returned) dispatcherCommand()        {}
+func (answered) dispatcherCommand()        {}
+func (troubled) dispatcherCommand()        {}
+func (opened) dispatcherCommand()          {}
+func (notOpened) dispatcherCommand()       {}
+func (listingsChanged) dispatcherCommand() {}
+func (counted) dispatcherCommand()         {}
+func (checked) dispatcherCommand()         {}
+func (checkWaits) dispatcherCommand()      {}
 
 // trouble is why a server did not do what it was asked. It is one of lacked, refused and unreached.
 type trouble interface{ trouble() }
--- a/proxy/desk_serve.go
+++ b/proxy/dispatcher_serve.go
@@ -11,7 +11,7 @@
 
 // serve grants connections to waiting statements in order, opens connections for them, and refuses those whose time is
 // over.
-func (d *Desk) serve(now time.Duration) {
+func (d *Dispatcher) serve(now time.Duration) {
 	d.waiting = slices.DeleteFunc(d.waiting, func(w *waiter) bool { return d.serveOne(w, now) })
 	if len(d.waiting) > 0 && !d.checking {
 		d.checking = true
@@ -20,7 +20,7 @@
 }
 
 // serveOne reports whether the waiter got its answer.
-func (d *Desk) serveOne(w *waiter, now time.Duration) bool {
+func (d *Dispatcher) serveOne(w *waiter, now time.Duration) bool {
 	candidates := d.candidates(w, now)
 	situation := d.situation(w, now)
 	waited := now - w.arrived
@@ -28,13 +28,13 @@
 	case dispatch.ToServer:
 		return d.grant(w, choice, now)
 	case dispatch.NoConnection:
-		if waited < w.want.Patience {
+		if waited < w.want.ConnectionWait {
 			return false
 		}
 		w.reply.Offer(grant{err: port.Failf(port.Busy, "no connection was free within %s", waited.Round(time.Millisecond))})
 		return true
 	default:
-		if waited < w.want.Hope || w.opens != "" && waited < w.want.Patience {
+		if waited < w.want.ServerWait || w.opens != "" && waited < w.want.ConnectionWait {
 			return false
 		}
 		w.reply.Offer(grant{err: port.Failf(port.NoPrimary, "no server of group %s may run the statement", w.want.Group)})
@@ -43,7 +43,7 @@
 }
 
 // grant lends an unused connection, or opens one and reports false.
-func (d *Desk) grant(w *waiter, choice dispatch.ToServer, now time.Duration) bool {
+func (d *Dispatcher) grant(w *waiter, choice dispatch.ToServer, now time.Duration) bool {
 	s := d.at(choice.Server)
 	if c, found := s.takeIdle(w.want); found {
 		s.server = s.server.WithOutstanding(1)
@@ -59,7 +59,7 @@
 }
 
 // open starts to open a connection.
-func (d *Desk) open(s *serverDesk, want Want) {
+func (d *Dispatcher) open(s *serverState, want Want) {
 	s.total++
 	s.server = s.server.WithOutstanding(1)
 	endpoint := Endpoint{
@@ -67,37 +67,37 @@
 		Organisation: want.Organisation,
 	}
 	d.nextID++
-	o := &opener{desk: d, endpoint: endpoint, id: d.nextID}
+	o := &opener{dispatcher: d, endpoint: endpoint, id: d.nextID}
 	d.duties.Add(1)
 	go o.run()
 }
 
 // opener is the duty that opens one connection.
 type opener struct {
-	desk     *Desk
-	endpoint Endpoint
-	id       uint64
+	dispatcher *Dispatcher
+	endpoint   Endpoint
+	id         uint64
 }
 
 func (o *opener) run() {
-	defer o.desk.duties.Done()
-	timer := o.desk.cfg.Timer
-	ctx, cancel := port.WithTimeout(o.desk.ended, timer, dialLimit)
+	defer o.dispatcher.duties.Done()
+	timer := o.dispatcher.cfg.Timer
+	ctx, cancel := port.WithTimeout(o.dispatcher.ended, timer, dialLimit)
 	defer cancel()
 	sent := timer.Now()
-	link, answer, err := o.desk.cfg.Dialer.Dial(ctx, o.endpoint)
+	link, answer, err := o.dispatcher.cfg.Dialer.Dial(ctx, o.endpoint)
 	if err != nil {
-		o.desk.tell(notOpened{endpoint: o.endpoint, err: err})
+		o.dispatcher.tell(notOpened{endpoint: o.endpoint, err: err})
 		return
 	}
-	o.desk.tell(opened{
+	o.dispatcher.tell(opened{
 		connection: &Connection{ID: o.id, Endpoint: o.endpoint, Link: link},
 		answer:     Answered{Server: o.endpoint.Server, Position: answer.Position, SentAt: sent, At: timer.Now()},
 	})
 }
 
 // candidates returns the servers of the waiter's group with what this instance has there.
-func (d *Desk) candidates(w *waiter, now time.Duration) []dispatch.Candidate {
+func (d *Dispatcher) candidates(w *waiter, now time.Duration) []dispatch.Candidate {
 	var candidates []dispatch.Candidate
 	for _, s := range d.servers {
 		if s.server.Listing.Group != w.want.Group || s.delisted {
@@ -124,7 +124,7 @@
 	}
 }
 
-func (d *Desk) situation(w *waiter, now time.Duration) dispatch.Situation {
+func (d *Dispatcher) situation(w *waiter, now time.Duration) dispatch.Situation {
 	primary, _, _ := d.cfg.Views.View(w.want.Group).PrimaryAt(now)
 	evidence := d.evidence[w.want.Group]
 	return dispatch.Situation{
@@ -135,7 +135,7 @@
 
 // share returns how many connections the instance may hold to the server: an even part of the limit, and fewer for a
 // while after the server had too many.
-func (d *Desk) share(s *serverDesk, now time.Duration) int {
+func (d *Dispatcher) share(s *serverState, now time.Duration) int {
 	limit := d.cfg.Limit(s.server.Listing.Group)
 	if limit == 0 {
 		limit = defaultConnections
@@ -149,7 +149,7 @@
 
 // findIdle returns the index of the unused connection that suits best: the one that the session used last, or else the
 // one of its organisation that was used last.
-func (s *serverDesk) findIdle(want Want) (int, bool) {
+func (s *serverState) findIdle(want Want) (int, bool) {
 	found := -1
 	for i, c := range s.idle {
 		if c.Endpoint.Organisation != want.Organisation || isLost(c.Link) {
@@ -163,7 +163,7 @@
 	return found, found >= 0
 }
 
-func (s *serverDesk) takeIdle(want Want) (*Connection, bool) {
+func (s *serverState) takeIdle(want Want) (*Connection, bool) {
 	i, found := s.findIdle(want)
 	if !found {
 		return nil, false
@@ -173,12 +173,12 @@
 	return c, true
 }
 
-func (s *serverDesk) hasEvictable(organisation string) bool {
+func (s *serverState) hasEvictable(organisation string) bool {
 	return slices.ContainsFunc(s.idle, func(c *Connection) bool { return c.Endpoint.Organisation != organisation })
 }
 
 // evict closes the connection of another organisation that was unused for longest.
-func (s *serverDesk) evict(organisation string) bool {
+func (s *serverState) evict(organisation string) bool {
 	for i, c := range s.idle {
 		if c.Endpoint.Organisation != organisation {
 			s.idle = slices.Delete(s.idle, i, i+1)
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -72,8 +72,8 @@
 // Recorder takes events. Note must not block.
 type Recorder interface{ Note(e Event) }
 
-// silent drops events.
-type silent struct{}
+// discard drops events.
+type discard struct{}
 
 // Note drops the event.
-func (silent) Note(Event) {}
+func (discard) Note(Event) {}
--- a/proxy/fake_test.go
+++ b/proxy/fake_test.go
@@ -33,8 +33,8 @@
 	callLatency = 2 * time.Millisecond
 )
 
-// world is a store, a group of servers and instances in one synctest bubble. Its time is virtual.
-type world struct {
+// cluster is a store, a group of servers and instances in one synctest bubble. Its time is virtual.
+type cluster struct {
 	t *testing.T
 
 	mu        sync.Mutex
@@ -46,11 +46,11 @@
 	listed    map[string]dispatch.Listing
 	listedAt  port.Version
 	storeDown bool
-	// cut holds instances that reach nothing but their callers.
+	// cut holds instances that clusterClient nothing but their callers.
 	cut map[string]bool
 	// turnedAway holds instances whose calls the store refuses.
 	turnedAway map[string]bool
-	// partial holds servers that an instance does not reach.
+	// partial holds servers that an instance does not clusterClient.
 	partial   map[string]bool
 	instances map[string]*testInstance
 	// promotions are the calls that named a primary, in order.
@@ -98,26 +98,26 @@
 
 // testInstance is an instance with the duties that the tests need.
 type testInstance struct {
-	self      proxy.Member
-	knowledge *proxy.Knowledge
-	views     *proxy.Views
-	desk      *proxy.Desk
-	house     *proxy.House
-	hub       *proxy.Hub
-	opening   *proxy.Opening
-	rates     *proxy.SharedRates
-	stop      context.CancelFunc
-	ended     chan struct{}
+	self       proxy.Member
+	knowledge  *proxy.Knowledge
+	views      *proxy.Views
+	dispatcher *proxy.Dispatcher
+	manager    *proxy.SessionManager
+	hub        *proxy.Hub
+	gate       *proxy.ReadinessGate
+	rates      *proxy.SharedRates
+	stop       context.CancelFunc
+	ended      chan struct{}
 }
 
 // secondGroup has servers "t1", "t2" and "t3", of which the first is the primary.
 const secondGroup = "second"
 
-// inWorld runs a test with n instances in two data centres and two groups of three servers.
-func inWorld(t *testing.T, n int, test func(w *world)) {
+// inCluster runs a test with n instances in two data centres and two groups of three servers.
+func inCluster(t *testing.T, n int, test func(w *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t)
+		w := newCluster(t)
 		for i := range n {
 			w.start(fmt.Sprintf("front-%d", i), []string{"a", "b"}[i%2])
 		}
@@ -127,8 +127,8 @@
 	})
 }
 
-func newWorld(t *testing.T) *world {
-	w := &world{
+func newCluster(t *testing.T) *cluster {
+	w := &cluster{
 		t: t, objects: make(map[string]port.Object), servers: make(map[string]*fakeServer),
 		listed: make(map[string]dispatch.Listing), cut: make(map[string]bool), turnedAway: make(map[string]bool), partial: make(map[string]bool),
 		instances: make(map[string]*testInstance), version: 10,
@@ -151,7 +151,7 @@
 	return w
 }
 
-func (w *world) setDocument(d document.Document) {
+func (w *cluster) setDocument(d document.Document) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
@@ -159,7 +159,7 @@
 }
 
 // list writes a server's entry. The lock is not held.
-func (w *world) list(name string, departing bool) {
+func (w *cluster) list(name string, departing bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	l := dispatch.Listing{Name: name, Group: w.servers[name].group, Address: name, DataCentre: "a", Slots: 3, Departing: departing, Born: 1}
@@ -170,58 +170,58 @@
 	w.listed[name], w.listedAt = l, w.version
 }
 
-func (w *world) start(name, dataCentre string) {
+func (w *cluster) start(name, dataCentre string) {
 	self := proxy.Member{Name: name, Incarnation: fmt.Sprintf("%s@%d", name, len(w.instances)+int(w.version)), Address: name, DataCentre: dataCentre}
 	ctx, stop := context.WithCancel(context.Background())
 	i := &testInstance{self: self, stop: stop, ended: make(chan struct{})}
 	timer := clock.NewService()
-	reach := &reach{world: w, name: name}
+	clusterClient := &clusterClient{cluster: w, name: name}
 	i.views = proxy.NewViews(timer, nil)
 	i.knowledge = proxy.NewKnowledge(self, timer, i.views, 0)
-	i.opening = &proxy.Opening{Timer: timer, Knowledge: i.knowledge, Views: i.views}
-	i.desk = proxy.NewDesk(proxy.DeskConfig{
-		DataCentre: dataCentre, Timer: timer, Views: i.views, Dialer: reach, Limit: i.knowledge.Connections,
+	i.gate = &proxy.ReadinessGate{Timer: timer, Knowledge: i.knowledge, Views: i.views}
+	i.dispatcher = proxy.NewDispatcher(proxy.DispatcherConfig{
+		DataCentre: dataCentre, Timer: timer, Views: i.views, Dialer: clusterClient, Limit: i.knowledge.Connections,
 		Instances: i.knowledge.Instances,
 	})
-	i.knowledge.OnServers(i.desk.SetListings)
+	i.knowledge.OnServers(i.dispatcher.SetListings)
 	i.rates = proxy.NewSharedRates(timer, i.knowledge, i.knowledge.Instances, proxy.Tolerance{Window: 5 * time.Second})
-	i.house = proxy.NewHouse(proxy.HouseConfig{
-		Timer: timer, Desk: i.desk, Views: i.views, Rules: i.knowledge, Rates: i.rates, IsIsolated: i.opening.IsIsolated,
+	i.manager = proxy.NewSessionManager(proxy.SessionManagerConfig{
+		Timer: timer, Dispatcher: i.dispatcher, Views: i.views, Rules: i.knowledge, Rates: i.rates, IsIsolated: i.gate.IsIsolated,
 	})
 	notices := ring.New[proxy.Member](0)
 	i.hub = proxy.NewHub(proxy.HubConfig{
-		Self: self, Timer: timer, Knowledge: i.knowledge, Views: i.views, Desk: i.desk, Demand: i.rates.Demand, Notices: notices,
+		Self: self, Timer: timer, Knowledge: i.knowledge, Views: i.views, Dispatcher: i.dispatcher, Demand: i.rates.Demand, Notices: notices,
 	})
-	readers := &proxy.StoreReaders{Documents: reach, Listings: reach, Records: reach, Knowledge: i.knowledge, Timer: timer}
-	courier := proxy.NewCourier(proxy.CourierConfig{
-		Self: self, Timer: timer, Knowledge: i.knowledge, Fleet: reach, Hub: i.hub, Readers: readers, Rates: i.rates,
-		Notices: notices, Isolated: func(isolated bool) { i.opening.SetIsolated(isolated) },
+	readers := &proxy.StoreReaders{Documents: clusterClient, Listings: clusterClient, Records: clusterClient, Knowledge: i.knowledge, Timer: timer}
+	syncer := proxy.NewSyncer(proxy.SyncerConfig{
+		Self: self, Timer: timer, Knowledge: i.knowledge, Fleet: clusterClient, Hub: i.hub, Readers: readers, Rates: i.rates,
+		Notices: notices, Isolated: func(isolated bool) { i.gate.SetIsolated(isolated) },
 	})
 	promoter := proxy.NewPromoter(proxy.PromoterConfig{
-		Self: self, Timer: timer, Knowledge: i.knowledge, Readers: readers, Fleet: reach, Views: i.views, Desk: i.desk,
-		Dialer: reach, Records: reach, Promotions: reach,
+		Self: self, Timer: timer, Knowledge: i.knowledge, Readers: readers, Fleet: clusterClient, Views: i.views, Dispatcher: i.dispatcher,
+		Dialer: clusterClient, Records: clusterClient, Promotions: clusterClient,
 	})
-	registration := &proxy.Registration{Self: self, Records: reach, Knowledge: i.knowledge, Timer: timer}
+	registration := &proxy.Registration{Self: self, Records: clusterClient, Knowledge: i.knowledge, Timer: timer}
 	w.mu.Lock()
 	w.instances[name] = i
 	w.mu.Unlock()
-	b := &body{duties: []func(context.Context){
-		timer.Run, i.desk.Run, promoter.Run, registration.Run,
+	b := &dutyRunner{duties: []func(context.Context){
+		timer.Run, i.dispatcher.Run, promoter.Run, registration.Run,
 		func(ctx context.Context) {
 			registration.Register(ctx)
-			courier.Run(ctx)
+			syncer.Run(ctx)
 		},
 	}, ended: i.ended}
 	go b.run(ctx)
 }
 
-// body runs the duties of an instance.
-type body struct {
+// dutyRunner runs the duties of an instance.
+type dutyRunner struct {
 	duties []func(context.Context)
 	ended  chan struct{}
 }
 
-func (b *body) run(ctx context.Context) {
+func (b *dutyRunner) run(ctx context.Context) {
 	var running sync.WaitGroup
 	for _, duty := range b.duties {
 		running.Go(func() { duty(ctx) })
@@ -231,7 +231,7 @@
 }
 
 // kill ends an instance without a word.
-func (w *world) kill(name string) {
+func (w *cluster) kill(name string) {
 	w.mu.Lock()
 	i := w.instances[name]
 	delete(w.instances, name)
@@ -240,13 +240,13 @@
 	<-i.ended
 }
 
-func (w *world) stopAll() {
+func (w *cluster) stopAll() {
 	for _, name := range w.names() {
 		w.kill(name)
 	}
 }
 
-func (w *world) names() []string {
+func (w *cluster) names() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var names []string
@@ -257,14 +257,14 @@
 	return names
 }
 
-func (w *world) at(name string) *testInstance {
+func (w *cluster) at(name string) *testInstance {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.instances[name]
 }
 
 // await lets virtual time pass until the condition holds.
-func (w *world) await(holds func() bool) time.Duration {
+func (w *cluster) await(holds func() bool) time.Duration {
 	w.t.Helper()
 	const limit = 40 * time.Second
 	began := time.Now()
@@ -275,7 +275,7 @@
 	return time.Since(began)
 }
 
-func (w *world) allRelyOn(server string) bool {
+func (w *cluster) allRelyOn(server string) bool {
 	groupName := w.servers[server].group
 	for _, name := range w.names() {
 		if got, _, ok := w.at(name).views.Primary(groupName); !ok || got != server {
@@ -285,12 +285,12 @@
 	return true
 }
 
-func (w *world) relies(name, server string) bool {
+func (w *cluster) relies(name, server string) bool {
 	got, _, ok := w.at(name).views.Primary(testGroup)
 	return ok && got == server
 }
 
-func (w *world) allHaveRevision(r document.Revision) bool {
+func (w *cluster) allHaveRevision(r document.Revision) bool {
 	for _, name := range w.names() {
 		if index, _ := w.at(name).knowledge.Rules(); index.Document().Revision != r {
 			return false
@@ -300,13 +300,13 @@
 }
 
 // doubt has every instance doubt the server, as its callers' statements would.
-func (w *world) doubt(server string) {
+func (w *cluster) doubt(server string) {
 	for _, name := range w.names() {
-		w.at(name).desk.Doubt(server)
+		w.at(name).dispatcher.Doubt(server)
 	}
 }
 
-func (w *world) hasRecord(name string) bool {
+func (w *cluster) hasRecord(name string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	_, found := w.objects["instance/"+name]
@@ -314,7 +314,7 @@
 }
 
 // promoter returns the instance that the duty to promote names.
-func (w *world) promoter() (string, bool) {
+func (w *cluster) promoter() (string, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var duty proxy.Duty
@@ -330,7 +330,7 @@
 }
 
 // runWrites has instances write at the primary.
-func (w *world) runWrites(names ...string) {
+func (w *cluster) runWrites(names ...string) {
 	for _, name := range names {
 		c := &fakeCaller{requests: []statement.Request{{ID: "w", Statement: statement.Write{Text: "WRITE a 1"}}}}
 		w.at(name).serve(c)
@@ -345,7 +345,7 @@
 	index, _ := i.knowledge.Rules()
 	route, _ := index.FindRoute("orders")
 	route.Open = true
-	i.house.Serve(context.Background(), c, organisation.Admitted{Organisation: name, Route: route})
+	i.manager.Serve(context.Background(), c, organisation.Admitted{Organisation: name, Route: route})
 }
 
 // fakeCaller sends its requests one after the other and keeps the answers.
@@ -377,7 +377,7 @@
 func (c *fakeCaller) Close() {}
 
 // epochs returns the epochs of the promotions in order.
-func (w *world) epochs() []uint64 {
+func (w *cluster) epochs() []uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var epochs []uint64
@@ -387,33 +387,33 @@
 	return epochs
 }
 
-func (w *world) setDown(server string, down bool) {
+func (w *cluster) setDown(server string, down bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.servers[server].down = down
 }
 
-func (w *world) setFault(server string, f fault) {
+func (w *cluster) setFault(server string, f fault) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.servers[server].fault = f
 }
 
 // offset returns the end of a server's log, and open the number of its connections.
-func (w *world) offset(server string) uint64 {
+func (w *cluster) offset(server string) uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.servers[server].offset
 }
 
-func (w *world) open(server string) int {
+func (w *cluster) open(server string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.servers[server].conns
 }
 
 // replaceDuring has an instance let go of the primary while a slow statement runs there.
-func (w *world) replaceDuring(name string) {
+func (w *cluster) replaceDuring(name string) {
 	elapse(slowness / 2)
 	records, _ := w.at(name).knowledge.Records()
 	stored := records.Primacies[testGroup]
@@ -423,7 +423,7 @@
 }
 
 // turnAway has the store refuse the instances of the numbers.
-func (w *world) turnAway(numbers ...int) {
+func (w *cluster) turnAway(numbers ...int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, n := range numbers {
@@ -432,7 +432,7 @@
 }
 
 // catchUp has the replicas receive what the primaries hold.
-func (w *world) catchUp() {
+func (w *cluster) catchUp() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, s := range w.servers {
@@ -440,7 +440,7 @@
 	}
 }
 
-func (w *world) setCut(cut bool, names ...string) {
+func (w *cluster) setCut(cut bool, names ...string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, name := range names {
@@ -448,30 +448,30 @@
 	}
 }
 
-func (w *world) setStoreDown(down bool) {
+func (w *cluster) setStoreDown(down bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.storeDown = down
 }
 
-// reach is the world as one instance reaches it.
-type reach struct {
-	world *world
-	name  string
+// clusterClient is the cluster as one instance reaches it.
+type clusterClient struct {
+	cluster *cluster
+	name    string
 }
 
 var (
-	_ proxy.Records    = (*reach)(nil)
-	_ proxy.Documents  = (*reach)(nil)
-	_ proxy.Listings   = (*reach)(nil)
-	_ proxy.Fleet      = (*reach)(nil)
-	_ proxy.Dialer     = (*reach)(nil)
-	_ proxy.Promotions = (*reach)(nil)
+	_ proxy.Records    = (*clusterClient)(nil)
+	_ proxy.Documents  = (*clusterClient)(nil)
+	_ proxy.Listings   = (*clusterClient)(nil)
+	_ proxy.Fleet      = (*clusterClient)(nil)
+	_ proxy.Dialer     = (*clusterClient)(nil)
+	_ proxy.Promotions = (*clusterClient)(nil)
 )
 
-// call takes the time of a call and locks the world. A call that does not get through ends with its context.
-func (r *reach) call(ctx context.Context, toStore bool) (func(), error) {
-	w := r.world
+// call takes the time of a call and locks the cluster. A call that does not get through ends with its context.
+func (r *clusterClient) call(ctx context.Context, toStore bool) (func(), error) {
+	w := r.cluster
 	if toStore {
 		w.storeCalls.Add(1)
 	}
@@ -503,14 +503,14 @@
 }
 
 // All returns every record.
-func (r *reach) All(ctx context.Context) ([]port.Object, error) {
+func (r *clusterClient) All(ctx context.Context) ([]port.Object, error) {
 	done, err := r.call(ctx, true)
 	if err != nil {
 		return nil, err
 	}
 	defer done()
 	var objects []port.Object
-	for _, o := range r.world.objects {
+	for _, o := range r.cluster.objects {
 		objects = append(objects, o)
 	}
 	slices.SortFunc(objects, func(a, b port.Object) int { return strings.Compare(a.Name, b.Name) })
@@ -518,43 +518,43 @@
 }
 
 // Put writes a record if its version is still expected.
-func (r *reach) Put(ctx context.Context, name string, data []byte, expected port.Version) (port.Version, error) {
+func (r *clusterClient) Put(ctx context.Context, name string, data []byte, expected port.Version) (port.Version, error) {
 	done, err := r.call(ctx, true)
 	if err != nil {
 		return 0, err
 	}
 	defer done()
-	if r.world.objects[name].Version != expected {
+	if r.cluster.objects[name].Version != expected {
 		return 0, port.Failf(port.Conflict, "another version")
 	}
-	r.world.version++
-	r.world.objects[name] = port.Object{Name: name, Version: r.world.version, Data: data}
-	return r.world.version, nil
+	r.cluster.version++
+	r.cluster.objects[name] = port.Object{Name: name, Version: r.cluster.version, Data: data}
+	return r.cluster.version, nil
 }
 
 // Delete removes a record.
-func (r *reach) Delete(ctx context.Context, name string, _ port.Version) error {
+func (r *clusterClient) Delete(ctx context.Context, name string, _ port.Version) error {
 	done, err := r.call(ctx, true)
 	if err != nil {
 		return err
 	}
 	defer done()
-	delete(r.world.objects, name)
+	delete(r.cluster.objects, name)
 	return nil
 }
 
 // Read returns the document.
-func (r *reach) Read(ctx context.Context) (document.Document, port.Version, error) {
+func (r *clusterClient) Read(ctx context.Context) (document.Document, port.Version, error) {
 	done, err := r.call(ctx, true)
 	if err != nil {
 		return document.Document{}, 0, err
 	}
 	defer done()
-	return r.world.doc, r.world.version, nil
+	return r.cluster.doc, r.cluster.version, nil
 }
 
 // Await returns a newer document after the wait. It hears nothing earlier, as a store does that forgets its history.
-func (r *reach) Await(ctx context.Context, since port.Version, wait time.Duration) (document.Document, bool, port.Version, error) {
+func (r *clusterClient) Await(ctx context.Context, since port.Version, wait time.Duration) (document.Document, bool, port.Version, error) {
 	if err := pass(ctx, wait); err != nil {
 		return document.Document{}, false, 0, err
 	}
@@ -563,25 +563,25 @@
 		return document.Document{}, false, 0, err
 	}
 	defer done()
-	return r.world.doc, r.world.docAt > since, r.world.version, nil
+	return r.cluster.doc, r.cluster.docAt > since, r.cluster.version, nil
 }
 
 // ReadAll returns the listed servers.
-func (r *reach) ReadAll(ctx context.Context) ([]dispatch.Listing, port.Version, error) {
+func (r *clusterClient) ReadAll(ctx context.Context) ([]dispatch.Listing, port.Version, error) {
 	done, err := r.call(ctx, true)
 	if err != nil {
 		return nil, 0, err
 	}
 	defer done()
 	var all []dispatch.Listing
-	for _, l := range r.world.listed {
+	for _, l := range r.cluster.listed {
 		all = append(all, l)
 	}
-	return all, r.world.version, nil
+	return all, r.cluster.version, nil
 }
 
 // AwaitChanges hears nothing.
-func (r *reach) AwaitChanges(ctx context.Context, _ port.Version, wait time.Duration) ([]proxy.ListingChange, port.Version, error) {
+func (r *clusterClient) AwaitChanges(ctx context.Context, _ port.Version, wait time.Duration) ([]proxy.ListingChange, port.Version, error) {
 	if err := pass(ctx, wait); err != nil {
 		return nil, 0, err
 	}
@@ -590,16 +590,16 @@
 		return nil, 0, err
 	}
 	defer done()
-	return nil, r.world.version, nil
+	return nil, r.cluster.version, nil
 }
 
 // Promote makes the server primary of the next term.
-func (r *reach) Promote(ctx context.Context, _, server, _ string, epoch uint64) error {
+func (r *clusterClient) Promote(ctx context.Context, _, server, _ string, epoch uint64) error {
 	done, err := r.call(ctx, true)
 	if err != nil {
 		return err
 	}
-	w := r.world
+	w := r.cluster
 	if w.servers[server].down || w.refusePromotion {
 		done()
 		return port.Failf(port.Conflict, "server %s does not run", server)
@@ -633,7 +633,7 @@
 }
 
 // members returns the servers of a group. The lock is held.
-func (w *world) members(groupName string) []*fakeServer {
+func (w *cluster) members(groupName string) []*fakeServer {
 	var members []*fakeServer
 	for _, s := range w.servers {
 		if s.group == groupName {
@@ -644,7 +644,7 @@
 }
 
 // noteUsers notes the instances that rely on a primary that was replaced just now.
-func (w *world) noteUsers(instances map[string]*testInstance, old *fakeServer, term group.Term) {
+func (w *cluster) noteUsers(instances map[string]*testInstance, old *fakeServer, term group.Term) {
 	for name, i := range instances {
 		if i.views.Leads(old.group, old.name, term) {
 			w.mu.Lock()
@@ -655,13 +655,13 @@
 }
 
 // peer returns the instance at the address, if it can be reached.
-func (r *reach) peer(ctx context.Context, address string) (*testInstance, error) {
+func (r *clusterClient) peer(ctx context.Context, address string) (*testInstance, error) {
 	done, err := r.call(ctx, false)
 	if err != nil {
 		return nil, err
 	}
-	i, found := r.world.instances[address]
-	isCut := r.world.cut[address]
+	i, found := r.cluster.instances[address]
+	isCut := r.cluster.cut[address]
 	done()
 	if isCut {
 		<-ctx.Done()
@@ -674,7 +674,7 @@
 }
 
 // Exchange asks a relay.
-func (r *reach) Exchange(ctx context.Context, address string, ask proxy.Ask) (proxy.Report, error) {
+func (r *clusterClient) Exchange(ctx context.Context, address string, ask proxy.Ask) (proxy.Report, error) {
 	i, err := r.peer(ctx, address)
 	if err != nil {
 		return proxy.Report{}, err
@@ -688,7 +688,7 @@
 }
 
 // Suspend has an instance let go of a primary.
-func (r *reach) Suspend(ctx context.Context, address string, p proxy.StoredPrimacy) ([]string, error) {
+func (r *clusterClient) Suspend(ctx context.Context, address string, p proxy.StoredPrimacy) ([]string, error) {
 	i, err := r.peer(ctx, address)
 	if err != nil {
 		return nil, err
@@ -697,7 +697,7 @@
 }
 
 // Notify has an instance ask a member.
-func (r *reach) Notify(ctx context.Context, address string, m proxy.Member) error {
+func (r *clusterClient) Notify(ctx context.Context, address string, m proxy.Member) error {
 	i, err := r.peer(ctx, address)
 	if err == nil {
 		i.hub.Notify(m)
@@ -706,7 +706,7 @@
 }
 
 // Extend asks an instance to extend leases.
-func (r *reach) Extend(ctx context.Context, address string, versions map[string]port.Version) (bool, error) {
+func (r *clusterClient) Extend(ctx context.Context, address string, versions map[string]port.Version) (bool, error) {
 	i, err := r.peer(ctx, address)
 	if err != nil {
 		return false, err
@@ -715,7 +715,7 @@
 }
 
 // Survey asks an instance about a server.
-func (r *reach) Survey(ctx context.Context, address, server string) (proxy.Hearing, error) {
+func (r *clusterClient) Survey(ctx context.Context, address, server string) (proxy.Hearing, error) {
 	i, err := r.peer(ctx, address)
 	if err != nil {
 		return proxy.Hearing{}, err
@@ -724,38 +724,38 @@
 }
 
 // Dial connects to a server.
-func (r *reach) Dial(ctx context.Context, e proxy.Endpoint) (proxy.Link, statement.Answer, error) {
-	r.world.dials.Add(1)
+func (r *clusterClient) Dial(ctx context.Context, e proxy.Endpoint) (proxy.Link, statement.Answer, error) {
+	r.cluster.dials.Add(1)
 	done, err := r.call(ctx, false)
 	if err != nil {
 		return nil, statement.Answer{}, err
 	}
 	defer done()
-	s := r.world.servers[e.Server]
+	s := r.cluster.servers[e.Server]
 	switch {
-	case s == nil || s.down || r.world.partial[r.name+"/"+e.Server]:
+	case s == nil || s.down || r.cluster.partial[r.name+"/"+e.Server]:
 		return nil, statement.Answer{}, port.Failf(port.Unavailable, "no server there")
 	case s.full:
 		return nil, statement.Answer{}, port.Failf(port.NoConnection, "too many connections")
 	}
 	s.conns++
-	return &fakeLink{reach: r, server: s, lost: make(chan struct{})}, statement.Answer{Position: s.position()}, nil
+	return &fakeLink{clusterClient: r, server: s, lost: make(chan struct{})}, statement.Answer{Position: s.position()}, nil
 }
 
 func (s *fakeServer) position() group.Position { return group.Position{Term: s.term, Offset: s.offset} }
 
 // fakeLink is a connection to a fake server.
 type fakeLink struct {
-	reach  *reach
-	server *fakeServer
-	lost   chan struct{}
-	inTx   bool
-	once   sync.Once
+	clusterClient *clusterClient
+	server        *fakeServer
+	lost          chan struct{}
+	inTx          bool
+	once          sync.Once
 }
 
 // Do runs the orders.
 func (l *fakeLink) Do(ctx context.Context, orders ...statement.Order) ([]statement.Answer, error) {
-	done, err := l.reach.call(ctx, false)
+	done, err := l.clusterClient.call(ctx, false)
 	if err != nil {
 		return nil, err
 	}
@@ -835,8 +835,8 @@
 // Close ends the connection.
 func (l *fakeLink) Close() {
 	l.once.Do(func() {
-		l.reach.world.mu.Lock()
-		defer l.reach.world.mu.Unlock()
+		l.clusterClient.cluster.mu.Lock()
+		defer l.clusterClient.cluster.mu.Unlock()
 		l.server.conns--
 	})
 }
--- a/proxy/hub.go
+++ b/proxy/hub.go
@@ -28,11 +28,11 @@
 
 // HubConfig is what a Hub needs.
 type HubConfig struct {
-	Self      Member
-	Timer     port.Timer
-	Knowledge *Knowledge
-	Views     *Views
-	Desk      *Desk
+	Self       Member
+	Timer      port.Timer
+	Knowledge  *Knowledge
+	Views      *Views
+	Dispatcher *Dispatcher
 	// Demand returns this instance's own demand.
 	Demand func() Demand
 	// Notices takes the members that have newer records.
@@ -115,14 +115,14 @@
 	h.cfg.Views.Take(p, 0, 0)
 	if p.Record.Replacement != nil && p.Record.Replacement.Planned {
 		until := h.cfg.Timer.Now() + lastStatements
-		for h.cfg.Desk.Outstanding(p.Record.Primary) > 0 && h.cfg.Timer.Now() < until {
+		for h.cfg.Dispatcher.Outstanding(p.Record.Primary) > 0 && h.cfg.Timer.Now() < until {
 			if port.Wait(ctx, h.cfg.Timer, outstandingCheck) != nil {
 				break
 			}
 		}
 	}
 	h.cfg.Views.Release(p.Record)
-	return h.cfg.Knowledge.Sightings().LongListed()
+	return h.cfg.Knowledge.MembershipHistory().LongListed()
 }
 
 // Extend reports whether this instance knows of no newer record than those of the versions. It may say so only after it
@@ -144,8 +144,8 @@
 
 // Survey tells how long ago the server answered this instance. Whoever asks has doubts about the server.
 func (h *Hub) Survey(server string) Hearing {
-	h.cfg.Desk.Doubt(server)
-	heardAt, heard := h.cfg.Desk.HeardAt(server)
+	h.cfg.Dispatcher.Doubt(server)
+	heardAt, heard := h.cfg.Dispatcher.HeardAt(server)
 	return Hearing{Incarnation: h.cfg.Self.Incarnation, Age: h.cfg.Timer.Now() - heardAt, Heard: heard}
 }
 
--- a/proxy/knowledge.go
+++ b/proxy/knowledge.go
@@ -56,7 +56,7 @@
 
 // Snapshot holds the product's objects in the store, as one read gave them. They must not be changed.
 type Snapshot struct {
-	// ReadAt is when the read began. AskedAt is later when two thirds of the instances have said since that they know of
+	// ReadAt is when the read began. AskedAt is later when a majority of the instances has said since that they know of
 	// no newer record.
 	ReadAt    time.Duration
 	AskedAt   time.Duration
@@ -148,14 +148,14 @@
 	hasRecords  bool
 	changed     chan struct{}
 	delisted    *ring.Ring[struct{}]
-	sightings   *Sightings
+	history     *MembershipHistory
 }
 
 // NewKnowledge returns the knowledge of an instance that has just started.
 func NewKnowledge(self Member, timer port.Timer, views *Views, staleAfter time.Duration) *Knowledge {
 	return &Knowledge{
 		self: self, timer: timer, views: views, staleAfter: staleAfter, changed: make(chan struct{}),
-		delisted: ring.New[struct{}](1), sightings: NewSightings(),
+		delisted: ring.New[struct{}](1), history: NewMembershipHistory(),
 	}
 }
 
@@ -211,8 +211,8 @@
 	return max(n, 1)
 }
 
-// Sightings tells since when instances are listed.
-func (k *Knowledge) Sightings() *Sightings { return k.sightings }
+// MembershipHistory tells since when instances are listed.
+func (k *Knowledge) MembershipHistory() *MembershipHistory { return k.history }
 
 // Delisted takes a token whenever this instance is found missing from the records.
 func (k *Knowledge) Delisted() *ring.Ring[struct{}] { return k.delisted }
@@ -324,7 +324,7 @@
 	if k.hasRecords && s.AskedAt <= k.records.AskedAt {
 		return
 	}
-	k.sightings.Note(s, k.timer.Now())
+	k.history.Note(s, k.timer.Now())
 	differs := !k.hasRecords || s.Version() != k.records.Version()
 	k.records, k.hasRecords = s, true
 	if differs {
--- a/proxy/sightings.go
+++ b/proxy/membership_history.go
@@ -8,30 +8,32 @@
 	"github.com/rhubarbwick/rhubarbwick/primacy"
 )
 
-// Sightings remembers since when this instance has seen each other one listed. It is safe for concurrent use.
-type Sightings struct {
+// MembershipHistory remembers since when this instance has seen each other one listed. It is safe for concurrent use.
+type MembershipHistory struct {
 	mu   sync.Mutex
-	seen map[string]sighting
+	seen map[string]membership
 	now  time.Duration
 }
 
-// sighting is when a name was first and last listed.
-type sighting struct{ first, last time.Duration }
+// membership is when a name was first and last listed.
+type membership struct{ first, last time.Duration }
 
-// NewSightings returns sightings of nobody.
-func NewSightings() *Sightings { return &Sightings{seen: make(map[string]sighting)} }
+// NewMembershipHistory returns an empty history.
+func NewMembershipHistory() *MembershipHistory {
+	return &MembershipHistory{seen: make(map[string]membership)}
+}
 
 // Note takes over which instances are listed at now. A machine that starts anew keeps its name, and stays listed for
 // those who know it.
-func (s *Sightings) Note(records Snapshot, now time.Duration) {
+func (s *MembershipHistory) Note(records Snapshot, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.now = now
 	for _, m := range records.Members {
 		if _, known := s.seen[m.Name]; !known {
-			s.seen[m.Name] = sighting{first: now}
+			s.seen[m.Name] = membership{first: now}
 		}
-		s.seen[m.Name] = sighting{first: s.seen[m.Name].first, last: now}
+		s.seen[m.Name] = membership{first: s.seen[m.Name].first, last: now}
 	}
 	for name, sighted := range s.seen {
 		if now-sighted.last > primacy.MaxLease {
@@ -41,7 +43,7 @@
 }
 
 // LongListed returns the names that were listed longer ago than MaxLease.
-func (s *Sightings) LongListed() []string {
+func (s *MembershipHistory) LongListed() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var names []string
--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -49,7 +49,7 @@
 	Readers    *StoreReaders
 	Fleet      Fleet
 	Views      *Views
-	Desk       *Desk
+	Dispatcher *Dispatcher
 	Dialer     Dialer
 	Records    Records
 	Promotions Promotions
@@ -74,7 +74,7 @@
 // NewPromoter returns a promoter.
 func NewPromoter(cfg PromoterConfig) *Promoter {
 	if cfg.Recorder == nil {
-		cfg.Recorder = silent{}
+		cfg.Recorder = discard{}
 	}
 	p := &Promoter{cfg: cfg, active: make(map[string]bool), since: make(map[string]time.Duration)}
 	p.duty = newDutyHolder(&p.cfg)
@@ -90,7 +90,7 @@
 func (p *Promoter) loop(ctx context.Context) {
 	for ctx.Err() == nil {
 		waiting, cancel := port.WithTimeout(ctx, p.cfg.Timer, promoterPeriod)
-		server, err := p.cfg.Desk.Doubts().Take(waiting)
+		server, err := p.cfg.Dispatcher.Doubts().Take(waiting)
 		cancel()
 		if !p.cfg.Knowledge.IsComplete() {
 			continue
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -15,10 +15,10 @@
 const (
 	// maxTries bounds how often one statement is offered to servers.
 	maxTries = 6
-	// hopeShare and patienceShare are the parts of the target latency, as divisors, that a statement waits while no server
+	// serverWaitShare and connectionWaitShare are the parts of the target latency, as divisors, that a statement waits while no server
 	// fits and while no connection is free. Whoever is refused early can still come back in time.
-	hopeShare     = 4
-	patienceShare = 2
+	serverWaitShare     = 4
+	connectionWaitShare = 2
 	// commitRetry is the pause before a commit that a busy server refused is sent again on its connection.
 	commitRetry = 15 * time.Millisecond
 )
@@ -54,7 +54,7 @@
 		return statement.Answer{Failure: failure}
 	}
 	s.limit(w, route)
-	ctx, cancel := port.WithTimeout(ctx, s.house.cfg.Timer, w.deadline-s.house.cfg.Timer.Now())
+	ctx, cancel := port.WithTimeout(ctx, s.manager.cfg.Timer, w.deadline-s.manager.cfg.Timer.Now())
 	defer cancel()
 	return s.runAlone(ctx, w)
 }
@@ -64,7 +64,7 @@
 	if timeout == 0 {
 		timeout = defaultTimeout
 	}
-	w.route, w.deadline = route, s.house.cfg.Timer.Now()+timeout
+	w.route, w.deadline = route, s.manager.cfg.Timer.Now()+timeout
 }
 
 // runAlone runs a statement outside a transaction, at another server when one refused it.
@@ -79,7 +79,7 @@
 			return last
 		}
 		answer, result := s.forward(ctx, l, w)
-		s.house.cfg.Desk.Return(l.connection, result != lost && result != lostUnsent)
+		s.manager.cfg.Dispatcher.Return(l.connection, result != lost && result != lostUnsent)
 		switch result {
 		case ran:
 			return answer.WithState(statement.Idle)
@@ -114,7 +114,7 @@
 func (s *Session) forward(ctx context.Context, l *loan, w *work) (statement.Answer, outcome) {
 	orders, name, applied := l.connection.Applied.Prepare(s.context, w.shape)
 	if len(orders) > 0 {
-		prepared, err := s.house.do(ctx, l, orders...)
+		prepared, err := s.manager.do(ctx, l, orders...)
 		if err != nil || !prepared.Failure.IsZero() {
 			return statement.Refuse(port.NotKept, "the connection to the server was lost", statement.Failed), lostUnsent
 		}
@@ -124,7 +124,7 @@
 	if s.tx == nil && !w.writes {
 		order.After = l.choice.After
 	}
-	answer, err := s.house.do(ctx, l, order)
+	answer, err := s.manager.do(ctx, l, order)
 	if err != nil {
 		return statement.Refuse(lossKind(ctx), "the server did not answer", statement.Failed), lost
 	}
@@ -146,11 +146,11 @@
 	case "":
 		return s.confirm(ctx, l, w, a)
 	case port.Busy:
-		s.house.cfg.Desk.Refused(server)
+		s.manager.cfg.Dispatcher.Refused(server)
 		w.excluded = append(w.excluded, server)
 		return a, notRun
 	case port.Lagging:
-		s.house.cfg.Desk.Lacked(server, l.choice)
+		s.manager.cfg.Dispatcher.Lacked(server, l.choice)
 		w.excluded = append(w.excluded, server)
 		return a, notRun
 	case port.ReadOnly:
@@ -166,7 +166,7 @@
 
 // confirm passes a success on only if the server that ran it as primary still led when the answer came.
 func (s *Session) confirm(ctx context.Context, l *loan, w *work, a statement.Answer) (statement.Answer, outcome) {
-	if l.asPrimary && !s.house.stillLeads(ctx, l) {
+	if l.asPrimary && !s.manager.stillLeads(ctx, l) {
 		if !w.writes {
 			return statement.Refuse(port.NotKept, "the primary was replaced while it ran the read", statement.Failed), notRun
 		}
@@ -205,24 +205,24 @@
 	}
 	want := Want{
 		Group: w.route.Group, Organisation: s.admitted.Organisation, Need: need, Excluded: slices.Clone(w.excluded),
-		Priority: w.route.Priority, Patience: target / patienceShare, Hope: target / hopeShare, Affinity: s.affinity,
+		Priority: w.route.Priority, ConnectionWait: target / connectionWaitShare, ServerWait: target / serverWaitShare, Affinity: s.affinity,
 	}
-	if s.house.cfg.IsIsolated() {
+	if s.manager.cfg.IsIsolated() {
 		// No primary can be learnt of until the cut ends.
-		want.Hope = 0
+		want.ServerWait = 0
 	}
-	grant, err := s.house.cfg.Desk.Acquire(ctx, want)
+	grant, err := s.manager.cfg.Dispatcher.Acquire(ctx, want)
 	if err != nil {
 		return nil, err
 	}
 	s.affinity = grant.Connection.ID
 	s.server, s.tries = grant.Connection.Endpoint.Server, s.tries+1
 	l := &loan{connection: grant.Connection, choice: grant.Choice}
-	if primary, term, ok := s.house.cfg.Views.Primary(w.route.Group); ok && primary == grant.Connection.Endpoint.Server {
+	if primary, term, ok := s.manager.cfg.Views.Primary(w.route.Group); ok && primary == grant.Connection.Endpoint.Server {
 		l.asPrimary, l.term = true, term
 	}
 	if grant.Choice.After.IsZero() && !l.asPrimary {
-		s.house.cfg.Desk.Return(grant.Connection, true)
+		s.manager.cfg.Dispatcher.Return(grant.Connection, true)
 		return nil, port.Failf(port.NoPrimary, "the primary of group %s was replaced", w.route.Group)
 	}
 	return l, nil
--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -12,13 +12,13 @@
 )
 
 // requireOrder fails when two holders used one epoch, or an epoch came after a greater one.
-func requireOrder(w *world) {
+func requireOrder(w *cluster) {
 	w.t.Helper()
 	require.True(w.t, slices.IsSorted(w.epochs()), "epochs %v", w.epochs())
 }
 
 // requireNobodyLeft fails when an instance still relied on a primary that a promotion replaced.
-func requireNobodyLeft(w *world) {
+func requireNobodyLeft(w *cluster) {
 	w.t.Helper()
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -28,7 +28,7 @@
 // Guards against a group without a primary, against two primaries, and against a promoter that gives up.
 func TestReplacement(t *testing.T) {
 	t.Run("a dead primary is replaced by the server that received most", func(t *testing.T) {
-		inWorld(t, 6, func(w *world) {
+		inCluster(t, 6, func(w *cluster) {
 			w.setDown("s1", true)
 			w.doubt("s1")
 			took := w.await(func() bool { return w.allRelyOn("s2") })
@@ -37,7 +37,7 @@
 		})
 	})
 	t.Run("two primaries that depart together are replaced at the same time", func(t *testing.T) {
-		inWorld(t, 6, func(w *world) {
+		inCluster(t, 6, func(w *cluster) {
 			elapse(primacy.MaxLease + time.Second)
 			w.catchUp()
 			w.setCut(true, "front-3")
@@ -52,20 +52,20 @@
 		})
 	})
 	t.Run("a departing primary is replaced before it ends", func(t *testing.T) {
-		inWorld(t, 6, func(w *world) {
+		inCluster(t, 6, func(w *cluster) {
 			w.list("s1", true)
 			w.await(func() bool { return w.allRelyOn("s2") })
 			requireNobodyLeft(w)
 		})
 	})
-	t.Run("a primary that others reach stays", func(t *testing.T) {
-		inWorld(t, 6, func(w *world) {
+	t.Run("a primary that others clusterClient stays", func(t *testing.T) {
+		inCluster(t, 6, func(w *cluster) {
 			w.mu.Lock()
 			w.partial["front-0/s1"] = true
 			w.mu.Unlock()
 			for range 20 {
 				w.runWrites("front-1", "front-2")
-				w.at("front-0").desk.Doubt("s1")
+				w.at("front-0").dispatcher.Doubt("s1")
 				elapse(100 * time.Millisecond)
 			}
 			require.Empty(t, w.epochs())
@@ -73,7 +73,7 @@
 		})
 	})
 	t.Run("an instance that is cut off is waited for until its lease has run out", func(t *testing.T) {
-		inWorld(t, 6, func(w *world) {
+		inCluster(t, 6, func(w *cluster) {
 			elapse(primacy.MaxLease + time.Second)
 			w.setCut(true, "front-3")
 			w.setDown("s1", true)
@@ -85,7 +85,7 @@
 		})
 	})
 	t.Run("without a majority the longest lease is waited for", func(t *testing.T) {
-		inWorld(t, 6, func(w *world) {
+		inCluster(t, 6, func(w *cluster) {
 			w.setCut(true, "front-0", "front-1", "front-2", "front-3")
 			w.setDown("s1", true)
 			w.doubt("s1")
@@ -95,7 +95,7 @@
 		})
 	})
 	t.Run("an announcement is withdrawn when the primary is back", func(t *testing.T) {
-		inWorld(t, 6, func(w *world) {
+		inCluster(t, 6, func(w *cluster) {
 			w.setCut(true, "front-3")
 			w.setDown("s1", true)
 			w.doubt("s1")
@@ -109,7 +109,7 @@
 	})
 	t.Run("a promoter that dies at any step is followed by another one", func(t *testing.T) {
 		for _, after := range []time.Duration{0, 5, 10, 20, 40, 80, 160, 320} {
-			inWorld(t, 6, func(w *world) {
+			inCluster(t, 6, func(w *cluster) {
 				w.setDown("s1", true)
 				w.doubt("s1")
 				elapse(after * time.Millisecond)
@@ -129,7 +129,7 @@
 // Guards against an outage of the store that takes the primaries away, and against one that lets two lead.
 func TestLeasesWithoutStore(t *testing.T) {
 	t.Run("a majority extends them", func(t *testing.T) {
-		inWorld(t, 6, func(w *world) {
+		inCluster(t, 6, func(w *cluster) {
 			w.setStoreDown(true)
 			until := time.Now().Add(primacy.MaxLease - 2*time.Second)
 			for time.Now().Before(until) {
@@ -140,7 +140,7 @@
 		})
 	})
 	t.Run("they end at last", func(t *testing.T) {
-		inWorld(t, 6, func(w *world) {
+		inCluster(t, 6, func(w *cluster) {
 			w.setStoreDown(true)
 			elapse(primacy.MaxLease + primacy.Lease)
 			require.False(t, w.relies("front-0", "s1"))
@@ -149,21 +149,21 @@
 		})
 	})
 	t.Run("a minority loses them and sends callers away", func(t *testing.T) {
-		inWorld(t, 6, func(w *world) {
+		inCluster(t, 6, func(w *cluster) {
 			w.setCut(true, "front-1")
-			w.await(func() bool { return w.at("front-1").opening.IsIsolated() && !w.relies("front-1", "s1") })
-			require.False(t, w.at("front-1").opening.IsOpen())
+			w.await(func() bool { return w.at("front-1").gate.IsIsolated() && !w.relies("front-1", "s1") })
+			require.False(t, w.at("front-1").gate.IsOpen())
 			require.True(t, w.relies("front-0", "s1"))
 			w.setCut(false, "front-1")
-			w.await(func() bool { return w.at("front-1").opening.IsOpen() && w.allRelyOn("s1") })
+			w.await(func() bool { return w.at("front-1").gate.IsOpen() && w.allRelyOn("s1") })
 		})
 	})
 	t.Run("no instance takes itself for isolated while all have lost the store", func(t *testing.T) {
-		inWorld(t, 6, func(w *world) {
+		inCluster(t, 6, func(w *cluster) {
 			w.setStoreDown(true)
 			elapse(primacy.MaxLease + 5*time.Second)
 			for _, name := range w.names() {
-				require.False(t, w.at(name).opening.IsIsolated(), name)
+				require.False(t, w.at(name).gate.IsIsolated(), name)
 			}
 			w.setStoreDown(false)
 		})
@@ -172,7 +172,7 @@
 
 // Guards against an instance that lets others go on with a primary of which it has confirmed the replacement.
 func TestConfirmationEndsExtensions(t *testing.T) {
-	inWorld(t, 3, func(w *world) {
+	inCluster(t, 3, func(w *cluster) {
 		records, _ := w.at("front-0").knowledge.Records()
 		versions := make(map[string]port.Version)
 		for name, p := range records.Primacies {
@@ -191,7 +191,7 @@
 
 // Guards against a document that goes back, and against one that the waiting calls did not tell of.
 func TestDocumentSpreads(t *testing.T) {
-	inWorld(t, 6, func(w *world) {
+	inCluster(t, 6, func(w *cluster) {
 		next := w.doc
 		next.Revision = 9
 		w.setDocument(next)
@@ -209,7 +209,7 @@
 func TestDocumentReachesTurnedAway(t *testing.T) {
 	for first := range 8 {
 		for second := range first {
-			inWorld(t, 8, func(w *world) {
+			inCluster(t, 8, func(w *cluster) {
 				elapse(2 * time.Second)
 				w.turnAway(first, second)
 				next := w.doc
@@ -225,7 +225,7 @@
 
 // Guards against calls to the store that grow with the instances.
 func TestRelaysSpareTheStore(t *testing.T) {
-	inWorld(t, 12, func(w *world) {
+	inCluster(t, 12, func(w *cluster) {
 		elapse(5 * time.Second)
 		before := w.storeCalls.Load()
 		elapse(10 * time.Second)
@@ -237,14 +237,14 @@
 // Guards against records of dead instances that every replacement waits for, and against the removal of a living one.
 func TestSilentInstancesAreRemoved(t *testing.T) {
 	t.Run("dead", func(t *testing.T) {
-		inWorld(t, 6, func(w *world) {
+		inCluster(t, 6, func(w *cluster) {
 			w.kill("front-3")
 			took := w.await(func() bool { return w.at("front-0").knowledge.Instances() == 5 && !w.hasRecord("front-3") })
 			require.Greater(t, took, primacy.MaxLease+primacy.Lease)
 		})
 	})
 	t.Run("alive and cut off for a while", func(t *testing.T) {
-		inWorld(t, 6, func(w *world) {
+		inCluster(t, 6, func(w *cluster) {
 			w.setCut(true, "front-3")
 			w.await(func() bool { return w.at("front-0").knowledge.Instances() == 5 })
 			require.False(t, w.relies("front-3", "s1"))
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -27,7 +27,7 @@
 
 // Session is the duty that serves one caller. Its fields belong to run.
 type Session struct {
-	house    *House
+	manager  *SessionManager
 	caller   Caller
 	admitted organisation.Admitted
 
@@ -65,8 +65,8 @@
 }
 
 // NewSession returns the session of an admitted caller.
-func NewSession(h *House, c Caller, a organisation.Admitted) *Session {
-	return &Session{house: h, caller: c, admitted: a, stay: h.stay()}
+func NewSession(m *SessionManager, c Caller, a organisation.Admitted) *Session {
+	return &Session{manager: m, caller: c, admitted: a, stay: m.stay()}
 }
 
 // Run serves the caller until it leaves or the instance stops.
@@ -101,12 +101,12 @@
 	waiting, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if s.tx != nil && s.tx.loan != nil {
-		stop := s.house.cfg.Timer.After(s.house.transactionIdle(), func(time.Duration) { cancel(errIdle) })
+		stop := s.manager.cfg.Timer.After(s.manager.transactionIdle(), func(time.Duration) { cancel(errIdle) })
 		defer stop()
 	}
-	if s.tx == nil && s.house.cfg.IsIsolated() {
+	if s.tx == nil && s.manager.cfg.IsIsolated() {
 		// Callers of an isolated instance are better served where they connect next.
-		stop := s.house.cfg.Timer.After(sendAwayAfter, func(time.Duration) { cancel(errStopping) })
+		stop := s.manager.cfg.Timer.After(sendAwayAfter, func(time.Duration) { cancel(errStopping) })
 		defer stop()
 	}
 	if s.tx == nil {
@@ -140,10 +140,10 @@
 
 // answer returns the answer to a request and records the decision.
 func (s *Session) answer(ctx context.Context, req statement.Request) statement.Answer {
-	began := s.house.cfg.Timer.Now()
+	began := s.manager.cfg.Timer.Now()
 	s.server, s.tries = "", 0
 	a := s.handle(ctx, req)
-	s.house.record(s, req, a, began)
+	s.manager.record(s, req, a, began)
 	return a
 }
 
@@ -219,7 +219,7 @@
 // dropTransaction rolls back and gives the connection back.
 func (s *Session) dropTransaction() {
 	if s.tx != nil && s.tx.loan != nil {
-		s.house.abandon(s.tx.loan)
+		s.manager.abandon(s.tx.loan)
 	}
 	s.tx = nil
 }
@@ -232,12 +232,12 @@
 
 // enter checks the caller again by the document in force and takes one operation from the organisation's rate.
 func (s *Session) enter(ctx context.Context) (document.Route, statement.Failure) {
-	admitted, failure := s.house.recheck(s.admitted)
+	admitted, failure := s.manager.recheck(s.admitted)
 	if !failure.IsZero() {
 		return document.Route{}, failure
 	}
 	s.admitted = admitted
-	if err := s.house.cfg.Rates.Take(ctx, admitted.Organisation); err != nil {
+	if err := s.manager.cfg.Rates.Take(ctx, admitted.Organisation); err != nil {
 		return document.Route{}, failureOf(err)
 	}
 	return admitted.Route, statement.Failure{}
--- a/proxy/house.go
+++ b/proxy/session_manager.go
@@ -33,13 +33,13 @@
 	Rules() (document.Index, bool)
 }
 
-// HouseConfig is what a House needs.
-type HouseConfig struct {
-	Timer port.Timer
-	Desk  *Desk
-	Views *Views
-	Rules Rules
-	Rates Rates
+// SessionManagerConfig is what a SessionManager needs.
+type SessionManagerConfig struct {
+	Timer      port.Timer
+	Dispatcher *Dispatcher
+	Views      *Views
+	Rules      Rules
+	Rates      Rates
 	// IsIsolated reports whether the instance is cut off. It may be nil.
 	IsIsolated func() bool
 	// Recorder may be nil.
@@ -48,9 +48,9 @@
 	DocumentAge func() time.Duration
 }
 
-// House is what all sessions of an instance share.
-type House struct {
-	cfg      HouseConfig
+// SessionManager is what all sessions of an instance share.
+type SessionManager struct {
+	cfg      SessionManagerConfig
 	draining context.Context
 	drain    context.CancelFunc
 
@@ -62,10 +62,10 @@
 	closers  sync.WaitGroup
 }
 
-// NewHouse returns a house without sessions.
-func NewHouse(cfg HouseConfig) *House {
+// NewSessionManager returns a manager without sessions.
+func NewSessionManager(cfg SessionManagerConfig) *SessionManager {
 	if cfg.Recorder == nil {
-		cfg.Recorder = silent{}
+		cfg.Recorder = discard{}
 	}
 	if cfg.IsIsolated == nil {
 		cfg.IsIsolated = func() bool { return false }
@@ -75,12 +75,12 @@
 	}
 	draining, drain := context.WithCancel(context.Background())
 	staying, dismiss := context.WithCancel(draining)
-	return &House{cfg: cfg, draining: draining, drain: drain, staying: staying, dismiss: dismiss}
+	return &SessionManager{cfg: cfg, draining: draining, drain: drain, staying: staying, dismiss: dismiss}
 }
 
 // Admit decides about a caller that names a route and presents a key.
-func (h *House) Admit(route, key string) (organisation.Admitted, error) {
-	rules, fresh := h.cfg.Rules.Rules()
+func (m *SessionManager) Admit(route, key string) (organisation.Admitted, error) {
+	rules, fresh := m.cfg.Rules.Rules()
 	switch a := organisation.AdmitByKey(rules, route, key, fresh).(type) {
 	case organisation.Admitted:
 		return a, nil
@@ -92,63 +92,63 @@
 }
 
 // Serve serves an admitted caller until it leaves or the instance has stopped.
-func (h *House) Serve(ctx context.Context, c Caller, a organisation.Admitted) {
-	h.sessions.Add(1)
-	defer h.sessions.Done()
-	NewSession(h, c, a).Run(ctx)
+func (m *SessionManager) Serve(ctx context.Context, c Caller, a organisation.Admitted) {
+	m.sessions.Add(1)
+	defer m.sessions.Done()
+	NewSession(m, c, a).Run(ctx)
 }
 
 // Dismiss ends the present sessions as soon as they have no transaction, so that their callers connect elsewhere.
-func (h *House) Dismiss() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.dismiss()
-	h.staying, h.dismiss = context.WithCancel(h.draining)
+func (m *SessionManager) Dismiss() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.dismiss()
+	m.staying, m.dismiss = context.WithCancel(m.draining)
 }
 
 // stay returns a context that ends when the session is to end.
-func (h *House) stay() context.Context {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.staying
+func (m *SessionManager) stay() context.Context {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.staying
 }
 
 // Drain ends sessions as soon as they have no transaction, and waits until all have ended or ctx ends.
-func (h *House) Drain(ctx context.Context) {
-	h.drain()
+func (m *SessionManager) Drain(ctx context.Context) {
+	m.drain()
 	ended := make(chan struct{})
-	go h.runDrain(ended)
+	go m.runDrain(ended)
 	select {
 	case <-ended:
 	case <-ctx.Done():
 	}
 }
 
-func (h *House) runDrain(ended chan<- struct{}) {
-	h.sessions.Wait()
-	h.closers.Wait()
+func (m *SessionManager) runDrain(ended chan<- struct{}) {
+	m.sessions.Wait()
+	m.closers.Wait()
 	close(ended)
 }
 
 // record notes what a request came to. Requests that the proxy answers by itself are left out unless they fail.
-func (h *House) record(s *Session, req statement.Request, a statement.Answer, began time.Duration) {
+func (m *SessionManager) record(s *Session, req statement.Request, a statement.Answer, began time.Duration) {
 	if a.Failure.IsZero() && a.Proof == "" {
 		return
 	}
-	now := h.cfg.Timer.Now()
-	rules, _ := h.cfg.Rules.Rules()
-	h.cfg.Recorder.Note(RequestAnswered{
+	now := m.cfg.Timer.Now()
+	rules, _ := m.cfg.Rules.Rules()
+	m.cfg.Recorder.Note(RequestAnswered{
 		ID: req.ID, Organisation: s.admitted.Organisation, Route: s.admitted.Route.Name,
 		Group: s.admitted.Route.Group, Freshness: s.admitted.Route.Freshness, Kind: a.Failure.Kind,
 		Reason: a.Failure.Text, Server: s.server, Tries: s.tries, Took: now - began,
-		Revision: uint64(rules.Document().Revision), DocumentAge: h.cfg.DocumentAge(),
-		PrimaryAge: now - h.cfg.Views.View(s.admitted.Route.Group).AskedAt,
+		Revision: uint64(rules.Document().Revision), DocumentAge: m.cfg.DocumentAge(),
+		PrimaryAge: now - m.cfg.Views.View(s.admitted.Route.Group).AskedAt,
 	})
 }
 
 // recheck decides whether an admitted caller may run another operation.
-func (h *House) recheck(a organisation.Admitted) (organisation.Admitted, statement.Failure) {
-	rules, fresh := h.cfg.Rules.Rules()
+func (m *SessionManager) recheck(a organisation.Admitted) (organisation.Admitted, statement.Failure) {
+	rules, fresh := m.cfg.Rules.Rules()
 	switch a := organisation.Recheck(rules, a, fresh).(type) {
 	case organisation.Admitted:
 		return a, statement.Failure{}
@@ -159,8 +159,8 @@
 	}
 }
 
-func (h *House) transactionIdle() time.Duration {
-	rules, _ := h.cfg.Rules.Rules()
+func (m *SessionManager) transactionIdle() time.Duration {
+	rules, _ := m.cfg.Rules.Rules()
 	if ms := rules.Document().TransactionIdleMS; ms > 0 {
 		return time.Duration(ms) * time.Millisecond
 	}
@@ -168,19 +168,19 @@
 }
 
 // do sends orders on the loan's connection and returns the first failure among the answers, or the last answer.
-func (h *House) do(ctx context.Context, l *loan, orders ...statement.Order) (statement.Answer, error) {
-	sent := h.cfg.Timer.Now()
+func (m *SessionManager) do(ctx context.Context, l *loan, orders ...statement.Order) (statement.Answer, error) {
+	sent := m.cfg.Timer.Now()
 	server := l.connection.Endpoint.Server
-	stop := h.cfg.Timer.After(slowAnswer, func(time.Duration) { h.cfg.Desk.Doubt(server) })
+	stop := m.cfg.Timer.After(slowAnswer, func(time.Duration) { m.cfg.Dispatcher.Doubt(server) })
 	answers, err := l.connection.Link.Do(ctx, orders...)
 	stop()
 	if err != nil {
-		h.cfg.Desk.Unreached(server)
+		m.cfg.Dispatcher.Unreached(server)
 		return statement.Answer{}, err
 	}
 	last := answers[len(answers)-1]
 	l.state = last.State
-	h.cfg.Desk.Heard(Answered{Server: server, Position: last.Position, SentAt: sent, At: h.cfg.Timer.Now()})
+	m.cfg.Dispatcher.Heard(Answered{Server: server, Position: last.Position, SentAt: sent, At: m.cfg.Timer.Now()})
 	for _, a := range answers[:len(answers)-1] {
 		if !a.Failure.IsZero() {
 			return statement.Answer{}, port.Failf(a.Failure.Kind, "the server refused a session value: %s", a.Failure.Text)
@@ -190,53 +190,53 @@
 }
 
 // abandon rolls a loan's transaction back and returns its connection, without letting the caller wait.
-func (h *House) abandon(l *loan) {
+func (m *SessionManager) abandon(l *loan) {
 	if l.state == statement.Idle {
-		h.cfg.Desk.Return(l.connection, true)
+		m.cfg.Dispatcher.Return(l.connection, true)
 		return
 	}
-	c := &closer{house: h, loan: l}
-	h.closers.Add(1)
+	c := &closer{manager: m, loan: l}
+	m.closers.Add(1)
 	go c.run()
 }
 
 // abandonAfter returns the connection of a loan whose last statement had the outcome.
-func (h *House) abandonAfter(l *loan, result outcome) {
+func (m *SessionManager) abandonAfter(l *loan, result outcome) {
 	if result == lost || result == lostUnsent {
-		h.cfg.Desk.Return(l.connection, false)
+		m.cfg.Dispatcher.Return(l.connection, false)
 		return
 	}
-	h.abandon(l)
+	m.abandon(l)
 }
 
 // closer is the duty that rolls one transaction back.
 type closer struct {
-	house *House
-	loan  *loan
+	manager *SessionManager
+	loan    *loan
 }
 
 func (c *closer) run() {
-	defer c.house.closers.Done()
-	ctx, cancel := port.WithTimeout(context.Background(), c.house.cfg.Timer, rollbackLimit)
+	defer c.manager.closers.Done()
+	ctx, cancel := port.WithTimeout(context.Background(), c.manager.cfg.Timer, rollbackLimit)
 	defer cancel()
-	_, err := c.house.do(ctx, c.loan, statement.Abandon{})
-	c.house.cfg.Desk.Return(c.loan.connection, err == nil && c.loan.state == statement.Idle)
+	_, err := c.manager.do(ctx, c.loan, statement.Abandon{})
+	c.manager.cfg.Dispatcher.Return(c.loan.connection, err == nil && c.loan.state == statement.Idle)
 }
 
 // stillLeads reports whether the loan's server is still the primary of the term under which the loan was made. A view
 // that has lapsed may be renewed within confirmWait.
-func (h *House) stillLeads(ctx context.Context, l *loan) bool {
+func (m *SessionManager) stillLeads(ctx context.Context, l *loan) bool {
 	e := l.connection.Endpoint
-	until := h.cfg.Timer.Now() + confirmWait
+	until := m.cfg.Timer.Now() + confirmWait
 	for {
-		view, now := h.cfg.Views.View(e.Group), h.cfg.Timer.Now()
+		view, now := m.cfg.Views.View(e.Group), m.cfg.Timer.Now()
 		switch {
 		case view.Leads(e.Server, l.term, now):
 			return true
 		case view.Record.Term != l.term || view.Record.Replacement != nil || now >= until:
 			return false
 		}
-		if port.Wait(ctx, h.cfg.Timer, leadCheck) != nil {
+		if port.Wait(ctx, m.cfg.Timer, leadCheck) != nil {
 			return false
 		}
 	}
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -16,7 +16,7 @@
 }
 
 // ask has a caller send the statements to an instance and returns the answers.
-func (w *world) ask(name string, statements ...statement.Statement) []statement.Answer {
+func (w *cluster) ask(name string, statements ...statement.Statement) []statement.Answer {
 	c := &fakeCaller{}
 	for _, st := range statements {
 		c.requests = append(c.requests, request(st))
@@ -40,19 +40,19 @@
 func TestSessionOutcomes(t *testing.T) {
 	write, read := statement.Write{Text: "WRITE a 1"}, statement.Read{Text: "READ a"}
 	t.Run("a write whose answer is lost is unknown", func(t *testing.T) {
-		inWorld(t, 2, func(w *world) {
+		inCluster(t, 2, func(w *cluster) {
 			w.setFault("s1", loseAnswer)
 			requireKind(t, port.UnknownOutcome, w.ask("front-0", write)[0])
 		})
 	})
 	t.Run("a read whose answer is lost is read elsewhere or said to be not kept", func(t *testing.T) {
-		inWorld(t, 2, func(w *world) {
+		inCluster(t, 2, func(w *cluster) {
 			w.setFault("s1", loseAnswer)
 			require.NotEqual(t, port.UnknownOutcome, w.ask("front-0", read)[0].Failure.Kind)
 		})
 	})
 	t.Run("a commit whose answer is lost is unknown", func(t *testing.T) {
-		inWorld(t, 2, func(w *world) {
+		inCluster(t, 2, func(w *cluster) {
 			w.setFault("s1", loseCommit)
 			answers := w.ask("front-0", statement.Begin{}, write, statement.Commit{})
 			requireServed(t, answers[1])
@@ -60,13 +60,13 @@
 		})
 	})
 	t.Run("a commit of reads whose answer is lost kept nothing", func(t *testing.T) {
-		inWorld(t, 2, func(w *world) {
+		inCluster(t, 2, func(w *cluster) {
 			w.setFault("s1", loseCommit)
 			requireKind(t, port.NotKept, w.ask("front-0", statement.Begin{}, read, statement.Commit{})[2])
 		})
 	})
 	t.Run("a transaction whose connection is lost before the commit kept nothing", func(t *testing.T) {
-		inWorld(t, 2, func(w *world) {
+		inCluster(t, 2, func(w *cluster) {
 			w.setFault("s1", loseAnswer)
 			answers := w.ask("front-0", statement.Begin{}, write, statement.Commit{})
 			requireKind(t, port.NotKept, answers[1])
@@ -75,7 +75,7 @@
 		})
 	})
 	t.Run("a write that a busy server refused is refused and did not run", func(t *testing.T) {
-		inWorld(t, 2, func(w *world) {
+		inCluster(t, 2, func(w *cluster) {
 			w.setFault("s1", busy)
 			before := w.offset("s1")
 			requireKind(t, port.Busy, w.ask("front-0", write)[0])
@@ -83,14 +83,14 @@
 		})
 	})
 	t.Run("a write at a primary that was replaced meanwhile is not confirmed", func(t *testing.T) {
-		inWorld(t, 2, func(w *world) {
+		inCluster(t, 2, func(w *cluster) {
 			w.setFault("s1", slow)
 			go w.replaceDuring("front-0")
 			requireKind(t, port.UnknownOutcome, w.ask("front-0", write)[0])
 		})
 	})
 	t.Run("a frozen instance confirms nothing that it did before", func(t *testing.T) {
-		inWorld(t, 2, func(w *world) {
+		inCluster(t, 2, func(w *cluster) {
 			w.setCut(true, "front-0", "front-1")
 			elapse(15 * time.Second)
 			requireKind(t, port.NoPrimary, w.ask("front-0", write)[0])
@@ -101,7 +101,7 @@
 
 // Guards against a caller that cannot end a failed transaction, and against statements outside their transaction.
 func TestSessionStates(t *testing.T) {
-	inWorld(t, 2, func(w *world) {
+	inCluster(t, 2, func(w *cluster) {
 		answers := w.ask("front-0",
 			statement.Rollback{}, statement.Commit{}, statement.Begin{}, statement.Begin{},
 			statement.Read{Text: "READ a"}, statement.Rollback{}, statement.Execute{Name: "unknown"},
@@ -134,8 +134,8 @@
 }
 
 // Guards against a limit on connections that is exceeded, and against an organisation that keeps all of them.
-func TestDeskSharesConnections(t *testing.T) {
-	inWorld(t, 2, func(w *world) {
+func TestDispatcherSharesConnections(t *testing.T) {
+	inCluster(t, 2, func(w *cluster) {
 		for _, organisation := range []string{"a", "b", "c", "d", "e"} {
 			for range 6 {
 				c := &fakeCaller{requests: []statement.Request{request(statement.Write{Text: "WRITE a 1"})}}
@@ -148,8 +148,8 @@
 }
 
 // Guards against a server that is asked again and again while it refuses connections.
-func TestDeskBelievesFullServers(t *testing.T) {
-	inWorld(t, 2, func(w *world) {
+func TestDispatcherBelievesFullServers(t *testing.T) {
+	inCluster(t, 2, func(w *cluster) {
 		w.mu.Lock()
 		w.servers["s1"].full = true
 		w.mu.Unlock()
@@ -160,7 +160,7 @@
 
 // Guards against evidence of a server that does not lead.
 func TestPositionOfOldPrimaryIsNoEvidence(t *testing.T) {
-	inWorld(t, 2, func(w *world) {
+	inCluster(t, 2, func(w *cluster) {
 		w.setDown("s1", true)
 		w.doubt("s1")
 		w.await(func() bool { return w.allRelyOn("s2") })
--- a/proxy/courier.go
+++ b/proxy/syncer.go
@@ -35,8 +35,8 @@
 	soonest = 50 * time.Millisecond
 )
 
-// CourierConfig is what a Courier needs.
-type CourierConfig struct {
+// SyncerConfig is what a Syncer needs.
+type SyncerConfig struct {
 	Self      Member
 	Timer     port.Timer
 	Knowledge *Knowledge
@@ -52,10 +52,10 @@
 	Notices *ring.Ring[Member]
 }
 
-// Courier is the duty that keeps the instance's knowledge fresh: from the relay of its data centre, or from the store
+// Syncer is the duty that keeps the instance's knowledge fresh: from the relay of its data centre, or from the store
 // while it is the relay itself or no relay knows more.
-type Courier struct {
-	cfg CourierConfig
+type Syncer struct {
+	cfg SyncerConfig
 	// failed holds until when instances are passed over.
 	failed  map[string]time.Duration
 	cleaner *cleaner
@@ -66,26 +66,26 @@
 	running      sync.WaitGroup
 }
 
-// NewCourier returns a courier.
-func NewCourier(cfg CourierConfig) *Courier {
+// NewSyncer returns a syncer.
+func NewSyncer(cfg SyncerConfig) *Syncer {
 	if cfg.Recorder == nil {
-		cfg.Recorder = silent{}
+		cfg.Recorder = discard{}
 	}
-	c := &Courier{cfg: cfg, failed: make(map[string]time.Duration)}
+	c := &Syncer{cfg: cfg, failed: make(map[string]time.Duration)}
 	c.cleaner = newCleaner(&c.cfg)
 	return c
 }
 
 // Run keeps the knowledge fresh until ctx ends.
-func (c *Courier) Run(ctx context.Context) {
-	n := &noticeReader{courier: c}
+func (c *Syncer) Run(ctx context.Context) {
+	n := &noticeReader{syncer: c}
 	c.running.Go(func() { n.loop(ctx) })
 	c.loop(ctx)
 	c.stopReaders()
 	c.running.Wait()
 }
 
-func (c *Courier) loop(ctx context.Context) {
+func (c *Syncer) loop(ctx context.Context) {
 	for ctx.Err() == nil {
 		c.extend(ctx)
 		began := c.cfg.Timer.Now()
@@ -108,7 +108,7 @@
 
 // relayOthers is what the relay of a data centre does. The first of all relays reads the store; the others follow it, so
 // that the calls to the store do not grow with the data centres.
-func (c *Courier) relayOthers(ctx context.Context, now time.Duration) {
+func (c *Syncer) relayOthers(ctx context.Context, now time.Duration) {
 	if totals, known := c.cfg.Hub.Totals(); known {
 		c.cfg.Rates.SetTotals(totals, c.cfg.Rates.Demand())
 	}
@@ -131,14 +131,14 @@
 }
 
 // readAt returns when the store was asked for the newest records.
-func (c *Courier) readAt() time.Duration {
+func (c *Syncer) readAt() time.Duration {
 	s, _ := c.cfg.Knowledge.Records()
 	return s.ReadAt
 }
 
 // head returns the relay that reads the store for all: that of the first data centre in rank whose relay did not fail of
 // late.
-func (c *Courier) head(now time.Duration) (Member, bool) {
+func (c *Syncer) head(now time.Duration) (Member, bool) {
 	var best Member
 	for area := range c.areas() {
 		relays := c.ranked(area)
@@ -151,7 +151,7 @@
 }
 
 // areas returns the data centres with instances.
-func (c *Courier) areas() map[string]bool {
+func (c *Syncer) areas() map[string]bool {
 	s, _ := c.cfg.Knowledge.Records()
 	areas := make(map[string]bool)
 	for _, m := range s.Members {
@@ -161,10 +161,10 @@
 }
 
 // noticeReader is the duty that asks members that have newer records.
-type noticeReader struct{ courier *Courier }
+type noticeReader struct{ syncer *Syncer }
 
 func (n *noticeReader) loop(ctx context.Context) {
-	c := n.courier
+	c := n.syncer
 	for {
 		m, err := c.cfg.Notices.Take(ctx)
 		if err != nil {
@@ -176,7 +176,7 @@
 }
 
 // relay returns the first in rank of the own data centre's instances that did not fail of late.
-func (c *Courier) relay(now time.Duration) (Member, bool) {
+func (c *Syncer) relay(now time.Duration) (Member, bool) {
 	relays := c.ranked(c.cfg.Self.DataCentre)
 	i := slices.IndexFunc(relays, func(m Member) bool { return !c.hasFailed(m, now) })
 	if i < 0 {
@@ -186,16 +186,16 @@
 }
 
 // hasFailed reports whether another instance failed of late.
-func (c *Courier) hasFailed(m Member, now time.Duration) bool {
+func (c *Syncer) hasFailed(m Member, now time.Duration) bool {
 	return c.failedOfLate(m, now) && m.Incarnation != c.cfg.Self.Incarnation
 }
 
-func (c *Courier) failedOfLate(m Member, now time.Duration) bool {
+func (c *Syncer) failedOfLate(m Member, now time.Duration) bool {
 	return now < c.failed[m.Incarnation]
 }
 
 // ranked returns the instances of a data centre in the order in which they are its relay.
-func (c *Courier) ranked(dataCentre string) []Member {
+func (c *Syncer) ranked(dataCentre string) []Member {
 	s, _ := c.cfg.Knowledge.Records()
 	var members []Member
 	for _, m := range s.Members {
@@ -211,7 +211,7 @@
 
 // follow exchanges with a relay. When the relay is silent, or has lost the store for long, this instance reads the store
 // itself.
-func (c *Courier) follow(ctx context.Context, relay Member, fromRelay bool) {
+func (c *Syncer) follow(ctx context.Context, relay Member, fromRelay bool) {
 	demand := c.cfg.Rates.Demand()
 	if fromRelay {
 		demand, _ = c.cfg.Hub.AreaDemand()
@@ -237,7 +237,7 @@
 }
 
 // fail has the instance passed over for a while.
-func (c *Courier) fail(m Member, pause time.Duration) {
+func (c *Syncer) fail(m Member, pause time.Duration) {
 	now := c.cfg.Timer.Now()
 	for incarnation, until := range c.failed {
 		if now >= until {
@@ -249,7 +249,7 @@
 
 // exchangeAreas tells the relays of the other data centres the demand of this one, and learns what they know. The head
 // is told when it is followed.
-func (c *Courier) exchangeAreas(ctx context.Context, head Member) {
+func (c *Syncer) exchangeAreas(ctx context.Context, head Member) {
 	demand, known := c.cfg.Hub.AreaDemand()
 	if !known {
 		return
@@ -276,7 +276,7 @@
 }
 
 // extend has the other instances extend the leases while the store cannot be read, here or by a relay.
-func (c *Courier) extend(ctx context.Context) {
+func (c *Syncer) extend(ctx context.Context) {
 	s, known := c.cfg.Knowledge.Records()
 	asked := c.cfg.Timer.Now()
 	if !known || asked-s.AskedAt < extendAge {
@@ -314,7 +314,7 @@
 }
 
 // exchange asks a relay and takes over what it knows.
-func (c *Courier) exchange(
+func (c *Syncer) exchange(
 	ctx context.Context, relay Member, demand Demand, wait time.Duration, fromRelay bool,
 ) (Report, error) {
 	k := c.cfg.Knowledge
@@ -337,7 +337,7 @@
 
 // apply takes over a report. Its ages count back from the instant at which it left, which is at the earliest the instant
 // of the question plus the time that it was held.
-func (c *Courier) apply(r Report, asked time.Duration) {
+func (c *Syncer) apply(r Report, asked time.Duration) {
 	k := c.cfg.Knowledge
 	left := asked + r.Held
 	if r.Document != nil {
@@ -359,7 +359,7 @@
 	}
 }
 
-func (c *Courier) startReaders(ctx context.Context) {
+func (c *Syncer) startReaders(ctx context.Context) {
 	if c.reading != nil {
 		return
 	}
@@ -369,7 +369,7 @@
 	c.running.Go(func() { c.cfg.Readers.Run(ctx) })
 }
 
-func (c *Courier) stopReaders() {
+func (c *Syncer) stopReaders() {
 	if c.reading != nil {
 		c.reading()
 		c.reading = nil
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -19,7 +19,7 @@
 // queryInside runs a statement of a transaction.
 func (s *Session) queryInside(ctx context.Context, w *work) statement.Answer {
 	s.limit(w, s.tx.route)
-	ctx, cancel := port.WithTimeout(ctx, s.house.cfg.Timer, w.deadline-s.house.cfg.Timer.Now())
+	ctx, cancel := port.WithTimeout(ctx, s.manager.cfg.Timer, w.deadline-s.manager.cfg.Timer.Now())
 	defer cancel()
 	if s.tx.loan == nil {
 		return s.runFirst(ctx, w)
@@ -51,7 +51,7 @@
 			return s.conclude(w, answer, result)
 		}
 		s.tx.loan = nil
-		s.house.abandonAfter(l, result)
+		s.manager.abandonAfter(l, result)
 		last = answer
 		if ctx.Err() != nil {
 			break
@@ -64,7 +64,7 @@
 func (s *Session) open(ctx context.Context, l *loan, w *work) (statement.Answer, outcome) {
 	orders, _, applied := l.connection.Applied.Prepare(s.context, nil)
 	orders = append(orders, statement.Open{ReadOnly: s.tx.readOnly, After: l.choice.After})
-	answer, err := s.house.do(ctx, l, orders...)
+	answer, err := s.manager.do(ctx, l, orders...)
 	if err != nil {
 		return statement.Refuse(port.NotKept, "the connection to the server was lost", statement.Failed), lostUnsent
 	}
@@ -85,7 +85,7 @@
 		s.tx.wrote = s.tx.wrote || w.writes
 		return answer.WithState(statement.InTransaction)
 	}
-	s.house.abandonAfter(s.tx.loan, result)
+	s.manager.abandonAfter(s.tx.loan, result)
 	s.tx.loan = nil
 	s.fail()
 	if answer.Failure.Kind == port.UnknownOutcome || answer.Failure.Kind == port.Lagging || result == lost {
@@ -102,7 +102,7 @@
 	}
 	w := &work{req: req}
 	s.limit(w, s.tx.route)
-	ctx, cancel := port.WithTimeout(ctx, s.house.cfg.Timer, w.deadline-s.house.cfg.Timer.Now())
+	ctx, cancel := port.WithTimeout(ctx, s.manager.cfg.Timer, w.deadline-s.manager.cfg.Timer.Now())
 	defer cancel()
 	defer func() { s.tx = nil }()
 	if s.tx.loan == nil {
@@ -119,7 +119,7 @@
 	}
 	answer, result := s.open(ctx, l, w)
 	if result != ran {
-		s.house.abandonAfter(l, result)
+		s.manager.abandonAfter(l, result)
 		return answer.WithState(statement.Idle)
 	}
 	return s.commitAt(ctx, l, w)
@@ -128,10 +128,10 @@
 // commitAt sends the commit. A busy server has not run it, so it is sent again on the same connection.
 func (s *Session) commitAt(ctx context.Context, l *loan, w *work) statement.Answer {
 	for {
-		answer, err := s.house.do(ctx, l, statement.Forward{Request: w.req})
+		answer, err := s.manager.do(ctx, l, statement.Forward{Request: w.req})
 		switch {
 		case err != nil:
-			s.house.cfg.Desk.Return(l.connection, false)
+			s.manager.cfg.Dispatcher.Return(l.connection, false)
 			if !s.tx.wrote {
 				return statement.Refuse(port.NotKept, "the server did not answer the commit; nothing was written", statement.Idle)
 			}
@@ -139,12 +139,12 @@
 		case answer.Failure.IsZero():
 			return s.committed(ctx, l, answer)
 		case answer.Failure.Kind != port.Busy:
-			s.house.abandonAfter(l, notRun)
+			s.manager.abandonAfter(l, notRun)
 			return answer.WithState(statement.Idle)
 		}
-		s.house.cfg.Desk.Refused(l.connection.Endpoint.Server)
-		if err := port.Wait(ctx, s.house.cfg.Timer, commitRetry); err != nil {
-			s.house.abandonAfter(l, notRun)
+		s.manager.cfg.Dispatcher.Refused(l.connection.Endpoint.Server)
+		if err := port.Wait(ctx, s.manager.cfg.Timer, commitRetry); err != nil {
+			s.manager.abandonAfter(l, notRun)
 			return statement.Refuse(port.NotKept, "the server was too busy to commit", statement.Idle)
 		}
 	}
@@ -152,8 +152,8 @@
 
 // committed confirms a commit. A write is confirmed only if the server still led when the answer came.
 func (s *Session) committed(ctx context.Context, l *loan, answer statement.Answer) statement.Answer {
-	s.house.cfg.Desk.Return(l.connection, true)
-	if l.asPrimary && !s.house.stillLeads(ctx, l) {
+	s.manager.cfg.Dispatcher.Return(l.connection, true)
+	if l.asPrimary && !s.manager.stillLeads(ctx, l) {
 		if s.tx.wrote {
 			return statement.Refuse(port.UnknownOutcome, "the primary was replaced while it ran the commit", statement.Idle)
 		}
--- a/proxy/views.go
+++ b/proxy/views.go
@@ -23,7 +23,7 @@
 // NewViews returns views of no group. recorder may be nil.
 func NewViews(timer port.Timer, recorder Recorder) *Views {
 	if recorder == nil {
-		recorder = silent{}
+		recorder = discard{}
 	}
 	return &Views{timer: timer, recorder: recorder, views: make(map[string]primacy.View), changed: make(chan struct{})}
 }
