--- a/proxy/readiness_gate.go
+++ b/proxy/readiness_gate.go
@@ -73,8 +73,8 @@
 
 func (g *ReadinessGate) hasPrimaries() bool {
 	index, _ := g.Knowledge.Rules()
-	for _, g := range index.Document().Groups {
-		if _, _, found := g.Views.Primary(g.Name); !found {
+	for _, group := range index.Document().Groups {
+		if _, _, found := g.Views.Primary(group.Name); !found {
 			return false
 		}
 	}
