Fill a bucket however often it is looked at

Cause: Bucket.At moved its instant although less than a unit had accrued, so a rate below one operation a second never filled a bucket that was looked at every microsecond, as a limiter with a waiting statement does. Seen once as a run of entry.TestSharedFaults that used one core for over five minutes; the goroutine dump shows the fake clock in steps of 343 ns.

--- a/allotment/bucket.go
+++ b/allotment/bucket.go
@@ -16,16 +16,30 @@
 	at   time.Duration
 }
 
-// At returns the bucket filled up to now. An instant before the last one changes nothing.
+// At returns the bucket filled up to now. An instant before the last one changes nothing. The time in which part of a unit
+// accrued counts on: a slow rate would otherwise never fill a bucket that is looked at often.
 func (b Bucket) At(now time.Duration) Bucket {
 	if now <= b.at {
 		return b
 	}
-	b.tokens = min(b.most(), b.tokens+accrued(b.rate, now-b.at))
-	b.at = now
+	added := accrued(b.rate, now-b.at)
+	b.at = b.accountedUntil(added, now)
+	b.tokens = min(b.most(), b.tokens+added)
 	return b
 }
 
+// accountedUntil returns the instant up to which the added tokens account for the time until now, rounded up.
+func (b Bucket) accountedUntil(added Statements, now time.Duration) time.Duration {
+	if b.rate <= 0 || b.tokens+added >= b.most() || now-b.at > time.Hour {
+		return now
+	}
+	taken := time.Duration(muldiv(int64(added), int64(time.Second), int64(b.rate)))
+	if added > 0 {
+		taken++
+	}
+	return min(now, b.at+taken)
+}
+
 // most returns how many tokens the bucket can hold now.
 func (b Bucket) most() Statements { return max(b.burst-b.lent, 0) }
 
@@ -50,6 +64,8 @@
 // WithShare returns the bucket with another rate and burst. It gets no tokens, and loses those above the burst.
 func (b Bucket) WithShare(now time.Duration, share Amount) Bucket {
 	b = b.At(now)
+	// The new rate does not count for the time before it.
+	b.at = max(b.at, now)
 	b.rate, b.burst = share.Rate, share.Burst
 	b.tokens = min(b.tokens, b.most())
 	return b
