Remove what nothing uses: evidence on the wire, accessors, a channel nobody waits for

Points travelled in no message: evidence stays at the instance that got it. The test of a server's new start asks Choose instead of a flag that only it read, and also checks that the same start stays passed over. Behaviour is unchanged.

--- a/adapter/fleet/client.go
+++ b/adapter/fleet/client.go
@@ -15,7 +15,6 @@
 	"github.com/rhubarbwick/rhubarbwick/document"
 	fleetv1 "github.com/rhubarbwick/rhubarbwick/gen/rhubarbwick/fleet/v1"
 	"github.com/rhubarbwick/rhubarbwick/gen/rhubarbwick/fleet/v1/fleetv1connect"
-	"github.com/rhubarbwick/rhubarbwick/group"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/proxy"
 )
@@ -69,7 +68,7 @@
 func (c *Client) Exchange(ctx context.Context, address string, ask proxy.Ask) (proxy.Report, error) {
 	req := &fleetv1.ExchangeRequest{
 		From: encodeMember(ask.From), KnownRevision: uint64(ask.Revision), KnownRecords: ask.Records, KnownServers: uint64(ask.Servers),
-		Demands: encodeDemand(ask.Demand), Points: encodePoints(ask.Points), WaitMs: uint32(ask.Wait.Milliseconds()),
+		Demands: encodeDemand(ask.Demand), WaitMs: uint32(ask.Wait.Milliseconds()),
 		Relay: ask.FromRelay,
 	}
 	res, err := c.at(address).Exchange(ctx, connect.NewRequest(req))
@@ -141,7 +140,7 @@
 		RecordsVersion: m.GetRecordsVersion(), RecordsAge: millis(m.GetRecordsAgeMs()),
 		ReadAge:        millis(m.GetReadAgeMs()),
 		ServersVersion: port.Version(m.GetServersVersion()), Totals: decodeDemand(m.GetTotals()),
-		Own: decodeDemand(m.GetOwn()), Points: decodePoints(m.GetPoints()), Fresh: m.GetFresh(),
+		Own: decodeDemand(m.GetOwn()), Fresh: m.GetFresh(),
 	}
 	if len(m.GetDocument()) > 0 {
 		r.Document = &document.Document{}
@@ -192,28 +191,6 @@
 	return d
 }
 
-func encodePoints(points []proxy.GroupPoint) []*fleetv1.Point {
-	var encoded []*fleetv1.Point
-	for _, p := range points {
-		encoded = append(encoded, &fleetv1.Point{
-			Group: p.Group, Term: uint64(p.Position.Term), Offset: p.Position.Offset, AgeMs: roundUp(p.Age),
-		})
-	}
-	return encoded
-}
-
-func decodePoints(points []*fleetv1.Point) []proxy.GroupPoint {
-	var decoded []proxy.GroupPoint
-	for _, p := range points {
-		decoded = append(decoded, proxy.GroupPoint{
-			Group:    p.GetGroup(),
-			Position: group.Position{Term: group.Term(p.GetTerm()), Offset: p.GetOffset()},
-			Age:      millis(p.GetAgeMs()),
-		})
-	}
-	return decoded
-}
-
 func millis(n uint64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // roundUp returns an age in whole milliseconds that is not below d.
--- a/adapter/fleet/server.go
+++ b/adapter/fleet/server.go
@@ -52,7 +52,7 @@
 	m := req.Msg
 	r := s.hub.Exchange(ctx, proxy.Ask{
 		From: decodeMember(m.GetFrom()), Revision: document.Revision(m.GetKnownRevision()), Records: m.GetKnownRecords(),
-		Servers: port.Version(m.GetKnownServers()), Demand: decodeDemand(m.GetDemands()), Points: decodePoints(m.GetPoints()),
+		Servers: port.Version(m.GetKnownServers()), Demand: decodeDemand(m.GetDemands()),
 		Wait: millis(uint64(m.GetWaitMs())), FromRelay: m.GetRelay(),
 	})
 	res, err := encodeReport(r)
@@ -113,7 +113,7 @@
 	m := &fleetv1.ExchangeResponse{
 		HeldMs: uint32(r.Held.Milliseconds()), DocumentAgeMs: roundUp(r.DocumentAge), RecordsVersion: r.RecordsVersion,
 		RecordsAgeMs: roundUp(r.RecordsAge), ReadAgeMs: roundUp(r.ReadAge), ServersVersion: uint64(r.ServersVersion), Totals: encodeDemand(r.Totals),
-		Own: encodeDemand(r.Own), Points: encodePoints(r.Points), Fresh: r.Fresh,
+		Own: encodeDemand(r.Own), Fresh: r.Fresh,
 	}
 	if r.Document != nil {
 		data, err := json.Marshal(r.Document)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -57,7 +57,7 @@
 		requireServer(t, "near", at(5), dispatch.Choose(reader, []dispatch.Candidate{free(p), lacking, free(far)}, situation()))
 	})
 	t.Run("a replica that has applied the position since is not", func(t *testing.T) {
-		caughtUp := free(near.WithLack(at(5), time.Second).WithAnswer(at(5), 20*ms, time.Second))
+		caughtUp := free(near.WithLack(at(5), time.Second).WithAnswer(at(5), 20*ms))
 		requireServer(t, "near", at(5), dispatch.Choose(reader, []dispatch.Candidate{free(p), caughtUp}, situation()))
 	})
 	t.Run("without evidence only the primary serves reads", func(t *testing.T) {
@@ -91,13 +91,16 @@
 
 // Guards against what was learnt of a server that holds for its next start or for another server at its address.
 func TestServerStartsAnew(t *testing.T) {
-	s := server("a", "a").WithFailure(time.Second).WithOutstanding(2)
-	_, failing := s.FailingSince()
-	require.True(t, failing)
+	s := server("p", "a").WithFailure(time.Second).WithOutstanding(2)
+	choose := func() dispatch.Choice {
+		return dispatch.Choose(dispatch.NeedPrimary{}, []dispatch.Candidate{free(s)}, situation())
+	}
+	require.Equal(t, dispatch.NoServer{}, choose())
+	s = s.WithListing(s.Listing)
+	require.Equal(t, dispatch.NoServer{}, choose(), "the same start is still failing")
 	again := s.Listing
 	again.Born = 2
 	s = s.WithListing(again)
-	_, failing = s.FailingSince()
-	require.False(t, failing)
+	requireServer(t, "p", group.Position{}, choose())
 	require.Equal(t, 2, s.Outstanding, "connections are counted on")
 }
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -63,10 +63,6 @@
 	// pausedUntil is when the server may be asked again after a failure or a refusal.
 	pausedUntil  time.Duration
 	failurePause time.Duration
-	// failingSince is the instant of the first of the failures since the last answer.
-	failingSince time.Duration
-	failing      bool
-	heardAt      time.Duration
 }
 
 // NewServer returns a server of which only the listing is known.
@@ -90,12 +86,10 @@
 	return s
 }
 
-// WithAnswer returns the server after it answered a statement at now that took the time. A position of zero tells
-// nothing.
-func (s Server) WithAnswer(p group.Position, took, now time.Duration) Server {
+// WithAnswer returns the server after it answered a statement that took the time. A position of zero tells nothing.
+func (s Server) WithAnswer(p group.Position, took time.Duration) Server {
 	s.latency += (took - s.latency) / latencyWeight
-	s.heardAt = now
-	s.failing, s.failurePause = false, 0
+	s.failurePause = 0
 	if p.Compare(s.applied) > 0 || p.Term > s.applied.Term {
 		s.applied = p
 	}
@@ -107,7 +101,6 @@
 
 // WithLack returns the server after it refused a read at now because its log lacked the position.
 func (s Server) WithLack(p group.Position, now time.Duration) Server {
-	s.heardAt = now
 	s.lagPause = min(max(2*s.lagPause, lagPause), maxLagPause)
 	s.lacked, s.lackedUntil = p, now+s.lagPause
 	return s
@@ -115,30 +108,17 @@
 
 // WithRefusal returns the server after it refused a statement at now because it had too much work.
 func (s Server) WithRefusal(now time.Duration) Server {
-	s.heardAt = now
 	s.pausedUntil = max(s.pausedUntil, now+busyPause)
 	return s
 }
 
 // WithFailure returns the server after it could not be reached, or did not answer, at now.
 func (s Server) WithFailure(now time.Duration) Server {
-	if !s.failing {
-		s.failing, s.failingSince = true, now
-	}
 	s.failurePause = min(max(2*s.failurePause, failurePause), maxFailurePause)
 	s.pausedUntil = now + s.failurePause
 	return s
 }
 
-// FailingSince returns when the server began to fail, and false when its last answer came after its last failure.
-func (s Server) FailingSince() (time.Duration, bool) { return s.failingSince, s.failing }
-
-// HeardAt returns when the server last answered.
-func (s Server) HeardAt() time.Duration { return s.heardAt }
-
-// Latency returns the mean time of an answer.
-func (s Server) Latency() time.Duration { return s.latency }
-
 // holds reports whether the server may be expected to have applied the position at now. What a replica has applied grows
 // all the time, so only a recent refusal speaks against it.
 func (s Server) holds(p group.Position, now time.Duration) bool {
--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -78,7 +78,6 @@
 // waiter is a statement that waits for a connection.
 type waiter struct {
 	want    Want
-	id      uint64
 	arrived time.Duration
 	reply   *ring.Ring[grant]
 	// opens is the server to which a connection is being opened for the waiter.
@@ -110,10 +109,9 @@
 	usedAt  time.Duration
 }
 
-// Grant is a lent connection. After is the position that a read has to ask for.
+// Grant is a lent connection. Choice tells the position that a read has to ask for.
 type Grant struct {
 	Connection *Connection
-	Server     dispatch.Server
 	Choice     dispatch.ToServer
 }
 
@@ -231,8 +229,7 @@
 	now := d.cfg.Timer.Now()
 	switch c := c.(type) {
 	case wanted:
-		d.nextID++
-		c.waiter.id, c.waiter.arrived = d.nextID, now
+		c.waiter.arrived = now
 		d.enqueue(c.waiter)
 	case abandoned:
 		d.abandon(c.waiter)
@@ -305,7 +302,7 @@
 	if s == nil {
 		return
 	}
-	s.server = s.server.WithAnswer(a.Position, a.At-a.SentAt, a.At)
+	s.server = s.server.WithAnswer(a.Position, a.At-a.SentAt)
 	d.heard.Store(a.Server, a.At)
 	groupName := s.server.Listing.Group
 	if d.cfg.Views.Leads(groupName, a.Server, a.Position.Term) {
--- a/proxy/dispatcher_serve.go
+++ b/proxy/dispatcher_serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
@@ -47,7 +48,7 @@
 	s := d.at(choice.Server)
 	if c, found := s.takeIdle(w.want); found {
 		s.server = s.server.WithOutstanding(1)
-		w.reply.Offer(grant{grant: Grant{Connection: c, Server: s.server, Choice: choice}})
+		w.reply.Offer(grant{grant: Grant{Connection: c, Choice: choice}})
 		return true
 	}
 	if s.total >= d.share(s, now) && !s.evict(w.want.Organisation) {
@@ -108,22 +109,11 @@
 		candidates = append(candidates, dispatch.Candidate{Server: s.server, HasIdle: hasIdle, MayOpen: mayOpen})
 	}
 	slices.SortFunc(candidates, func(a, b dispatch.Candidate) int {
-		return compareNames(a.Server.Listing.Name, b.Server.Listing.Name)
+		return strings.Compare(a.Server.Listing.Name, b.Server.Listing.Name)
 	})
 	return candidates
 }
 
-func compareNames(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 func (d *Dispatcher) situation(w *waiter, now time.Duration) dispatch.Situation {
 	primary, _, _ := d.cfg.Views.View(w.want.Group).PrimaryAt(now)
 	evidence := d.evidence[w.want.Group]
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -6,7 +6,6 @@
 
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
 	"github.com/rhubarbwick/rhubarbwick/document"
-	"github.com/rhubarbwick/rhubarbwick/group"
 	"github.com/rhubarbwick/rhubarbwick/port"
 )
 
@@ -36,13 +35,6 @@
 // Demand is the number of operations a second that callers ask for, by organisation.
 type Demand map[string]float64
 
-// GroupPoint says that Age before a message left every confirmed write of the group lay at or before the position.
-type GroupPoint struct {
-	Group    string
-	Position group.Position
-	Age      time.Duration
-}
-
 // Ask is an instance's question to a relay.
 type Ask struct {
 	From     Member
@@ -51,7 +43,6 @@
 	Records uint64
 	Servers port.Version
 	Demand  Demand
-	Points  []GroupPoint
 	// Wait is how long the relay may wait for something new.
 	Wait time.Duration
 	// FromRelay is true between relays, whose demand is that of their data centre.
@@ -76,7 +67,6 @@
 	// Totals is the demand of the fleet and Own the asker's part of it. Totals is empty while the relay does not know all.
 	Totals Demand
 	Own    Demand
-	Points []GroupPoint
 	// Fresh is false when the relay's own knowledge is old.
 	Fresh bool
 }
--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -339,7 +340,7 @@
 			members = append(members, l)
 		}
 	}
-	slices.SortFunc(members, func(a, b dispatch.Listing) int { return compareNames(a.Name, b.Name) })
+	slices.SortFunc(members, func(a, b dispatch.Listing) int { return strings.Compare(a.Name, b.Name) })
 	return members
 }
 
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -49,7 +49,7 @@
 	if s.tx != nil {
 		return s.queryInside(ctx, w)
 	}
-	route, failure := s.enter(ctx)
+	route, failure := s.enter()
 	if !failure.IsZero() {
 		return statement.Answer{Failure: failure}
 	}
--- a/proxy/rates.go
+++ b/proxy/rates.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"math"
 	"sync"
 	"time"
@@ -100,7 +99,7 @@
 }
 
 // Take takes one operation from the organisation's part.
-func (r *SharedRates) Take(_ context.Context, organisation string) error {
+func (r *SharedRates) Take(organisation string) error {
 	index, _ := r.rules.Rules()
 	o, found := index.FindOrganisation(organisation)
 	if !found {
--- a/proxy/rates_test.go
+++ b/proxy/rates_test.go
@@ -72,7 +72,7 @@
 			mean := perSecond * f.weights[i] * rateStep.Seconds()
 			for n := f.poisson(mean); n > 0; n-- {
 				f.asked++
-				if r.Take(nil, testOrg) == nil { //nolint:staticcheck // Take uses no context.
+				if r.Take(testOrg) == nil {
 					f.admitted = append(f.admitted, f.timer.Now())
 				}
 			}
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -23,8 +23,8 @@
 
 // Rates limits the operations of organisations over the whole fleet.
 type Rates interface {
-	// Take takes one operation. It fails with kind OverRate or ShareUnavailable.
-	Take(ctx context.Context, organisation string) error
+	// Take takes one operation. It fails with kind OverRate.
+	Take(organisation string) error
 }
 
 // Rules gives the document in force.
--- a/proxy/views.go
+++ b/proxy/views.go
@@ -16,8 +16,6 @@
 
 	mu    sync.Mutex
 	views map[string]primacy.View
-	// changed is closed when a record changed.
-	changed chan struct{}
 }
 
 // NewViews returns views of no group. recorder may be nil.
@@ -25,27 +23,23 @@
 	if recorder == nil {
 		recorder = discard{}
 	}
-	return &Views{timer: timer, recorder: recorder, views: make(map[string]primacy.View), changed: make(chan struct{})}
+	return &Views{timer: timer, recorder: recorder, views: make(map[string]primacy.View)}
 }
 
-// Take notes a record that was asked for at one instant and read from the store at another, and reports whether it is
-// news.
-func (v *Views) Take(p StoredPrimacy, askedAt, readAt time.Duration) bool {
+// Take notes a record that was asked for at one instant and read from the store at another.
+func (v *Views) Take(p StoredPrimacy, askedAt, readAt time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	before := v.views[p.Record.Group]
 	after := before.WithRecord(p.Record, uint64(p.Version), askedAt, readAt)
 	v.views[p.Record.Group] = after
 	if after.Version == before.Version {
-		return false
+		return
 	}
-	close(v.changed)
-	v.changed = make(chan struct{})
 	v.recorder.Note(PrimaryChanged{
 		Group: p.Record.Group, Primary: p.Record.Primary, Term: p.Record.Term, Replacing: p.Record.Replacement != nil,
 		Age: v.timer.Now() - askedAt,
 	})
-	return true
 }
 
 // Versions returns the version of each group's newest record.
@@ -73,13 +67,6 @@
 	return v.views[groupName]
 }
 
-// Changed returns a channel that is closed at the next change of a record.
-func (v *Views) Changed() <-chan struct{} {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.changed
-}
-
 // Primary returns the server that may be treated as the group's primary now.
 func (v *Views) Primary(groupName string) (string, group.Term, bool) {
 	return v.View(groupName).PrimaryAt(v.timer.Now())
