Read, watch, ask all members and give a connection back by one piece of code each

Three periodic readers and two watchers of the store are one type each; the four places that ask all members at once share askMembers; the first relay that did not fail, the settled relay, a usable connection, a statement's time and the missing recorder are decided in one place each. Behaviour is unchanged.

--- a/proxy/event.go
+++ b/proxy/event.go
@@ -77,3 +77,11 @@
 
 // Note drops the event.
 func (discard) Note(Event) {}
+
+// orDiscard returns the recorder, or one that drops events when there is none.
+func orDiscard(r Recorder) Recorder {
+	if r == nil {
+		return discard{}
+	}
+	return r
+}
--- a/proxy/hub.go
+++ b/proxy/hub.go
@@ -102,7 +102,7 @@
 	h.tellKnowledge(&r, ask, now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.isRelay && now-h.relaySince >= settleTime {
+	if h.isSettled(now) {
 		r.Totals = h.totals(now)
 		r.Own = h.demands[ask.From.Incarnation].demand
 	}
@@ -154,7 +154,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.cfg.Timer.Now()
-	return h.area(now), h.isRelay && now-h.relaySince >= settleTime
+	return h.area(now), h.isSettled(now)
 }
 
 // Totals returns the demand of the fleet, and false while it is not known.
@@ -162,7 +162,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.cfg.Timer.Now()
-	return h.totals(now), h.isRelay && now-h.relaySince >= settleTime
+	return h.totals(now), h.isSettled(now)
+}
+
+// isSettled reports whether the instance has been a relay for long enough to know the demand. The lock is held.
+func (h *Hub) isSettled(now time.Duration) bool {
+	return h.isRelay && now-h.relaySince >= settleTime
 }
 
 func (h *Hub) take(ask Ask, now time.Duration) {
--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -13,7 +13,6 @@
 	"github.com/rhubarbwick/rhubarbwick/instance"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/primacy"
-	"github.com/rhubarbwick/rhubarbwick/ring"
 	"github.com/rhubarbwick/rhubarbwick/statement"
 )
 
@@ -74,9 +73,7 @@
 
 // NewPromoter returns a promoter.
 func NewPromoter(cfg PromoterConfig) *Promoter {
-	if cfg.Recorder == nil {
-		cfg.Recorder = discard{}
-	}
+	cfg.Recorder = orDiscard(cfg.Recorder)
 	p := &Promoter{cfg: cfg, active: make(map[string]bool), since: make(map[string]time.Duration)}
 	p.duty = newDutyHolder(&p.cfg)
 	return p
@@ -211,28 +208,16 @@
 func (p *Promoter) isHeard(ctx context.Context, s Snapshot, server string) bool {
 	limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, callPeers)
 	defer cancel()
-	hearings := ring.New[Hearing](len(s.Members) + 1)
-	var asked sync.WaitGroup
-	for _, m := range s.Members {
-		if m.Incarnation == p.cfg.Self.Incarnation {
-			continue
-		}
-		asked.Go(func() {
-			if h, err := p.cfg.Fleet.Survey(limited, m.Address, server); err == nil {
-				hearings.Offer(h)
-			}
-		})
-	}
-	asked.Wait()
-	for {
-		h, ok := hearings.TryTake()
-		if !ok {
-			return false
-		}
+	asked := others(s.Members, p.cfg.Self.Incarnation)
+	hearings := askMembers(limited, asked, func(ctx context.Context, m Member) (Hearing, error) {
+		return p.cfg.Fleet.Survey(ctx, m.Address, server)
+	})
+	for _, h := range hearings {
 		if h.Heard && h.Age <= hearingLimit {
 			return true
 		}
 	}
+	return false
 }
 
 // replace starts a replacement unless one is under way here.
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -29,7 +29,6 @@
 	route    document.Route
 	shape    *statement.Shape
 	writes   bool
-	deadline time.Duration
 	excluded []string
 }
 
@@ -53,18 +52,19 @@
 	if !failure.IsZero() {
 		return statement.Answer{Failure: failure}
 	}
-	s.limit(w, route)
-	ctx, cancel := port.WithTimeout(ctx, s.manager.cfg.Timer, w.deadline-s.manager.cfg.Timer.Now())
+	ctx, cancel := s.limit(ctx, w, route)
 	defer cancel()
 	return s.runAlone(ctx, w)
 }
 
-func (s *Session) limit(w *work, route document.Route) {
+// limit returns a context that ends when the statement's time on the route is over.
+func (s *Session) limit(ctx context.Context, w *work, route document.Route) (context.Context, context.CancelFunc) {
 	timeout := route.Timeout()
 	if timeout == 0 {
 		timeout = defaultTimeout
 	}
-	w.route, w.deadline = route, s.manager.cfg.Timer.Now()+timeout
+	w.route = route
+	return port.WithTimeout(ctx, s.manager.cfg.Timer, timeout)
 }
 
 // runAlone runs a statement outside a transaction, at another server when one refused it.
@@ -79,7 +79,7 @@
 			return last
 		}
 		answer, result := s.forward(ctx, l, w)
-		s.manager.cfg.Dispatcher.Return(l.connection, result != lost && result != lostUnsent)
+		s.manager.cfg.Dispatcher.Return(l.connection, result.leavesConnection())
 		switch result {
 		case ran:
 			return answer.WithState(statement.Idle)
@@ -110,6 +110,9 @@
 	lostUnsent
 )
 
+// leavesConnection reports whether the connection can be used again.
+func (o outcome) leavesConnection() bool { return o != lost && o != lostUnsent }
+
 // forward runs a statement on the loan's connection.
 func (s *Session) forward(ctx context.Context, l *loan, w *work) (statement.Answer, outcome) {
 	orders, name, applied := l.connection.Applied.Prepare(s.context, w.shape)
--- a/proxy/readers.go
+++ b/proxy/readers.go
@@ -51,155 +51,120 @@
 
 // Run reads until ctx ends.
 func (r *StoreReaders) Run(ctx context.Context) {
+	readDocument := func(ctx context.Context) error {
+		_, err := r.readDocument(ctx)
+		return err
+	}
+	readServers := func(ctx context.Context) error {
+		_, err := r.readServers(ctx)
+		return err
+	}
 	var running sync.WaitGroup
 	for _, duty := range []interface{ loop(ctx context.Context) }{
-		&documentReader{StoreReaders: r}, &documentWatcher{StoreReaders: r},
-		&serverReader{StoreReaders: r}, &serverWatcher{StoreReaders: r}, &recordReader{StoreReaders: r},
+		&periodicReader{timer: r.Timer, period: documentPeriod, read: readDocument},
+		&periodicReader{timer: r.Timer, period: serversPeriod, read: readServers},
+		&periodicReader{timer: r.Timer, period: readPeriod, read: r.ReadRecords},
+		&watcher{timer: r.Timer, read: r.readDocument, await: r.awaitDocument},
+		&watcher{timer: r.Timer, read: r.readServers, await: r.awaitServers},
 	} {
 		running.Go(func() { duty.loop(ctx) })
 	}
 	running.Wait()
 }
 
-// readDocument reads the document and returns the version from which its changes can be waited for.
-func (r *StoreReaders) readDocument(ctx context.Context) (port.Version, error) {
-	asked := r.Timer.Now()
-	limited, cancel := port.WithTimeout(ctx, r.Timer, callLimit)
-	defer cancel()
-	d, version, err := r.Documents.Read(limited)
-	if err == nil {
-		r.Knowledge.TakeDocument(d, asked)
-	}
-	return version, err
-}
-
-// readServers reads the list of servers and returns the version from which its changes can be waited for.
-func (r *StoreReaders) readServers(ctx context.Context) (port.Version, error) {
-	limited, cancel := port.WithTimeout(ctx, r.Timer, callLimit)
-	defer cancel()
-	all, version, err := r.Listings.ReadAll(limited)
-	if err != nil {
-		return 0, err
-	}
-	servers := make(map[string]dispatch.Listing, len(all))
-	for _, l := range all {
-		servers[l.Name] = l
-	}
-	r.Knowledge.TakeServers(servers, version)
-	return version, nil
-}
-
-// documentReader is the duty that reads the document every documentPeriod.
-type documentReader struct {
-	*StoreReaders
+// periodicReader is the duty that reads something in full every period.
+type periodicReader struct {
+	timer  port.Timer
+	period time.Duration
+	read   func(ctx context.Context) error
 	failed pauses
 }
 
-func (r *documentReader) loop(ctx context.Context) {
+func (r *periodicReader) loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		if _, err := r.readDocument(ctx); err != nil {
-			r.failed.wait(ctx, r.Timer)
+		if r.read(ctx) != nil {
+			r.failed.wait(ctx, r.timer)
 			continue
 		}
 		r.failed.reset()
-		_ = port.Wait(ctx, r.Timer, documentPeriod)
+		_ = port.Wait(ctx, r.timer, r.period)
 	}
 }
 
-// documentWatcher is the duty that waits for changes of the document.
-type documentWatcher struct {
-	*StoreReaders
+// watcher is the duty that reads something and then waits for its changes, and begins anew when a wait fails.
+type watcher struct {
+	timer port.Timer
+	// read returns the version from which changes can be waited for; await takes over those after it and returns the next.
+	read   func(ctx context.Context) (port.Version, error)
+	await  func(ctx context.Context, since port.Version) (port.Version, error)
 	failed pauses
 }
 
-func (w *documentWatcher) loop(ctx context.Context) {
+func (w *watcher) loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		if version, err := w.readDocument(ctx); err == nil {
-			w.await(ctx, version)
+		version, err := w.read(ctx)
+		for err == nil && ctx.Err() == nil {
+			version, err = w.awaitOnce(ctx, version)
 		}
-		w.failed.wait(ctx, w.Timer)
+		w.failed.wait(ctx, w.timer)
 	}
 }
 
-// await takes over changes until a wait fails.
-func (w *documentWatcher) await(ctx context.Context, version port.Version) {
-	for ctx.Err() == nil {
-		asked := w.Timer.Now()
-		limited, cancel := port.WithTimeout(ctx, w.Timer, awaitChange+callLimit)
-		d, changed, next, err := w.Documents.Await(limited, version, awaitChange)
-		cancel()
-		if err != nil {
-			return
-		}
+func (w *watcher) awaitOnce(ctx context.Context, since port.Version) (port.Version, error) {
+	limited, cancel := port.WithTimeout(ctx, w.timer, awaitChange+callLimit)
+	defer cancel()
+	next, err := w.await(limited, since)
+	if err == nil {
 		w.failed.reset()
-		version = next
-		if changed {
-			w.Knowledge.TakeDocument(d, asked)
-		}
 	}
+	return next, err
 }
 
-// serverReader is the duty that reads the list of servers every serversPeriod.
-type serverReader struct {
-	*StoreReaders
-	failed pauses
-}
-
-func (r *serverReader) loop(ctx context.Context) {
-	for ctx.Err() == nil {
-		if _, err := r.readServers(ctx); err != nil {
-			r.failed.wait(ctx, r.Timer)
-			continue
-		}
-		r.failed.reset()
-		_ = port.Wait(ctx, r.Timer, serversPeriod)
+// readDocument reads the document and returns the version from which its changes can be waited for.
+func (r *StoreReaders) readDocument(ctx context.Context) (port.Version, error) {
+	asked := r.Timer.Now()
+	limited, cancel := port.WithTimeout(ctx, r.Timer, callLimit)
+	defer cancel()
+	d, version, err := r.Documents.Read(limited)
+	if err == nil {
+		r.Knowledge.TakeDocument(d, asked)
 	}
+	return version, err
 }
 
-// serverWatcher is the duty that waits for changes of the list of servers.
-type serverWatcher struct {
-	*StoreReaders
-	failed pauses
-}
-
-func (w *serverWatcher) loop(ctx context.Context) {
-	for ctx.Err() == nil {
-		if version, err := w.readServers(ctx); err == nil {
-			w.await(ctx, version)
-		}
-		w.failed.wait(ctx, w.Timer)
+// readServers reads the list of servers and returns the version from which its changes can be waited for.
+func (r *StoreReaders) readServers(ctx context.Context) (port.Version, error) {
+	limited, cancel := port.WithTimeout(ctx, r.Timer, callLimit)
+	defer cancel()
+	all, version, err := r.Listings.ReadAll(limited)
+	if err != nil {
+		return 0, err
 	}
-}
-
-func (w *serverWatcher) await(ctx context.Context, version port.Version) {
-	for ctx.Err() == nil {
-		limited, cancel := port.WithTimeout(ctx, w.Timer, awaitChange+callLimit)
-		changes, next, err := w.Listings.AwaitChanges(limited, version, awaitChange)
-		cancel()
-		if err != nil {
-			return
-		}
-		w.failed.reset()
-		version = next
-		w.Knowledge.ChangeServers(changes, version)
+	servers := make(map[string]dispatch.Listing, len(all))
+	for _, l := range all {
+		servers[l.Name] = l
 	}
+	r.Knowledge.TakeServers(servers, version)
+	return version, nil
 }
 
-// recordReader is the duty that reads the records in the store.
-type recordReader struct {
-	*StoreReaders
-	failed pauses
+// awaitDocument takes over the newest document that came after since.
+func (r *StoreReaders) awaitDocument(ctx context.Context, since port.Version) (port.Version, error) {
+	asked := r.Timer.Now()
+	d, changed, next, err := r.Documents.Await(ctx, since, awaitChange)
+	if err == nil && changed {
+		r.Knowledge.TakeDocument(d, asked)
+	}
+	return next, err
 }
 
-func (r *recordReader) loop(ctx context.Context) {
-	for ctx.Err() == nil {
-		if r.ReadRecords(ctx) != nil {
-			r.failed.wait(ctx, r.Timer)
-			continue
-		}
-		r.failed.reset()
-		_ = port.Wait(ctx, r.Timer, readPeriod)
+// awaitServers takes over the changes of the list after since.
+func (r *StoreReaders) awaitServers(ctx context.Context, since port.Version) (port.Version, error) {
+	changes, next, err := r.Listings.AwaitChanges(ctx, since, awaitChange)
+	if err == nil {
+		r.Knowledge.ChangeServers(changes, next)
 	}
+	return next, err
 }
 
 // ReadRecords reads the records once.
--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -10,7 +10,6 @@
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/primacy"
-	"github.com/rhubarbwick/rhubarbwick/ring"
 	"github.com/rhubarbwick/rhubarbwick/statement"
 )
 
@@ -150,46 +149,21 @@
 
 // askAll asks the instances that have not confirmed yet, and reports whether all have.
 func (r *replacement) askAll(ctx context.Context, members []Member, confirmed Confirmations) bool {
-	answers := ring.New[suspension](len(members) + 1)
-	var asked sync.WaitGroup
-	for _, m := range members {
-		if !confirmed.Has(m) {
-			s := &suspension{replacement: r, member: m, answers: answers}
-			asked.Go(func() { s.run(ctx) })
-		}
-	}
-	asked.Wait()
-	for {
-		s, ok := answers.TryTake()
-		if !ok {
-			break
-		}
-		confirmed.Add(s.member.Incarnation, s.longListed)
-	}
-	return !slices.ContainsFunc(members, func(m Member) bool { return !confirmed.Has(m) })
-}
-
-// suspension is the duty that asks one instance to stop using the old primary.
-type suspension struct {
-	replacement *replacement
-	member      Member
-	longListed  []string
-	answers     *ring.Ring[suspension]
-}
-
-func (s *suspension) run(ctx context.Context) {
-	p := s.replacement.promoter
+	p := r.promoter
 	limit := callPeers
-	if s.replacement.planned {
+	if r.planned {
 		limit += lastStatements
 	}
 	limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, limit)
 	defer cancel()
-	longListed, err := p.cfg.Fleet.Suspend(limited, s.member.Address, s.replacement.stored)
-	if err == nil {
-		s.longListed = longListed
-		s.answers.Offer(*s)
+	silent := slices.DeleteFunc(slices.Clone(members), confirmed.Has)
+	answers := askMembers(limited, silent, func(ctx context.Context, m Member) ([]string, error) {
+		return p.cfg.Fleet.Suspend(ctx, m.Address, r.stored)
+	})
+	for incarnation, longListed := range answers {
+		confirmed.Add(incarnation, longListed)
 	}
+	return len(answers) == len(silent)
 }
 
 // isBack reports whether the old primary answers as such.
@@ -364,11 +338,8 @@
 	snapshot, _ := p.cfg.Knowledge.Records()
 	limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, callPeers)
 	defer cancel()
-	var told sync.WaitGroup
-	for _, m := range snapshot.Members {
-		if m.Incarnation != p.cfg.Self.Incarnation {
-			told.Go(func() { _ = p.cfg.Fleet.Notify(limited, m.Address, p.cfg.Self) })
-		}
-	}
-	told.Wait()
+	// Who cannot be told reads the records within a second or two.
+	askMembers(limited, others(snapshot.Members, p.cfg.Self.Incarnation), func(ctx context.Context, m Member) (struct{}, error) {
+		return struct{}{}, p.cfg.Fleet.Notify(ctx, m.Address, p.cfg.Self)
+	})
 }
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -115,8 +115,7 @@
 	}
 	req, err := s.caller.Receive(waiting)
 	if err != nil && errors.Is(context.Cause(waiting), errIdle) && ctx.Err() == nil {
-		s.dropTransaction()
-		s.tx = &transaction{failed: true}
+		s.fail()
 		return s.caller.Receive(ctx)
 	}
 	return req, err
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -64,9 +64,7 @@
 
 // NewSessionManager returns a manager without sessions.
 func NewSessionManager(cfg SessionManagerConfig) *SessionManager {
-	if cfg.Recorder == nil {
-		cfg.Recorder = discard{}
-	}
+	cfg.Recorder = orDiscard(cfg.Recorder)
 	if cfg.IsIsolated == nil {
 		cfg.IsIsolated = func() bool { return false }
 	}
@@ -202,7 +200,7 @@
 
 // abandonAfter returns the connection of a loan whose last statement had the outcome.
 func (m *SessionManager) abandonAfter(l *loan, result outcome) {
-	if result == lost || result == lostUnsent {
+	if !result.leavesConnection() {
 		m.cfg.Dispatcher.Return(l.connection, false)
 		return
 	}
--- a/proxy/syncer.go
+++ b/proxy/syncer.go
@@ -68,9 +68,7 @@
 
 // NewSyncer returns a syncer.
 func NewSyncer(cfg SyncerConfig) *Syncer {
-	if cfg.Recorder == nil {
-		cfg.Recorder = discard{}
-	}
+	cfg.Recorder = orDiscard(cfg.Recorder)
 	c := &Syncer{cfg: cfg, failed: make(map[string]time.Duration)}
 	c.cleaner = newCleaner(&c.cfg)
 	return c
@@ -141,10 +139,9 @@
 func (c *Syncer) head(now time.Duration) (Member, bool) {
 	var best Member
 	for area := range c.areas() {
-		relays := c.ranked(area)
-		i := slices.IndexFunc(relays, func(m Member) bool { return !c.failedOfLate(m, now) })
-		if i >= 0 && (best.Incarnation == "" || instance.RankOf(headRole, area) > instance.RankOf(headRole, best.DataCentre)) {
-			best = relays[i]
+		relay, found := c.first(area, func(m Member) bool { return c.failedOfLate(m, now) })
+		if found && (best.Incarnation == "" || instance.RankOf(headRole, area) > instance.RankOf(headRole, best.DataCentre)) {
+			best = relay
 		}
 	}
 	return best, best.Incarnation != ""
@@ -177,12 +174,16 @@
 
 // relay returns the first in rank of the own data centre's instances that did not fail of late.
 func (c *Syncer) relay(now time.Duration) (Member, bool) {
-	relays := c.ranked(c.cfg.Self.DataCentre)
-	i := slices.IndexFunc(relays, func(m Member) bool { return !c.hasFailed(m, now) })
-	if i < 0 {
+	return c.first(c.cfg.Self.DataCentre, func(m Member) bool { return c.hasFailed(m, now) })
+}
+
+// first returns the first in rank of the data centre's instances that is not passed over.
+func (c *Syncer) first(dataCentre string, passedOver func(Member) bool) (Member, bool) {
+	relays := slices.DeleteFunc(c.ranked(dataCentre), passedOver)
+	if len(relays) == 0 {
 		return Member{}, false
 	}
-	return relays[i], true
+	return relays[0], true
 }
 
 // hasFailed reports whether another instance failed of late.
@@ -262,15 +263,10 @@
 	var asked sync.WaitGroup
 	now := c.cfg.Timer.Now()
 	for area := range areas {
-		relays := c.ranked(area)
-		i := slices.IndexFunc(relays, func(m Member) bool { return !c.hasFailed(m, now) })
-		if i < 0 {
-			continue
-		}
-		asked.Go(func() {
+		if relay, found := c.first(area, func(m Member) bool { return c.hasFailed(m, now) }); found {
 			// A relay that is cut off is asked again at the next turn; its last word counts until then.
-			_, _ = c.exchange(ctx, relays[i], demand, 0, true)
-		})
+			asked.Go(func() { _, _ = c.exchange(ctx, relay, demand, 0, true) })
+		}
 	}
 	asked.Wait()
 }
@@ -289,19 +285,12 @@
 	}
 	limited, cancel := port.WithTimeout(ctx, c.cfg.Timer, exchangeLimit)
 	defer cancel()
-	answers := ring.New[bool](len(s.Members) + 1)
-	var running sync.WaitGroup
-	for _, m := range s.Members {
-		running.Go(func() {
-			if agreed, err := c.cfg.Fleet.Extend(limited, m.Address, versions); err == nil {
-				answers.Offer(agreed)
-			}
-		})
-	}
-	running.Wait()
-	agreed, reached := 0, answers.Len()
-	for range reached {
-		if ok, _ := answers.TryTake(); ok {
+	answers := askMembers(limited, s.Members, func(ctx context.Context, m Member) (bool, error) {
+		return c.cfg.Fleet.Extend(ctx, m.Address, versions)
+	})
+	agreed := 0
+	for _, ok := range answers {
+		if ok {
 			agreed++
 		}
 	}
@@ -310,7 +299,7 @@
 		c.cfg.Knowledge.TakeRecords(s.WithAskedAt(asked))
 	}
 	newest, _ := c.cfg.Knowledge.Records()
-	c.cfg.Isolated(reached < majority && c.cfg.Timer.Now()-newest.AskedAt >= extendAge)
+	c.cfg.Isolated(len(answers) < majority && c.cfg.Timer.Now()-newest.AskedAt >= extendAge)
 }
 
 // exchange asks a relay and takes over what it knows.
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -18,8 +18,7 @@
 
 // queryInside runs a statement of a transaction.
 func (s *Session) queryInside(ctx context.Context, w *work) statement.Answer {
-	s.limit(w, s.tx.route)
-	ctx, cancel := port.WithTimeout(ctx, s.manager.cfg.Timer, w.deadline-s.manager.cfg.Timer.Now())
+	ctx, cancel := s.limit(ctx, w, s.tx.route)
 	defer cancel()
 	if s.tx.loan == nil {
 		return s.runFirst(ctx, w)
@@ -101,8 +100,7 @@
 		return statement.Refuse(port.Protocol, "no transaction is open", statement.Idle)
 	}
 	w := &work{req: req}
-	s.limit(w, s.tx.route)
-	ctx, cancel := port.WithTimeout(ctx, s.manager.cfg.Timer, w.deadline-s.manager.cfg.Timer.Now())
+	ctx, cancel := s.limit(ctx, w, s.tx.route)
 	defer cancel()
 	defer func() { s.tx = nil }()
 	if s.tx.loan == nil {
--- a/proxy/views.go
+++ b/proxy/views.go
@@ -20,10 +20,7 @@
 
 // NewViews returns views of no group. recorder may be nil.
 func NewViews(timer port.Timer, recorder Recorder) *Views {
-	if recorder == nil {
-		recorder = discard{}
-	}
-	return &Views{timer: timer, recorder: recorder, views: make(map[string]primacy.View)}
+	return &Views{timer: timer, recorder: orDiscard(recorder), views: make(map[string]primacy.View)}
 }
 
 // Take notes a record that was asked for at one instant and read from the store at another.
