Derive versions and counts of records once; share the start-up of both commands; split the dispatcher

Records were parsed anew at every exchange, their version was computed for every look of a relay, and the number of instances for every statement and server. The logger and the identity of a start stood in two commands. A record that another instance told of is logged without an age, which was that of the process before. An instance that is no relay forgets who asked it.

--- a/cmd/gateway/fleet_test.go
+++ b/cmd/gateway/fleet_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/rhubarbwick/rhubarbwick/cmd/streams"
+	"github.com/rhubarbwick/rhubarbwick/cmd/startup"
 	"github.com/rhubarbwick/rhubarbwick/platform"
 	"github.com/rhubarbwick/rhubarbwick/proxy"
 	"github.com/rhubarbwick/rhubarbwick/standin/database"
@@ -126,11 +126,13 @@
 	g := &gateway{out: &syncBuffer{}, ended: make(chan error, 1)}
 	ctx, stop := context.WithCancel(f.t.Context())
 	const anyPort = "127.0.0.1:0"
+	log, err := startup.NewLogger(logSettings, g.out)
+	require.NoError(f.t, err)
 	p, err := newProcess(ctx, platform.Settings{
 		Name: name, DataCentre: "kig-a", CallerAddress: anyPort, ReadyAddress: anyPort, PeerAddress: anyPort,
 		MetricsAddress: anyPort, StoreAddress: f.address, CloudAddress: f.address, MemoryMB: 200, Descriptors: 2000,
 		Drain: 6 * time.Second, Rates: proxy.Tolerance{Window: 5 * time.Second},
-	}, newIncarnation(), newLogger(streams.Streams{Out: g.out, Err: g.out}))
+	}, startup.NewIncarnation(), log)
 	require.NoError(f.t, err)
 	p.path = filepath.Join(f.t.TempDir(), "missing.conf")
 	g.callers, g.ready, g.metrics = p.listener.Address(), p.readiness.Address(), p.exposition.Address()
--- a/cmd/gateway/gateway.go
+++ b/cmd/gateway/gateway.go
@@ -3,20 +3,22 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
+	"github.com/rhubarbwick/rhubarbwick/adapter/settings"
+	"github.com/rhubarbwick/rhubarbwick/cmd/startup"
 	"github.com/rhubarbwick/rhubarbwick/cmd/streams"
 	"github.com/rhubarbwick/rhubarbwick/platform"
+	"github.com/rhubarbwick/rhubarbwick/port"
 )
 
+// logSettings have one JSON object a line written, for on-call engineers and their tools.
+var logSettings = settings.Log{Level: "info", Format: "json"}
+
 // Options are the options of the gateway command.
 type Options struct {
 	Streams streams.Streams
@@ -43,31 +45,20 @@
 	if opts.Path == "" {
 		opts.Path = os.Getenv(platform.SettingsVariable)
 	}
-	settings, err := platform.LoadSettings(opts.Path)
+	cfg, err := platform.LoadSettings(opts.Path)
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	p, err := newProcess(ctx, settings, newIncarnation(), newLogger(opts.Streams))
+	log, err := startup.NewLogger(logSettings, opts.Streams.Out)
+	if err != nil {
+		return port.Wrapf(err, port.Invalid, "the log cannot be opened")
+	}
+	p, err := newProcess(ctx, cfg, startup.NewIncarnation(), log)
 	if err != nil {
 		return err
 	}
 	p.path = opts.Path
 	return p.run(ctx)
 }
-
-// newLogger writes one JSON object a line to standard output, where the on-call engineers look for them.
-func newLogger(s streams.Streams) *zap.Logger {
-	encoding := zap.NewProductionEncoderConfig()
-	encoding.EncodeTime = zapcore.ISO8601TimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), zapcore.Lock(zapcore.AddSync(s.Out)), zapcore.InfoLevel)
-	return zap.New(core)
-}
-
-// newIncarnation draws the identity of this start. crypto/rand does not fail.
-func newIncarnation() string {
-	var id [8]byte
-	_, _ = rand.Read(id[:])
-	return hex.EncodeToString(id[:])
-}
--- a/cmd/serve/fleet_test.go
+++ b/cmd/serve/fleet_test.go
@@ -19,6 +19,7 @@
 	"github.com/rhubarbwick/rhubarbwick/adapter/clock"
 	"github.com/rhubarbwick/rhubarbwick/adapter/operator"
 	"github.com/rhubarbwick/rhubarbwick/adapter/settings"
+	"github.com/rhubarbwick/rhubarbwick/cmd/startup"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/instance"
 	"github.com/rhubarbwick/rhubarbwick/standin/platform"
@@ -101,7 +102,7 @@
 	cfg.Console.PasswordSHA256 = hashOf(operatorSecret)
 	cfg.Log.Level = "debug"
 	logs := &output{}
-	log, err := newLogger(cfg.Log, logs)
+	log, err := startup.NewLogger(cfg.Log, logs)
 	require.NoError(t, err)
 	p, err := newProcess(ctx, cfg, "instance-under-test", log)
 	require.NoError(t, err)
--- a/cmd/serve/process.go
+++ b/cmd/serve/process.go
@@ -23,6 +23,7 @@
 	"github.com/rhubarbwick/rhubarbwick/adapter/postgres"
 	"github.com/rhubarbwick/rhubarbwick/adapter/settings"
 	"github.com/rhubarbwick/rhubarbwick/allotment"
+	"github.com/rhubarbwick/rhubarbwick/cmd/startup"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/entry"
 	"github.com/rhubarbwick/rhubarbwick/group"
@@ -127,7 +128,7 @@
 		Follower: p.follower,
 		Timer:    p.timer,
 		Wall:     time.Now,
-		NewID:    newIncarnation,
+		NewID:    startup.NewIncarnation,
 		Log:      func(line string) { log.Info(line) },
 	})
 	p.collector = entry.NewCollector(entry.CollectorConfig{
--- a/cmd/serve/serve.go
+++ b/cmd/serve/serve.go
@@ -3,14 +3,13 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"os/signal"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/rhubarbwick/rhubarbwick/cmd/settings/check"
+	"github.com/rhubarbwick/rhubarbwick/cmd/startup"
 	"github.com/rhubarbwick/rhubarbwick/cmd/streams"
 	"github.com/rhubarbwick/rhubarbwick/port"
 )
@@ -48,9 +47,9 @@
 		return err
 	}
 	if opts.Incarnation == "" {
-		opts.Incarnation = newIncarnation()
+		opts.Incarnation = startup.NewIncarnation()
 	}
-	log, err := newLogger(cfg.Log, opts.Streams.Err)
+	log, err := startup.NewLogger(cfg.Log, opts.Streams.Err)
 	if err != nil {
 		return port.Wrapf(err, port.Invalid, "the log cannot be opened")
 	}
@@ -63,10 +62,3 @@
 	}
 	return p.run(ctx, opts.Streams.Out)
 }
-
-// newIncarnation draws the identity of this start. crypto/rand does not fail.
-func newIncarnation() string {
-	var id [8]byte
-	_, _ = rand.Read(id[:])
-	return hex.EncodeToString(id[:])
-}
--- a/cmd/serve/log.go
+++ b/cmd/startup/startup.go
@@ -1,6 +1,9 @@
-package serve
+// Package startup holds what the commands that run an instance need before it starts.
+package startup
 
 import (
+	"crypto/rand"
+	"encoding/hex"
 	"io"
 
 	"go.uber.org/zap"
@@ -9,8 +12,15 @@
 	"github.com/rhubarbwick/rhubarbwick/adapter/settings"
 )
 
-// newLogger returns the logger of the process. Each part logs under its name, which is the prefix of its lines.
-func newLogger(cfg settings.Log, w io.Writer) (*zap.Logger, error) {
+// NewIncarnation draws the identity of a start. crypto/rand does not fail.
+func NewIncarnation() string {
+	var id [8]byte
+	_, _ = rand.Read(id[:])
+	return hex.EncodeToString(id[:])
+}
+
+// NewLogger returns the logger of the process. Each part logs under its name, which is the prefix of its lines.
+func NewLogger(cfg settings.Log, w io.Writer) (*zap.Logger, error) {
 	level, err := zapcore.ParseLevel(cfg.Level)
 	if err != nil {
 		return nil, err
--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -10,7 +10,6 @@
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/primacy"
 	"github.com/rhubarbwick/rhubarbwick/ring"
-	"github.com/rhubarbwick/rhubarbwick/statement"
 )
 
 const (
@@ -63,18 +62,6 @@
 	doubts *ring.Ring[string]
 }
 
-// serverState is what the dispatcher has at one server.
-type serverState struct {
-	server dispatch.Server
-	idle   []*Connection
-	// total counts all connections, those that are being opened included.
-	total int
-	// cutUntil is until when the instance keeps to cutTo connections.
-	cutUntil time.Duration
-	cutTo    int
-	delisted bool
-}
-
 // waiter is a statement that waits for a connection.
 type waiter struct {
 	want    Want
@@ -99,16 +86,6 @@
 	Affinity uint64
 }
 
-// Connection is a connection to a server that is lent to one transaction at a time.
-type Connection struct {
-	ID       uint64
-	Endpoint Endpoint
-	Link     Link
-	// Applied is what the connection has been given of its callers' contexts. It belongs to the borrower.
-	Applied statement.Applied
-	usedAt  time.Duration
-}
-
 // Grant is a lent connection. Choice tells the position that a read has to ask for.
 type Grant struct {
 	Connection *Connection
@@ -354,66 +331,3 @@
 		s.server = s.server.WithFailure(now)
 	}
 }
-
-// setListings takes over the list of servers. Unused connections to servers that left or depart are closed.
-func (d *Dispatcher) setListings(listings map[string]dispatch.Listing) {
-	for name, l := range listings {
-		s := d.servers[name]
-		if s == nil {
-			s = &serverState{server: dispatch.NewServer(l)}
-			d.servers[name] = s
-		}
-		s.server, s.delisted = s.server.WithListing(l), false
-		if l.Departing {
-			s.closeIdle(func(*Connection) bool { return true })
-		}
-	}
-	for name, s := range d.servers {
-		if _, found := listings[name]; found {
-			continue
-		}
-		s.delisted = true
-		s.closeIdle(func(*Connection) bool { return true })
-		if s.total == 0 {
-			delete(d.servers, name)
-			d.heard.Delete(name)
-		}
-	}
-}
-
-// trim closes connections that nobody used for a while and those above the share.
-func (d *Dispatcher) trim(now time.Duration) {
-	for _, s := range d.servers {
-		excess := s.total - d.share(s, now)
-		s.closeIdle(func(c *Connection) bool {
-			if isLost(c.Link) {
-				return true
-			}
-			surplus := excess > 0 && now-c.usedAt > idleLimit
-			if surplus {
-				excess--
-			}
-			return surplus
-		})
-	}
-}
-
-func (s *serverState) closeIdle(match func(*Connection) bool) {
-	s.idle = slices.DeleteFunc(s.idle, func(c *Connection) bool {
-		if !match(c) {
-			return false
-		}
-		c.Link.Close()
-		s.total--
-		return true
-	})
-}
-
-func isLost(l Link) bool {
-	select {
-	case <-l.Lost():
-		return true
-	default:
-		return false
-	}
-}
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -39,7 +39,8 @@
 	Primary   string
 	Term      group.Term
 	Replacing bool
-	Age       time.Duration
+	// Age is zero when another instance told of the record.
+	Age time.Duration
 }
 
 // PromotionStep says what a promoter did.
--- a/proxy/hub.go
+++ b/proxy/hub.go
@@ -76,6 +76,10 @@
 		h.relaySince = h.cfg.Timer.Now()
 		clear(h.demands)
 	}
+	if !isRelay {
+		// Only a relay asks who has been silent.
+		clear(h.heard)
+	}
 	h.isRelay = isRelay
 }
 
--- a/proxy/knowledge.go
+++ b/proxy/knowledge.go
@@ -64,6 +64,9 @@
 	Members   []Member
 	Primacies map[string]StoredPrimacy
 	Duty      StoredDuty
+	// version and instances are derived from the objects once, because every exchange and statement asks for them.
+	version   uint64
+	instances int
 }
 
 // NewSnapshot sorts the objects. One that cannot be read names nothing.
@@ -86,6 +89,34 @@
 			}
 		}
 	}
+	s.version, s.instances = versionOf(objects), instancesOf(s.Members)
+	return s
+}
+
+// versionOf tells two states of the records apart: a write raises the greatest version, and a removal alone the count.
+func versionOf(objects []port.Object) uint64 {
+	const mostObjects = 1 << 16
+	newest := port.Version(0)
+	for _, o := range objects {
+		newest = max(newest, o.Version)
+	}
+	return uint64(newest)*mostObjects + uint64(len(objects))
+}
+
+// instancesOf returns the number of members that are not about to be removed.
+func instancesOf(members []Member) int {
+	n := 0
+	for _, m := range members {
+		if !m.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// WithReadAt returns the same records as a later read gave them.
+func (s Snapshot) WithReadAt(at time.Duration) Snapshot {
+	s.ReadAt, s.AskedAt = at, at
 	return s
 }
 
@@ -95,15 +126,8 @@
 	return s
 }
 
-// Version tells two states of the records apart: a write raises the greatest version, and a removal alone the count.
-func (s Snapshot) Version() uint64 {
-	const mostObjects = 1 << 16
-	newest := port.Version(0)
-	for _, o := range s.Objects {
-		newest = max(newest, o.Version)
-	}
-	return uint64(newest)*mostObjects + uint64(len(s.Objects))
-}
+// Version tells two states of the records apart.
+func (s Snapshot) Version() uint64 { return s.version }
 
 // Lists reports whether the instance is listed and not about to be removed.
 func (s Snapshot) Lists(self Member) bool {
@@ -202,13 +226,7 @@
 // Instances returns the number of instances that are listed and not about to be removed, at least one.
 func (k *Knowledge) Instances() int {
 	s, _ := k.Records()
-	n := 0
-	for _, m := range s.Members {
-		if !m.Leaving {
-			n++
-		}
-	}
-	return max(n, 1)
+	return max(s.instances, 1)
 }
 
 // MembershipHistory tells since when instances are listed.
--- a/proxy/syncer.go
+++ b/proxy/syncer.go
@@ -338,14 +338,16 @@
 	if r.Servers != nil {
 		k.TakeServers(r.Servers, r.ServersVersion)
 	}
-	known, _ := k.Records()
-	objects := r.Records
-	if objects == nil && known.Version() == r.RecordsVersion {
-		objects = known.Objects
-	}
-	if objects != nil {
-		k.TakeRecords(NewSnapshot(objects, left-r.ReadAge).WithAskedAt(left - r.RecordsAge))
+	records, known := k.Records()
+	switch {
+	case r.Records != nil:
+		records = NewSnapshot(r.Records, left-r.ReadAge)
+	case !known || records.Version() != r.RecordsVersion:
+		return
+	default:
+		records = records.WithReadAt(left - r.ReadAge)
 	}
+	k.TakeRecords(records.WithAskedAt(left - r.RecordsAge))
 }
 
 func (c *Syncer) startReaders(ctx context.Context) {
--- a/proxy/views.go
+++ b/proxy/views.go
@@ -33,10 +33,13 @@
 	if after.Version == before.Version {
 		return
 	}
-	v.recorder.Note(PrimaryChanged{
+	change := PrimaryChanged{
 		Group: p.Record.Group, Primary: p.Record.Primary, Term: p.Record.Term, Replacing: p.Record.Replacement != nil,
-		Age: v.timer.Now() - askedAt,
-	})
+	}
+	if askedAt > 0 {
+		change.Age = v.timer.Now() - askedAt
+	}
+	v.recorder.Note(change)
 }
 
 // Versions returns the version of each group's newest record.
