Send no request to an instance that is given up

Cause: when a serving instance misses three answers, the router closes the connections to it one after the other. The caller whose connection is closed first learns of the loss; a request that another caller sends in between was still written to the silent instance, so its outcome was unknown.

The router now marks all connections of the instance before it closes the first, and a forwarded request waits for another instance instead of being written to a marked connection.

Before: TestForwardedToGivenUp runs the request at the instance that is given up.

--- a/adapter/postgres/forward.go
+++ b/adapter/postgres/forward.go
@@ -26,6 +26,8 @@
 	Connect(ctx context.Context, group string, o entry.Opening) (entry.ForwardConn, error)
 	// Lost says that the serving instance ended the connection.
 	Lost(conn entry.ForwardConn)
+	// IsGivenUp reports whether the connection will end because its serving instance no longer answers.
+	IsGivenUp(conn entry.ForwardConn) bool
 }
 
 // ForwardObserver takes what happens to forwarded callers, for metrics. Its methods must not block.
--- a/adapter/postgres/forward_helper_test.go
+++ b/adapter/postgres/forward_helper_test.go
@@ -46,6 +46,8 @@
 	// conns are the receivers' ends of the connections.
 	conns []net.Conn
 	lost  int
+	// given is the number of connections that are given up, the earliest ones.
+	given int
 }
 
 // servesAll takes the place of a connector at an instance that serves all groups.
@@ -75,7 +77,7 @@
 			continue
 		}
 		admitted.Serve()
-		return &fakeForwardConn{Conn: near, cancel: func() { r.listener.CancelForwarded(number, secret) }}, nil
+		return &fakeForwardConn{Conn: near, number: n.opened(), cancel: func() { r.listener.CancelForwarded(number, secret) }}, nil
 	}
 	return nil, port.Failf(port.Unavailable, "no instance answers")
 }
@@ -86,6 +88,38 @@
 	n.lost++
 }
 
+// IsGivenUp closes the connections once a caller has waited for that.
+func (n *fakeConnector) IsGivenUp(conn entry.ForwardConn) bool {
+	fake, ok := conn.(*fakeForwardConn)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	given := ok && fake.number <= n.given
+	if given {
+		go n.cut()
+	}
+	return given
+}
+
+// giveUp gives up the connections that are open, and leaves them open until a caller waits for their end.
+func (f *forwarding) giveUp(r *fixture) {
+	f.connector.mu.Lock()
+	defer f.connector.mu.Unlock()
+	f.connector.given = len(f.connector.conns)
+	f.connector.remove(r)
+}
+
+// remove takes a receiver away. The caller holds mu.
+func (n *fakeConnector) remove(r *fixture) {
+	n.receivers = slices.DeleteFunc(slices.Clone(n.receivers), func(other *fixture) bool { return other == r })
+}
+
+// opened returns how many connections were opened so far.
+func (n *fakeConnector) opened() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.conns)
+}
+
 // pair returns both ends of a TCP connection.
 func (n *fakeConnector) pair() (near, far net.Conn) {
 	socket, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -112,6 +146,7 @@
 
 type fakeForwardConn struct {
 	net.Conn
+	number int
 	cancel func()
 }
 
@@ -193,7 +228,7 @@
 // kill ends an instance without a message to its forwarded callers.
 func (f *forwarding) kill(r *fixture) {
 	f.connector.mu.Lock()
-	f.connector.receivers = slices.DeleteFunc(slices.Clone(f.connector.receivers), func(other *fixture) bool { return other == r })
+	f.connector.remove(r)
 	f.connector.mu.Unlock()
 	f.connector.cut()
 }
--- a/adapter/postgres/forward_pass.go
+++ b/adapter/postgres/forward_pass.go
@@ -53,7 +53,7 @@
 	if _, asks := written(kind); asks {
 		f.passage = f.passage.WithStep(request.Asked{})
 	}
-	for f.conn == nil && !f.ended {
+	for f.isMoving() && !f.ended {
 		f.changed.Wait()
 	}
 	if f.ended {
@@ -65,6 +65,11 @@
 	return f.conn, true
 }
 
+// isMoving reports whether the session has no connection, or one that ends by itself soon. The caller holds mu.
+func (f *forwarded) isMoving() bool {
+	return f.conn == nil || f.listener.cfg.Forward.Connector.IsGivenUp(f.conn)
+}
+
 // stepsOf returns the steps of a message of the caller that is written. head is the start of its body.
 func stepsOf(kind byte, head []byte) []request.Step {
 	step, asks := written(kind)
--- a/adapter/postgres/forward_test.go
+++ b/adapter/postgres/forward_test.go
@@ -71,6 +71,18 @@
 	})
 }
 
+// Guards against a request that is written to an instance which this one has given up already, and whose outcome is
+// unknown then although it could have run elsewhere.
+func TestForwardedToGivenUp(t *testing.T) {
+	f := startForwarding(t)
+	conn := f.connect("acme", "stock")
+	requireRow(t, conn, "select 1", simple)
+	f.giveUp(f.near)
+	requireRow(t, conn, "select 2", simple)
+	require.Equal(t, []string{"1 acme/read select 2"}, f.far.ran())
+	require.Empty(t, f.counts.lost)
+}
+
 // Guards against instances that forward to each other while their lists differ, and against a caller that nobody serves.
 func TestForwardingChoice(t *testing.T) {
 	t.Run("a receiver does not forward again", func(t *testing.T) {
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -94,6 +94,8 @@
 	silent map[string]error
 	opened []string
 	closed int
+	// onClose is called at each close of a connection, when it is set.
+	onClose func()
 }
 
 type netConn struct {
@@ -107,6 +109,9 @@
 	c.net.mu.Lock()
 	defer c.net.mu.Unlock()
 	c.net.closed++
+	if c.net.onClose != nil {
+		c.net.onClose()
+	}
 	return nil
 }
 
@@ -228,6 +233,34 @@
 	})
 }
 
+// Guards against callers that still send to an instance of which another caller was told already that it is lost.
+func TestRouterGivesUpTogether(t *testing.T) {
+	testRouter(t, "all connections to a paused instance", func(t *testing.T, r *entry.Router, n *forwardNet, c *clock.Fake) {
+		var conns []entry.ForwardConn
+		for range 3 {
+			conn, err := r.Connect(t.Context(), "a", entry.Opening{})
+			require.NoError(t, err)
+			require.False(t, r.IsGivenUp(conn))
+			conns = append(conns, conn)
+		}
+		given := 0
+		n.onClose = func() {
+			for _, conn := range conns {
+				if r.IsGivenUp(conn) {
+					given++
+				}
+			}
+		}
+		opened, _ := n.take()
+		n.silence(opened[0], port.Failf(port.Unavailable, "does not answer"))
+		for range 3 {
+			c.Advance(time.Second)
+			synctest.Wait()
+		}
+		require.Equal(t, 9, given, "each is given up before the first is closed")
+	})
+}
+
 // Guards against connections that an instance keeps to servers of groups that it does not serve, and against an entry
 // that is given back while connections are open.
 func TestKeeperServed(t *testing.T) {
--- a/entry/router.go
+++ b/entry/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/document"
@@ -58,6 +59,8 @@
 	ForwardConn
 	router *Router
 	to     instance.Instance
+	// given is true once the connection is given up, before it is closed.
+	given atomic.Bool
 }
 
 // routerMessage is what a router takes from its ring. It is one of documentTaken and listTaken.
@@ -214,6 +217,12 @@
 	}
 }
 
+// IsGivenUp reports whether the connection will be closed because its instance no longer answers.
+func (r *Router) IsGivenUp(conn ForwardConn) bool {
+	c, ok := conn.(*linkConn)
+	return ok && c.given.Load()
+}
+
 func (r *Router) fail(i instance.Instance) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -255,7 +264,8 @@
 	}
 }
 
-// heard takes an answer and returns the connections that are given up.
+// heard takes an answer and returns the connections that are given up. All are marked before the first is closed, so that
+// no caller sends to an instance of which another caller knows already that it is lost.
 func (r *Router) heard(l *link, err error) []ForwardConn {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -272,6 +282,7 @@
 	delete(r.links, l.to.Incarnation)
 	given := make([]ForwardConn, 0, len(l.conns))
 	for c := range l.conns {
+		c.given.Store(true)
 		given = append(given, c.ForwardConn)
 	}
 	return given
