--- a/adapter/clock/service.go
+++ b/adapter/clock/service.go
@@ -6,12 +6,14 @@
 	"context"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Service is the real timer service. One goroutine delivers all timers in the order of their instants. Use
 // NewService, then call Run.
 type Service struct {
-	start time.Time
+	now   func() time.Duration
 	mu    sync.Mutex
 	queue queue
 	wake  chan struct{}
@@ -19,11 +21,33 @@
 
 // NewService returns a timer service whose instant zero is now.
 func NewService() *Service {
-	return &Service{start: time.Now(), wake: make(chan struct{}, 1)}
+	start := time.Now()
+	return newService(func() time.Duration { return time.Since(start) })
+}
+
+// NewBootService returns a timer service on the clock that also counts the time in which the machine is suspended.
+// Leases need it: a holder that was suspended must know that time has passed. Timers may fire late after a suspension.
+func NewBootService() *Service {
+	start := bootTime()
+	return newService(func() time.Duration { return bootTime() - start })
+}
+
+func newService(now func() time.Duration) *Service {
+	return &Service{now: now, wake: make(chan struct{}, 1)}
+}
+
+// bootTime returns the time since the machine was started.
+func bootTime() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// The clock exists on every Linux since 2.6.39.
+		panic(err)
+	}
+	return time.Duration(ts.Nano())
 }
 
-// Now returns the time since the service was made, on the monotonic clock.
-func (s *Service) Now() time.Duration { return time.Since(s.start) }
+// Now returns the time since the service was made.
+func (s *Service) Now() time.Duration { return s.now() }
 
 // Every calls deliver once each period. A timer that is late is delivered once, not once for each period missed.
 func (s *Service) Every(period time.Duration, deliver func(now time.Duration)) func() {
--- a/cmd/root/root.go
+++ b/cmd/root/root.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/rhubarbwick/rhubarbwick/cmd/document"
+	"github.com/rhubarbwick/rhubarbwick/cmd/gateway"
 	"github.com/rhubarbwick/rhubarbwick/cmd/group"
 	"github.com/rhubarbwick/rhubarbwick/cmd/instance"
 	"github.com/rhubarbwick/rhubarbwick/cmd/key"
@@ -55,6 +56,7 @@
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			serve.NewCommand(s),
+			gateway.NewCommand(s),
 			document.NewCommand(s),
 			organisation.NewCommand(s),
 			key.NewCommand(s),
--- a/document/document.go
+++ b/document/document.go
@@ -21,6 +21,9 @@
 	Routes        []Route        `json:"routes" validate:"dive"`
 	// History holds the latest changes, newest last, at most MaxHistory of them.
 	History []Change `json:"history" validate:"max=32,dive"`
+	// TransactionIdleMS is how long a transaction may be idle before it may be rolled back, in milliseconds; zero means
+	// that the settings decide.
+	TransactionIdleMS int64 `json:"transaction_idle_ms,omitempty" validate:"min=0,max=86400000"`
 }
 
 // Change records who made a revision. ID is drawn at random, so that a re-read after a lost answer tells the
@@ -41,6 +44,8 @@
 	Rate float64 `json:"rate" validate:"gt=0,lte=10000000"`
 	// Burst is the number of statements that may come at once over the whole fleet.
 	Burst float64 `json:"burst" validate:"gte=1,lte=10000000"`
+	// Priority orders organisations under load; zero comes first.
+	Priority int `json:"priority,omitempty" validate:"min=0,max=100"`
 }
 
 // Key is a caller's key, of which only the hash is kept.
@@ -58,6 +63,11 @@
 	// ServingInstances is the number of instances that hold connections to the servers and serve the callers of all
 	// others; zero means instance.DefaultServing.
 	ServingInstances int `json:"serving_instances,omitempty" validate:"min=0,max=10000"`
+	// Connections is the number of connections that the whole fleet may hold to each server, for groups whose servers
+	// the platform lists; zero means that each server states its own.
+	Connections int `json:"connections,omitempty" validate:"min=0,max=100000"`
+	// SynchronousReplicas is the number of replicas that have received a write before it is confirmed.
+	SynchronousReplicas int `json:"synchronous_replicas,omitempty" validate:"min=0,max=15"`
 }
 
 // Server is one database server of a group.
@@ -96,8 +106,29 @@
 	// Rate and Burst limit an open route over the whole fleet; other routes count for the caller's organisation.
 	Rate  float64 `json:"rate,omitempty" validate:"gte=0,lte=10000000"`
 	Burst float64 `json:"burst,omitempty" validate:"gte=0,lte=10000000"`
+	// Freshness says which writes reads see, for routes that take reads and writes.
+	Freshness Freshness `json:"freshness,omitempty" validate:"omitempty,oneof=every_write own_writes accepted_age"`
+	// TimeoutMS limits one statement, and TargetLatencyMS is the time within which callers want an operation to end, in
+	// milliseconds.
+	TimeoutMS       int64 `json:"timeout_ms,omitempty" validate:"min=0,max=86400000"`
+	TargetLatencyMS int64 `json:"target_latency_ms,omitempty" validate:"min=0,max=86400000"`
+	// Priority orders routes under load; zero comes first.
+	Priority int `json:"priority,omitempty" validate:"min=0,max=100"`
 }
 
+// Freshness says which writes the reads of a route see.
+type Freshness string
+
+// The kinds of freshness. Sessions see their own writes on all of them but AcceptedAge.
+const (
+	// EveryWrite reads see every write that was confirmed before they began.
+	EveryWrite Freshness = "every_write"
+	// OwnWrites reads see the session's writes, and those of others that are older than the accepted age.
+	OwnWrites Freshness = "own_writes"
+	// AcceptedAge reads see the writes that are older than the accepted age.
+	AcceptedAge Freshness = "accepted_age"
+)
+
 // DefaultSeats is the number of seats of a document that states none.
 const DefaultSeats = 32
 
@@ -144,6 +175,14 @@
 // AcceptedAge returns the age that a read on the route accepts.
 func (r Route) AcceptedAge() time.Duration { return time.Duration(r.AcceptedAgeMS) * time.Millisecond }
 
+// Timeout returns the time that one statement may take.
+func (r Route) Timeout() time.Duration { return time.Duration(r.TimeoutMS) * time.Millisecond }
+
+// TargetLatency returns the time within which callers want an operation to end.
+func (r Route) TargetLatency() time.Duration {
+	return time.Duration(r.TargetLatencyMS) * time.Millisecond
+}
+
 // FindServer returns the server of the name.
 func (g Group) FindServer(name string) (Server, bool) {
 	return find(g.Servers, func(s Server) bool { return s.Name == name })
--- a/document/index.go
+++ b/document/index.go
@@ -6,6 +6,14 @@
 	document      Document
 	organisations map[string]Organisation
 	routes        map[string]Route
+	groups        map[string]Group
+	keys          map[string]keyHolder
+}
+
+// keyHolder is a key with its organisation.
+type keyHolder struct {
+	organisation Organisation
+	key          Key
 }
 
 // NewIndex returns the index of a document.
@@ -14,9 +22,17 @@
 		document:      d,
 		organisations: make(map[string]Organisation, len(d.Organisations)),
 		routes:        make(map[string]Route, len(d.Routes)),
+		groups:        make(map[string]Group, len(d.Groups)),
+		keys:          make(map[string]keyHolder, len(d.Organisations)),
 	}
 	for _, o := range d.Organisations {
 		ix.organisations[o.Name] = o
+		for _, k := range o.Keys {
+			ix.keys[k.SHA256] = keyHolder{organisation: o, key: k}
+		}
+	}
+	for _, g := range d.Groups {
+		ix.groups[g.Name] = g
 	}
 	for _, r := range d.Routes {
 		ix.routes[r.Name] = r
@@ -38,3 +54,15 @@
 	r, found := ix.routes[name]
 	return r, found
 }
+
+// FindKey returns the key of the hash and the organisation that holds it.
+func (ix Index) FindKey(sha256 string) (Organisation, Key, bool) {
+	h, found := ix.keys[sha256]
+	return h.organisation, h.key, found
+}
+
+// FindGroup returns the group of the name.
+func (ix Index) FindGroup(name string) (Group, bool) {
+	g, found := ix.groups[name]
+	return g, found
+}
--- a/organisation/admission.go
+++ b/organisation/admission.go
@@ -71,6 +71,19 @@
 	return Admitted{Organisation: c.Organisation, KeyID: key.ID, KeyHash: hash, Route: route}
 }
 
+// KeyRules is what admission by key alone reads of the document in force. document.Index implements it.
+type KeyRules interface {
+	Rules
+	FindKey(sha256 string) (document.Organisation, document.Key, bool)
+}
+
+// AdmitByKey decides about a caller that presents a key but names no organisation.
+func AdmitByKey(rules KeyRules, route, key string, fresh bool) Admission {
+	hash := HashKey(key)
+	o, _, _ := rules.FindKey(hash.String())
+	return Admit(rules, Credentials{Organisation: o.Name, Key: key, Route: route}, fresh)
+}
+
 // Recheck decides whether a caller that was admitted may run another statement.
 func Recheck(rules Rules, a Admitted, fresh bool) Admission {
 	route, found := rules.FindRoute(a.Route.Name)
--- a/port/kind.go
+++ b/port/kind.go
@@ -33,6 +33,19 @@
 	Unavailable      Kind = "unavailable"
 	Timeout          Kind = "timeout"
 	Internal         Kind = "internal"
+
+	// Busy refuses a statement that cannot be served in time; nothing of it ran.
+	Busy Kind = "busy"
+	// Lagging says that a server's log does not hold the position that a read asked for.
+	Lagging Kind = "lagging"
+	// WrongServer says that another server answers at the address.
+	WrongServer Kind = "wrong_server"
+	// StatementFailed says that a server ran the statement and failed.
+	StatementFailed Kind = "statement_failed"
+	// UnknownStatement says that a prepared name does not exist.
+	UnknownStatement Kind = "unknown_statement"
+	// Expired says that the store no longer has the history that was asked for.
+	Expired Kind = "expired"
 )
 
 // Outcome says what is known about the request that an error answers.
@@ -75,6 +88,12 @@
 	Unavailable:      {"58030", 5, Unknown},
 	Timeout:          {"57014", 5, Unknown},
 	Internal:         {"XX000", 1, Unknown},
+	Busy:             {"53300", 1, NotRun},
+	Lagging:          {"57P03", 1, NotRun},
+	WrongServer:      {"57P03", 1, NotRun},
+	StatementFailed:  {"XX000", 1, Unknown},
+	UnknownStatement: {"26000", 1, NotRun},
+	Expired:          {"58030", 5, NotRun},
 }
 
 // Kinds returns the closed list.
--- /dev/null
+++ b/proxy/desk.go
@@ -0,0 +1,435 @@
+package proxy
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/dispatch"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/primacy"
+	"github.com/rhubarbwick/rhubarbwick/ring"
+	"github.com/rhubarbwick/rhubarbwick/statement"
+)
+
+const (
+	deskCapacity = 256
+	// waitCheck is how often the deadlines of waiting statements are looked at.
+	waitCheck = 20 * time.Millisecond
+	// dialLimit is how long a new connection may take. A server that is well takes some 12 ms.
+	dialLimit = 700 * time.Millisecond
+	// shareCut is how long this instance keeps to fewer connections after a server refused one because all instances
+	// together had too many.
+	shareCut = 2 * time.Second
+	// idleLimit is how long an unused connection above the instance's even share is kept.
+	idleLimit = 5 * time.Second
+	// defaultConnections is assumed where the document states no limit.
+	defaultConnections = 16
+)
+
+// DeskConfig is what a Desk needs.
+type DeskConfig struct {
+	DataCentre string
+	Timer      port.Timer
+	Views      *Views
+	Dialer     Dialer
+	// Limit returns how many connections the fleet may hold to each server of the group, and Instances the number of
+	// instances that share them.
+	Limit     func(groupName string) int
+	Instances func() int
+}
+
+// Desk is the duty that owns the connections to servers and decides which statement goes where. Its loop owns the state.
+type Desk struct {
+	cfg      DeskConfig
+	commands *ring.Ring[deskCommand]
+	ended    context.Context
+	end      context.CancelFunc
+	duties   sync.WaitGroup
+
+	// The following belong to the loop.
+	servers  map[string]*serverDesk
+	evidence map[string]primacy.Evidence
+	waiting  []*waiter
+	nextID   uint64
+	checking bool
+}
+
+// serverDesk is what the desk has at one server.
+type serverDesk struct {
+	server dispatch.Server
+	idle   []*Connection
+	// total counts all connections, those that are being opened included.
+	total int
+	// cutUntil is until when the instance keeps to cutTo connections.
+	cutUntil time.Duration
+	cutTo    int
+	delisted bool
+}
+
+// waiter is a statement that waits for a connection.
+type waiter struct {
+	want    Want
+	id      uint64
+	arrived time.Duration
+	reply   *ring.Ring[grant]
+	// opens is the server to which a connection is being opened for the waiter.
+	opens string
+}
+
+// Want is what a transaction asks the desk for.
+type Want struct {
+	Group        string
+	Organisation string
+	Need         dispatch.Need
+	Excluded     []string
+	// Priority orders waiting statements; zero comes first.
+	Priority int
+	// Patience is how long the statement waits for a connection, and Hope how long it waits while no server fits.
+	Patience time.Duration
+	Hope     time.Duration
+	// Affinity is the connection that the session used last.
+	Affinity uint64
+}
+
+// Connection is a connection to a server that is lent to one transaction at a time.
+type Connection struct {
+	ID       uint64
+	Endpoint Endpoint
+	Link     Link
+	// Applied is what the connection has been given of its callers' contexts. It belongs to the borrower.
+	Applied statement.Applied
+	usedAt  time.Duration
+}
+
+// Grant is a lent connection. After is the position that a read has to ask for.
+type Grant struct {
+	Connection *Connection
+	Server     dispatch.Server
+	Choice     dispatch.ToServer
+}
+
+type grant struct {
+	grant Grant
+	err   error
+}
+
+// deskCommand is what the desk takes from its ring. It is one of wanted, abandoned, returned, answered, troubled, opened,
+// notOpened, listingsChanged, checked and checkWaits.
+type deskCommand interface{ deskCommand() }
+
+type wanted struct{ waiter *waiter }
+
+type abandoned struct{ waiter *waiter }
+
+// returned gives a connection back. An unusable one has been closed.
+type returned struct {
+	connection *Connection
+	usable     bool
+}
+
+// answered tells what a server answered.
+type answered struct{ answer Answered }
+
+// troubled tells what a server refused or that it did not answer.
+type troubled struct {
+	server  string
+	trouble trouble
+}
+
+type opened struct {
+	connection *Connection
+	answer     Answered
+}
+
+type notOpened struct {
+	endpoint Endpoint
+	err      error
+}
+
+type listingsChanged struct{ listings map[string]dispatch.Listing }
+
+type checked struct{}
+
+func (wanted) deskCommand()          {}
+func (abandoned) deskCommand()       {}
+func (returned) deskCommand()        {}
+func (answered) deskCommand()        {}
+func (troubled) deskCommand()        {}
+func (opened) deskCommand()          {}
+func (notOpened) deskCommand()       {}
+func (listingsChanged) deskCommand() {}
+func (checked) deskCommand()         {}
+
+// trouble is why a server did not do what it was asked. It is one of lacked, refused and unreached.
+type trouble interface{ trouble() }
+
+type lacked struct{ after dispatch.ToServer }
+
+type refused struct{}
+
+type unreached struct{}
+
+func (lacked) trouble()    {}
+func (refused) trouble()   {}
+func (unreached) trouble() {}
+
+// NewDesk returns a desk without servers.
+func NewDesk(cfg DeskConfig) *Desk {
+	ended, end := context.WithCancel(context.Background())
+	return &Desk{
+		cfg: cfg, commands: ring.New[deskCommand](deskCapacity), ended: ended, end: end,
+		servers: make(map[string]*serverDesk), evidence: make(map[string]primacy.Evidence),
+	}
+}
+
+// Run serves the desk until ctx ends, then closes all unused connections.
+func (d *Desk) Run(ctx context.Context) {
+	stop := d.cfg.Timer.Every(time.Second, func(time.Duration) { d.commands.Offer(checked{}) })
+	d.loop(ctx)
+	stop()
+	d.end()
+	for _, s := range d.servers {
+		for _, c := range s.idle {
+			c.Link.Close()
+		}
+	}
+	d.duties.Wait()
+}
+
+// Acquire returns a connection to a server that fits. Errors are of kind Busy or NoPrimary; nothing has run.
+func (d *Desk) Acquire(ctx context.Context, want Want) (Grant, error) {
+	w := &waiter{want: want, reply: ring.New[grant](1)}
+	if err := d.commands.Put(ctx, wanted{w}); err != nil {
+		return Grant{}, port.Wrapf(err, port.Stopping, "the statement was not placed")
+	}
+	g, err := w.reply.Take(ctx)
+	if err != nil {
+		d.tell(abandoned{w})
+		return Grant{}, port.Wrapf(err, port.Busy, "the statement was not placed")
+	}
+	return g.grant, g.err
+}
+
+// Return gives a connection back. It is closed unless it is usable.
+func (d *Desk) Return(c *Connection, usable bool) {
+	if !usable {
+		c.Link.Close()
+	}
+	d.tell(returned{connection: c, usable: usable})
+}
+
+// Heard tells the desk what a server answered.
+func (d *Desk) Heard(a Answered) { d.tell(answered{answer: a}) }
+
+// Lacked, Refused and Unreached tell the desk why a server did not run a statement.
+func (d *Desk) Lacked(server string, choice dispatch.ToServer) {
+	d.tell(troubled{server: server, trouble: lacked{choice}})
+}
+
+// Refused tells the desk that the server had too much work.
+func (d *Desk) Refused(server string) { d.tell(troubled{server: server, trouble: refused{}}) }
+
+// Unreached tells the desk that the server's connection was lost or that it did not answer.
+func (d *Desk) Unreached(server string) { d.tell(troubled{server: server, trouble: unreached{}}) }
+
+// SetListings tells the desk which servers there are.
+func (d *Desk) SetListings(listings map[string]dispatch.Listing) { d.tell(listingsChanged{listings}) }
+
+func (d *Desk) tell(c deskCommand) { _ = d.commands.Put(d.ended, c) }
+
+func (d *Desk) loop(ctx context.Context) {
+	for {
+		c, err := d.commands.Take(ctx)
+		if err != nil {
+			return
+		}
+		d.handle(c)
+	}
+}
+
+func (d *Desk) handle(c deskCommand) {
+	now := d.cfg.Timer.Now()
+	switch c := c.(type) {
+	case wanted:
+		d.nextID++
+		c.waiter.id, c.waiter.arrived = d.nextID, now
+		d.enqueue(c.waiter)
+	case abandoned:
+		d.abandon(c.waiter)
+	case returned:
+		d.takeBack(c.connection, c.usable, now)
+	case answered:
+		d.note(c.answer)
+	case troubled:
+		d.noteTrouble(c, now)
+	case opened:
+		d.endOpening(c.connection.Endpoint)
+		d.note(c.answer)
+		d.takeBack(c.connection, true, now)
+	case notOpened:
+		d.noteNotOpened(c, now)
+	case listingsChanged:
+		d.setListings(c.listings)
+	case checked:
+		d.trim(now)
+	case checkWaits:
+		d.checking = false
+	}
+	d.serve(now)
+}
+
+// enqueue adds a waiter behind those of its priority.
+func (d *Desk) enqueue(w *waiter) {
+	at := slices.IndexFunc(d.waiting, func(other *waiter) bool { return other.want.Priority > w.want.Priority })
+	if at < 0 {
+		at = len(d.waiting)
+	}
+	d.waiting = slices.Insert(d.waiting, at, w)
+}
+
+// abandon forgets a waiter. A connection that it was granted in the meantime is taken back.
+func (d *Desk) abandon(w *waiter) {
+	d.waiting = slices.DeleteFunc(d.waiting, func(other *waiter) bool { return other == w })
+	if g, ok := w.reply.TryTake(); ok && g.err == nil {
+		d.takeBack(g.grant.Connection, true, d.cfg.Timer.Now())
+	}
+}
+
+func (d *Desk) takeBack(c *Connection, usable bool, now time.Duration) {
+	s := d.at(c.Endpoint.Server)
+	if s == nil {
+		c.Link.Close()
+		return
+	}
+	s.server = s.server.WithOutstanding(-1)
+	if !usable || isLost(c.Link) || s.server.Listing.Departing || s.server.Listing.Address != c.Endpoint.Address {
+		c.Link.Close()
+		s.total--
+		return
+	}
+	c.usedAt = now
+	s.idle = append(s.idle, c)
+}
+
+func (d *Desk) at(server string) *serverDesk { return d.servers[server] }
+
+// note keeps what an answer tells. The primary's position is evidence only while the primary is known to lead.
+func (d *Desk) note(a Answered) {
+	s := d.at(a.Server)
+	if s == nil {
+		return
+	}
+	s.server = s.server.WithAnswer(a.Position, a.At-a.SentAt, a.At)
+	groupName := s.server.Listing.Group
+	if d.cfg.Views.Leads(groupName, a.Server, a.Position.Term) {
+		d.evidence[groupName] = d.evidence[groupName].WithPoint(primacy.Point{Position: a.Position, At: a.SentAt})
+	}
+}
+
+func (d *Desk) noteTrouble(c troubled, now time.Duration) {
+	s := d.at(c.server)
+	if s == nil {
+		return
+	}
+	switch t := c.trouble.(type) {
+	case lacked:
+		s.server = s.server.WithLack(t.after.After, now)
+	case refused:
+		s.server = s.server.WithRefusal(now)
+	case unreached:
+		s.server = s.server.WithFailure(now)
+	}
+}
+
+// endOpening lets the first waiter for which a connection to the endpoint was being opened have another one opened.
+func (d *Desk) endOpening(e Endpoint) {
+	for _, w := range d.waiting {
+		if w.opens == e.Server && w.want.Organisation == e.Organisation {
+			w.opens = ""
+			return
+		}
+	}
+}
+
+func (d *Desk) noteNotOpened(c notOpened, now time.Duration) {
+	d.endOpening(c.endpoint)
+	s := d.at(c.endpoint.Server)
+	if s == nil {
+		return
+	}
+	s.total--
+	s.server = s.server.WithOutstanding(-1)
+	switch port.KindOf(c.err) {
+	case port.NoConnection:
+		s.cutTo, s.cutUntil = max(s.total, 1), now+shareCut
+		s.server = s.server.WithRefusal(now)
+	case port.Busy:
+		s.server = s.server.WithRefusal(now)
+	default:
+		s.server = s.server.WithFailure(now)
+	}
+}
+
+// setListings takes over the list of servers. Unused connections to servers that left or depart are closed.
+func (d *Desk) setListings(listings map[string]dispatch.Listing) {
+	for name, l := range listings {
+		s := d.servers[name]
+		if s == nil {
+			s = &serverDesk{server: dispatch.NewServer(l)}
+			d.servers[name] = s
+		}
+		s.server, s.delisted = s.server.WithListing(l), false
+		if l.Departing {
+			s.closeIdle(func(*Connection) bool { return true })
+		}
+	}
+	for name, s := range d.servers {
+		if _, found := listings[name]; found {
+			continue
+		}
+		s.delisted = true
+		s.closeIdle(func(*Connection) bool { return true })
+		if s.total == 0 {
+			delete(d.servers, name)
+		}
+	}
+}
+
+// trim closes connections that nobody used for a while and those above the share.
+func (d *Desk) trim(now time.Duration) {
+	for _, s := range d.servers {
+		excess := s.total - d.share(s, now)
+		s.closeIdle(func(c *Connection) bool {
+			if isLost(c.Link) {
+				return true
+			}
+			surplus := excess > 0 && now-c.usedAt > idleLimit
+			if surplus {
+				excess--
+			}
+			return surplus
+		})
+	}
+}
+
+func (s *serverDesk) closeIdle(match func(*Connection) bool) {
+	s.idle = slices.DeleteFunc(s.idle, func(c *Connection) bool {
+		if !match(c) {
+			return false
+		}
+		c.Link.Close()
+		s.total--
+		return true
+	})
+}
+
+func isLost(l Link) bool {
+	select {
+	case <-l.Lost():
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/proxy/desk_serve.go
@@ -0,0 +1,196 @@
+package proxy
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/dispatch"
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+// serve grants connections to waiting statements in order, opens connections for them, and refuses those whose time is
+// over.
+func (d *Desk) serve(now time.Duration) {
+	d.waiting = slices.DeleteFunc(d.waiting, func(w *waiter) bool { return d.serveOne(w, now) })
+	if len(d.waiting) > 0 && !d.checking {
+		d.checking = true
+		d.cfg.Timer.After(waitCheck, func(time.Duration) { d.commands.Offer(checkWaits{}) })
+	}
+}
+
+// checkWaits has the waiting statements looked at.
+type checkWaits struct{}
+
+func (checkWaits) deskCommand() {}
+
+// serveOne reports whether the waiter got its answer.
+func (d *Desk) serveOne(w *waiter, now time.Duration) bool {
+	candidates := d.candidates(w, now)
+	situation := d.situation(w, now)
+	waited := now - w.arrived
+	switch choice := dispatch.Choose(w.want.Need, candidates, situation).(type) {
+	case dispatch.ToServer:
+		return d.grant(w, choice, now)
+	case dispatch.NoConnection:
+		if waited < w.want.Patience {
+			return false
+		}
+		w.reply.Offer(grant{err: port.Failf(port.Busy, "no connection was free within %s", waited.Round(time.Millisecond))})
+		return true
+	default:
+		if waited < w.want.Hope || w.opens != "" && waited < w.want.Patience {
+			return false
+		}
+		w.reply.Offer(grant{err: port.Failf(port.NoPrimary, "no server of group %s may run the statement", w.want.Group)})
+		return true
+	}
+}
+
+// grant lends an unused connection, or opens one and reports false.
+func (d *Desk) grant(w *waiter, choice dispatch.ToServer, now time.Duration) bool {
+	s := d.at(choice.Server)
+	if c, found := s.takeIdle(w.want); found {
+		s.server = s.server.WithOutstanding(1)
+		w.reply.Offer(grant{grant: Grant{Connection: c, Server: s.server, Choice: choice}})
+		return true
+	}
+	if s.total >= d.share(s, now) && !s.evict(w.want.Organisation) {
+		return false
+	}
+	w.opens = choice.Server
+	d.open(s, w.want)
+	return false
+}
+
+// open starts to open a connection.
+func (d *Desk) open(s *serverDesk, want Want) {
+	s.total++
+	s.server = s.server.WithOutstanding(1)
+	endpoint := Endpoint{
+		Group: s.server.Listing.Group, Server: s.server.Listing.Name, Address: s.server.Listing.Address,
+		Organisation: want.Organisation,
+	}
+	d.nextID++
+	o := &opener{desk: d, endpoint: endpoint, id: d.nextID}
+	d.duties.Add(1)
+	go o.run()
+}
+
+// opener is the duty that opens one connection.
+type opener struct {
+	desk     *Desk
+	endpoint Endpoint
+	id       uint64
+}
+
+func (o *opener) run() {
+	defer o.desk.duties.Done()
+	timer := o.desk.cfg.Timer
+	ctx, cancel := port.WithTimeout(o.desk.ended, timer, dialLimit)
+	defer cancel()
+	sent := timer.Now()
+	link, answer, err := o.desk.cfg.Dialer.Dial(ctx, o.endpoint)
+	if err != nil {
+		o.desk.tell(notOpened{endpoint: o.endpoint, err: err})
+		return
+	}
+	o.desk.tell(opened{
+		connection: &Connection{ID: o.id, Endpoint: o.endpoint, Link: link},
+		answer:     Answered{Server: o.endpoint.Server, Position: answer.Position, SentAt: sent, At: timer.Now()},
+	})
+}
+
+// candidates returns the servers of the waiter's group with what this instance has there.
+func (d *Desk) candidates(w *waiter, now time.Duration) []dispatch.Candidate {
+	var candidates []dispatch.Candidate
+	for _, s := range d.servers {
+		if s.server.Listing.Group != w.want.Group || s.delisted {
+			continue
+		}
+		_, hasIdle := s.findIdle(w.want)
+		mayOpen := w.opens == "" && (s.total < d.share(s, now) || s.hasEvictable(w.want.Organisation))
+		candidates = append(candidates, dispatch.Candidate{Server: s.server, HasIdle: hasIdle, MayOpen: mayOpen})
+	}
+	slices.SortFunc(candidates, func(a, b dispatch.Candidate) int {
+		return compareNames(a.Server.Listing.Name, b.Server.Listing.Name)
+	})
+	return candidates
+}
+
+func compareNames(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func (d *Desk) situation(w *waiter, now time.Duration) dispatch.Situation {
+	primary, _, _ := d.cfg.Views.View(w.want.Group).PrimaryAt(now)
+	evidence := d.evidence[w.want.Group]
+	return dispatch.Situation{
+		Now: now, DataCentre: d.cfg.DataCentre, Primary: primary, Excluded: w.want.Excluded,
+		Floor: func(age time.Duration) (group.Position, bool) { return evidence.Floor(w.arrived, age) },
+	}
+}
+
+// share returns how many connections the instance may hold to the server: an even part of the limit, and fewer for a
+// while after the server had too many.
+func (d *Desk) share(s *serverDesk, now time.Duration) int {
+	limit := d.cfg.Limit(s.server.Listing.Group)
+	if limit == 0 {
+		limit = defaultConnections
+	}
+	share := max(limit/max(d.cfg.Instances(), 1), 1)
+	if now < s.cutUntil {
+		share = min(share, s.cutTo)
+	}
+	return share
+}
+
+// findIdle returns the index of the unused connection that suits best: the one that the session used last, or else the
+// one of its organisation that was used last.
+func (s *serverDesk) findIdle(want Want) (int, bool) {
+	found := -1
+	for i, c := range s.idle {
+		if c.Endpoint.Organisation != want.Organisation || isLost(c.Link) {
+			continue
+		}
+		if c.ID == want.Affinity {
+			return i, true
+		}
+		found = i
+	}
+	return found, found >= 0
+}
+
+func (s *serverDesk) takeIdle(want Want) (*Connection, bool) {
+	i, found := s.findIdle(want)
+	if !found {
+		return nil, false
+	}
+	c := s.idle[i]
+	s.idle = slices.Delete(s.idle, i, i+1)
+	return c, true
+}
+
+func (s *serverDesk) hasEvictable(organisation string) bool {
+	return slices.ContainsFunc(s.idle, func(c *Connection) bool { return c.Endpoint.Organisation != organisation })
+}
+
+// evict closes the connection of another organisation that was unused for longest.
+func (s *serverDesk) evict(organisation string) bool {
+	for i, c := range s.idle {
+		if c.Endpoint.Organisation != organisation {
+			s.idle = slices.Delete(s.idle, i, i+1)
+			c.Link.Close()
+			s.total--
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/proxy/query.go
@@ -0,0 +1,223 @@
+package proxy
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/dispatch"
+	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/statement"
+)
+
+const (
+	// maxTries bounds how often one statement is offered to servers.
+	maxTries = 6
+	// hopeShare and patienceShare are the parts of the target latency, as divisors, that a statement waits while no server
+	// fits and while no connection is free. Whoever is refused early can still come back in time.
+	hopeShare     = 4
+	patienceShare = 2
+	// commitRetry is the pause before a commit that a busy server refused is sent again on its connection.
+	commitRetry = 15 * time.Millisecond
+)
+
+// work is one statement of a caller on its way to a server.
+type work struct {
+	req      statement.Request
+	route    document.Route
+	shape    *statement.Shape
+	writes   bool
+	deadline time.Duration
+	excluded []string
+}
+
+// query answers a read, a write or an execution.
+func (s *Session) query(ctx context.Context, req statement.Request) statement.Answer {
+	w := &work{req: req}
+	switch st := req.Statement.(type) {
+	case statement.Write:
+		w.writes = true
+	case statement.Execute:
+		shape, found := s.context.Shape(st.Name)
+		if !found {
+			return s.refuseInside(statement.Failure{Kind: port.UnknownStatement, Text: "no statement is prepared under this name"})
+		}
+		w.shape, w.writes = &shape, shape.Writes
+	}
+	if s.tx != nil {
+		return s.queryInside(ctx, w)
+	}
+	route, failure := s.enter(ctx)
+	if !failure.IsZero() {
+		return statement.Answer{Failure: failure}
+	}
+	s.limit(w, route)
+	ctx, cancel := port.WithTimeout(ctx, s.house.cfg.Timer, w.deadline-s.house.cfg.Timer.Now())
+	defer cancel()
+	return s.runAlone(ctx, w)
+}
+
+func (s *Session) limit(w *work, route document.Route) {
+	timeout := route.Timeout()
+	if timeout == 0 {
+		timeout = defaultTimeout
+	}
+	w.route, w.deadline = route, s.house.cfg.Timer.Now()+timeout
+}
+
+// runAlone runs a statement outside a transaction, at another server when one refused it.
+func (s *Session) runAlone(ctx context.Context, w *work) statement.Answer {
+	var last statement.Answer
+	for try := 0; try < maxTries; try++ {
+		l, err := s.acquire(ctx, w, s.need(w.route, w.writes, false))
+		if err != nil {
+			if last.Failure.IsZero() || port.KindOf(err) == port.Stopping {
+				return statement.Answer{Failure: failureOf(err)}
+			}
+			return last
+		}
+		answer, result := s.forward(ctx, l, w)
+		s.house.cfg.Desk.Return(l.connection, result != lost && result != lostUnsent)
+		switch result {
+		case ran:
+			return answer.WithState(statement.Idle)
+		case lost:
+			if w.writes {
+				return statement.Refuse(port.UnknownOutcome, "the server's answer to the write was lost", statement.Idle)
+			}
+		}
+		last = answer.WithState(statement.Idle)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return last
+}
+
+// outcome is what is known of a statement after it was offered to a server.
+type outcome int
+
+const (
+	// ran means that the answer is the server's last word.
+	ran outcome = iota
+	// notRun means that the server refused the statement and another one may run it.
+	notRun
+	// lost means that the connection is of no further use and that the statement may have run.
+	lost
+	// lostUnsent means that the connection is of no further use and that no server ran the statement.
+	lostUnsent
+)
+
+// forward runs a statement on the loan's connection.
+func (s *Session) forward(ctx context.Context, l *loan, w *work) (statement.Answer, outcome) {
+	orders, name, applied := l.connection.Applied.Prepare(s.context, w.shape)
+	if len(orders) > 0 {
+		prepared, err := s.house.do(ctx, l, orders...)
+		if err != nil || !prepared.Failure.IsZero() {
+			return statement.Refuse(port.NotKept, "the connection to the server was lost", statement.Failed), lostUnsent
+		}
+		l.connection.Applied = applied
+	}
+	order := statement.Forward{Request: w.req, Name: name}
+	if s.tx == nil && !w.writes {
+		order.After = l.choice.After
+	}
+	answer, err := s.house.do(ctx, l, order)
+	if err != nil {
+		return statement.Refuse(lossKind(ctx), "the server did not answer", statement.Failed), lost
+	}
+	return s.judge(ctx, l, w, answer)
+}
+
+// lossKind tells a statement that ran out of time from one whose connection was lost.
+func lossKind(ctx context.Context) port.Kind {
+	if ctx.Err() != nil {
+		return port.Timeout
+	}
+	return port.NotKept
+}
+
+// judge decides what the server's answer means.
+func (s *Session) judge(ctx context.Context, l *loan, w *work, a statement.Answer) (statement.Answer, outcome) {
+	server := l.connection.Endpoint.Server
+	switch a.Failure.Kind {
+	case "":
+		return s.confirm(ctx, l, w, a)
+	case port.Busy:
+		s.house.cfg.Desk.Refused(server)
+		w.excluded = append(w.excluded, server)
+		return a, notRun
+	case port.Lagging:
+		s.house.cfg.Desk.Lacked(server, l.choice)
+		w.excluded = append(w.excluded, server)
+		return a, notRun
+	case port.ReadOnly:
+		w.excluded = append(w.excluded, server)
+		return a, notRun
+	case port.UnknownStatement:
+		l.connection.Applied = statement.Applied{}
+		return a, lostUnsent
+	default:
+		return a, ran
+	}
+}
+
+// confirm passes a success on only if the server that ran it as primary still led when the answer came.
+func (s *Session) confirm(ctx context.Context, l *loan, w *work, a statement.Answer) (statement.Answer, outcome) {
+	if l.asPrimary && !s.house.stillLeads(ctx, l) {
+		if !w.writes {
+			return statement.Refuse(port.NotKept, "the primary was replaced while it ran the read", statement.Failed), notRun
+		}
+		return statement.Refuse(port.UnknownOutcome, "the primary was replaced while it ran the write", statement.Failed), ran
+	}
+	if w.writes && s.tx == nil {
+		s.see(a.Position)
+	}
+	return a, ran
+}
+
+// see notes the position that the session has to see from now on.
+func (s *Session) see(p group.Position) {
+	if p.Compare(s.newest) > 0 {
+		s.newest = p
+	}
+}
+
+// need returns what a statement or transaction on the route needs.
+func (s *Session) need(route document.Route, writes, plainTransaction bool) dispatch.Need {
+	if writes || plainTransaction || route.Freshness == document.EveryWrite {
+		return dispatch.NeedPrimary{}
+	}
+	need := dispatch.NeedReader{AcceptedAge: route.AcceptedAge()}
+	if route.Freshness == document.OwnWrites {
+		need.Own = s.newest
+	}
+	return need
+}
+
+// acquire gets a connection that suits the statement.
+func (s *Session) acquire(ctx context.Context, w *work, need dispatch.Need) (*loan, error) {
+	target := w.route.TargetLatency()
+	if target == 0 {
+		target = defaultTimeout
+	}
+	grant, err := s.house.cfg.Desk.Acquire(ctx, Want{
+		Group: w.route.Group, Organisation: s.admitted.Organisation, Need: need, Excluded: slices.Clone(w.excluded),
+		Priority: w.route.Priority, Patience: target / patienceShare, Hope: target / hopeShare, Affinity: s.affinity,
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.affinity = grant.Connection.ID
+	l := &loan{connection: grant.Connection, choice: grant.Choice}
+	if primary, term, ok := s.house.cfg.Views.Primary(w.route.Group); ok && primary == grant.Connection.Endpoint.Server {
+		l.asPrimary, l.term = true, term
+	}
+	if grant.Choice.After.IsZero() && !l.asPrimary {
+		s.house.cfg.Desk.Return(grant.Connection, true)
+		return nil, port.Failf(port.NoPrimary, "the primary of group %s was replaced", w.route.Group)
+	}
+	return l, nil
+}
--- /dev/null
+++ b/proxy/transaction.go
@@ -0,0 +1,166 @@
+package proxy
+
+import (
+	"context"
+
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/statement"
+)
+
+// refuseInside refuses a statement. In a transaction, the transaction has failed.
+func (s *Session) refuseInside(f statement.Failure) statement.Answer {
+	if s.tx == nil {
+		return statement.Answer{Failure: f}
+	}
+	s.fail()
+	return statement.Answer{Failure: f, State: statement.Failed}
+}
+
+// queryInside runs a statement of a transaction.
+func (s *Session) queryInside(ctx context.Context, w *work) statement.Answer {
+	s.limit(w, s.tx.route)
+	ctx, cancel := port.WithTimeout(ctx, s.house.cfg.Timer, w.deadline-s.house.cfg.Timer.Now())
+	defer cancel()
+	if s.tx.loan == nil {
+		return s.runFirst(ctx, w)
+	}
+	answer, result := s.forward(ctx, s.tx.loan, w)
+	return s.conclude(w, answer, result)
+}
+
+// runFirst opens the transaction at a server and runs its first statement there. A server that refuses either is
+// replaced by another one.
+func (s *Session) runFirst(ctx context.Context, w *work) statement.Answer {
+	need := s.need(s.tx.route, w.writes, !s.tx.readOnly)
+	var last statement.Answer
+	for try := 0; try < maxTries; try++ {
+		l, err := s.acquire(ctx, w, need)
+		if err != nil {
+			if last.Failure.IsZero() {
+				last.Failure = failureOf(err)
+			}
+			break
+		}
+		answer, result := s.open(ctx, l, w)
+		if result == ran {
+			s.tx.loan = l
+			answer, result = s.forward(ctx, l, w)
+		}
+		if result == ran || (result == lost && w.writes) {
+			s.tx.loan = l
+			return s.conclude(w, answer, result)
+		}
+		s.tx.loan = nil
+		s.house.abandonAfter(l, result)
+		last = answer
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return s.refuseInside(last.Failure)
+}
+
+// open starts the transaction on the loan's connection.
+func (s *Session) open(ctx context.Context, l *loan, w *work) (statement.Answer, outcome) {
+	orders, _, applied := l.connection.Applied.Prepare(s.context, nil)
+	orders = append(orders, statement.Open{ReadOnly: s.tx.readOnly, After: l.choice.After})
+	answer, err := s.house.do(ctx, l, orders...)
+	if err != nil {
+		return statement.Refuse(port.NotKept, "the connection to the server was lost", statement.Failed), lostUnsent
+	}
+	l.connection.Applied = applied
+	if !answer.Failure.IsZero() {
+		_, result := s.judge(ctx, l, w, answer)
+		if result == ran {
+			result = notRun
+		}
+		return answer, result
+	}
+	return answer, ran
+}
+
+// conclude keeps or fails the transaction by what came of a statement.
+func (s *Session) conclude(w *work, answer statement.Answer, result outcome) statement.Answer {
+	if result == ran && answer.Failure.IsZero() {
+		s.tx.wrote = s.tx.wrote || w.writes
+		return answer.WithState(statement.InTransaction)
+	}
+	s.house.abandonAfter(s.tx.loan, result)
+	s.tx.loan = nil
+	s.fail()
+	if answer.Failure.Kind == port.UnknownOutcome || answer.Failure.Kind == port.Lagging || result == lost {
+		// Without a commit nothing is kept, whatever became of the statement.
+		answer.Failure.Kind = port.NotKept
+	}
+	return answer.WithState(statement.Failed)
+}
+
+// commit ends the transaction at its server.
+func (s *Session) commit(ctx context.Context, req statement.Request) statement.Answer {
+	if s.tx == nil {
+		return statement.Refuse(port.Protocol, "no transaction is open", statement.Idle)
+	}
+	w := &work{req: req}
+	s.limit(w, s.tx.route)
+	ctx, cancel := port.WithTimeout(ctx, s.house.cfg.Timer, w.deadline-s.house.cfg.Timer.Now())
+	defer cancel()
+	defer func() { s.tx = nil }()
+	if s.tx.loan == nil {
+		return s.commitEmpty(ctx, w)
+	}
+	return s.commitAt(ctx, s.tx.loan, w)
+}
+
+// commitEmpty runs a transaction without a statement, because a commit succeeds only with a server's proof.
+func (s *Session) commitEmpty(ctx context.Context, w *work) statement.Answer {
+	l, err := s.acquire(ctx, w, s.need(s.tx.route, false, !s.tx.readOnly))
+	if err != nil {
+		return statement.Answer{Failure: failureOf(err)}
+	}
+	answer, result := s.open(ctx, l, w)
+	if result != ran {
+		s.house.abandonAfter(l, result)
+		return answer.WithState(statement.Idle)
+	}
+	return s.commitAt(ctx, l, w)
+}
+
+// commitAt sends the commit. A busy server has not run it, so it is sent again on the same connection.
+func (s *Session) commitAt(ctx context.Context, l *loan, w *work) statement.Answer {
+	for {
+		answer, err := s.house.do(ctx, l, statement.Forward{Request: w.req})
+		switch {
+		case err != nil:
+			s.house.cfg.Desk.Return(l.connection, false)
+			if !s.tx.wrote {
+				return statement.Refuse(port.NotKept, "the server did not answer the commit; nothing was written", statement.Idle)
+			}
+			return statement.Refuse(port.UnknownOutcome, "the server's answer to the commit was lost", statement.Idle)
+		case answer.Failure.IsZero():
+			return s.committed(ctx, l, answer)
+		case answer.Failure.Kind != port.Busy:
+			s.house.abandonAfter(l, notRun)
+			return answer.WithState(statement.Idle)
+		}
+		s.house.cfg.Desk.Refused(l.connection.Endpoint.Server)
+		if err := port.Wait(ctx, s.house.cfg.Timer, commitRetry); err != nil {
+			s.house.abandonAfter(l, notRun)
+			return statement.Refuse(port.NotKept, "the server was too busy to commit", statement.Idle)
+		}
+	}
+}
+
+// committed confirms a commit. A write is confirmed only if the server still led when the answer came.
+func (s *Session) committed(ctx context.Context, l *loan, answer statement.Answer) statement.Answer {
+	s.house.cfg.Desk.Return(l.connection, true)
+	if l.asPrimary && !s.house.stillLeads(ctx, l) {
+		if s.tx.wrote {
+			return statement.Refuse(port.UnknownOutcome, "the primary was replaced while it ran the commit", statement.Idle)
+		}
+		return statement.Refuse(port.NotKept, "the primary was replaced; nothing was written", statement.Idle)
+	}
+	if s.tx.wrote {
+		s.see(answer.Position)
+	}
+	return answer.WithState(statement.Idle)
+}
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -3,9 +3,13 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 )
 
+// ErrEnded says that nothing more will be put into a ring.
+var ErrEnded = errors.New("nothing more will come")
+
 // DefaultCapacity is the number of items that a zero Ring holds.
 const DefaultCapacity = 64
 
@@ -68,6 +72,23 @@
 	}
 }
 
+// TakeUnless is Take that also ends, with ErrEnded, when ended is closed and the ring is empty.
+func (r *Ring[T]) TakeUnless(ctx context.Context, ended <-chan struct{}) (T, error) {
+	select {
+	case v := <-r.queue():
+		return v, nil
+	case <-ctx.Done():
+		var zero T
+		return zero, context.Cause(ctx)
+	case <-ended:
+		if v, ok := r.TryTake(); ok {
+			return v, nil
+		}
+		var zero T
+		return zero, ErrEnded
+	}
+}
+
 // TryTake removes the oldest item and reports false, without waiting, when the ring is empty.
 func (r *Ring[T]) TryTake() (T, bool) {
 	select {
