--- a/adapter/decisions/log.go
+++ b/adapter/decisions/log.go
@@ -112,6 +112,7 @@
 	}
 	l.zap.Info("request: answered", zap.String("request", e.ID), zap.String("result", result),
 		zap.String("reason", e.Reason), zap.String("organisation", e.Organisation), zap.String("route", e.Route),
+		zap.String("group", e.Group),
 		zap.String("server", e.Server), zap.Int("tries", e.Tries), zap.Duration("took", e.Took),
 		zap.Uint64("revision", e.Revision), zap.Duration("document_age", e.DocumentAge),
 		zap.Duration("primary_age", e.PrimaryAge))
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -50,6 +50,7 @@
 // newProcess opens the sockets and assembles the parts.
 func newProcess(ctx context.Context, s platform.Settings, incarnation string, log *zap.Logger) (*process, error) {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+	log = log.With(zap.String("instance", s.Name))
 	p := &process{settings: s, log: log, timer: clock.NewBootService()}
 	p.decisions = decisions.New(log, p.timer)
 	p.metrics = p.newMetrics()
@@ -136,7 +137,7 @@
 
 // run serves until ctx ends, then stops without cutting a request.
 func (p *process) run(ctx context.Context) error {
-	p.log.Info("instance: started", zap.String("name", p.settings.Name), zap.String("data_centre", p.settings.DataCentre))
+	p.log.Info("instance: started", zap.String("data_centre", p.settings.DataCentre))
 	working, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var duties sync.WaitGroup
--- a/cmd/root/root.go
+++ b/cmd/root/root.go
@@ -14,6 +14,7 @@
 	"github.com/rhubarbwick/rhubarbwick/cmd/instance"
 	"github.com/rhubarbwick/rhubarbwick/cmd/key"
 	"github.com/rhubarbwick/rhubarbwick/cmd/organisation"
+	"github.com/rhubarbwick/rhubarbwick/cmd/request"
 	"github.com/rhubarbwick/rhubarbwick/cmd/serve"
 	"github.com/rhubarbwick/rhubarbwick/cmd/session"
 	"github.com/rhubarbwick/rhubarbwick/cmd/settings"
@@ -63,6 +64,7 @@
 			group.NewCommand(s),
 			instance.NewCommand(s),
 			session.NewCommand(s),
+			request.NewCommand(s),
 			settings.NewCommand(s),
 			version.NewCommand(s),
 		},
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -17,6 +17,7 @@
 	ID           string
 	Organisation string
 	Route        string
+	Group        string
 	Freshness    document.Freshness
 	// Kind is empty for a success.
 	Kind   port.Kind
--- a/proxy/house.go
+++ b/proxy/house.go
@@ -139,7 +139,7 @@
 	rules, _ := h.cfg.Rules.Rules()
 	h.cfg.Recorder.Note(RequestAnswered{
 		ID: req.ID, Organisation: s.admitted.Organisation, Route: s.admitted.Route.Name,
-		Freshness: s.admitted.Route.Freshness, Kind: a.Failure.Kind,
+		Group: s.admitted.Route.Group, Freshness: s.admitted.Route.Freshness, Kind: a.Failure.Kind,
 		Reason: a.Failure.Text, Server: s.server, Tries: s.tries, Took: now - began,
 		Revision: uint64(rules.Document().Revision), DocumentAge: h.cfg.DocumentAge(),
 		PrimaryAge: now - h.cfg.Views.View(s.admitted.Route.Group).AskedAt,
