--- a/adapter/fleet/server.go
+++ b/adapter/fleet/server.go
@@ -22,9 +22,13 @@
 // headerTimeout is how long an instance may take to send the header of a call.
 const headerTimeout = 2 * time.Second
 
+// maxLoans bounds the loans of one borrower. It is far above the connections of any server.
+const maxLoans = 2048
+
 // Server answers other instances. Use NewServer, then call Run.
 type Server struct {
 	hub    *proxy.Hub
+	lender lender
 	socket net.Listener
 	http   *http.Server
 }
@@ -32,10 +36,16 @@
 var _ fleetv1connect.FleetServiceHandler = (*Server)(nil)
 
 // NewServer returns a server on the socket.
-func NewServer(hub *proxy.Hub, socket net.Listener) *Server {
-	s := &Server{hub: hub, socket: socket}
+func NewServer(hub *proxy.Hub, l lender, socket net.Listener) *Server {
+	s := &Server{hub: hub, lender: l, socket: socket}
 	_, handler := fleetv1connect.NewFleetServiceHandler(s, connect.WithReadMaxBytes(maxMessage))
-	s.http = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * idleTime}
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s.http = &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * idleTime, Protocols: &protocols,
+		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxLoans},
+	}
 	return s
 }
 
@@ -97,9 +107,9 @@
 
 // Survey tells how long ago a server answered this instance.
 func (s *Server) Survey(
-	_ context.Context, req *connect.Request[fleetv1.SurveyRequest],
+	ctx context.Context, req *connect.Request[fleetv1.SurveyRequest],
 ) (*connect.Response[fleetv1.SurveyResponse], error) {
-	h := s.hub.Survey(req.Msg.GetServer())
+	h := s.hub.Survey(ctx, req.Msg.GetServer(), req.Msg.GetProbe())
 	res := &fleetv1.SurveyResponse{Incarnation: h.Incarnation}
 	if h.Heard {
 		age := roundUp(h.Age)
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -46,6 +46,7 @@
 	listener     *platform.Listener
 	readiness    *platform.Endpoint
 	peers        *fleet.Server
+	lending      *fleet.Lending
 	decisions    *decisions.Log
 	metrics      *metrics.Gateway
 	exposition   *platform.Endpoint
@@ -65,6 +66,7 @@
 	}
 	self := proxy.Member{
 		Name: s.Name, Incarnation: incarnation, Address: socket.Addr().String(), DataCentre: s.DataCentre,
+		Weight: s.Cores,
 	}
 	store := platform.NewStore(s.StoreAddress, p.metrics.StoreCalled)
 	p.store, p.cloud = store, platform.NewCloud(s.CloudAddress)
@@ -76,9 +78,11 @@
 	p.registration = &proxy.Registration{
 		Self: self, Records: store, Knowledge: p.knowledge, Timer: p.timer,
 	}
+	others := fleet.NewClient(platform.NewDialer())
+	p.lending = fleet.NewLending(platform.NewDialer())
 	p.dispatcher = proxy.NewDispatcher(proxy.DispatcherConfig{
 		DataCentre: s.DataCentre, Timer: p.timer, Views: p.views, Dialer: dialer,
-		Limit: p.knowledge.Connections, Instances: p.knowledge.Instances,
+		Limit: p.knowledge.Connections, Self: self, Members: p.knowledge.Records, Lending: p.lending, Probe: others.Survey,
 	})
 	p.knowledge.OnServers(p.dispatcher.SetListings)
 	rates := proxy.NewSharedRates(p.timer, p.knowledge, p.knowledge.Instances, s.Rates)
@@ -88,10 +92,9 @@
 	})
 	notices := ring.New[proxy.Member](0)
 	hub := proxy.NewHub(proxy.HubConfig{
-		Self: self, Timer: p.timer, Knowledge: p.knowledge, Views: p.views, Dispatcher: p.dispatcher, Demand: rates.Demand,
+		Self: self, Timer: p.timer, Knowledge: p.knowledge, Views: p.views, Dispatcher: p.dispatcher, Dialer: dialer, Demand: rates.Demand,
 		Notices: notices,
 	})
-	others := fleet.NewClient(platform.NewDialer())
 	readers := &proxy.StoreReaders{Documents: store, Listings: store, Records: store, Knowledge: p.knowledge, Timer: p.timer}
 	p.syncer = proxy.NewSyncer(proxy.SyncerConfig{
 		Self: self, Timer: p.timer, Knowledge: p.knowledge, Fleet: others, Hub: hub, Readers: readers, Rates: rates,
@@ -102,7 +105,7 @@
 		Dialer: dialer, Records: store, Promotions: p.cloud,
 		Recorder: p.metrics,
 	})
-	p.peers = fleet.NewServer(hub, socket)
+	p.peers = fleet.NewServer(hub, p.manager, socket)
 	return p, p.open(ctx)
 }
 
@@ -179,6 +182,7 @@
 	p.readiness.Close()
 	p.exposition.Close()
 	p.peers.Close()
+	p.lending.Close()
 	duties.Wait()
 	p.log.Info("instance: stopped")
 	return nil
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -16,7 +16,7 @@
 	primaryCost = 10 * time.Millisecond
 )
 
-// Need is what a transaction needs of a server. It is one of NeedPrimary and NeedReader.
+// Need is what a transaction needs of a server. It is one of NeedPrimary, NeedReader and NeedServer.
 type Need interface{ need() }
 
 // NeedPrimary is for writes, and for reads that have to see every write.
@@ -30,8 +30,12 @@
 	AcceptedAge time.Duration
 }
 
+// NeedServer is for statements of other instances, which have chosen the server.
+type NeedServer struct{ Name string }
+
 func (NeedPrimary) need() {}
 func (NeedReader) need()  {}
+func (NeedServer) need()  {}
 
 // Candidate is a server with the connections that this instance has to it.
 type Candidate struct {
@@ -101,6 +105,12 @@
 	if s.Listing.Departing || in.Now < s.pausedUntil || slices.Contains(in.Excluded, name) {
 		return group.Position{}, false
 	}
+	if need, isChosen := need.(NeedServer); isChosen {
+		return group.Position{}, name == need.Name
+	}
+	if s.IsRefusing(in.Now) {
+		return group.Position{}, false
+	}
 	switch need := need.(type) {
 	case NeedPrimary:
 		return group.Position{}, name == in.Primary
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -20,6 +20,10 @@
 	// failurePause is how long a server is passed over after it could not be reached; it doubles up to maxFailurePause.
 	failurePause    = 200 * time.Millisecond
 	maxFailurePause = time.Second
+	// overdueShare is how many times the mean time an answer takes until it counts as lost, and overdueLeast the least such
+	// time: statements differ by more than an order of magnitude.
+	overdueShare = 10
+	overdueLeast = 250 * time.Millisecond
 	// busyPause is how long a server is passed over after it refused a statement because its queue was full.
 	busyPause = 25 * time.Millisecond
 )
@@ -60,9 +64,10 @@
 	lacked      group.Position
 	lackedUntil time.Duration
 	lagPause    time.Duration
-	// pausedUntil is when the server may be asked again after a failure or a refusal.
-	pausedUntil  time.Duration
-	failurePause time.Duration
+	// pausedUntil is when the server may be asked again after a failure, and refusingUntil after a refusal.
+	pausedUntil   time.Duration
+	refusingUntil time.Duration
+	failurePause  time.Duration
 }
 
 // NewServer returns a server of which only the listing is known.
@@ -108,10 +113,16 @@
 
 // WithRefusal returns the server after it refused a statement at now because it had too much work.
 func (s Server) WithRefusal(now time.Duration) Server {
-	s.pausedUntil = max(s.pausedUntil, now+busyPause)
+	s.refusingUntil = max(s.refusingUntil, now+busyPause)
 	return s
 }
 
+// OverdueAfter returns how long an answer takes at most, as far as the answers before it tell.
+func (s Server) OverdueAfter() time.Duration { return max(overdueShare*s.latency, overdueLeast) }
+
+// IsRefusing reports whether the server refused a statement just before now because it had too much work.
+func (s Server) IsRefusing(now time.Duration) bool { return now < s.refusingUntil }
+
 // WithFailure returns the server after it could not be reached, or did not answer, at now.
 func (s Server) WithFailure(now time.Duration) Server {
 	s.failurePause = min(max(2*s.failurePause, failurePause), maxFailurePause)
--- a/gen/rhubarbwick/fleet/v1/fleetv1connect/fleet.connect.go
+++ b/gen/rhubarbwick/fleet/v1/fleetv1connect/fleet.connect.go
@@ -43,6 +43,8 @@
 	FleetServiceExtendProcedure = "/rhubarbwick.fleet.v1.FleetService/Extend"
 	// FleetServiceSurveyProcedure is the fully-qualified name of the FleetService's Survey RPC.
 	FleetServiceSurveyProcedure = "/rhubarbwick.fleet.v1.FleetService/Survey"
+	// FleetServiceLendProcedure is the fully-qualified name of the FleetService's Lend RPC.
+	FleetServiceLendProcedure = "/rhubarbwick.fleet.v1.FleetService/Lend"
 )
 
 // FleetServiceClient is a client for the rhubarbwick.fleet.v1.FleetService service.
@@ -58,6 +60,9 @@
 	Extend(context.Context, *connect.Request[v1.ExtendRequest]) (*connect.Response[v1.ExtendResponse], error)
 	// Survey asks how long ago the instance heard from a server.
 	Survey(context.Context, *connect.Request[v1.SurveyRequest]) (*connect.Response[v1.SurveyResponse], error)
+	// Lend lends a connection of the instance's pool. The loan lasts until a run leaves no transaction open, or the stream
+	// ends; an open transaction is rolled back then.
+	Lend(context.Context) *connect.BidiStreamForClient[v1.LendRequest, v1.LendResponse]
 }
 
 // NewFleetServiceClient constructs a client for the rhubarbwick.fleet.v1.FleetService service. By
@@ -101,6 +106,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Survey")),
 			connect.WithClientOptions(opts...),
 		),
+		lend: connect.NewClient[v1.LendRequest, v1.LendResponse](
+			httpClient,
+			baseURL+FleetServiceLendProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Lend")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -111,6 +122,7 @@
 	notify   *connect.Client[v1.NotifyRequest, v1.NotifyResponse]
 	extend   *connect.Client[v1.ExtendRequest, v1.ExtendResponse]
 	survey   *connect.Client[v1.SurveyRequest, v1.SurveyResponse]
+	lend     *connect.Client[v1.LendRequest, v1.LendResponse]
 }
 
 // Exchange calls rhubarbwick.fleet.v1.FleetService.Exchange.
@@ -138,6 +150,11 @@
 	return c.survey.CallUnary(ctx, req)
 }
 
+// Lend calls rhubarbwick.fleet.v1.FleetService.Lend.
+func (c *fleetServiceClient) Lend(ctx context.Context) *connect.BidiStreamForClient[v1.LendRequest, v1.LendResponse] {
+	return c.lend.CallBidiStream(ctx)
+}
+
 // FleetServiceHandler is an implementation of the rhubarbwick.fleet.v1.FleetService service.
 type FleetServiceHandler interface {
 	// Exchange gives a relay the asker's demand and returns what the relay knows. It answers as soon as the relay knows
@@ -151,6 +168,9 @@
 	Extend(context.Context, *connect.Request[v1.ExtendRequest]) (*connect.Response[v1.ExtendResponse], error)
 	// Survey asks how long ago the instance heard from a server.
 	Survey(context.Context, *connect.Request[v1.SurveyRequest]) (*connect.Response[v1.SurveyResponse], error)
+	// Lend lends a connection of the instance's pool. The loan lasts until a run leaves no transaction open, or the stream
+	// ends; an open transaction is rolled back then.
+	Lend(context.Context, *connect.BidiStream[v1.LendRequest, v1.LendResponse]) error
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -190,6 +210,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Survey")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceLendHandler := connect.NewBidiStreamHandler(
+		FleetServiceLendProcedure,
+		svc.Lend,
+		connect.WithSchema(fleetServiceMethods.ByName("Lend")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/rhubarbwick.fleet.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceExchangeProcedure:
@@ -202,6 +228,8 @@
 			fleetServiceExtendHandler.ServeHTTP(w, r)
 		case FleetServiceSurveyProcedure:
 			fleetServiceSurveyHandler.ServeHTTP(w, r)
+		case FleetServiceLendProcedure:
+			fleetServiceLendHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -230,3 +258,7 @@
 func (UnimplementedFleetServiceHandler) Survey(context.Context, *connect.Request[v1.SurveyRequest]) (*connect.Response[v1.SurveyResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbwick.fleet.v1.FleetService.Survey is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) Lend(context.Context, *connect.BidiStream[v1.LendRequest, v1.LendResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbwick.fleet.v1.FleetService.Lend is not implemented"))
+}
--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -25,6 +25,9 @@
 	shareCut = 2 * time.Second
 	// idleLimit is how long an unused connection above the instance's even share is kept.
 	idleLimit = 5 * time.Second
+	// slotsAhead is how many statements more than a server has slots are sent to it, so that a slot that becomes free has
+	// work while the answer is on its way here.
+	slotsAhead = 1
 	// defaultConnections is assumed where the document states no limit.
 	defaultConnections = 16
 )
@@ -37,8 +40,13 @@
 	Dialer     Dialer
 	// Limit returns how many connections the fleet may hold to each server of the group, and Instances the number of
 	// instances that share them.
-	Limit     func(groupName string) int
-	Instances func() int
+	Limit func(groupName string) int
+	// Self is this instance, and Members gives the records among whose instances the owners of pools are chosen.
+	Self    Member
+	Members func() (Snapshot, bool)
+	// Lending reaches the pools of other instances, and Probe asks an owner about a server.
+	Lending Lending
+	Probe   func(ctx context.Context, address, server string, probe bool) (Hearing, error)
 }
 
 // Dispatcher is the duty that owns the connections to servers and decides which statement goes where. Its loop owns the state.
@@ -55,6 +63,10 @@
 	waiting  []*waiter
 	nextID   uint64
 	checking bool
+	members  members
+	// silent holds the incarnations of owners that could not be reached or lend nothing.
+	silent  failures
+	probing map[string]bool
 
 	// heard holds when each server last answered.
 	heard sync.Map
@@ -86,10 +98,12 @@
 	Affinity uint64
 }
 
-// Grant is a lent connection. Choice tells the position that a read has to ask for.
+// Grant is a lent connection. Choice tells the position that a read has to ask for, and OverdueAfter when an answer of the
+// server counts as lost.
 type Grant struct {
-	Connection *Connection
-	Choice     dispatch.ToServer
+	Connection   *Connection
+	Choice       dispatch.ToServer
+	OverdueAfter time.Duration
 }
 
 type grant struct {
@@ -102,7 +116,7 @@
 	ended, end := context.WithCancel(context.Background())
 	return &Dispatcher{
 		cfg: cfg, commands: ring.New[dispatcherCommand](dispatcherCapacity), ended: ended, end: end, doubts: ring.New[string](doubtCapacity),
-		servers: make(map[string]*serverState), evidence: make(map[string]primacy.Evidence),
+		servers: make(map[string]*serverState), evidence: make(map[string]primacy.Evidence), probing: make(map[string]bool),
 	}
 }
 
@@ -114,7 +128,7 @@
 	d.end()
 	for _, s := range d.servers {
 		for _, c := range s.idle {
-			c.Link.Close()
+			c.close()
 		}
 	}
 	d.duties.Wait()
@@ -145,14 +159,18 @@
 
 // Return gives a connection back. It is closed unless it is usable.
 func (d *Dispatcher) Return(c *Connection, usable bool) {
+	usable = usable && c.isUsable()
 	if !usable {
-		c.Link.Close()
+		c.close()
 	}
 	d.tell(returned{connection: c, usable: usable})
 }
 
-// Heard tells the dispatcher what a server answered.
-func (d *Dispatcher) Heard(a Answered) { d.tell(answered{answer: a}) }
+// Started tells the dispatcher that another statement runs on a lent connection.
+func (d *Dispatcher) Started(c *Connection) { d.tell(started{connection: c}) }
+
+// Heard tells the dispatcher what a server answered on a lent connection.
+func (d *Dispatcher) Heard(c *Connection, a Answered) { d.tell(answered{connection: c, answer: a}) }
 
 // Lacked tells the dispatcher that the server's log did not hold the position that the choice asked for.
 func (d *Dispatcher) Lacked(server string, choice dispatch.ToServer) {
@@ -162,10 +180,22 @@
 // Refused tells the dispatcher that the server had too much work.
 func (d *Dispatcher) Refused(server string) { d.tell(troubled{server: server, trouble: refused{}}) }
 
-// Unreached tells the dispatcher that the server's connection was lost or that it did not answer.
-func (d *Dispatcher) Unreached(server string) {
-	d.Doubt(server)
-	d.tell(troubled{server: server, trouble: unreached{}})
+// Unreached tells the dispatcher that the connection was lost, or that its server did not answer.
+func (d *Dispatcher) Unreached(c *Connection) {
+	if _, isBorrowed := c.owner(); !isBorrowed {
+		d.Doubt(c.Endpoint.Server)
+	}
+	d.tell(lostPath{connection: c})
+}
+
+// NotLent tells the dispatcher that the owner of a pool refused to lend the connection, or could not be reached.
+func (d *Dispatcher) NotLent(c *Connection, u *Unsent) { d.tell(lostPath{connection: c, unsent: u}) }
+
+// DoubtOwner has the owner of a borrowed connection asked whether it lives and hears from the server.
+func (d *Dispatcher) DoubtOwner(c *Connection) {
+	if m, isBorrowed := c.owner(); isBorrowed {
+		d.tell(ownerDoubted{owner: m, server: c.Endpoint.Server})
+	}
 }
 
 // Doubt says that the server may be gone.
@@ -204,6 +234,7 @@
 
 func (d *Dispatcher) handle(c dispatcherCommand) {
 	now := d.cfg.Timer.Now()
+	d.takeMembers()
 	switch c := c.(type) {
 	case wanted:
 		c.waiter.arrived = now
@@ -212,10 +243,19 @@
 		d.abandon(c.waiter)
 	case returned:
 		d.takeBack(c.connection, c.usable, now)
+	case started:
+		d.setRunning(c.connection, true, now)
 	case answered:
+		d.setRunning(c.connection, false, now)
 		d.note(c.answer)
 	case troubled:
 		d.noteTrouble(c, now)
+	case lostPath:
+		d.noteLostPath(c, now)
+	case ownerDoubted:
+		d.probe(c)
+	case ownerProbed:
+		d.noteProbe(c, now)
 	case opened:
 		d.endOpening(c.connection.Endpoint)
 		d.note(c.answer)
@@ -227,7 +267,7 @@
 	case counted:
 		n := 0
 		if s := d.at(c.server); s != nil {
-			n = s.total - len(s.idle)
+			n = s.server.Outstanding
 		}
 		c.reply.Offer(n)
 	case checked:
@@ -256,14 +296,19 @@
 }
 
 func (d *Dispatcher) takeBack(c *Connection, usable bool, now time.Duration) {
+	d.setRunning(c, false, now)
 	s := d.at(c.Endpoint.Server)
 	if s == nil {
-		c.Link.Close()
+		c.close()
 		return
 	}
 	s.server = s.server.WithOutstanding(-1)
-	if !usable || isLost(c.Link) || s.server.Listing.Departing || s.server.Listing.Address != c.Endpoint.Address {
-		c.Link.Close()
+	if _, isBorrowed := c.owner(); isBorrowed {
+		c.close()
+		return
+	}
+	if !usable || !c.isUsable() || s.server.Listing.Departing || s.server.Listing.Address != c.Endpoint.Address {
+		c.close()
 		s.total--
 		return
 	}
@@ -271,6 +316,19 @@
 	s.idle = append(s.idle, c)
 }
 
+// setRunning notes whether a statement runs on a connection of this instance's pool.
+func (d *Dispatcher) setRunning(c *Connection, runs bool, now time.Duration) {
+	s := d.at(c.Endpoint.Server)
+	if _, isPooled := c.path.(*pooled); s == nil || !isPooled {
+		return
+	}
+	if runs {
+		s.running[c.ID] = now
+		return
+	}
+	delete(s.running, c.ID)
+}
+
 func (d *Dispatcher) at(server string) *serverState { return d.servers[server] }
 
 // note keeps what an answer tells. The primary's position is evidence only while the primary is known to lead.
@@ -297,13 +355,14 @@
 		s.server = s.server.WithLack(t.after.After, now)
 	case refused:
 		s.server = s.server.WithRefusal(now)
-	case unreached:
-		s.server = s.server.WithFailure(now)
 	}
 }
 
 // endOpening lets the first waiter for which a connection to the endpoint was being opened have another one opened.
 func (d *Dispatcher) endOpening(e Endpoint) {
+	if s := d.at(e.Server); s != nil {
+		s.opening--
+	}
 	for _, w := range d.waiting {
 		if w.opens == e.Server && w.want.Organisation == e.Organisation {
 			w.opens = ""
@@ -328,6 +387,6 @@
 		s.server = s.server.WithRefusal(now)
 	default:
 		d.Doubt(c.endpoint.Server)
-		s.server = s.server.WithFailure(now)
+		d.failPath(s, d.cfg.Self.Incarnation, now)
 	}
 }
--- a/proxy/dispatcher_command.go
+++ b/proxy/dispatcher_command.go
@@ -5,8 +5,8 @@
 	"github.com/rhubarbwick/rhubarbwick/ring"
 )
 
-// dispatcherCommand is what the dispatcher takes from its ring. It is one of wanted, abandoned, returned, answered,
-// troubled, opened, notOpened, listingsChanged, counted, checked and checkWaits.
+// dispatcherCommand is what the dispatcher takes from its ring. It is one of wanted, abandoned, returned, started, answered,
+// troubled, lostPath, ownerDoubted, ownerProbed, opened, notOpened, listingsChanged, counted, checked and checkWaits.
 type dispatcherCommand interface{ dispatcherCommand() }
 
 type wanted struct{ waiter *waiter }
@@ -19,10 +19,35 @@
 	usable     bool
 }
 
-// answered tells what a server answered.
-type answered struct{ answer Answered }
+// started tells that a statement runs on a lent connection.
+type started struct{ connection *Connection }
 
-// troubled tells what a server refused or that it did not answer.
+// answered tells what a server answered on a lent connection.
+type answered struct {
+	connection *Connection
+	answer     Answered
+}
+
+// lostPath tells that a connection was lost. unsent is set when a borrowed one was not lent.
+type lostPath struct {
+	connection *Connection
+	unsent     *Unsent
+}
+
+// ownerDoubted asks for a probe of an owner that does not answer for a server.
+type ownerDoubted struct {
+	owner  Member
+	server string
+}
+
+// ownerProbed tells what a probe found.
+type ownerProbed struct {
+	ownerDoubted
+	hearing Hearing
+	err     error
+}
+
+// troubled tells what a server refused.
 type troubled struct {
 	server  string
 	trouble trouble
@@ -54,6 +79,10 @@
 func (wanted) dispatcherCommand()          {}
 func (abandoned) dispatcherCommand()       {}
 func (returned) dispatcherCommand()        {}
+func (started) dispatcherCommand()         {}
+func (lostPath) dispatcherCommand()        {}
+func (ownerDoubted) dispatcherCommand()    {}
+func (ownerProbed) dispatcherCommand()     {}
 func (answered) dispatcherCommand()        {}
 func (troubled) dispatcherCommand()        {}
 func (opened) dispatcherCommand()          {}
@@ -63,15 +92,12 @@
 func (checked) dispatcherCommand()         {}
 func (checkWaits) dispatcherCommand()      {}
 
-// trouble is why a server did not do what it was asked. It is one of lacked, refused and unreached.
+// trouble is why a server did not run a statement. It is one of lacked and refused.
 type trouble interface{ trouble() }
 
 type lacked struct{ after dispatch.ToServer }
 
 type refused struct{}
 
-type unreached struct{}
-
-func (lacked) trouble()    {}
-func (refused) trouble()   {}
-func (unreached) trouble() {}
+func (lacked) trouble()  {}
+func (refused) trouble() {}
--- a/proxy/dispatcher_connections.go
+++ b/proxy/dispatcher_connections.go
@@ -5,25 +5,18 @@
 	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
-	"github.com/rhubarbwick/rhubarbwick/statement"
 )
 
-// Connection is a connection to a server that is lent to one transaction at a time.
-type Connection struct {
-	ID       uint64
-	Endpoint Endpoint
-	Link     Link
-	// Applied is what the connection has been given of its callers' contexts. It belongs to the borrower.
-	Applied statement.Applied
-	usedAt  time.Duration
-}
-
 // serverState is what the dispatcher has at one server.
 type serverState struct {
 	server dispatch.Server
 	idle   []*Connection
-	// total counts all connections, those that are being opened included.
-	total int
+	// total counts all connections of the pool, those that are being opened included.
+	total   int
+	opening int
+	// running holds the connections on which statements run, with the instants at which they began.
+	running   map[uint64]time.Duration
+	ownership ownership
 	// cutUntil is until when the instance keeps to cutTo connections.
 	cutUntil time.Duration
 	cutTo    int
@@ -35,7 +28,7 @@
 func (s *serverState) findIdle(want Want) (int, bool) {
 	found := -1
 	for i, c := range s.idle {
-		if c.Endpoint.Organisation != want.Organisation || isLost(c.Link) {
+		if c.Endpoint.Organisation != want.Organisation || !c.isUsable() {
 			continue
 		}
 		if c.ID == want.Affinity {
@@ -65,7 +58,7 @@
 	for i, c := range s.idle {
 		if c.Endpoint.Organisation != organisation {
 			s.idle = slices.Delete(s.idle, i, i+1)
-			c.Link.Close()
+			c.close()
 			s.total--
 			return true
 		}
@@ -78,7 +71,7 @@
 	for name, l := range listings {
 		s := d.servers[name]
 		if s == nil {
-			s = &serverState{server: dispatch.NewServer(l)}
+			s = &serverState{server: dispatch.NewServer(l), running: make(map[uint64]time.Duration)}
 			d.servers[name] = s
 		}
 		s.server, s.delisted = s.server.WithListing(l), false
@@ -104,7 +97,7 @@
 	for _, s := range d.servers {
 		excess := s.total - d.share(s, now)
 		s.closeIdle(func(c *Connection) bool {
-			if isLost(c.Link) {
+			if !c.isUsable() {
 				return true
 			}
 			surplus := excess > 0 && now-c.usedAt > idleLimit
@@ -116,12 +109,30 @@
 	}
 }
 
+// isFull reports whether the server has as much work of this instance as it can run, or refused more just now. What waits
+// here can still be put in order; what waits there cannot.
+func (s *serverState) isFull(now time.Duration) bool {
+	slots := s.server.Listing.Slots
+	return s.server.IsRefusing(now) || slots > 0 && s.busy(now)+s.opening >= slots+slotsAhead
+}
+
+// busy counts the statements that take a slot. One that runs for far longer than others has its answer lost.
+func (s *serverState) busy(now time.Duration) int {
+	n := 0
+	for _, since := range s.running {
+		if now-since < s.server.OverdueAfter() {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *serverState) closeIdle(match func(*Connection) bool) {
 	s.idle = slices.DeleteFunc(s.idle, func(c *Connection) bool {
 		if !match(c) {
 			return false
 		}
-		c.Link.Close()
+		c.close()
 		s.total--
 		return true
 	})
--- a/proxy/dispatcher_serve.go
+++ b/proxy/dispatcher_serve.go
@@ -27,28 +27,49 @@
 	waited := now - w.arrived
 	switch choice := dispatch.Choose(w.want.Need, candidates, situation).(type) {
 	case dispatch.ToServer:
-		return d.grant(w, choice, now)
+		return d.grant(w, choice, now) || d.giveUp(w, waited)
 	case dispatch.NoConnection:
-		if waited < w.want.ConnectionWait {
-			return false
-		}
-		w.reply.Offer(grant{err: port.Failf(port.Busy, "no connection was free within %s", waited.Round(time.Millisecond))})
-		return true
+		return d.giveUp(w, waited)
 	default:
 		if waited < w.want.ServerWait || w.opens != "" && waited < w.want.ConnectionWait {
 			return false
 		}
-		w.reply.Offer(grant{err: port.Failf(port.NoPrimary, "no server of group %s may run the statement", w.want.Group)})
+		w.reply.Offer(grant{err: w.noServer()})
 		return true
 	}
 }
 
-// grant lends an unused connection, or opens one and reports false.
+// giveUp refuses a waiter that has waited for as long as it may.
+func (d *Dispatcher) giveUp(w *waiter, waited time.Duration) bool {
+	if waited < w.want.ConnectionWait {
+		return false
+	}
+	w.reply.Offer(grant{err: port.Failf(port.Busy, "no connection was free within %s", waited.Round(time.Millisecond))})
+	return true
+}
+
+// noServer is the error of a statement that no server may run.
+func (w *waiter) noServer() error {
+	if need, isLent := w.want.Need.(dispatch.NeedServer); isLent {
+		return port.Failf(port.Unavailable, "server %s cannot be reached from here", need.Name)
+	}
+	return port.Failf(port.NoPrimary, "no server of group %s may run the statement", w.want.Group)
+}
+
+// grant lends a connection, or opens one and reports false.
 func (d *Dispatcher) grant(w *waiter, choice dispatch.ToServer, now time.Duration) bool {
 	s := d.at(choice.Server)
+	if owner, found := d.routeFor(w, s, now); found {
+		d.borrow(w, s, owner, choice, now)
+		return true
+	}
+	if s.isFull(now) {
+		return false
+	}
 	if c, found := s.takeIdle(w.want); found {
 		s.server = s.server.WithOutstanding(1)
-		w.reply.Offer(grant{grant: Grant{Connection: c, Choice: choice}})
+		s.running[c.ID] = now
+		w.reply.Offer(grant{grant: Grant{Connection: c, Choice: choice, OverdueAfter: s.server.OverdueAfter()}})
 		return true
 	}
 	if s.total >= d.share(s, now) && !s.evict(w.want.Organisation) {
@@ -59,16 +80,33 @@
 	return false
 }
 
-// open starts to open a connection.
-func (d *Dispatcher) open(s *serverState, want Want) {
-	s.total++
+// borrow lends a connection of another instance's pool. The owner has the statement wait if need be.
+func (d *Dispatcher) borrow(w *waiter, s *serverState, owner Member, choice dispatch.ToServer, now time.Duration) {
 	s.server = s.server.WithOutstanding(1)
-	endpoint := Endpoint{
+	d.nextID++
+	c := &Connection{ID: d.nextID, Endpoint: d.endpoint(s, w.want), path: &borrowed{
+		owner: owner, loan: d.cfg.Lending.Borrow(owner, LoanTerms{
+			Server: choice.Server, Organisation: w.want.Organisation, Priority: w.want.Priority,
+			Wait: max(w.want.ConnectionWait-(now-w.arrived), 0),
+		}),
+	}}
+	w.reply.Offer(grant{grant: Grant{Connection: c, Choice: choice}})
+}
+
+func (d *Dispatcher) endpoint(s *serverState, want Want) Endpoint {
+	return Endpoint{
 		Group: s.server.Listing.Group, Server: s.server.Listing.Name, Address: s.server.Listing.Address,
 		Organisation: want.Organisation,
 	}
+}
+
+// open starts to open a connection.
+func (d *Dispatcher) open(s *serverState, want Want) {
+	s.total++
+	s.opening++
+	s.server = s.server.WithOutstanding(1)
 	d.nextID++
-	o := &opener{dispatcher: d, endpoint: endpoint, id: d.nextID}
+	o := &opener{dispatcher: d, endpoint: d.endpoint(s, want), id: d.nextID}
 	d.duties.Add(1)
 	go o.run()
 }
@@ -92,7 +130,7 @@
 		return
 	}
 	o.dispatcher.tell(opened{
-		connection: &Connection{ID: o.id, Endpoint: o.endpoint, Link: link},
+		connection: &Connection{ID: o.id, Endpoint: o.endpoint, path: &pooled{link: link}},
 		answer:     Answered{Server: o.endpoint.Server, Position: answer.Position, SentAt: sent, At: timer.Now()},
 	})
 }
@@ -101,7 +139,11 @@
 func (d *Dispatcher) candidates(w *waiter, now time.Duration) []dispatch.Candidate {
 	var candidates []dispatch.Candidate
 	for _, s := range d.servers {
-		if s.server.Listing.Group != w.want.Group || s.delisted {
+		if !w.mayUse(s) || d.isUnreachable(w, s, now) {
+			continue
+		}
+		if _, found := d.routeFor(w, s, now); found {
+			candidates = append(candidates, dispatch.Candidate{Server: s.server, HasIdle: true})
 			continue
 		}
 		_, hasIdle := s.findIdle(w.want)
@@ -114,6 +156,20 @@
 	return candidates
 }
 
+// isUnreachable reports whether a statement of another instance came in vain: another owner may reach the server.
+func (d *Dispatcher) isUnreachable(w *waiter, s *serverState, now time.Duration) bool {
+	_, isLent := w.want.Need.(dispatch.NeedServer)
+	return isLent && s.ownership.failed.has(d.cfg.Self.Incarnation, now)
+}
+
+// mayUse reports whether the server is one of those that the statement is for.
+func (w *waiter) mayUse(s *serverState) bool {
+	if need, isLent := w.want.Need.(dispatch.NeedServer); isLent {
+		return s.server.Listing.Name == need.Name && !s.delisted
+	}
+	return s.server.Listing.Group == w.want.Group && !s.delisted
+}
+
 func (d *Dispatcher) situation(w *waiter, now time.Duration) dispatch.Situation {
 	primary, _, _ := d.cfg.Views.View(w.want.Group).PrimaryAt(now)
 	evidence := d.evidence[w.want.Group]
@@ -123,16 +179,17 @@
 	}
 }
 
-// share returns how many connections the instance may hold to the server: an even part of the limit, and fewer for a
-// while after the server had too many.
+// share returns how many connections the instance may hold to the server, and fewer for a while after the server had too
+// many. Without other instances to borrow from, all of them share the limit evenly.
 func (d *Dispatcher) share(s *serverState, now time.Duration) int {
 	limit := d.cfg.Limit(s.server.Listing.Group)
 	if limit == 0 {
 		limit = defaultConnections
 	}
-	share := max(limit/max(d.cfg.Instances(), 1), 1)
+	s.ownership = s.ownership.withMembers(d.members, s.server.Listing)
+	share := int(float64(limit) * s.ownership.part(d.cfg.Self.Incarnation, d.silent, now, len(d.members.all)))
 	if now < s.cutUntil {
 		share = min(share, s.cutTo)
 	}
-	return share
+	return max(share, 1)
 }
--- a/proxy/fake_test.go
+++ b/proxy/fake_test.go
@@ -60,6 +60,7 @@
 	refusePromotion bool
 	storeCalls      atomic.Int64
 	dials           atomic.Int64
+	loans           atomic.Int64
 }
 
 type promotionCall struct {
@@ -181,7 +182,7 @@
 	i.gate = &proxy.ReadinessGate{Timer: timer, Knowledge: i.knowledge, Views: i.views}
 	i.dispatcher = proxy.NewDispatcher(proxy.DispatcherConfig{
 		DataCentre: dataCentre, Timer: timer, Views: i.views, Dialer: clusterClient, Limit: i.knowledge.Connections,
-		Instances: i.knowledge.Instances,
+		Self: self, Members: i.knowledge.Records, Lending: clusterClient, Probe: clusterClient.Survey,
 	})
 	i.knowledge.OnServers(i.dispatcher.SetListings)
 	i.rates = proxy.NewSharedRates(timer, i.knowledge, i.knowledge.Instances, proxy.Tolerance{Window: 5 * time.Second})
@@ -190,7 +191,7 @@
 	})
 	notices := ring.New[proxy.Member](0)
 	i.hub = proxy.NewHub(proxy.HubConfig{
-		Self: self, Timer: timer, Knowledge: i.knowledge, Views: i.views, Dispatcher: i.dispatcher, Demand: i.rates.Demand, Notices: notices,
+		Self: self, Timer: timer, Knowledge: i.knowledge, Views: i.views, Dispatcher: i.dispatcher, Dialer: clusterClient, Demand: i.rates.Demand, Notices: notices,
 	})
 	readers := &proxy.StoreReaders{Documents: clusterClient, Listings: clusterClient, Records: clusterClient, Knowledge: i.knowledge, Timer: timer}
 	syncer := proxy.NewSyncer(proxy.SyncerConfig{
@@ -715,12 +716,12 @@
 }
 
 // Survey asks an instance about a server.
-func (r *clusterClient) Survey(ctx context.Context, address, server string) (proxy.Hearing, error) {
+func (r *clusterClient) Survey(ctx context.Context, address, server string, probe bool) (proxy.Hearing, error) {
 	i, err := r.peer(ctx, address)
 	if err != nil {
 		return proxy.Hearing{}, err
 	}
-	return i.hub.Survey(server), nil
+	return i.hub.Survey(ctx, server, probe), nil
 }
 
 // Dial connects to a server.
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -20,8 +20,9 @@
 	Notify(ctx context.Context, address string, m Member) error
 	// Extend asks whether the instance knows of no newer record of any group than those of the versions.
 	Extend(ctx context.Context, address string, versions map[string]port.Version) (bool, error)
-	// Survey asks how long ago the instance heard from the server, and returns its incarnation.
-	Survey(ctx context.Context, address, server string) (Hearing, error)
+	// Survey asks how long ago the instance heard from the server, and returns its incarnation. With probe, the instance
+	// connects to a server from which it has not heard of late.
+	Survey(ctx context.Context, address, server string, probe bool) (Hearing, error)
 }
 
 // Hearing is what an instance says of a server.
--- a/proxy/hub.go
+++ b/proxy/hub.go
@@ -33,6 +33,8 @@
 	Knowledge  *Knowledge
 	Views      *Views
 	Dispatcher *Dispatcher
+	// Dialer connects to servers that another instance doubts.
+	Dialer Dialer
 	// Demand returns this instance's own demand.
 	Demand func() Demand
 	// Notices takes the members that have newer records.
@@ -146,11 +148,20 @@
 // Notify has the newest records asked for at the member.
 func (h *Hub) Notify(m Member) { h.cfg.Notices.Push(m) }
 
-// Survey tells how long ago the server answered this instance. Whoever asks has doubts about the server.
-func (h *Hub) Survey(server string) Hearing {
+// Survey tells how long ago the server answered this instance. Whoever asks has doubts about the server. With probe, a
+// server that has not answered of late is connected to first.
+func (h *Hub) Survey(ctx context.Context, server string, probe bool) Hearing {
 	h.cfg.Dispatcher.Doubt(server)
 	heardAt, heard := h.cfg.Dispatcher.HeardAt(server)
-	return Hearing{Incarnation: h.cfg.Self.Incarnation, Age: h.cfg.Timer.Now() - heardAt, Heard: heard}
+	hearing := Hearing{Incarnation: h.cfg.Self.Incarnation, Age: h.cfg.Timer.Now() - heardAt, Heard: heard}
+	if !probe || heard && hearing.Age <= hearingLimit {
+		return hearing
+	}
+	servers, _ := h.cfg.Knowledge.Servers()
+	if l, listed := servers[server]; listed && answers(ctx, h.cfg.Timer, h.cfg.Dialer, l) {
+		hearing.Heard, hearing.Age = true, 0
+	}
+	return hearing
 }
 
 // AreaDemand returns the demand of the instance's data centre, and false while not all of it is known.
--- a/proxy/knowledge.go
+++ b/proxy/knowledge.go
@@ -29,6 +29,8 @@
 	// Address is where other instances reach it.
 	Address    string `json:"address"`
 	DataCentre string `json:"data_centre"`
+	// Weight is the processor time that the instance has, in cores. It owns pools in proportion.
+	Weight float64 `json:"weight,omitempty"`
 	// Leaving is set by another instance when this one has been silent. An instance that lives lists itself anew; the
 	// record of one that does not is removed later.
 	Leaving bool `json:"leaving,omitempty"`
--- /dev/null
+++ b/proxy/lending_fake_test.go
@@ -0,0 +1,102 @@
+package proxy_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/proxy"
+	"github.com/rhubarbwick/rhubarbwick/statement"
+)
+
+var _ proxy.Lending = (*clusterClient)(nil)
+
+var errLoanEnded = errors.New("the borrower ended the loan")
+
+// Borrow returns a loan from an instance of the cluster.
+func (r *clusterClient) Borrow(owner proxy.Member, terms proxy.LoanTerms) proxy.RemoteLoan {
+	r.cluster.loans.Add(1)
+	return &fakeLoan{client: r, owner: owner, terms: terms}
+}
+
+// Abort does nothing: a fake loan ends with its run.
+func (r *clusterClient) Abort(proxy.Member) {}
+
+// fakeLoan is the borrower's end of a loan, and fakeLoanStream the owner's.
+type fakeLoan struct {
+	client *clusterClient
+	owner  proxy.Member
+	terms  proxy.LoanTerms
+	stream *fakeLoanStream
+}
+
+type fakeLoanStream struct {
+	requests chan proxy.LoanRequest
+	results  chan proxy.LoanResult
+	ended    chan struct{}
+	once     sync.Once
+}
+
+// Run has the owner run the steps.
+func (l *fakeLoan) Run(ctx context.Context, values statement.Context, steps []statement.Step) ([]statement.Answer, error) {
+	owner, err := l.client.peer(ctx, l.owner.Address)
+	if err != nil || owner.self.Incarnation != l.owner.Incarnation {
+		return nil, &proxy.Unsent{Err: port.Failf(port.Unavailable, "the owner cannot be reached"), Closed: true}
+	}
+	if l.stream == nil {
+		l.stream = &fakeLoanStream{
+			requests: make(chan proxy.LoanRequest, 1), results: make(chan proxy.LoanResult, 1), ended: make(chan struct{}),
+		}
+		go l.stream.run(owner)
+	}
+	l.stream.requests <- proxy.LoanRequest{Terms: l.terms, Values: values, Steps: steps}
+	select {
+	case result := <-l.stream.results:
+		if _, err := l.client.peer(ctx, l.owner.Address); err != nil {
+			return nil, port.Failf(port.Unavailable, "the owner's answer was lost")
+		}
+		return runResult(result)
+	case <-ctx.Done():
+		return nil, port.Failf(port.Unavailable, "no answer of the owner")
+	}
+}
+
+func runResult(r proxy.LoanResult) ([]statement.Answer, error) {
+	switch r := r.(type) {
+	case proxy.LoanAnswers:
+		return r.Answers, nil
+	case proxy.LoanRefusal:
+		return nil, &proxy.Unsent{Err: port.Failf(r.Kind, "%s", r.Text), Closed: r.Closed}
+	case proxy.LoanLost:
+		return r.Answers, port.Failf(port.Unavailable, "the connection was lost")
+	default:
+		return nil, port.Failf(port.Internal, "no result")
+	}
+}
+
+// Close ends the loan.
+func (l *fakeLoan) Close() {
+	if l.stream != nil {
+		l.stream.once.Do(func() { close(l.stream.ended) })
+	}
+}
+
+// run is the owner's handler.
+func (s *fakeLoanStream) run(owner *testInstance) { _ = owner.manager.Lend(context.Background(), s) }
+
+// Receive returns the borrower's next request.
+func (s *fakeLoanStream) Receive() (proxy.LoanRequest, error) {
+	select {
+	case req := <-s.requests:
+		return req, nil
+	case <-s.ended:
+		return proxy.LoanRequest{}, errLoanEnded
+	}
+}
+
+// Send sends a result.
+func (s *fakeLoanStream) Send(r proxy.LoanResult) error {
+	s.results <- r
+	return nil
+}
--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -29,6 +29,8 @@
 	missingLimit = 2500 * time.Millisecond
 	// probeLimit is how long a server that is well may take to accept a connection.
 	probeLimit = 500 * time.Millisecond
+	// probeMargin is how much longer another instance may take to say what its probe found.
+	probeMargin = 100 * time.Millisecond
 	// hearingLimit is how recently an instance must have heard from a primary for it to count as well there.
 	hearingLimit = 500 * time.Millisecond
 	// callPeers is how long calls to other instances may take.
@@ -169,14 +171,14 @@
 	if !isSelf {
 		limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, callPeers)
 		defer cancel()
-		if _, err := p.cfg.Fleet.Survey(limited, first.Address, server); err == nil {
+		if _, err := p.cfg.Fleet.Survey(limited, first.Address, server, false); err == nil {
 			return
 		}
 	}
 	if p.cfg.Timer.Now()-snapshot.AskedAt > staleRecords {
 		return
 	}
-	if p.answers(ctx, l) || p.isHeard(ctx, snapshot, server) {
+	if p.isReached(ctx, snapshot, l) {
 		return
 	}
 	index, _ := p.cfg.Knowledge.Rules()
@@ -185,11 +187,33 @@
 	}
 }
 
+// isReached reports whether the server answers this instance, has answered another one of late, or answers one of the
+// probers now: an owner that is cut off from a server must not have it replaced while others reach it.
+func (p *Promoter) isReached(ctx context.Context, s Snapshot, l dispatch.Listing) bool {
+	probe := &serverProbe{promoter: p, listing: l}
+	var probing sync.WaitGroup
+	probing.Go(func() { probe.run(ctx) })
+	heard := p.isHeard(ctx, s, l.Name)
+	probing.Wait()
+	return heard || probe.reached
+}
+
+// serverProbe is the duty that connects to a doubted server.
+type serverProbe struct {
+	promoter *Promoter
+	listing  dispatch.Listing
+	reached  bool
+}
+
+func (s *serverProbe) run(ctx context.Context) {
+	s.reached = answers(ctx, s.promoter.cfg.Timer, s.promoter.cfg.Dialer, s.listing)
+}
+
 // answers reports whether a server says anything to a new connection.
-func (p *Promoter) answers(ctx context.Context, l dispatch.Listing) bool {
-	limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, probeLimit)
+func answers(ctx context.Context, timer port.Timer, dialer Dialer, l dispatch.Listing) bool {
+	limited, cancel := port.WithTimeout(ctx, timer, probeLimit)
 	defer cancel()
-	link, _, err := p.cfg.Dialer.Dial(limited, Endpoint{
+	link, _, err := dialer.Dial(limited, Endpoint{
 		Group: l.Group, Server: l.Name, Address: l.Address, Organisation: systemCaller,
 	})
 	if err == nil {
@@ -204,13 +228,14 @@
 	}
 }
 
-// isHeard reports whether another instance heard from the server of late.
+// isHeard reports whether another instance heard from the server of late, or hears from it now.
 func (p *Promoter) isHeard(ctx context.Context, s Snapshot, server string) bool {
-	limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, callPeers)
+	limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, probeLimit+probeMargin)
 	defer cancel()
 	asked := others(s.Members, p.cfg.Self.Incarnation)
+	probers := probersOf(asked, server)
 	hearings := askMembers(limited, asked, func(ctx context.Context, m Member) (Hearing, error) {
-		return p.cfg.Fleet.Survey(ctx, m.Address, server)
+		return p.cfg.Fleet.Survey(ctx, m.Address, server, probers[m.Incarnation])
 	})
 	for _, h := range hearings {
 		if h.Heard && h.Age <= hearingLimit {
@@ -220,6 +245,23 @@
 	return false
 }
 
+// probersOf returns the incarnations of the first in rank of each data centre. All instances together would fill the
+// slots of a server that is only busy.
+func probersOf(all []Member, server string) map[string]bool {
+	first := make(map[string]Member)
+	for _, m := range all {
+		best, found := first[m.DataCentre]
+		if !found || instance.RankOf(server, m.Incarnation) > instance.RankOf(server, best.Incarnation) {
+			first[m.DataCentre] = m
+		}
+	}
+	probers := make(map[string]bool, len(first))
+	for _, m := range first {
+		probers[m.Incarnation] = true
+	}
+	return probers
+}
+
 // replace starts a replacement unless one is under way here.
 func (p *Promoter) replace(ctx context.Context, g document.Group, reason string) {
 	p.mu.Lock()
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -30,6 +31,8 @@
 	shape    *statement.Shape
 	writes   bool
 	excluded []string
+	// placedBy is when the statement is refused if it is not at a server by then; zero until it is first placed.
+	placedBy time.Duration
 }
 
 // query answers a read, a write or an execution.
@@ -87,6 +90,11 @@
 			if w.writes {
 				return statement.Refuse(port.UnknownOutcome, "the server's answer to the write was lost", statement.Idle)
 			}
+			w.placedBy = 0
+		case lostUnsent:
+			if answer.Failure.Kind == port.Busy {
+				w.excluded = append(w.excluded, l.connection.Endpoint.Server)
+			}
 		}
 		last = answer.WithState(statement.Idle)
 		if ctx.Err() != nil {
@@ -115,23 +123,33 @@
 
 // forward runs a statement on the loan's connection.
 func (s *Session) forward(ctx context.Context, l *loan, w *work) (statement.Answer, outcome) {
-	orders, name, applied := l.connection.Applied.Prepare(s.context, w.shape)
-	if len(orders) > 0 {
-		prepared, err := s.manager.do(ctx, l, orders...)
-		if err != nil || !prepared.Failure.IsZero() {
-			return statement.Refuse(port.NotKept, "the connection to the server was lost", statement.Failed), lostUnsent
-		}
-		l.connection.Applied = applied
+	answers, err := s.manager.run(ctx, l, s.context, s.step(l, w))
+	if err != nil {
+		return lostAnswer(ctx, err)
 	}
-	order := statement.Forward{Request: w.req, Name: name}
+	return s.judge(ctx, l, w, answers[0])
+}
+
+// step returns the order for the statement.
+func (s *Session) step(l *loan, w *work) statement.Step {
+	order := statement.Forward{Request: w.req}
 	if s.tx == nil && !w.writes {
 		order.After = l.choice.After
 	}
-	answer, err := s.manager.do(ctx, l, order)
-	if err != nil {
-		return statement.Refuse(lossKind(ctx), "the server did not answer", statement.Failed), lost
+	return statement.Step{Order: order, Shape: w.shape}
+}
+
+// lostAnswer returns what is told of a statement whose connection failed.
+func lostAnswer(ctx context.Context, err error) (statement.Answer, outcome) {
+	var unsent *Unsent
+	if errors.As(err, &unsent) {
+		kind := port.KindOf(err)
+		if kind != port.Busy {
+			kind = port.NotKept
+		}
+		return statement.Refuse(kind, err.Error(), statement.Failed), lostUnsent
 	}
-	return s.judge(ctx, l, w, answer)
+	return statement.Refuse(lossKind(ctx), "the server did not answer", statement.Failed), lost
 }
 
 // lossKind tells a statement that ran out of time from one whose connection was lost.
@@ -160,7 +178,6 @@
 		w.excluded = append(w.excluded, server)
 		return a, notRun
 	case port.UnknownStatement:
-		l.connection.Applied = statement.Applied{}
 		return a, lostUnsent
 	default:
 		return a, ran
@@ -206,9 +223,13 @@
 	if target == 0 {
 		target = defaultTimeout
 	}
+	now := s.manager.cfg.Timer.Now()
+	if w.placedBy == 0 {
+		w.placedBy = now + target/connectionWaitShare
+	}
 	want := Want{
 		Group: w.route.Group, Organisation: s.admitted.Organisation, Need: need, Excluded: slices.Clone(w.excluded),
-		Priority: w.route.Priority, ConnectionWait: target / connectionWaitShare, ServerWait: target / serverWaitShare, Affinity: s.affinity,
+		Priority: w.route.Priority, ConnectionWait: w.placedBy - now, ServerWait: target / serverWaitShare, Affinity: s.affinity,
 	}
 	if s.manager.cfg.IsIsolated() {
 		// No primary can be learnt of until the cut ends.
@@ -220,7 +241,7 @@
 	}
 	s.affinity = grant.Connection.ID
 	s.server, s.tries = grant.Connection.Endpoint.Server, s.tries+1
-	l := &loan{connection: grant.Connection, choice: grant.Choice}
+	l := &loan{connection: grant.Connection, choice: grant.Choice, lentFor: want.ConnectionWait, overdueAfter: grant.OverdueAfter}
 	if primary, term, ok := s.manager.cfg.Views.Primary(w.route.Group); ok && primary == grant.Connection.Endpoint.Server {
 		l.asPrimary, l.term = true, term
 	}
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -165,26 +166,52 @@
 	return defaultTransactionIdle
 }
 
-// do sends orders on the loan's connection and returns the first failure among the answers, or the last answer.
-func (m *SessionManager) do(ctx context.Context, l *loan, orders ...statement.Order) (statement.Answer, error) {
-	sent := m.cfg.Timer.Now()
-	server := l.connection.Endpoint.Server
-	stop := m.cfg.Timer.After(slowAnswer, func(time.Duration) { m.cfg.Dispatcher.Doubt(server) })
-	answers, err := l.connection.Link.Do(ctx, orders...)
+// run has the loan's server run the steps, as Connection.run does, and tells the dispatcher what came of it.
+func (m *SessionManager) run(
+	ctx context.Context, l *loan, values statement.Context, steps ...statement.Step,
+) ([]statement.Answer, error) {
+	d, c := m.cfg.Dispatcher, l.connection
+	if l.used {
+		d.Started(c)
+	}
+	sent, first := m.cfg.Timer.Now(), !l.used
+	l.used = true
+	stop := m.cfg.Timer.After(slowAnswer+l.wait(first), func(time.Duration) { m.doubt(c) })
+	limited, cancel := m.limitRead(ctx, l, steps)
+	answers, err := c.run(limited, values, steps...)
+	cancel()
 	stop()
-	if err != nil {
-		m.cfg.Dispatcher.Unreached(server)
-		return statement.Answer{}, err
+	if len(answers) > 0 {
+		last := answers[len(answers)-1]
+		l.state = last.State
+		d.Heard(c, Answered{Server: c.Endpoint.Server, Position: last.Position, SentAt: sent, At: m.cfg.Timer.Now()})
 	}
-	last := answers[len(answers)-1]
-	l.state = last.State
-	m.cfg.Dispatcher.Heard(Answered{Server: server, Position: last.Position, SentAt: sent, At: m.cfg.Timer.Now()})
-	for _, a := range answers[:len(answers)-1] {
-		if !a.Failure.IsZero() {
-			return statement.Answer{}, port.Failf(a.Failure.Kind, "the server refused a session value: %s", a.Failure.Text)
-		}
+	var unsent *Unsent
+	switch _, isBorrowed := c.owner(); {
+	case err == nil:
+	case isBorrowed && errors.As(err, &unsent):
+		d.NotLent(c, unsent)
+	case ctx.Err() == nil || !isBorrowed:
+		d.Unreached(c)
+	}
+	return answers, err
+}
+
+// limitRead gives a read outside a transaction up once its answer is overdue, so that it can run elsewhere in time.
+func (m *SessionManager) limitRead(ctx context.Context, l *loan, steps []statement.Step) (context.Context, context.CancelFunc) {
+	if l.overdueAfter == 0 || l.state != statement.Idle || len(steps) != 1 || !steps[0].IsRead() {
+		return ctx, func() {}
+	}
+	return port.WithTimeout(ctx, m.cfg.Timer, l.overdueAfter)
+}
+
+// doubt has it found out why a connection does not answer.
+func (m *SessionManager) doubt(c *Connection) {
+	if _, isBorrowed := c.owner(); isBorrowed {
+		m.cfg.Dispatcher.DoubtOwner(c)
+		return
 	}
-	return last, nil
+	m.cfg.Dispatcher.Doubt(c.Endpoint.Server)
 }
 
 // abandon rolls a loan's transaction back and returns its connection, without letting the caller wait.
@@ -217,7 +244,7 @@
 	defer c.manager.closers.Done()
 	ctx, cancel := port.WithTimeout(context.Background(), c.manager.cfg.Timer, rollbackLimit)
 	defer cancel()
-	_, err := c.manager.do(ctx, c.loan, statement.Abandon{})
+	_, err := c.manager.run(ctx, c.loan, statement.Context{}, statement.Step{Order: statement.Abandon{}})
 	c.manager.cfg.Dispatcher.Return(c.loan.connection, err == nil && c.loan.state == statement.Idle)
 }
 
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -40,11 +40,7 @@
 			}
 			break
 		}
-		answer, result := s.open(ctx, l, w)
-		if result == ran {
-			s.tx.loan = l
-			answer, result = s.forward(ctx, l, w)
-		}
+		answer, result := s.openAndForward(ctx, l, w)
 		if result == ran || (result == lost && w.writes) {
 			s.tx.loan = l
 			return s.conclude(w, answer, result)
@@ -59,23 +55,31 @@
 	return s.refuseInside(last.Failure)
 }
 
-// open starts the transaction on the loan's connection.
-func (s *Session) open(ctx context.Context, l *loan, w *work) (statement.Answer, outcome) {
-	orders, _, applied := l.connection.Applied.Prepare(s.context, nil)
-	orders = append(orders, statement.Open{ReadOnly: s.tx.readOnly, After: l.choice.After})
-	answer, err := s.manager.do(ctx, l, orders...)
-	if err != nil {
-		return statement.Refuse(port.NotKept, "the connection to the server was lost", statement.Failed), lostUnsent
+// openAndForward starts the transaction on the loan's connection and runs its first statement.
+func (s *Session) openAndForward(ctx context.Context, l *loan, w *work) (statement.Answer, outcome) {
+	s.tx.loan = l
+	answers, err := s.manager.run(ctx, l, s.context, s.openStep(l), s.step(l, w))
+	switch {
+	case err != nil:
+		return lostAnswer(ctx, err)
+	case len(answers) == 1:
+		return s.judgeOpen(ctx, l, w, answers[0])
+	default:
+		return s.judge(ctx, l, w, answers[1])
 	}
-	l.connection.Applied = applied
-	if !answer.Failure.IsZero() {
-		_, result := s.judge(ctx, l, w, answer)
-		if result == ran {
-			result = notRun
-		}
-		return answer, result
+}
+
+func (s *Session) openStep(l *loan) statement.Step {
+	return statement.Step{Order: statement.Open{ReadOnly: s.tx.readOnly, After: l.choice.After}}
+}
+
+// judgeOpen decides what a server's refusal to start the transaction means.
+func (s *Session) judgeOpen(ctx context.Context, l *loan, w *work, a statement.Answer) (statement.Answer, outcome) {
+	_, result := s.judge(ctx, l, w, a)
+	if result == ran {
+		result = notRun
 	}
-	return answer, ran
+	return a, result
 }
 
 // conclude keeps or fails the transaction by what came of a statement.
@@ -115,8 +119,14 @@
 	if err != nil {
 		return statement.Answer{Failure: failureOf(err)}
 	}
-	answer, result := s.open(ctx, l, w)
-	if result != ran {
+	answers, err := s.manager.run(ctx, l, s.context, s.openStep(l))
+	if err != nil {
+		answer, result := lostAnswer(ctx, err)
+		s.manager.abandonAfter(l, result)
+		return answer.WithState(statement.Idle)
+	}
+	if !answers[0].Failure.IsZero() {
+		answer, result := s.judgeOpen(ctx, l, w, answers[0])
 		s.manager.abandonAfter(l, result)
 		return answer.WithState(statement.Idle)
 	}
@@ -126,14 +136,16 @@
 // commitAt sends the commit. A busy server has not run it, so it is sent again on the same connection.
 func (s *Session) commitAt(ctx context.Context, l *loan, w *work) statement.Answer {
 	for {
-		answer, err := s.manager.do(ctx, l, statement.Forward{Request: w.req})
-		switch {
-		case err != nil:
+		answers, err := s.manager.run(ctx, l, s.context, statement.Step{Order: statement.Forward{Request: w.req}})
+		if err != nil {
 			s.manager.cfg.Dispatcher.Return(l.connection, false)
 			if !s.tx.wrote {
 				return statement.Refuse(port.NotKept, "the server did not answer the commit; nothing was written", statement.Idle)
 			}
 			return statement.Refuse(port.UnknownOutcome, "the server's answer to the commit was lost", statement.Idle)
+		}
+		answer := answers[0]
+		switch {
 		case answer.Failure.IsZero():
 			return s.committed(ctx, l, answer)
 		case answer.Failure.Kind != port.Busy:
--- /dev/null
+++ b/statement/step.go
@@ -0,0 +1,34 @@
+package statement
+
+import "maps"
+
+// Step is an order for a lent connection. Whoever holds the connection first gives it the values of the session's context
+// and, if Shape is not nil, a prepared name for the shape.
+type Step struct {
+	// Order is one of Forward, Open and Abandon.
+	Order Order
+	// Shape is what a Forward of an Execute runs; nil otherwise.
+	Shape *Shape
+}
+
+// IsRead reports whether the step only reads, so that it can be repeated.
+func (s Step) IsRead() bool {
+	o, isForward := s.Order.(Forward)
+	if !isForward {
+		return false
+	}
+	switch o.Request.Statement.(type) {
+	case Read:
+		return true
+	case Execute:
+		return s.Shape != nil && !s.Shape.Writes
+	default:
+		return false
+	}
+}
+
+// ContextOf returns a context with the values and without prepared names, as it arrives from another instance.
+func ContextOf(values map[string]string) Context { return Context{values: maps.Clone(values)} }
+
+// Values returns the values of the session.
+func (c Context) Values() map[string]string { return maps.Clone(c.values) }
