Have the next relay in rank take over; start with two calls to the store

When the store turned a relay away, nearly all 146 instances began to read it by themselves, seven calls each at once; at a start each instance did the same. A question to a silent owner raised a doubt about the server at every instance, which cost connections and bytes.

Change: an instance passes a relay that has lost the store over, as all others that follow it do, and reads by itself only when two failed. A start reads the records and writes its own. Only the question that passes a doubt on raises one. A connection to an owner has 250 ms; an owner is asked whether it lives after 120 ms without an answer.

--- a/adapter/fleet/client.go
+++ b/adapter/fleet/client.go
@@ -114,8 +114,8 @@
 }
 
 // Survey asks how long ago the instance heard from the server.
-func (c *Client) Survey(ctx context.Context, address, server string, probe bool) (proxy.Hearing, error) {
-	res, err := c.at(address).Survey(ctx, connect.NewRequest(&fleetv1.SurveyRequest{Server: server, Probe: probe}))
+func (c *Client) Survey(ctx context.Context, address string, q proxy.Question) (proxy.Hearing, error) {
+	res, err := c.at(address).Survey(ctx, connect.NewRequest(&fleetv1.SurveyRequest{Server: q.Server, Probe: q.Probe, Doubt: q.Doubt}))
 	if err != nil {
 		return proxy.Hearing{}, failure(err, address)
 	}
--- a/adapter/fleet/lending.go
+++ b/adapter/fleet/lending.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -16,6 +17,10 @@
 	"github.com/rhubarbwick/rhubarbwick/statement"
 )
 
+// dialOwnerLimit is how long a connection to an owner may take. It is far above the way between data centres, and short
+// enough for the statement to be placed elsewhere.
+const dialOwnerLimit = 250 * time.Millisecond
+
 // Lending borrows connections from the pools of other instances. All loans from one owner share one connection to it.
 // Use NewLending.
 type Lending struct {
@@ -29,6 +34,7 @@
 
 // NewLending returns a lending that opens connections with the dialer.
 func NewLending(dialer *net.Dialer) *Lending {
+	dialer.Timeout = dialOwnerLimit
 	return &Lending{dialer: dialer, owners: make(map[string]*ownerClient)}
 }
 
--- a/adapter/fleet/server.go
+++ b/adapter/fleet/server.go
@@ -109,7 +109,9 @@
 func (s *Server) Survey(
 	ctx context.Context, req *connect.Request[fleetv1.SurveyRequest],
 ) (*connect.Response[fleetv1.SurveyResponse], error) {
-	h := s.hub.Survey(ctx, req.Msg.GetServer(), req.Msg.GetProbe())
+	h := s.hub.Survey(ctx, proxy.Question{
+		Server: req.Msg.GetServer(), Probe: req.Msg.GetProbe(), Doubt: req.Msg.GetDoubt(),
+	})
 	res := &fleetv1.SurveyResponse{Incarnation: h.Incarnation}
 	if h.Heard {
 		age := roundUp(h.Age)
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -75,9 +75,6 @@
 	p.views = proxy.NewViews(p.timer, p.metrics)
 	p.knowledge = proxy.NewKnowledge(self, p.timer, p.views, s.RevokeWithin)
 	p.gate = &proxy.ReadinessGate{Timer: p.timer, Knowledge: p.knowledge, Views: p.views}
-	p.registration = &proxy.Registration{
-		Self: self, Records: store, Knowledge: p.knowledge, Timer: p.timer,
-	}
 	others := fleet.NewClient(platform.NewDialer())
 	p.lending = fleet.NewLending(platform.NewDialer())
 	p.dispatcher = proxy.NewDispatcher(proxy.DispatcherConfig{
@@ -96,6 +93,9 @@
 		Notices: notices,
 	})
 	readers := &proxy.StoreReaders{Documents: store, Listings: store, Records: store, Knowledge: p.knowledge, Timer: p.timer}
+	p.registration = &proxy.Registration{
+		Self: self, Records: store, Readers: readers, Knowledge: p.knowledge, Timer: p.timer,
+	}
 	p.syncer = proxy.NewSyncer(proxy.SyncerConfig{
 		Self: self, Timer: p.timer, Knowledge: p.knowledge, Fleet: others, Hub: hub, Readers: readers, Rates: rates,
 		Notices: notices, Isolated: p.setIsolated, Recorder: p.metrics,
--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -46,7 +46,7 @@
 	Members func() (Snapshot, bool)
 	// Lending reaches the pools of other instances, and Probe asks an owner about a server.
 	Lending Lending
-	Probe   func(ctx context.Context, address, server string, probe bool) (Hearing, error)
+	Probe   func(ctx context.Context, address string, q Question) (Hearing, error)
 }
 
 // Dispatcher is the duty that owns the connections to servers and decides which statement goes where. Its loop owns the state.
--- a/proxy/dispatcher_owners.go
+++ b/proxy/dispatcher_owners.go
@@ -89,7 +89,7 @@
 	defer d.duties.Done()
 	limited, cancel := port.WithTimeout(d.ended, d.cfg.Timer, probeOwnerLimit)
 	defer cancel()
-	hearing, err := d.cfg.Probe(limited, p.doubted.owner.Address, p.doubted.server, false)
+	hearing, err := d.cfg.Probe(limited, p.doubted.owner.Address, Question{Server: p.doubted.server})
 	d.tell(ownerProbed{ownerDoubted: p.doubted, hearing: hearing, err: err})
 }
 
--- a/proxy/fake_test.go
+++ b/proxy/fake_test.go
@@ -202,7 +202,7 @@
 		Self: self, Timer: timer, Knowledge: i.knowledge, Readers: readers, Fleet: clusterClient, Views: i.views, Dispatcher: i.dispatcher,
 		Dialer: clusterClient, Records: clusterClient, Promotions: clusterClient,
 	})
-	registration := &proxy.Registration{Self: self, Records: clusterClient, Knowledge: i.knowledge, Timer: timer}
+	registration := &proxy.Registration{Self: self, Records: clusterClient, Readers: readers, Knowledge: i.knowledge, Timer: timer}
 	w.mu.Lock()
 	w.instances[name] = i
 	w.mu.Unlock()
@@ -716,12 +716,12 @@
 }
 
 // Survey asks an instance about a server.
-func (r *clusterClient) Survey(ctx context.Context, address, server string, probe bool) (proxy.Hearing, error) {
+func (r *clusterClient) Survey(ctx context.Context, address string, q proxy.Question) (proxy.Hearing, error) {
 	i, err := r.peer(ctx, address)
 	if err != nil {
 		return proxy.Hearing{}, err
 	}
-	return i.hub.Survey(ctx, server, probe), nil
+	return i.hub.Survey(ctx, q), nil
 }
 
 // Dial connects to a server.
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -20,9 +20,17 @@
 	Notify(ctx context.Context, address string, m Member) error
 	// Extend asks whether the instance knows of no newer record of any group than those of the versions.
 	Extend(ctx context.Context, address string, versions map[string]port.Version) (bool, error)
-	// Survey asks how long ago the instance heard from the server, and returns its incarnation. With probe, the instance
-	// connects to a server from which it has not heard of late.
-	Survey(ctx context.Context, address, server string, probe bool) (Hearing, error)
+	// Survey asks how long ago the instance heard from a server.
+	Survey(ctx context.Context, address string, q Question) (Hearing, error)
+}
+
+// Question asks an instance about a server.
+type Question struct {
+	Server string
+	// Probe has the instance connect to the server if it has not heard from it of late.
+	Probe bool
+	// Doubt has the instance find out whether the server is gone.
+	Doubt bool
 }
 
 // Hearing is what an instance says of a server.
--- a/proxy/hub.go
+++ b/proxy/hub.go
@@ -148,17 +148,18 @@
 // Notify has the newest records asked for at the member.
 func (h *Hub) Notify(m Member) { h.cfg.Notices.Push(m) }
 
-// Survey tells how long ago the server answered this instance. Whoever asks has doubts about the server. With probe, a
-// server that has not answered of late is connected to first.
-func (h *Hub) Survey(ctx context.Context, server string, probe bool) Hearing {
-	h.cfg.Dispatcher.Doubt(server)
-	heardAt, heard := h.cfg.Dispatcher.HeardAt(server)
+// Survey tells how long ago the server answered this instance.
+func (h *Hub) Survey(ctx context.Context, q Question) Hearing {
+	if q.Doubt {
+		h.cfg.Dispatcher.Doubt(q.Server)
+	}
+	heardAt, heard := h.cfg.Dispatcher.HeardAt(q.Server)
 	hearing := Hearing{Incarnation: h.cfg.Self.Incarnation, Age: h.cfg.Timer.Now() - heardAt, Heard: heard}
-	if !probe || heard && hearing.Age <= hearingLimit {
+	if !q.Probe || heard && hearing.Age <= hearingLimit {
 		return hearing
 	}
 	servers, _ := h.cfg.Knowledge.Servers()
-	if l, listed := servers[server]; listed && answers(ctx, h.cfg.Timer, h.cfg.Dialer, l) {
+	if l, listed := servers[q.Server]; listed && answers(ctx, h.cfg.Timer, h.cfg.Dialer, l) {
 		hearing.Heard, hearing.Age = true, 0
 	}
 	return hearing
--- a/proxy/knowledge.go
+++ b/proxy/knowledge.go
@@ -19,6 +19,8 @@
 	instancePrefix = "instance/"
 	primacyPrefix  = "primacy/"
 	dutyName       = "duty/promotion"
+	// mostObjects is above the number of the product's objects in the store.
+	mostObjects = 1 << 16
 )
 
 // Member is an instance as its own record tells.
@@ -97,7 +99,6 @@
 
 // versionOf tells two states of the records apart: a write raises the greatest version, and a removal alone the count.
 func versionOf(objects []port.Object) uint64 {
-	const mostObjects = 1 << 16
 	newest := port.Version(0)
 	for _, o := range objects {
 		newest = max(newest, o.Version)
@@ -131,6 +132,9 @@
 // Version tells two states of the records apart.
 func (s Snapshot) Version() uint64 { return s.version }
 
+// Newest returns the greatest version of any record.
+func (s Snapshot) Newest() port.Version { return port.Version(s.version / mostObjects) }
+
 // Lists reports whether the instance is listed and not about to be removed.
 func (s Snapshot) Lists(self Member) bool {
 	return slices.Contains(s.Members, self)
--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -171,7 +171,7 @@
 	if !isSelf {
 		limited, cancel := port.WithTimeout(ctx, p.cfg.Timer, callPeers)
 		defer cancel()
-		if _, err := p.cfg.Fleet.Survey(limited, first.Address, server, false); err == nil {
+		if _, err := p.cfg.Fleet.Survey(limited, first.Address, Question{Server: server, Doubt: true}); err == nil {
 			return
 		}
 	}
@@ -235,7 +235,7 @@
 	asked := others(s.Members, p.cfg.Self.Incarnation)
 	probers := probersOf(asked, server)
 	hearings := askMembers(limited, asked, func(ctx context.Context, m Member) (Hearing, error) {
-		return p.cfg.Fleet.Survey(ctx, m.Address, server, probers[m.Incarnation])
+		return p.cfg.Fleet.Survey(ctx, m.Address, Question{Server: server, Probe: probers[m.Incarnation]})
 	})
 	for _, h := range hearings {
 		if h.Heard && h.Age <= hearingLimit {
--- a/proxy/readers.go
+++ b/proxy/readers.go
@@ -184,9 +184,12 @@
 type Registration struct {
 	Self      Member
 	Records   Records
+	Readers   *StoreReaders
 	Knowledge *Knowledge
 	Timer     port.Timer
 	failed    pauses
+	// written is the version of the instance's record.
+	written port.Version
 }
 
 // Run keeps the instance listed until ctx ends.
@@ -197,18 +200,19 @@
 		if _, err := r.Knowledge.Delisted().Take(ctx); err != nil {
 			return
 		}
-		r.Register(ctx)
+		// Records that are older than this instance's own do not list it yet.
+		if s, _ := r.Knowledge.Records(); !s.Lists(r.Self) && s.Newest() > r.written {
+			r.Register(ctx)
+		}
 	}
 }
 
-// Register writes this instance's record, in the place of that of an earlier start on the machine, and repeats that
-// until it succeeds or ctx ends.
+// Register reads the records and writes this instance's own, in the place of that of an earlier start on the machine. It
+// repeats that until it succeeds or ctx ends.
 func (r *Registration) Register(ctx context.Context) {
 	for ctx.Err() == nil {
-		limited, cancel := port.WithTimeout(ctx, r.Timer, callLimit)
-		err := r.write(limited)
-		cancel()
-		if err == nil {
+		if err := r.write(ctx); err == nil {
+			r.failed.reset()
 			return
 		}
 		r.failed.wait(ctx, r.Timer)
@@ -220,19 +224,17 @@
 	if err != nil {
 		return port.Wrapf(err, port.Internal, "the instance's record cannot be encoded")
 	}
-	name := instancePrefix + r.Self.Name
-	if _, err = r.Records.Put(ctx, name, data, 0); port.KindOf(err) != port.Conflict {
-		return err
-	}
-	objects, err := r.Records.All(ctx)
-	if err != nil {
+	if err := r.Readers.ReadRecords(ctx); err != nil {
 		return err
 	}
-	o, found := NewSnapshot(objects, 0).Find(name)
-	if !found {
-		return port.Failf(port.Conflict, "the record %s was removed meanwhile", name)
+	s, _ := r.Knowledge.Records()
+	o, _ := s.Find(instancePrefix + r.Self.Name)
+	limited, cancel := port.WithTimeout(ctx, r.Timer, callLimit)
+	defer cancel()
+	version, err := r.Records.Put(limited, instancePrefix+r.Self.Name, data, o.Version)
+	if err == nil {
+		r.written = version
 	}
-	_, err = r.Records.Put(ctx, name, data, o.Version)
 	return err
 }
 
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -62,19 +62,18 @@
 	term       group.Term
 	// state is the transaction state that the server reported last.
 	state statement.State
-	// used is true once steps were run, and lentFor is how long the first ones may wait for the server.
-	used    bool
-	lentFor time.Duration
+	// used is true once steps were run.
+	used bool
 	// overdueAfter is when an answer of the server counts as lost; zero for the connections of other pools.
 	overdueAfter time.Duration
 }
 
-// wait returns how long an answer may be late because the steps wait for the server.
-func (l *loan) wait(first bool) time.Duration {
-	if _, isBorrowed := l.connection.owner(); isBorrowed && first {
-		return l.lentFor
+// slowAfter returns when an answer is late enough to look for the cause.
+func (l *loan) slowAfter() time.Duration {
+	if _, isBorrowed := l.connection.owner(); isBorrowed {
+		return slowOwner
 	}
-	return 0
+	return slowAnswer
 }
 
 // NewSession returns the session of an admitted caller.
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -20,6 +20,9 @@
 	// slowAnswer is how long an answer may take before the server is doubted. It is above what statements take that wait
 	// in a server's full queue.
 	slowAnswer = 350 * time.Millisecond
+	// slowOwner is how long an answer through the owner of a pool may take before it is asked whether it lives. A question
+	// is cheap, and each statement that waits for an owner that is gone is lost.
+	slowOwner = 120 * time.Millisecond
 )
 
 // Rates limits the operations of organisations over the whole fleet.
@@ -174,9 +177,9 @@
 	if l.used {
 		d.Started(c)
 	}
-	sent, first := m.cfg.Timer.Now(), !l.used
+	sent := m.cfg.Timer.Now()
 	l.used = true
-	stop := m.cfg.Timer.After(slowAnswer+l.wait(first), func(time.Duration) { m.doubt(c) })
+	stop := m.cfg.Timer.After(l.slowAfter(), func(time.Duration) { m.doubt(c) })
 	limited, cancel := m.limitRead(ctx, l, steps)
 	answers, err := c.run(limited, values, steps...)
 	cancel()
--- a/proxy/syncer.go
+++ b/proxy/syncer.go
@@ -31,6 +31,8 @@
 	stalePause = 400 * time.Millisecond
 	// lostRecords is the age of the records from which an instance no longer leaves it to the relays to find the store.
 	lostRecords = 1800 * time.Millisecond
+	// relaysTried is how many relays of its data centre an instance passes over before it reads the store by itself.
+	relaysTried = 2
 	// soonest is the least time between two exchanges, also when the relay has news all the time.
 	soonest = 50 * time.Millisecond
 )
@@ -64,6 +66,8 @@
 	// readingSince is when this instance began to read the store.
 	readingSince time.Duration
 	running      sync.WaitGroup
+	// unread counts the reads of the records that failed while no member was known.
+	unread pauses
 }
 
 // NewSyncer returns a syncer.
@@ -96,7 +100,7 @@
 		case found:
 			c.follow(ctx, relay, false)
 		default:
-			c.startReaders(ctx)
+			c.findMembers(ctx)
 		}
 		if took := c.cfg.Timer.Now() - began; took < soonest {
 			_ = port.Wait(ctx, c.cfg.Timer, soonest-took)
@@ -104,6 +108,31 @@
 	}
 }
 
+// findMembers reads the records once. An instance that has just started needs nothing else of the store: the relay among
+// the members tells the rest.
+func (c *Syncer) findMembers(ctx context.Context) {
+	if c.tooManyFailed() {
+		c.startReaders(ctx)
+		return
+	}
+	if c.cfg.Readers.ReadRecords(ctx) != nil {
+		c.unread.wait(ctx, c.cfg.Timer)
+		return
+	}
+	c.unread.reset()
+}
+
+// tooManyFailed reports whether so many relays of the data centre failed of late that the cause may be on this side.
+func (c *Syncer) tooManyFailed() bool {
+	failed, now := 0, c.cfg.Timer.Now()
+	for _, m := range c.ranked(c.cfg.Self.DataCentre) {
+		if c.hasFailed(m, now) {
+			failed++
+		}
+	}
+	return failed >= relaysTried
+}
+
 // relayOthers is what the relay of a data centre does. The first of all relays reads the store; the others follow it, so
 // that the calls to the store do not grow with the data centres.
 func (c *Syncer) relayOthers(ctx context.Context, now time.Duration) {
@@ -218,19 +247,23 @@
 		demand, _ = c.cfg.Hub.AreaDemand()
 	}
 	report, err := c.exchange(ctx, relay, demand, exchangeWait, fromRelay)
+	isLost := c.cfg.Timer.Now()-c.readAt() > lostRecords
 	switch {
-	case err != nil:
-		c.fail(relay, relayPause)
-		c.startReaders(ctx)
-	case report.Fresh:
+	case err == nil && report.Fresh:
 		c.stopReaders()
-	case fromRelay:
+	case fromRelay && err == nil:
 		// It may be about to read the store in the place of another one.
 		c.fail(relay, stalePause)
 		c.startReaders(ctx)
-	case c.cfg.Timer.Now()-c.readAt() > lostRecords:
-		// The relays have not found a way to the store for a while.
+	case fromRelay:
+		c.fail(relay, relayPause)
 		c.startReaders(ctx)
+	case c.tooManyFailed():
+		c.startReaders(ctx)
+	case err != nil || isLost:
+		// The next in rank takes its place, for all instances that find the same. If each of them read the store by itself, an
+		// outage of one relay would cost calls by the number of instances.
+		c.fail(relay, relayPause)
 	}
 	if len(report.Totals) > 0 && !fromRelay {
 		c.cfg.Rates.SetTotals(report.Totals, report.Own)
