--- a/adapter/fleet/lending.go
+++ b/adapter/fleet/lending.go
@@ -150,15 +150,11 @@
 	return port.Wrapf(err, port.Unavailable, "the owner of the pool did not answer")
 }
 
-// Close ends the loan.
+// Close ends the loan. It does not wait for the end of the stream, which may never come from an owner that is gone.
 func (l *loan) Close() {
-	if l.stream == nil {
-		return
+	if l.cancel != nil {
+		l.cancel()
 	}
-	// The end of the stream follows the last answer; nothing of it matters any more.
-	_ = l.stream.CloseRequest()
-	_ = l.stream.CloseResponse()
-	l.cancel()
 }
 
 // lender is the part of the product that lends connections.
