Notice the end of a loan: close its request as well as its context

Go's HTTP/2 transport does not notice a cancelled context while it waits for the next message of an open request, so sessions waited for answers of owners that were gone, and owners kept transactions of borrowers that had left. Found by a dump of goroutines on a scratch copy.

adapter/fleet: TestLoanEnds hangs without the change.

--- a/adapter/fleet/lending.go
+++ b/adapter/fleet/lending.go
@@ -127,7 +127,7 @@
 		streamCtx, l.cancel = context.WithCancel(l.owner.ctx)
 		l.stream = l.owner.client.Lend(streamCtx)
 	}
-	stop := context.AfterFunc(ctx, l.cancel)
+	stop := context.AfterFunc(ctx, l.Close)
 	defer stop()
 	if err := l.stream.Send(req); err != nil {
 		// The cause is told to whoever receives.
@@ -152,9 +152,12 @@
 
 // Close ends the loan. It does not wait for the end of the stream, which may never come from an owner that is gone.
 func (l *loan) Close() {
-	if l.cancel != nil {
-		l.cancel()
+	if l.stream == nil {
+		return
 	}
+	l.cancel()
+	// Without it the transport waits for the next message of an open request and does not notice the cancelled context.
+	_ = l.stream.CloseRequest()
 }
 
 // lender is the part of the product that lends connections.
