Give up transactions whose answers are overdue, so that callers can repeat them

Nothing of a transaction is kept before its commit, so it can be said to be not kept as soon as the answer is overdue, like that of a read. Commits and writes outside transactions wait on: their outcome is unknown.

--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -180,7 +180,7 @@
 	sent := m.cfg.Timer.Now()
 	l.used = true
 	stop := m.cfg.Timer.After(l.slowAfter(), func(time.Duration) { m.doubt(c) })
-	limited, cancel := m.limitRead(ctx, l, steps)
+	limited, cancel := m.limitOverdue(ctx, l, steps)
 	answers, err := c.run(limited, values, steps...)
 	cancel()
 	stop()
@@ -200,9 +200,10 @@
 	return answers, err
 }
 
-// limitRead gives a read outside a transaction up once its answer is overdue, so that it can run elsewhere in time.
-func (m *SessionManager) limitRead(ctx context.Context, l *loan, steps []statement.Step) (context.Context, context.CancelFunc) {
-	if l.overdueAfter == 0 || l.state != statement.Idle || len(steps) != 1 || !steps[0].IsRead() {
+// limitOverdue gives steps up once their answer is overdue, if nothing of them is kept then: a read can run elsewhere in
+// time, and a caller can repeat its transaction.
+func (m *SessionManager) limitOverdue(ctx context.Context, l *loan, steps []statement.Step) (context.Context, context.CancelFunc) {
+	if l.overdueAfter == 0 || !statement.LeavesNothing(l.state, steps) {
 		return ctx, func() {}
 	}
 	return port.WithTimeout(ctx, m.cfg.Timer, l.overdueAfter)
--- a/statement/step.go
+++ b/statement/step.go
@@ -11,8 +11,30 @@
 	Shape *Shape
 }
 
-// IsRead reports whether the step only reads, so that it can be repeated.
-func (s Step) IsRead() bool {
+// LeavesNothing reports whether steps that run on a connection in the state leave nothing behind when the connection is
+// closed before their answers come: all but commits, and writes outside a transaction.
+func LeavesNothing(state State, steps []Step) bool {
+	inTransaction := state != Idle
+	for _, s := range steps {
+		switch o := s.Order.(type) {
+		case Open:
+			inTransaction = true
+		case Forward:
+			if o.commits() || !inTransaction && !s.reads() {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (o Forward) commits() bool {
+	_, commits := o.Request.Statement.(Commit)
+	return commits
+}
+
+// reads reports whether the step only reads.
+func (s Step) reads() bool {
 	o, isForward := s.Order.(Forward)
 	if !isForward {
 		return false
