Order and refuse waiting statements in a package of their own

Cause: a statement that waited for a server was refused only after half of its target latency, also when those ahead of it already filled that time; organisations were served by arrival alone.

Change: admission orders by priority, then turns of organisations, then arrival, and refuses a statement at once when its turn would come too late by the mean answer time of the server.

--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -117,6 +117,9 @@
 	return s
 }
 
+// Latency returns the mean time of an answer.
+func (s Server) Latency() time.Duration { return s.latency }
+
 // OverdueAfter returns how long an answer takes at most, as far as the answers before it tell.
 func (s Server) OverdueAfter() time.Duration { return max(overdueShare*s.latency, overdueLeast) }
 
--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/rhubarbwick/rhubarbwick/admission"
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/primacy"
@@ -60,7 +61,10 @@
 	// The following belong to the loop.
 	servers  map[string]*serverState
 	evidence map[string]primacy.Evidence
-	waiting  []*waiter
+	// waiting holds the statements that wait, in the order in which they came.
+	waiting []*waiter
+	// shares counts the turns of organisations at servers of this instance's pools.
+	shares   admission.Shares
 	nextID   uint64
 	checking bool
 	members  members
@@ -238,7 +242,7 @@
 	switch c := c.(type) {
 	case wanted:
 		c.waiter.arrived = now
-		d.enqueue(c.waiter)
+		d.waiting = append(d.waiting, c.waiter)
 	case abandoned:
 		d.abandon(c.waiter)
 	case returned:
@@ -278,15 +282,6 @@
 	d.serve(now)
 }
 
-// enqueue adds a waiter behind those of its priority.
-func (d *Dispatcher) enqueue(w *waiter) {
-	at := slices.IndexFunc(d.waiting, func(other *waiter) bool { return other.want.Priority > w.want.Priority })
-	if at < 0 {
-		at = len(d.waiting)
-	}
-	d.waiting = slices.Insert(d.waiting, at, w)
-}
-
 // abandon forgets a waiter. A connection that it was granted in the meantime is taken back.
 func (d *Dispatcher) abandon(w *waiter) {
 	d.waiting = slices.DeleteFunc(d.waiting, func(other *waiter) bool { return other == w })
--- a/proxy/dispatcher_serve.go
+++ b/proxy/dispatcher_serve.go
@@ -5,31 +5,49 @@
 	"strings"
 	"time"
 
+	"github.com/rhubarbwick/rhubarbwick/admission"
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
 	"github.com/rhubarbwick/rhubarbwick/group"
 	"github.com/rhubarbwick/rhubarbwick/port"
 )
 
-// serve grants connections to waiting statements in order, opens connections for them, and refuses those whose time is
-// over.
+// serve grants connections to waiting statements in their order, opens connections for them, and refuses those whose turn
+// would come too late.
 func (d *Dispatcher) serve(now time.Duration) {
-	d.waiting = slices.DeleteFunc(d.waiting, func(w *waiter) bool { return d.serveOne(w, now) })
+	if len(d.waiting) == 0 {
+		return
+	}
+	entries := make([]admission.Waiting, len(d.waiting))
+	for i, w := range d.waiting {
+		entries[i] = admission.Waiting{Organisation: w.want.Organisation, Priority: w.want.Priority, Arrived: w.arrived}
+	}
+	ahead := make(map[string]int)
+	ended := make(map[*waiter]bool)
+	for _, i := range admission.Order(entries, d.shares) {
+		if w := d.waiting[i]; d.serveOne(w, now, ahead) {
+			ended[w] = true
+		}
+	}
+	d.waiting = slices.DeleteFunc(d.waiting, func(w *waiter) bool { return ended[w] })
 	if len(d.waiting) > 0 && !d.checking {
 		d.checking = true
 		d.cfg.Timer.After(waitCheck, func(time.Duration) { d.commands.Offer(checkWaits{}) })
 	}
 }
 
-// serveOne reports whether the waiter got its answer.
-func (d *Dispatcher) serveOne(w *waiter, now time.Duration) bool {
-	candidates := d.candidates(w, now)
-	situation := d.situation(w, now)
+// serveOne reports whether the waiter got its answer. ahead counts the waiters that have their turn before it, by server.
+func (d *Dispatcher) serveOne(w *waiter, now time.Duration, ahead map[string]int) bool {
 	waited := now - w.arrived
-	switch choice := dispatch.Choose(w.want.Need, candidates, situation).(type) {
+	switch choice := dispatch.Choose(w.want.Need, d.candidates(w, now), d.situation(w, now)).(type) {
 	case dispatch.ToServer:
-		return d.grant(w, choice, now) || d.giveUp(w, waited)
+		if d.grant(w, choice, now) {
+			return true
+		}
+		before := ahead[choice.Server]
+		ahead[choice.Server]++
+		return d.giveUp(w, choice.Server, before, waited)
 	case dispatch.NoConnection:
-		return d.giveUp(w, waited)
+		return d.giveUp(w, "", 0, waited)
 	default:
 		if waited < w.want.ServerWait || w.opens != "" && waited < w.want.ConnectionWait {
 			return false
@@ -39,13 +57,18 @@
 	}
 }
 
-// giveUp refuses a waiter that has waited for as long as it may.
-func (d *Dispatcher) giveUp(w *waiter, waited time.Duration) bool {
-	if waited < w.want.ConnectionWait {
-		return false
+// giveUp refuses a waiter whose turn at the server comes too late. A server without name is not known yet.
+func (d *Dispatcher) giveUp(w *waiter, server string, ahead int, waited time.Duration) bool {
+	var line admission.Server
+	if s := d.at(server); s != nil {
+		line = admission.Server{Slots: s.server.Listing.Slots, Each: s.server.Latency()}
+	}
+	refused, isRefused := admission.Decide(line, ahead, waited, w.want.ConnectionWait).(admission.Refused)
+	if isRefused {
+		w.reply.Offer(grant{err: port.Failf(port.Busy, "waited %s, the turn would come in %s, behind %d others",
+			waited.Round(time.Millisecond), refused.Expected.Round(time.Millisecond), ahead)})
 	}
-	w.reply.Offer(grant{err: port.Failf(port.Busy, "no connection was free within %s", waited.Round(time.Millisecond))})
-	return true
+	return isRefused
 }
 
 // noServer is the error of a statement that no server may run.
@@ -67,7 +90,7 @@
 		return false
 	}
 	if c, found := s.takeIdle(w.want); found {
-		s.server = s.server.WithOutstanding(1)
+		s.server, d.shares = s.server.WithOutstanding(1), d.shares.With(w.want.Organisation, now)
 		s.running[c.ID] = now
 		w.reply.Offer(grant{grant: Grant{Connection: c, Choice: choice, OverdueAfter: s.server.OverdueAfter()}})
 		return true
--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -75,6 +75,10 @@
 	t.Run("an instance that is gone for good holds nobody up after the others were started anew", func(t *testing.T) {
 		// Seen in trouble-3 of Umubyeyi: nobody remembered who had been listed for long, and the longest lease was waited for.
 		inCluster(t, 6, func(w *cluster) {
+			// Its list has all that were listed before it.
+			w.kill("front-3")
+			w.start("front-3", w.dataCentreOf("front-3"))
+			w.await(func() bool { return w.relies("front-3", "s1") })
 			w.kill("front-3")
 			for _, name := range w.names() {
 				w.kill(name)
