--- a/adapter/fleet/lending.go
+++ b/adapter/fleet/lending.go
@@ -21,7 +21,8 @@
 // enough for the statement to be placed elsewhere.
 const dialOwnerLimit = 250 * time.Millisecond
 
-// Lending borrows connections from the pools of other instances. All loans from one owner share one connection to it.
+// Lending borrows connections from the pools of other instances, and operations from their reserves of rates. All calls to
+// one instance share one connection to it.
 // Use NewLending.
 type Lending struct {
 	dialer *net.Dialer
@@ -30,7 +31,10 @@
 	owners map[string]*ownerClient
 }
 
-var _ proxy.Lending = (*Lending)(nil)
+var (
+	_ proxy.Lending     = (*Lending)(nil)
+	_ proxy.RateLenders = (*Lending)(nil)
+)
 
 // NewLending returns a lending that opens connections with the dialer.
 func NewLending(dialer *net.Dialer) *Lending {
@@ -66,19 +70,34 @@
 	o.transport.CloseIdleConnections()
 }
 
-// Borrow returns a loan from the owner.
-func (l *Lending) Borrow(owner proxy.Member, terms proxy.LoanTerms) proxy.RemoteLoan {
+// at returns the client of the instance at the address.
+func (l *Lending) at(address string) *ownerClient {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	o, found := l.owners[owner.Address]
+	o, found := l.owners[address]
 	if !found {
 		if len(l.owners) >= maxClients {
 			l.closeAll()
 		}
-		o = l.newOwner(owner.Address)
-		l.owners[owner.Address] = o
+		o = l.newOwner(address)
+		l.owners[address] = o
 	}
-	return &loan{owner: o, terms: terms}
+	return o
+}
+
+// Borrow returns a loan from the owner.
+func (l *Lending) Borrow(owner proxy.Member, terms proxy.LoanTerms) proxy.RemoteLoan {
+	return &loan{owner: l.at(owner.Address), terms: terms}
+}
+
+// TakeRate takes one operation from the lender's reserve.
+func (l *Lending) TakeRate(ctx context.Context, lender proxy.Member, organisation string) (bool, error) {
+	req := connect.NewRequest(&fleetv1.TakeRateRequest{Organisation: organisation})
+	res, err := l.at(lender.Address).client.TakeRate(ctx, req)
+	if err != nil {
+		return false, failure(err, lender.Address)
+	}
+	return res.Msg.GetGranted(), nil
 }
 
 // closeAll gives every owner up. The lock is held.
@@ -165,6 +184,18 @@
 	Lend(ctx context.Context, stream proxy.LoanStream) error
 }
 
+// rateLender is the part of the product that lends operations.
+type rateLender interface {
+	Lend(organisation string) bool
+}
+
+// TakeRate lends an operation of this instance's reserve.
+func (s *Server) TakeRate(
+	_ context.Context, req *connect.Request[fleetv1.TakeRateRequest],
+) (*connect.Response[fleetv1.TakeRateResponse], error) {
+	return connect.NewResponse(&fleetv1.TakeRateResponse{Granted: s.rates.Lend(req.Msg.GetOrganisation())}), nil
+}
+
 // Lend lends a connection of this instance's pool.
 func (s *Server) Lend(ctx context.Context, stream *connect.BidiStream[fleetv1.LendRequest, fleetv1.LendResponse]) error {
 	if err := s.lender.Lend(ctx, loanStream{stream}); err != nil {
--- a/adapter/fleet/lending_test.go
+++ b/adapter/fleet/lending_test.go
@@ -61,7 +61,7 @@
 	o := &scriptedOwner{results: results, requests: make(chan proxy.LoanRequest, len(results)+1), ended: make(chan struct{})}
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := &runner{server: fleet.NewServer(nil, o, socket)}
+	s := &runner{server: fleet.NewServer(nil, o, nil, socket)}
 	go s.run()
 	t.Cleanup(s.server.Close)
 	l := fleet.NewLending(&net.Dialer{})
--- a/adapter/fleet/server.go
+++ b/adapter/fleet/server.go
@@ -29,6 +29,7 @@
 type Server struct {
 	hub    *proxy.Hub
 	lender lender
+	rates  rateLender
 	socket net.Listener
 	http   *http.Server
 }
@@ -36,8 +37,8 @@
 var _ fleetv1connect.FleetServiceHandler = (*Server)(nil)
 
 // NewServer returns a server on the socket.
-func NewServer(hub *proxy.Hub, l lender, socket net.Listener) *Server {
-	s := &Server{hub: hub, lender: l, socket: socket}
+func NewServer(hub *proxy.Hub, l lender, r rateLender, socket net.Listener) *Server {
+	s := &Server{hub: hub, lender: l, rates: r, socket: socket}
 	_, handler := fleetv1connect.NewFleetServiceHandler(s, connect.WithReadMaxBytes(maxMessage))
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -82,7 +82,10 @@
 		Limit: p.knowledge.Connections, Self: self, Members: p.knowledge.Records, Lending: p.lending, Probe: others.Survey,
 	})
 	p.knowledge.OnServers(p.dispatcher.SetListings)
-	rates := proxy.NewSharedRates(p.timer, p.knowledge, p.knowledge.Instances, s.Rates)
+	reserve := proxy.NewRateReserve(proxy.RateReserveConfig{
+		Self: self, Timer: p.timer, Rules: p.knowledge, Records: p.knowledge.Records, Tolerance: s.Rates,
+	})
+	rates := proxy.NewSharedRates(p.timer, p.knowledge, p.knowledge.Instances, s.Rates).WithReserve(reserve, p.lending)
 	p.manager = proxy.NewSessionManager(proxy.SessionManagerConfig{
 		Timer: p.timer, Dispatcher: p.dispatcher, Views: p.views, Rules: p.knowledge, Rates: rates, Recorder: p.metrics,
 		DocumentAge: p.knowledge.DocumentAge, IsIsolated: p.gate.IsIsolated,
@@ -105,7 +108,7 @@
 		Dialer: dialer, Records: store, Promotions: p.cloud,
 		Recorder: p.metrics,
 	})
-	p.peers = fleet.NewServer(hub, p.manager, socket)
+	p.peers = fleet.NewServer(hub, p.manager, reserve, socket)
 	return p, p.open(ctx)
 }
 
--- a/gen/rhubarbwick/fleet/v1/fleetv1connect/fleet.connect.go
+++ b/gen/rhubarbwick/fleet/v1/fleetv1connect/fleet.connect.go
@@ -45,6 +45,8 @@
 	FleetServiceSurveyProcedure = "/rhubarbwick.fleet.v1.FleetService/Survey"
 	// FleetServiceLendProcedure is the fully-qualified name of the FleetService's Lend RPC.
 	FleetServiceLendProcedure = "/rhubarbwick.fleet.v1.FleetService/Lend"
+	// FleetServiceTakeRateProcedure is the fully-qualified name of the FleetService's TakeRate RPC.
+	FleetServiceTakeRateProcedure = "/rhubarbwick.fleet.v1.FleetService/TakeRate"
 )
 
 // FleetServiceClient is a client for the rhubarbwick.fleet.v1.FleetService service.
@@ -63,6 +65,8 @@
 	// Lend lends a connection of the instance's pool. The loan lasts until a run leaves no transaction open, or the stream
 	// ends; an open transaction is rolled back then.
 	Lend(context.Context) *connect.BidiStreamForClient[v1.LendRequest, v1.LendResponse]
+	// TakeRate takes one operation of an organisation from the reserve that the instance lends.
+	TakeRate(context.Context, *connect.Request[v1.TakeRateRequest]) (*connect.Response[v1.TakeRateResponse], error)
 }
 
 // NewFleetServiceClient constructs a client for the rhubarbwick.fleet.v1.FleetService service. By
@@ -112,6 +116,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Lend")),
 			connect.WithClientOptions(opts...),
 		),
+		takeRate: connect.NewClient[v1.TakeRateRequest, v1.TakeRateResponse](
+			httpClient,
+			baseURL+FleetServiceTakeRateProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("TakeRate")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -123,6 +133,7 @@
 	extend   *connect.Client[v1.ExtendRequest, v1.ExtendResponse]
 	survey   *connect.Client[v1.SurveyRequest, v1.SurveyResponse]
 	lend     *connect.Client[v1.LendRequest, v1.LendResponse]
+	takeRate *connect.Client[v1.TakeRateRequest, v1.TakeRateResponse]
 }
 
 // Exchange calls rhubarbwick.fleet.v1.FleetService.Exchange.
@@ -155,6 +166,11 @@
 	return c.lend.CallBidiStream(ctx)
 }
 
+// TakeRate calls rhubarbwick.fleet.v1.FleetService.TakeRate.
+func (c *fleetServiceClient) TakeRate(ctx context.Context, req *connect.Request[v1.TakeRateRequest]) (*connect.Response[v1.TakeRateResponse], error) {
+	return c.takeRate.CallUnary(ctx, req)
+}
+
 // FleetServiceHandler is an implementation of the rhubarbwick.fleet.v1.FleetService service.
 type FleetServiceHandler interface {
 	// Exchange gives a relay the asker's demand and returns what the relay knows. It answers as soon as the relay knows
@@ -171,6 +187,8 @@
 	// Lend lends a connection of the instance's pool. The loan lasts until a run leaves no transaction open, or the stream
 	// ends; an open transaction is rolled back then.
 	Lend(context.Context, *connect.BidiStream[v1.LendRequest, v1.LendResponse]) error
+	// TakeRate takes one operation of an organisation from the reserve that the instance lends.
+	TakeRate(context.Context, *connect.Request[v1.TakeRateRequest]) (*connect.Response[v1.TakeRateResponse], error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -216,6 +234,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Lend")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceTakeRateHandler := connect.NewUnaryHandler(
+		FleetServiceTakeRateProcedure,
+		svc.TakeRate,
+		connect.WithSchema(fleetServiceMethods.ByName("TakeRate")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/rhubarbwick.fleet.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceExchangeProcedure:
@@ -230,6 +254,8 @@
 			fleetServiceSurveyHandler.ServeHTTP(w, r)
 		case FleetServiceLendProcedure:
 			fleetServiceLendHandler.ServeHTTP(w, r)
+		case FleetServiceTakeRateProcedure:
+			fleetServiceTakeRateHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -262,3 +288,7 @@
 func (UnimplementedFleetServiceHandler) Lend(context.Context, *connect.BidiStream[v1.LendRequest, v1.LendResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbwick.fleet.v1.FleetService.Lend is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) TakeRate(context.Context, *connect.Request[v1.TakeRateRequest]) (*connect.Response[v1.TakeRateResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbwick.fleet.v1.FleetService.TakeRate is not implemented"))
+}
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -51,7 +51,7 @@
 	if s.tx != nil {
 		return s.queryInside(ctx, w)
 	}
-	route, failure := s.enter()
+	route, failure := s.enter(ctx)
 	if !failure.IsZero() {
 		return statement.Answer{Failure: failure}
 	}
--- a/proxy/rates.go
+++ b/proxy/rates.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"context"
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -25,6 +27,12 @@
 	defaultWindow = 5 * time.Second
 	// totalsLife is how long the fleet's demand is relied on.
 	totalsLife = 6 * time.Second
+	// borrowLimit is how long a reserve may take to answer, far above the way between data centres.
+	borrowLimit = 100 * time.Millisecond
+	// silentPause is how long a lender that did not answer is not asked, and emptyPause a reserve that was used up: about the
+	// time in which the oldest part of a window ends.
+	silentPause = time.Second
+	emptyPause  = 250 * time.Millisecond
 )
 
 // Tolerance is how far the platform lets an organisation exceed its rate and burst in a window, so that the parts of an
@@ -36,14 +44,37 @@
 	Slack float64
 }
 
+// orDefault returns the tolerance with a window.
+func (t Tolerance) orDefault() Tolerance {
+	if t.Window <= 0 {
+		t.Window = defaultWindow
+	}
+	return t
+}
+
+// whole returns how many operations of the organisation all instances may take in a window.
+func (t Tolerance) whole(o document.Organisation) float64 {
+	whole := o.Rate*t.Window.Seconds() + o.Burst
+	return whole + usedTolerance*(t.Over*whole+t.Slack)
+}
+
+// RateLenders reaches the reserves of other instances.
+type RateLenders interface {
+	// TakeRate takes one operation from the lender's reserve, and reports whether there was one.
+	TakeRate(ctx context.Context, lender Member, organisation string) (bool, error)
+}
+
 // SharedRates gives each instance a part of every organisation's rate and burst that follows the callers' demand. The
 // parts of all instances add up to the whole, because each takes its own demand from the same sum as all others. A rate
-// and burst bound the number of operations in every window of the platform's length.
+// and burst bound the number of operations in every window of the platform's length. With reserves, the parts add up to
+// what is not reserved, and an operation beyond the own part is borrowed.
 type SharedRates struct {
 	timer     port.Timer
 	rules     Rules
 	instances func() int
 	tolerance Tolerance
+	reserve   *RateReserve
+	lenders   RateLenders
 
 	mu       sync.Mutex
 	accounts map[string]rateAccount
@@ -51,8 +82,13 @@
 	totals   Demand
 	own      Demand
 	totalsAt time.Duration
+	// pausedUntil holds until when a reserve is not asked, by lender and organisation.
+	pausedUntil map[reserveName]time.Duration
 }
 
+// reserveName names a reserve. An empty organisation stands for all reserves of the lender.
+type reserveName struct{ lender, organisation string }
+
 // rateAccount is what this instance has spent of an organisation's rate. A rateAccount is never changed in place.
 type rateAccount struct {
 	window allotment.Window
@@ -89,22 +125,77 @@
 
 // NewSharedRates returns rates of which nothing has been spent.
 func NewSharedRates(timer port.Timer, rules Rules, instances func() int, t Tolerance) *SharedRates {
-	if t.Window <= 0 {
-		t.Window = defaultWindow
-	}
 	return &SharedRates{
-		timer: timer, rules: rules, instances: instances, tolerance: t,
-		accounts: make(map[string]rateAccount), started: timer.Now(),
+		timer: timer, rules: rules, instances: instances, tolerance: t.orDefault(),
+		accounts: make(map[string]rateAccount), started: timer.Now(), pausedUntil: make(map[reserveName]time.Duration),
 	}
 }
 
-// Take takes one operation from the organisation's part.
-func (r *SharedRates) Take(organisation string) error {
+// WithReserve returns the rates with a reserve, and the way to those of other instances. It is to be called before use.
+func (r *SharedRates) WithReserve(reserve *RateReserve, lenders RateLenders) *SharedRates {
+	r.reserve, r.lenders = reserve, lenders
+	return r
+}
+
+// Take takes one operation from the organisation's part, or from a reserve.
+func (r *SharedRates) Take(ctx context.Context, organisation string) error {
 	index, _ := r.rules.Rules()
 	o, found := index.FindOrganisation(organisation)
 	if !found {
 		return nil
 	}
+	refusal := r.takeOwn(o)
+	if refusal == nil || r.reserve != nil && r.borrow(ctx, organisation) {
+		return nil
+	}
+	return refusal
+}
+
+// borrow takes one operation from the first reserve that has one.
+func (r *SharedRates) borrow(ctx context.Context, organisation string) bool {
+	for _, home := range r.reserve.Homes(organisation) {
+		if r.reserve.isSelf(home) {
+			if r.reserve.Lend(organisation) {
+				return true
+			}
+			continue
+		}
+		one, all := reserveName{home.Incarnation, organisation}, reserveName{home.Incarnation, ""}
+		if r.isPaused(one) || r.isPaused(all) {
+			continue
+		}
+		limited, cancel := port.WithTimeout(ctx, r.timer, borrowLimit)
+		granted, err := r.lenders.TakeRate(limited, home, organisation)
+		cancel()
+		switch {
+		case err != nil:
+			r.pause(all, silentPause)
+		case granted:
+			return true
+		default:
+			r.pause(one, emptyPause)
+		}
+	}
+	return false
+}
+
+func (r *SharedRates) isPaused(n reserveName) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.timer.Now() < r.pausedUntil[n]
+}
+
+func (r *SharedRates) pause(n reserveName, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.timer.Now()
+	maps.DeleteFunc(r.pausedUntil, func(_ reserveName, until time.Duration) bool { return until <= now })
+	r.pausedUntil[n] = now + d
+}
+
+// takeOwn takes one operation from the instance's own part.
+func (r *SharedRates) takeOwn(o document.Organisation) error {
+	organisation := o.Name
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.timer.Now()
@@ -118,7 +209,10 @@
 		// An instance whose callers have just come may not use its whole part while those that they left have used theirs.
 		weight = min(weight, a.weight)
 	}
-	share := max(1, r.whole(o, now)*weight)
+	share := r.whole(o, now) * weight
+	if r.reserve == nil {
+		share = max(1, share)
+	}
 	a, ok := a.take(now, share)
 	r.accounts[organisation] = a
 	if !ok {
@@ -166,6 +260,12 @@
 
 // weight returns this instance's part of the organisation's rate and burst. The lock is held.
 func (r *SharedRates) weight(o document.Organisation, now time.Duration) float64 {
+	if r.reserve != nil {
+		if total := r.totals[o.Name]; total > 0 && now-r.totalsAt <= totalsLife {
+			return (1 - reservedPart) * r.own[o.Name] / total
+		}
+		return 0
+	}
 	n := float64(r.instances())
 	if total := r.totals[o.Name]; total > 0 && now-r.totalsAt <= totalsLife {
 		return evenPart/n + (1-evenPart)*r.own[o.Name]/total
@@ -176,8 +276,5 @@
 // whole returns how many operations all instances may take in a window. Soon after the start it is less: all instances
 // may have started together, and their earlier starts may have used the rate up to then.
 func (r *SharedRates) whole(o document.Organisation, now time.Duration) float64 {
-	t := r.tolerance
-	whole := o.Rate*t.Window.Seconds() + o.Burst
-	whole += usedTolerance * (t.Over*whole + t.Slack)
-	return min(whole, o.Burst/2+o.Rate*(now-r.started).Seconds())
+	return min(r.tolerance.whole(o), o.Burst/2+o.Rate*(now-r.started).Seconds())
 }
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -173,7 +173,7 @@
 	case statement.Deallocate:
 		return s.deallocate(st)
 	case statement.Begin:
-		return s.begin(st)
+		return s.begin(ctx, st)
 	case statement.Rollback:
 		return s.rollback()
 	case statement.Commit:
@@ -206,11 +206,11 @@
 	return s.done()
 }
 
-func (s *Session) begin(st statement.Begin) statement.Answer {
+func (s *Session) begin(ctx context.Context, st statement.Begin) statement.Answer {
 	if s.tx != nil {
 		return statement.Refuse(port.Protocol, "a transaction is open already", s.state())
 	}
-	route, refusal := s.enter()
+	route, refusal := s.enter(ctx)
 	if !refusal.IsZero() {
 		return statement.Answer{Failure: refusal}
 	}
@@ -242,13 +242,13 @@
 }
 
 // enter checks the caller again by the document in force and takes one operation from the organisation's rate.
-func (s *Session) enter() (document.Route, statement.Failure) {
+func (s *Session) enter(ctx context.Context) (document.Route, statement.Failure) {
 	admitted, failure := s.manager.recheck(s.admitted)
 	if !failure.IsZero() {
 		return document.Route{}, failure
 	}
 	s.admitted = admitted
-	if err := s.manager.cfg.Rates.Take(admitted.Organisation); err != nil {
+	if err := s.manager.cfg.Rates.Take(ctx, admitted.Organisation); err != nil {
 		return document.Route{}, failureOf(err)
 	}
 	return admitted.Route, statement.Failure{}
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -28,7 +28,7 @@
 // Rates limits the operations of organisations over the whole fleet.
 type Rates interface {
 	// Take takes one operation. It fails with kind OverRate.
-	Take(organisation string) error
+	Take(ctx context.Context, organisation string) error
 }
 
 // Rules gives the document in force.
