--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -102,7 +102,7 @@
 // fit reports whether the server may run the statement, and at which position a read has to be asked for.
 func fit(need Need, s Server, in Situation) (group.Position, bool) {
 	name := s.Listing.Name
-	if s.Listing.Departing || in.Now < s.pausedUntil || slices.Contains(in.Excluded, name) {
+	if s.Listing.Departing || !s.IsUp(in.Now) || slices.Contains(in.Excluded, name) {
 		return group.Position{}, false
 	}
 	if need, isChosen := need.(NeedServer); isChosen {
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -94,6 +94,11 @@
 // WithAnswer returns the server after it answered a statement that took the time. A position of zero tells nothing.
 func (s Server) WithAnswer(p group.Position, took time.Duration) Server {
 	s.latency += (took - s.latency) / latencyWeight
+	return s.WithGreeting(p)
+}
+
+// WithGreeting returns the server after it accepted a connection, which takes longer than a statement.
+func (s Server) WithGreeting(p group.Position) Server {
 	s.failurePause = 0
 	if p.Compare(s.applied) > 0 || p.Term > s.applied.Term {
 		s.applied = p
@@ -123,6 +128,9 @@
 // OverdueAfter returns how long an answer takes at most, as far as the answers before it tell.
 func (s Server) OverdueAfter() time.Duration { return max(overdueShare*s.latency, overdueLeast) }
 
+// IsUp reports whether the server is not passed over at now because of a failure.
+func (s Server) IsUp(now time.Duration) bool { return now >= s.pausedUntil }
+
 // IsRefusing reports whether the server refused a statement just before now because it had too much work.
 func (s Server) IsRefusing(now time.Duration) bool { return now < s.refusingUntil }
 
--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -45,6 +45,8 @@
 	// Self is this instance, and Members gives the records among whose instances the owners of pools are chosen.
 	Self    Member
 	Members func() (Snapshot, bool)
+	// Organisations gives the names of those for which connections are opened ahead, the most important first. It may be nil.
+	Organisations func() []string
 	// Lending reaches the pools of other instances, and Probe asks an owner about a server.
 	Lending Lending
 	Probe   func(ctx context.Context, address string, q Question) (Hearing, error)
@@ -71,6 +73,8 @@
 	// silent holds the incarnations of owners that could not be reached or lend nothing.
 	silent  failures
 	probing map[string]bool
+	// warming is true while connections are being opened ahead.
+	warming bool
 
 	// heard holds when each server last answered.
 	heard sync.Map
@@ -251,7 +255,9 @@
 		d.setRunning(c.connection, true, now)
 	case answered:
 		d.setRunning(c.connection, false, now)
-		d.note(c.answer)
+		if s := d.at(c.answer.Server); s != nil {
+			d.note(s, s.server.WithAnswer(c.answer.Position, c.answer.At-c.answer.SentAt), c.answer)
+		}
 	case troubled:
 		d.noteTrouble(c, now)
 	case lostPath:
@@ -262,7 +268,9 @@
 		d.noteProbe(c, now)
 	case opened:
 		d.endOpening(c.connection.Endpoint)
-		d.note(c.answer)
+		if s := d.at(c.answer.Server); s != nil {
+			d.note(s, s.server.WithGreeting(c.answer.Position), c.answer)
+		}
 		d.takeBack(c.connection, true, now)
 	case notOpened:
 		d.noteNotOpened(c, now)
@@ -276,6 +284,10 @@
 		c.reply.Offer(n)
 	case checked:
 		d.trim(now)
+		d.warm(now)
+	case warmed:
+		d.warming = false
+		d.warm(now)
 	case checkWaits:
 		d.checking = false
 	}
@@ -304,7 +316,7 @@
 	}
 	if !usable || !c.isUsable() || s.server.Listing.Departing || s.server.Listing.Address != c.Endpoint.Address {
 		c.close()
-		s.total--
+		s.drop(c.Endpoint.Organisation)
 		return
 	}
 	c.usedAt = now
@@ -327,12 +339,8 @@
 func (d *Dispatcher) at(server string) *serverState { return d.servers[server] }
 
 // note keeps what an answer tells. The primary's position is evidence only while the primary is known to lead.
-func (d *Dispatcher) note(a Answered) {
-	s := d.at(a.Server)
-	if s == nil {
-		return
-	}
-	s.server = s.server.WithAnswer(a.Position, a.At-a.SentAt)
+func (d *Dispatcher) note(s *serverState, after dispatch.Server, a Answered) {
+	s.server = after
 	d.heard.Store(a.Server, a.At)
 	groupName := s.server.Listing.Group
 	if d.cfg.Views.Leads(groupName, a.Server, a.Position.Term) {
@@ -372,7 +380,7 @@
 	if s == nil {
 		return
 	}
-	s.total--
+	s.drop(c.endpoint.Organisation)
 	s.server = s.server.WithOutstanding(-1)
 	switch port.KindOf(c.err) {
 	case port.NoConnection:
--- a/proxy/dispatcher_command.go
+++ b/proxy/dispatcher_command.go
@@ -6,7 +6,8 @@
 )
 
 // dispatcherCommand is what the dispatcher takes from its ring. It is one of wanted, abandoned, returned, started, answered,
-// troubled, lostPath, ownerDoubted, ownerProbed, opened, notOpened, listingsChanged, counted, checked and checkWaits.
+// troubled, lostPath, ownerDoubted, ownerProbed, opened, notOpened, listingsChanged, counted, checked,
+// warmed and checkWaits.
 type dispatcherCommand interface{ dispatcherCommand() }
 
 type wanted struct{ waiter *waiter }
@@ -73,6 +74,9 @@
 
 type checked struct{}
 
+// warmed has the next connections opened ahead.
+type warmed struct{}
+
 // checkWaits has the waiting statements looked at.
 type checkWaits struct{}
 
@@ -90,6 +94,7 @@
 func (listingsChanged) dispatcherCommand() {}
 func (counted) dispatcherCommand()         {}
 func (checked) dispatcherCommand()         {}
+func (warmed) dispatcherCommand()          {}
 func (checkWaits) dispatcherCommand()      {}
 
 // trouble is why a server did not run a statement. It is one of lacked and refused.
--- a/proxy/dispatcher_connections.go
+++ b/proxy/dispatcher_connections.go
@@ -14,6 +14,8 @@
 	// total counts all connections of the pool, those that are being opened included.
 	total   int
 	opening int
+	// held counts them by organisation.
+	held map[string]int
 	// running holds the connections on which statements run, with the instants at which they began.
 	running   map[uint64]time.Duration
 	ownership ownership
@@ -59,19 +61,32 @@
 		if c.Endpoint.Organisation != organisation {
 			s.idle = slices.Delete(s.idle, i, i+1)
 			c.close()
-			s.total--
+			s.drop(c.Endpoint.Organisation)
 			return true
 		}
 	}
 	return false
 }
 
+// add and drop count a connection of the organisation.
+func (s *serverState) add(organisation string) {
+	s.total++
+	s.held[organisation]++
+}
+
+func (s *serverState) drop(organisation string) {
+	s.total--
+	if s.held[organisation]--; s.held[organisation] <= 0 {
+		delete(s.held, organisation)
+	}
+}
+
 // setListings takes over the list of servers. Unused connections to servers that left or depart are closed.
 func (d *Dispatcher) setListings(listings map[string]dispatch.Listing) {
 	for name, l := range listings {
 		s := d.servers[name]
 		if s == nil {
-			s = &serverState{server: dispatch.NewServer(l), running: make(map[uint64]time.Duration)}
+			s = &serverState{server: dispatch.NewServer(l), running: make(map[uint64]time.Duration), held: make(map[string]int)}
 			d.servers[name] = s
 		}
 		s.server, s.delisted = s.server.WithListing(l), false
@@ -133,7 +148,7 @@
 			return false
 		}
 		c.close()
-		s.total--
+		s.drop(c.Endpoint.Organisation)
 		return true
 	})
 }
--- a/proxy/dispatcher_serve.go
+++ b/proxy/dispatcher_serve.go
@@ -125,7 +125,7 @@
 
 // open starts to open a connection.
 func (d *Dispatcher) open(s *serverState, want Want) {
-	s.total++
+	s.add(want.Organisation)
 	s.opening++
 	s.server = s.server.WithOutstanding(1)
 	d.nextID++
--- a/proxy/fake_test.go
+++ b/proxy/fake_test.go
@@ -189,7 +189,7 @@
 	i.gate = &proxy.ReadinessGate{Timer: timer, Knowledge: i.knowledge, Views: i.views}
 	i.dispatcher = proxy.NewDispatcher(proxy.DispatcherConfig{
 		DataCentre: dataCentre, Timer: timer, Views: i.views, Dialer: clusterClient, Limit: i.knowledge.Connections,
-		Self: self, Members: i.knowledge.Records, Lending: clusterClient, Probe: clusterClient.Survey,
+		Self: self, Members: i.knowledge.Records, Organisations: i.knowledge.Organisations, Lending: clusterClient, Probe: clusterClient.Survey,
 	})
 	i.knowledge.OnServers(i.dispatcher.SetListings)
 	i.reserve = proxy.NewRateReserve(proxy.RateReserveConfig{
--- a/proxy/knowledge.go
+++ b/proxy/knowledge.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -233,6 +234,18 @@
 	return g.Connections
 }
 
+// Organisations returns the names of the organisations, those with the greatest rates first.
+func (k *Knowledge) Organisations() []string {
+	index, _ := k.Rules()
+	all := slices.Clone(index.Document().Organisations)
+	slices.SortStableFunc(all, func(a, b document.Organisation) int { return cmp.Compare(b.Rate, a.Rate) })
+	names := make([]string, 0, len(all))
+	for _, o := range all {
+		names = append(names, o.Name)
+	}
+	return names
+}
+
 // Servers returns the listed servers by name, and the version of the store at which they were listed. The map must not
 // be changed. It is nil while none is known.
 func (k *Knowledge) Servers() (map[string]dispatch.Listing, port.Version) {
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -1,11 +1,13 @@
 package proxy_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/group"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/statement"
@@ -147,6 +149,24 @@
 	})
 }
 
+// Guards against first statements that wait for a connection (grown Umubyeyi: the first four seconds of a quiet day were
+// served at 0.85), and against connections opened ahead that leave none to others.
+func TestOwnersOpenConnectionsAhead(t *testing.T) {
+	inCluster(t, 4, func(w *cluster) {
+		next := w.doc
+		next.Revision, next.Organisations = 2, nil
+		for i := range 50 {
+			next.Organisations = append(next.Organisations, document.Organisation{Name: fmt.Sprintf("org-%d", i), Rate: 1e6, Burst: 1e6})
+		}
+		w.setDocument(next)
+		elapse(15 * time.Second)
+		for name := range w.servers {
+			require.GreaterOrEqual(t, w.open(name), 20, "of the 30 that an owner may hold")
+			require.LessOrEqual(t, w.open(name), 27, "the rest is for statements at the same time")
+		}
+	})
+}
+
 // Guards against a server that is asked again and again while it refuses connections.
 func TestDispatcherBelievesFullServers(t *testing.T) {
 	inCluster(t, 2, func(w *cluster) {
