--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -22,6 +22,9 @@
 	// introductionStep is how much later each next instance in rank writes the first record of a group, in case the ones
 	// before it do not.
 	introductionStep = time.Second
+	// introductionDelay is how long a group has to be without a record. Instances that start together first learn of each
+	// other, so that one of them writes it and not all.
+	introductionDelay = 600 * time.Millisecond
 	// replacementStep is how much later each next instance in rank begins a replacement.
 	replacementStep = 600 * time.Millisecond
 	// missingLimit is how long a primary may be missing from the list of servers before it counts as gone. Entries that
@@ -295,7 +298,7 @@
 		since = now
 		p.since[groupName] = now
 	}
-	if now-since < time.Duration(p.rank(s))*introductionStep {
+	if now-since < introductionDelay+time.Duration(p.rank(s))*introductionStep {
 		return
 	}
 	for _, l := range p.servers(groupName) {
--- a/proxy/readers.go
+++ b/proxy/readers.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"sync"
@@ -27,14 +28,20 @@
 	// firstPause and lastPause bound the pause before a failed call is repeated.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
+	// slowPause bounds the pause of full reads: the watchers notice sooner that the store is back.
+	slowPause = 2 * time.Second
 )
 
 // pauses counts failures in a row. The zero value has seen none.
-type pauses struct{ next time.Duration }
+type pauses struct {
+	next time.Duration
+	// longest bounds the pause; zero means lastPause.
+	longest time.Duration
+}
 
 // wait waits after a failure, longer each time.
 func (p *pauses) wait(ctx context.Context, timer port.Timer) {
-	p.next = min(max(2*p.next, firstPause), lastPause)
+	p.next = min(max(2*p.next, firstPause), cmp.Or(p.longest, lastPause))
 	_ = port.Wait(ctx, timer, p.next)
 }
 
@@ -61,8 +68,9 @@
 	}
 	var running sync.WaitGroup
 	for _, duty := range []interface{ loop(ctx context.Context) }{
-		&periodicReader{timer: r.Timer, period: documentPeriod, read: readDocument},
-		&periodicReader{timer: r.Timer, period: serversPeriod, read: readServers},
+		// The watchers begin with a read.
+		&periodicReader{timer: r.Timer, delay: documentPeriod, period: documentPeriod, read: readDocument, failed: pauses{longest: slowPause}},
+		&periodicReader{timer: r.Timer, delay: serversPeriod, period: serversPeriod, read: readServers, failed: pauses{longest: slowPause}},
 		&periodicReader{timer: r.Timer, period: readPeriod, read: r.ReadRecords},
 		&watcher{timer: r.Timer, read: r.readDocument, await: r.awaitDocument},
 		&watcher{timer: r.Timer, read: r.readServers, await: r.awaitServers},
@@ -74,13 +82,16 @@
 
 // periodicReader is the duty that reads something in full every period.
 type periodicReader struct {
-	timer  port.Timer
+	timer port.Timer
+	// delay is the time until the first read.
+	delay  time.Duration
 	period time.Duration
 	read   func(ctx context.Context) error
 	failed pauses
 }
 
 func (r *periodicReader) loop(ctx context.Context) {
+	_ = port.Wait(ctx, r.timer, r.delay)
 	for ctx.Err() == nil {
 		if r.read(ctx) != nil {
 			r.failed.wait(ctx, r.timer)
--- a/proxy/syncer.go
+++ b/proxy/syncer.go
@@ -33,8 +33,11 @@
 	firstRead = 500 * time.Millisecond
 	// lostRecords is the age of the records from which an instance no longer leaves it to the relays to find the store.
 	lostRecords = 1500 * time.Millisecond
-	// relaysTried is how many relays of its data centre an instance passes over before it reads the store by itself.
+	// relaysTried is how many silent relays of its data centre an instance passes over before it reads the store by itself.
 	relaysTried = 2
+	// staleTried is how many relays are passed over because they have lost the store. When the store turns away a third of
+	// the instances, one in a hundred data centres finds no other relay; when it is away, so many of each read in vain.
+	staleTried = 4
 	// soonest is the least time between two exchanges, also when the relay has news all the time.
 	soonest = 50 * time.Millisecond
 )
@@ -59,8 +62,10 @@
 // while it is the relay itself or no relay knows more.
 type Syncer struct {
 	cfg SyncerConfig
-	// failed holds until when instances are passed over.
-	failed  map[string]time.Duration
+	// failed holds until when instances are passed over because they were silent, and stale until when others are because they
+	// had lost the store.
+	failed  failures
+	stale   failures
 	cleaner *cleaner
 	cleaned time.Duration
 	reading context.CancelFunc
@@ -74,7 +79,7 @@
 // NewSyncer returns a syncer.
 func NewSyncer(cfg SyncerConfig) *Syncer {
 	cfg.Recorder = orDiscard(cfg.Recorder)
-	c := &Syncer{cfg: cfg, failed: make(map[string]time.Duration)}
+	c := &Syncer{cfg: cfg}
 	c.cleaner = newCleaner(&c.cfg)
 	return c
 }
@@ -112,7 +117,7 @@
 // findMembers reads the records once. An instance that has just started needs nothing else of the store: the relay among
 // the members tells the rest.
 func (c *Syncer) findMembers(ctx context.Context) {
-	if c.tooManyFailed() {
+	if c.count(c.failed) >= relaysTried {
 		c.startReaders(ctx)
 		return
 	}
@@ -123,15 +128,15 @@
 	c.unread.reset()
 }
 
-// tooManyFailed reports whether so many relays of the data centre failed of late that the cause may be on this side.
-func (c *Syncer) tooManyFailed() bool {
-	failed, now := 0, c.cfg.Timer.Now()
+// count returns how many other instances of the data centre are passed over.
+func (c *Syncer) count(f failures) int {
+	n, now := 0, c.cfg.Timer.Now()
 	for _, m := range c.ranked(c.cfg.Self.DataCentre) {
-		if c.hasFailed(m, now) {
-			failed++
+		if f.has(m.Incarnation, now) && m.Incarnation != c.cfg.Self.Incarnation {
+			n++
 		}
 	}
-	return failed >= relaysTried
+	return n
 }
 
 // relayOthers is what the relay of a data centre does. The first of all relays reads the store; the others follow it, so
@@ -204,7 +209,9 @@
 
 // relay returns the first in rank of the own data centre's instances that did not fail of late.
 func (c *Syncer) relay(now time.Duration) (Member, bool) {
-	return c.first(c.cfg.Self.DataCentre, func(m Member) bool { return c.hasFailed(m, now) })
+	return c.first(c.cfg.Self.DataCentre, func(m Member) bool {
+		return c.hasFailed(m, now) || c.stale.has(m.Incarnation, now) && m.Incarnation != c.cfg.Self.Incarnation
+	})
 }
 
 // first returns the first in rank of the data centre's instances that is not passed over.
@@ -222,7 +229,7 @@
 }
 
 func (c *Syncer) failedOfLate(m Member, now time.Duration) bool {
-	return now < c.failed[m.Incarnation]
+	return c.failed.has(m.Incarnation, now)
 }
 
 // ranked returns the instances of a data centre in the order in which they are its relay.
@@ -255,24 +262,23 @@
 	case fromRelay:
 		c.fail(relay, relayPause)
 		c.startReaders(ctx)
-	case c.tooManyFailed():
+	case err != nil && c.count(c.failed) >= relaysTried:
+		// The cause may be on this side.
 		c.startReaders(ctx)
-	case err != nil || isLost:
+	case err != nil:
 		// The next in rank takes its place, for all instances that find the same. If each of them read the store by itself, an
 		// outage of one relay would cost calls by the number of instances.
 		c.fail(relay, relayPause)
+	case isLost && c.count(c.stale) < staleTried:
+		now := c.cfg.Timer.Now()
+		c.stale = c.stale.with(relay.Incarnation, now, now+relayPause)
 	}
 }
 
 // fail has the instance passed over for a while.
 func (c *Syncer) fail(m Member, pause time.Duration) {
 	now := c.cfg.Timer.Now()
-	for incarnation, until := range c.failed {
-		if now >= until {
-			delete(c.failed, incarnation)
-		}
-	}
-	c.failed[m.Incarnation] = now + pause
+	c.failed = c.failed.with(m.Incarnation, now, now+pause)
 }
 
 // extend has the other instances extend the leases while the store cannot be read, here or by a relay.
