--- a/adapter/decisions/log.go
+++ b/adapter/decisions/log.go
@@ -90,6 +90,8 @@
 			zap.Uint64("epoch", e.Epoch), zap.String("reason", e.Reason))
 	case proxy.MemberSilent:
 		l.zap.Info("fleet: instance is silent", zap.String("name", e.Name), zap.Bool("removed", e.Removed))
+	case proxy.OwnerPassedOver:
+		l.zap.Info("pool: owner is passed over", zap.String("owner", e.Owner), zap.String("server", e.Server), zap.String("reason", e.Reason))
 	case proxy.SourceChanged:
 		l.zap.Info("knowledge: source changed", zap.String("source", e.Source), zap.String("reason", e.Reason))
 	}
@@ -113,7 +115,7 @@
 	l.zap.Info("request: answered", zap.String("request", e.ID), zap.String("result", result),
 		zap.String("reason", e.Reason), zap.String("organisation", e.Organisation), zap.String("route", e.Route),
 		zap.String("group", e.Group),
-		zap.String("server", e.Server), zap.Int("tries", e.Tries), zap.Duration("took", e.Took),
+		zap.String("server", e.Server), zap.String("owner", e.Owner), zap.Int("tries", e.Tries), zap.Duration("took", e.Took),
 		zap.Uint64("revision", e.Revision), zap.Duration("document_age", e.DocumentAge),
 		zap.Duration("primary_age", e.PrimaryAge))
 }
--- a/adapter/metrics/gateway.go
+++ b/adapter/metrics/gateway.go
@@ -31,6 +31,8 @@
 	promotions *prometheus.CounterVec
 	primaries  prometheus.Counter
 	storeCalls *prometheus.CounterVec
+	statements *prometheus.CounterVec
+	passedOver prometheus.Counter
 	next       proxy.Recorder
 }
 
@@ -52,9 +54,13 @@
 		}),
 		storeCalls: counter("gateway_store_calls_total", "Calls to the platform's store, by kind of object and result.",
 			"kind", "result"),
+		statements: counter("gateway_statements_total", "Requests that reached a server, by the pool of their connection.", "pool"),
+		passedOver: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "gateway_owners_passed_over_total", Help: "Times that the owner of a pool was passed over.",
+		}),
 		next: next,
 	}
-	g.registry.MustRegister(g.requests, g.latency, g.promotions, g.primaries, g.storeCalls, collectors.NewGoCollector(),
+	g.registry.MustRegister(g.requests, g.latency, g.promotions, g.primaries, g.storeCalls, g.statements, g.passedOver, collectors.NewGoCollector(),
 		gaugeOf("gateway_document_revision", "The revision of the document in force.", func() float64 { return float64(s.Revision()) }),
 		gaugeOf("gateway_document_age_seconds", "How long ago the document was known to be the newest.",
 			func() float64 { return s.DocumentAge().Seconds() }),
@@ -89,6 +95,15 @@
 		}
 		g.requests.WithLabelValues(string(e.Freshness), result).Inc()
 		g.latency.WithLabelValues(string(e.Freshness)).Observe(e.Took.Seconds())
+		if e.Server != "" {
+			pool := "own"
+			if e.Owner != "" {
+				pool = "borrowed"
+			}
+			g.statements.WithLabelValues(pool).Inc()
+		}
+	case proxy.OwnerPassedOver:
+		g.passedOver.Inc()
 	case proxy.PromotionStep:
 		g.promotions.WithLabelValues(e.Step).Inc()
 	case proxy.PrimaryChanged:
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -79,7 +79,7 @@
 	p.lending = fleet.NewLending(platform.NewDialer())
 	p.dispatcher = proxy.NewDispatcher(proxy.DispatcherConfig{
 		DataCentre: s.DataCentre, Timer: p.timer, Views: p.views, Dialer: dialer,
-		Limit: p.knowledge.Connections, Self: self, Members: p.knowledge.Records, Organisations: p.knowledge.Organisations, Lending: p.lending, Probe: others.Survey,
+		Limit: p.knowledge.Connections, Self: self, Members: p.knowledge.Records, Organisations: p.knowledge.Organisations, Recorder: p.metrics, Lending: p.lending, Probe: others.Survey,
 	})
 	p.knowledge.OnServers(p.dispatcher.SetListings)
 	reserve := proxy.NewRateReserve(proxy.RateReserveConfig{
--- a/cmd/request/explain/explain.go
+++ b/cmd/request/explain/explain.go
@@ -61,6 +61,7 @@
 	Organisation string    `json:"organisation"`
 	Group        string    `json:"group"`
 	Server       string    `json:"server"`
+	Owner        string    `json:"owner"`
 	Primary      string    `json:"primary"`
 	Tries        int       `json:"tries"`
 	Took         float64   `json:"took"`
@@ -160,6 +161,9 @@
 		if l.Reason != "" {
 			text += ": " + l.Reason
 		}
+		if l.Owner != "" {
+			text += ", through " + l.Owner
+		}
 		return text + fmt.Sprintf("; organisation %s, server %q, tries %d, primary known %.1f s ago, document %d known %.1f s ago",
 			l.Organisation, l.Server, l.Tries, l.PrimaryAge, l.Revision, l.DocumentAge)
 	case l.Primary != "":
--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -47,6 +47,8 @@
 	Members func() (Snapshot, bool)
 	// Organisations gives the names of those for which connections are opened ahead, the most important first. It may be nil.
 	Organisations func() []string
+	// Recorder may be nil.
+	Recorder Recorder
 	// Lending reaches the pools of other instances, and Probe asks an owner about a server.
 	Lending Lending
 	Probe   func(ctx context.Context, address string, q Question) (Hearing, error)
@@ -121,6 +123,7 @@
 
 // NewDispatcher returns a dispatcher without servers.
 func NewDispatcher(cfg DispatcherConfig) *Dispatcher {
+	cfg.Recorder = orDiscard(cfg.Recorder)
 	ended, end := context.WithCancel(context.Background())
 	return &Dispatcher{
 		cfg: cfg, commands: ring.New[dispatcherCommand](dispatcherCapacity), ended: ended, end: end, doubts: ring.New[string](doubtCapacity),
--- a/proxy/dispatcher_owners.go
+++ b/proxy/dispatcher_owners.go
@@ -49,14 +49,23 @@
 		// A single connection may be reset, and a single answer lost. Whether there is still a way to the server shows when
 		// the next connection is opened.
 	case c.unsent.Closed:
-		d.silent = d.silent.with(owner.Incarnation, now, now+ownerPause)
+		d.passOver(owner, c.unsent.Error(), now)
 	case port.KindOf(c.unsent) == port.Busy:
 		// The owner has too much work for the server; others have no shorter way.
 	default:
+		d.cfg.Recorder.Note(OwnerPassedOver{Owner: owner.Name, Server: c.connection.Endpoint.Server, Reason: c.unsent.Error()})
 		d.failPath(s, owner.Incarnation, now)
 	}
 }
 
+// passOver borrows nothing from the owner for a while.
+func (d *Dispatcher) passOver(owner Member, reason string, now time.Duration) {
+	if !d.silent.has(owner.Incarnation, now) {
+		d.cfg.Recorder.Note(OwnerPassedOver{Owner: owner.Name, Reason: reason})
+	}
+	d.silent = d.silent.with(owner.Incarnation, now, now+ownerPause)
+}
+
 // failPath passes the owner over for the server. When no owner is left, the server itself is passed over for a while.
 func (d *Dispatcher) failPath(s *serverState, incarnation string, now time.Duration) {
 	s.ownership = s.ownership.withFailure(incarnation, now)
@@ -98,7 +107,7 @@
 func (d *Dispatcher) noteProbe(c ownerProbed, now time.Duration) {
 	delete(d.probing, c.owner.Incarnation)
 	if c.err != nil || c.hearing.Incarnation != c.owner.Incarnation {
-		d.silent = d.silent.with(c.owner.Incarnation, now, now+ownerPause)
+		d.passOver(c.owner, "the owner does not answer", now)
 		d.cfg.Lending.Abort(c.owner)
 		return
 	}
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -9,7 +9,7 @@
 )
 
 // Event is a decision that touches a request or changes what the instance believes. It is one of RequestAnswered,
-// PrimaryChanged, PromotionStep, SourceChanged and MemberSilent.
+// PrimaryChanged, PromotionStep, SourceChanged, MemberSilent and OwnerPassedOver.
 type Event interface{ event() }
 
 // RequestAnswered says what a request came to.
@@ -22,8 +22,10 @@
 	// Kind is empty for a success.
 	Kind   port.Kind
 	Reason string
-	// Server ran the request last; it is empty when none did.
+	// Server ran the request last; it is empty when none did. Owner is the instance whose connection was borrowed for it; it is
+	// empty when the connection was the own one.
 	Server string
+	Owner  string
 	Tries  int
 	Took   time.Duration
 	// Revision is that of the document in force, and DocumentAge how long ago it was known to be the newest.
@@ -64,7 +66,16 @@
 	Removed bool
 }
 
+// OwnerPassedOver says that connections of an instance's pools are not borrowed for a while: to one server, or to all of
+// them when Server is empty.
+type OwnerPassedOver struct {
+	Owner  string
+	Server string
+	Reason string
+}
+
 func (RequestAnswered) event() {}
+func (OwnerPassedOver) event() {}
 func (MemberSilent) event()    {}
 func (PrimaryChanged) event()  {}
 func (PromotionStep) event()   {}
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -240,7 +240,8 @@
 		return nil, err
 	}
 	s.affinity = grant.Connection.ID
-	s.server, s.tries = grant.Connection.Endpoint.Server, s.tries+1
+	owner, _ := grant.Connection.owner()
+	s.server, s.owner, s.tries = grant.Connection.Endpoint.Server, owner.Name, s.tries+1
 	l := &loan{connection: grant.Connection, choice: grant.Choice, overdueAfter: grant.OverdueAfter}
 	if primary, term, ok := s.manager.cfg.Views.Primary(w.route.Group); ok && primary == grant.Connection.Endpoint.Server {
 		l.asPrimary, l.term = true, term
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -37,8 +37,10 @@
 	context  statement.Context
 	newest   group.Position
 	affinity uint64
-	// server ran the latest request last, and tries counts the servers to which it was offered.
+	// server ran the latest request last, through a connection of the owner's pool, and tries counts the servers to which it was
+	// offered.
 	server string
+	owner  string
 	tries  int
 	tx     *transaction
 }
@@ -152,7 +154,7 @@
 // answer returns the answer to a request and records the decision.
 func (s *Session) answer(ctx context.Context, req statement.Request) statement.Answer {
 	began := s.manager.cfg.Timer.Now()
-	s.server, s.tries = "", 0
+	s.server, s.owner, s.tries = "", "", 0
 	a := s.handle(ctx, req)
 	s.manager.record(s, req, a, began)
 	return a
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -142,7 +142,7 @@
 	m.cfg.Recorder.Note(RequestAnswered{
 		ID: req.ID, Organisation: s.admitted.Organisation, Route: s.admitted.Route.Name,
 		Group: s.admitted.Route.Group, Freshness: s.admitted.Route.Freshness, Kind: a.Failure.Kind,
-		Reason: a.Failure.Text, Server: s.server, Tries: s.tries, Took: now - began,
+		Reason: a.Failure.Text, Server: s.server, Owner: s.owner, Tries: s.tries, Took: now - began,
 		Revision: uint64(rules.Document().Revision), DocumentAge: m.cfg.DocumentAge(),
 		PrimaryAge: now - m.cfg.Views.View(s.admitted.Route.Group).AskedAt,
 	})
