--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -52,13 +52,15 @@
 	DataCentre string
 	// Primary is the server that may be treated as primary; empty when there is none.
 	Primary string
+	// Replacing is true while the primary is being replaced.
+	Replacing bool
 	// Floor returns the position that a read accepting the age has to see. It reports false when none is known.
 	Floor func(age time.Duration) (group.Position, bool)
 	// Excluded servers have refused this statement already.
 	Excluded []string
 }
 
-// Choice is where a statement goes. It is one of ToServer, NoConnection and NoServer.
+// Choice is where a statement goes. It is one of ToServer, NoConnection, NoServer and BeingReplaced.
 type Choice interface{ choice() }
 
 // ToServer sends the statement to the server. A read at a replica asks for After; it is zero at the primary.
@@ -73,12 +75,19 @@
 // NoServer says that no server fits at present.
 type NoServer struct{}
 
-func (ToServer) choice()     {}
-func (NoConnection) choice() {}
-func (NoServer) choice()     {}
+// BeingReplaced says that the primary that the statement needs is being replaced, which takes longer than it may wait.
+type BeingReplaced struct{}
+
+func (ToServer) choice()      {}
+func (NoConnection) choice()  {}
+func (NoServer) choice()      {}
+func (BeingReplaced) choice() {}
 
 // Choose decides where a statement goes.
 func Choose(need Need, candidates []Candidate, in Situation) Choice {
+	if _, needsPrimary := need.(NeedPrimary); needsPrimary && in.Replacing {
+		return BeingReplaced{}
+	}
 	var choice Choice = NoServer{}
 	best := time.Duration(-1)
 	for _, c := range candidates {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -41,6 +41,12 @@
 		in.Primary = ""
 		require.Equal(t, dispatch.NoServer{}, dispatch.Choose(dispatch.NeedPrimary{}, all, in))
 	})
+	t.Run("a write while the primary is being replaced is not kept waiting", func(t *testing.T) {
+		in := situation()
+		in.Primary, in.Replacing = "", true
+		require.Equal(t, dispatch.BeingReplaced{}, dispatch.Choose(dispatch.NeedPrimary{}, all, in))
+		requireServer(t, "near", at(5), dispatch.Choose(reader, []dispatch.Candidate{free(near), free(far)}, in))
+	})
 	t.Run("a read goes to the replica in the own data centre", func(t *testing.T) {
 		requireServer(t, "near", at(5), dispatch.Choose(reader, all, situation()))
 	})
--- a/proxy/dispatcher_serve.go
+++ b/proxy/dispatcher_serve.go
@@ -48,6 +48,9 @@
 		return d.giveUp(w, choice.Server, before, waited)
 	case dispatch.NoConnection:
 		return d.giveUp(w, "", 0, waited)
+	case dispatch.BeingReplaced:
+		w.reply.Offer(grant{err: port.Failf(port.NoPrimary, "the primary of group %s is being replaced", w.want.Group)})
+		return true
 	default:
 		if waited < w.want.ServerWait || w.opens != "" && waited < w.want.ConnectionWait {
 			return false
@@ -194,10 +197,11 @@
 }
 
 func (d *Dispatcher) situation(w *waiter, now time.Duration) dispatch.Situation {
-	primary, _, _ := d.cfg.Views.View(w.want.Group).PrimaryAt(now)
+	view := d.cfg.Views.View(w.want.Group)
+	primary, _, _ := view.PrimaryAt(now)
 	evidence := d.evidence[w.want.Group]
 	return dispatch.Situation{
-		Now: now, DataCentre: d.cfg.DataCentre, Primary: primary, Excluded: w.want.Excluded,
+		Now: now, DataCentre: d.cfg.DataCentre, Primary: primary, Replacing: view.Record.Replacement != nil, Excluded: w.want.Excluded,
 		Floor: func(age time.Duration) (group.Position, bool) { return evidence.Floor(w.arrived, age) },
 	}
 }
