--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -258,9 +258,7 @@
 		d.setRunning(c.connection, true, now)
 	case answered:
 		d.setRunning(c.connection, false, now)
-		if s := d.at(c.answer.Server); s != nil {
-			d.note(s, s.server.WithAnswer(c.answer.Position, c.answer.At-c.answer.SentAt), c.answer)
-		}
+		d.noteAnswer(c.answer)
 	case troubled:
 		d.noteTrouble(c, now)
 	case lostPath:
@@ -280,11 +278,7 @@
 	case listingsChanged:
 		d.setListings(c.listings)
 	case counted:
-		n := 0
-		if s := d.at(c.server); s != nil {
-			n = s.server.Outstanding
-		}
-		c.reply.Offer(n)
+		c.reply.Offer(d.outstanding(c.server))
 	case checked:
 		d.trim(now)
 		d.warm(now)
@@ -297,6 +291,14 @@
 	d.serve(now)
 }
 
+// outstanding returns the number of connections to the server that are lent or being opened.
+func (d *Dispatcher) outstanding(server string) int {
+	if s := d.at(server); s != nil {
+		return s.server.Outstanding
+	}
+	return 0
+}
+
 // abandon forgets a waiter. A connection that it was granted in the meantime is taken back.
 func (d *Dispatcher) abandon(w *waiter) {
 	d.waiting = slices.DeleteFunc(d.waiting, func(other *waiter) bool { return other == w })
@@ -341,6 +343,13 @@
 
 func (d *Dispatcher) at(server string) *serverState { return d.servers[server] }
 
+// noteAnswer notes the answer to a statement.
+func (d *Dispatcher) noteAnswer(a Answered) {
+	if s := d.at(a.Server); s != nil {
+		d.note(s, s.server.WithAnswer(a.Position, a.At-a.SentAt), a)
+	}
+}
+
 // note keeps what an answer tells. The primary's position is evidence only while the primary is known to lead.
 func (d *Dispatcher) note(s *serverState, after dispatch.Server, a Answered) {
 	s.server = after
