Send no statement after a session value was refused

Since connections are borrowed, a refusal of the last of several values or of a prepared name was not looked at, so that a statement could have run with other values than its caller's.

--- a/proxy/connection.go
+++ b/proxy/connection.go
@@ -113,7 +113,11 @@
 	case statement.Forward:
 		orders, name, applied := p.applied.Prepare(values, step.Shape)
 		if len(orders) > 0 {
-			if _, err := p.last(ctx, orders...); err != nil {
+			a, err := p.last(ctx, orders...)
+			if err == nil {
+				err = p.check(a)
+			}
+			if err != nil {
 				return statement.Answer{}, &Unsent{Err: err}
 			}
 			p.applied = applied
@@ -134,14 +138,22 @@
 		return statement.Answer{}, err
 	}
 	for _, a := range answers[:len(answers)-1] {
-		if !a.Failure.IsZero() {
-			p.spoilt = true
-			return statement.Answer{}, port.Failf(a.Failure.Kind, "the server refused a session value: %s", a.Failure.Text)
+		if err := p.check(a); err != nil {
+			return statement.Answer{}, err
 		}
 	}
 	return answers[len(answers)-1], nil
 }
 
+// check fails when a server refused a session value or a prepared name. What the connection has is not known then.
+func (p *pooled) check(a statement.Answer) error {
+	if a.Failure.IsZero() {
+		return nil
+	}
+	p.spoilt = true
+	return port.Failf(a.Failure.Kind, "the server refused a session value: %s", a.Failure.Text)
+}
+
 // Unsent says that no server has any of the steps.
 type Unsent struct {
 	Err error
--- a/proxy/fake_test.go
+++ b/proxy/fake_test.go
@@ -79,6 +79,8 @@
 	busy
 	// slow answers late.
 	slow
+	// refuseValues refuses session values and prepared names.
+	refuseValues
 )
 
 // slowness is how long a slow server takes.
@@ -814,6 +816,10 @@
 	s := l.server
 	a := statement.Answer{Proof: "proof", Position: s.position()}
 	switch o := o.(type) {
+	case statement.Assign, statement.Define:
+		if s.fault == refuseValues {
+			a.Failure = statement.Failure{Kind: port.StatementFailed, Text: "refused"}
+		}
 	case statement.Open:
 		l.inTx = true
 	case statement.Abandon:
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -91,6 +91,19 @@
 			requireKind(t, port.UnknownOutcome, w.ask("front-0", write)[0])
 		})
 	})
+	t.Run("a write does not run without its session's values or its prepared name", func(t *testing.T) {
+		inCluster(t, 2, func(w *cluster) {
+			w.setFault("s1", refuseValues)
+			before := w.offset("s1")
+			set := statement.SetValue{Name: "tz", Value: "kigali"}
+			prepare := statement.Prepare{Name: "p", Shape: statement.Shape{Writes: true, Text: "q"}}
+			require.NotZero(t, w.ask("front-0", set, write)[1].Failure.Kind)
+			require.NotZero(t, w.ask("front-1", set, write)[1].Failure.Kind)
+			require.NotZero(t, w.ask("front-0", prepare, statement.Execute{Name: "p"})[1].Failure.Kind)
+			require.NotZero(t, w.ask("front-0", set, statement.Begin{}, write)[2].Failure.Kind)
+			require.Equal(t, before, w.offset("s1"))
+		})
+	})
 	t.Run("a frozen instance confirms nothing that it did before", func(t *testing.T) {
 		inCluster(t, 2, func(w *cluster) {
 			w.setCut(true, "front-0", "front-1")
