--- a/proxy/readers.go
+++ b/proxy/readers.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
@@ -198,9 +199,8 @@
 	Readers   *StoreReaders
 	Knowledge *Knowledge
 	Timer     port.Timer
-	failed    pauses
-	// written is the version of the instance's record.
-	written port.Version
+	// written is the version of the instance's record. Both the duty and whoever registers the instance at its start write it.
+	written atomic.Uint64
 }
 
 // Run keeps the instance listed until ctx ends.
@@ -212,7 +212,7 @@
 			return
 		}
 		// Records that are older than this instance's own do not list it yet.
-		if s, _ := r.Knowledge.Records(); !s.Lists(r.Self) && s.Newest() > r.written {
+		if s, _ := r.Knowledge.Records(); !s.Lists(r.Self) && uint64(s.Newest()) > r.written.Load() {
 			r.Register(ctx)
 		}
 	}
@@ -221,12 +221,12 @@
 // Register reads the records and writes this instance's own, in the place of that of an earlier start on the machine. It
 // repeats that until it succeeds or ctx ends.
 func (r *Registration) Register(ctx context.Context) {
+	var failed pauses
 	for ctx.Err() == nil {
 		if err := r.write(ctx); err == nil {
-			r.failed.reset()
 			return
 		}
-		r.failed.wait(ctx, r.Timer)
+		failed.wait(ctx, r.Timer)
 	}
 }
 
@@ -246,7 +246,7 @@
 	defer cancel()
 	version, err := r.Records.Put(limited, instancePrefix+r.Self.Name, data, o.Version)
 	if err == nil {
-		r.written = version
+		r.written.Store(uint64(version))
 	}
 	return err
 }
@@ -260,7 +260,7 @@
 	if err != nil {
 		return port.Wrapf(err, port.Internal, "the instance's record cannot be encoded")
 	}
-	_, err = r.Records.Put(ctx, instancePrefix+r.Self.Name, data, r.written)
+	_, err = r.Records.Put(ctx, instancePrefix+r.Self.Name, data, port.Version(r.written.Load()))
 	if port.KindOf(err) != port.Conflict {
 		return err
 	}
--- a/proxy/syncer.go
+++ b/proxy/syncer.go
@@ -247,8 +247,8 @@
 	return members
 }
 
-// follow exchanges with a relay. When the relay is silent, or has lost the store for long, this instance reads the store
-// itself.
+// follow exchanges with a relay, and passes one over that is silent or has lost the store. fromRelay is true for a relay that
+// follows the head: it reads the store itself as soon as the head knows too little.
 func (c *Syncer) follow(ctx context.Context, relay Member, fromRelay bool) {
 	report, err := c.exchange(ctx, relay, exchangeWait)
 	isLost := c.cfg.Timer.Now()-c.readAt() > lostRecords
