--- a/proxy/fake_test.go
+++ b/proxy/fake_test.go
@@ -183,7 +183,9 @@
 }
 
 func (w *cluster) start(name, dataCentre string) {
+	w.mu.Lock()
 	self := proxy.Member{Name: name, Incarnation: fmt.Sprintf("%s@%d", name, len(w.instances)+int(w.version)), Address: name, DataCentre: dataCentre}
+	w.mu.Unlock()
 	ctx, stop := context.WithCancel(context.Background())
 	i := &testInstance{self: self, stop: stop, ended: make(chan struct{})}
 	timer := clock.NewService()
