Read the store when a relay is silent, and extend leases beside

Its relay was silent for a second; then it waited 0.7 s for the extension of leases before each next relay, whose own connections were silent as well.

Change: a relay that is silent for longer than records are fresh has an instance read the store at once; reads of the store have one second; leases are extended by a duty of its own.

--- a/proxy/fake_test.go
+++ b/proxy/fake_test.go
@@ -327,6 +327,19 @@
 	return true
 }
 
+// restHaveRevision is allHaveRevision for the instances that are not cut off.
+func (w *cluster) restHaveRevision(r document.Revision) bool {
+	for _, name := range w.names() {
+		w.mu.Lock()
+		isCut := w.cut[name]
+		w.mu.Unlock()
+		if index, _ := w.at(name).knowledge.Rules(); !isCut && index.Document().Revision != r {
+			return false
+		}
+	}
+	return true
+}
+
 // doubt has every instance doubt the server, as its callers' statements would.
 func (w *cluster) doubt(server string) {
 	for _, name := range w.names() {
--- a/proxy/readers.go
+++ b/proxy/readers.go
@@ -21,8 +21,10 @@
 	// force within seconds.
 	documentPeriod = 1500 * time.Millisecond
 	serversPeriod  = 3 * time.Second
-	// callLimit is how long a call to the store may take, apart from the time it was asked to wait.
+	// callLimit is how long a call to the store may take, apart from the time it was asked to wait, and readLimit how long a read
+	// may take: a connection on which nothing comes any more must not keep a document back for long.
 	callLimit = 2 * time.Second
+	readLimit = time.Second
 	// readPeriod is how often the records are read. Each read is a priced call; with the lease it decides how long an
 	// outage of the store may last before primaries are no longer used.
 	readPeriod = 500 * time.Millisecond
@@ -135,7 +137,7 @@
 // readDocument reads the document and returns the version from which its changes can be waited for.
 func (r *StoreReaders) readDocument(ctx context.Context) (port.Version, error) {
 	asked := r.Timer.Now()
-	limited, cancel := port.WithTimeout(ctx, r.Timer, callLimit)
+	limited, cancel := port.WithTimeout(ctx, r.Timer, readLimit)
 	defer cancel()
 	d, version, err := r.Documents.Read(limited)
 	if err == nil {
@@ -146,7 +148,7 @@
 
 // readServers reads the list of servers and returns the version from which its changes can be waited for.
 func (r *StoreReaders) readServers(ctx context.Context) (port.Version, error) {
-	limited, cancel := port.WithTimeout(ctx, r.Timer, callLimit)
+	limited, cancel := port.WithTimeout(ctx, r.Timer, readLimit)
 	defer cancel()
 	all, version, err := r.Listings.ReadAll(limited)
 	if err != nil {
@@ -182,7 +184,7 @@
 // ReadRecords reads the records once.
 func (r *StoreReaders) ReadRecords(ctx context.Context) error {
 	asked := r.Timer.Now()
-	limited, cancel := port.WithTimeout(ctx, r.Timer, callLimit)
+	limited, cancel := port.WithTimeout(ctx, r.Timer, readLimit)
 	defer cancel()
 	objects, err := r.Records.All(limited)
 	if err != nil {
--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -267,6 +268,24 @@
 	}
 }
 
+// Guards against instances that keep an old document while the relays of their data centre are dark, one after the other
+// (hunt-013e-19 of Festquote: all connections went silent, and a document was in force after 3.4 s).
+func TestDocumentReachesWithoutRelays(t *testing.T) {
+	for first := range 8 {
+		for second := range first {
+			inCluster(t, 8, func(w *cluster) {
+				elapse(2 * time.Second)
+				w.setCut(true, fmt.Sprintf("front-%d", first), fmt.Sprintf("front-%d", second))
+				next := w.doc
+				next.Revision = 9
+				w.setDocument(next)
+				took := w.await(func() bool { return w.restHaveRevision(9) })
+				require.Less(t, took, 2700*time.Millisecond, "dark: %d and %d", first, second)
+			})
+		}
+	}
+}
+
 // Guards against calls to the store that grow with the instances.
 func TestRelaysSpareTheStore(t *testing.T) {
 	inCluster(t, 12, func(w *cluster) {
--- a/proxy/syncer.go
+++ b/proxy/syncer.go
@@ -27,6 +27,8 @@
 	// extendAge is the age of the records from which a relay has their lease extended. It is above the age that they reach
 	// while the store answers.
 	extendAge = 1400 * time.Millisecond
+	// extendCheck is how often that age is looked at.
+	extendCheck = 100 * time.Millisecond
 	// stalePause is how long a relay is passed over that answers and has lost the store.
 	stalePause = 400 * time.Millisecond
 	// firstRead is how long a relay that has begun to read the store waits for its first answer.
@@ -88,6 +90,8 @@
 func (c *Syncer) Run(ctx context.Context) {
 	n := &noticeReader{syncer: c}
 	c.running.Go(func() { n.loop(ctx) })
+	e := &extender{syncer: c}
+	c.running.Go(func() { e.loop(ctx) })
 	c.loop(ctx)
 	c.stopReaders()
 	c.running.Wait()
@@ -95,7 +99,6 @@
 
 func (c *Syncer) loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		c.extend(ctx)
 		began := c.cfg.Timer.Now()
 		relay, found := c.relay(began)
 		isRelay := found && relay.Incarnation == c.cfg.Self.Incarnation
@@ -262,8 +265,10 @@
 	case fromRelay:
 		c.fail(relay, relayPause)
 		c.startReaders(ctx)
-	case err != nil && c.count(c.failed) >= relaysTried:
-		// The cause may be on this side.
+	case err != nil && (c.count(c.failed) >= relaysTried || c.cfg.Timer.Now()-c.readAt() > freshRecords):
+		// The cause may be on this side. Connections may have gone silent everywhere, so that no relay knows more for a while,
+		// and documents have to be in force within seconds.
+		c.fail(relay, relayPause)
 		c.startReaders(ctx)
 	case err != nil:
 		// The next in rank takes its place, for all instances that find the same. If each of them read the store by itself, an
@@ -281,6 +286,16 @@
 	c.failed = c.failed.with(m.Incarnation, now, now+pause)
 }
 
+// extender is the duty that has leases extended. It does not wait for relays, nor they for it.
+type extender struct{ syncer *Syncer }
+
+func (e *extender) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		e.syncer.extend(ctx)
+		_ = port.Wait(ctx, e.syncer.cfg.Timer, extendCheck)
+	}
+}
+
 // extend has the other instances extend the leases while the store cannot be read, here or by a relay.
 func (c *Syncer) extend(ctx context.Context) {
 	s, known := c.cfg.Knowledge.Records()
