--- a/adapter/postgres/forward_test.go
+++ b/adapter/postgres/forward_test.go
@@ -30,11 +30,15 @@
 	t.Run("in a request", func(t *testing.T) {
 		f := startForwarding(t)
 		conn := f.connect("acme", "orders")
-		entered := make(chan struct{})
-		f.near.servers[0].answer(func(*fakeConn, string) { close(entered) })
+		entered, killed := make(chan struct{}), make(chan struct{})
+		f.near.servers[0].answer(func(*fakeConn, string) {
+			close(entered)
+			<-killed
+		})
 		inserted := execute(conn, "insert 1")
 		<-entered
 		f.kill(f.near)
+		close(killed)
 		requireState(t, port.UnknownOutcome, <-inserted)
 		require.Empty(t, f.far.ran())
 		require.Equal(t, []port.Outcome{port.Unknown}, f.counts.lost)
--- a/bench/process_test.go
+++ b/bench/process_test.go
@@ -46,6 +46,9 @@
 	require.NoError(t, err)
 	defer func() { _ = log.Close() }()
 	p.cmd.Stdout, p.cmd.Stderr = out, log
+	// When the shell that started the tests in the background ends, their process group is orphaned, and the kernel sends SIGHUP
+	// to it if a member is stopped. In a group of its own, a stopped process is left alone.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	require.NoError(t, p.cmd.Start())
 	go p.run()
 	t.Cleanup(p.end)
