Grant rates from token buckets

Cause: a reserve counted the operations of the last window. An organisation above its rate was granted a whole window at once and then nothing; after a lower limit it was granted nothing until the old operations had left the window. With 16 data centres, a small organisation's reserves held less than one operation each and granted none.

Change: a reserve is a token bucket with half of the platform's tolerance. A new holder starts with the other half, which bounds every window that contains a change of holders. Small organisations have reserves in fewer data centres.

The new tests fail on the former code: 0 operations in a second after a lower limit, all refused in 16 data centres.

--- a/proxy/rate_limiter.go
+++ b/proxy/rate_limiter.go
@@ -6,14 +6,18 @@
 	"sync"
 	"time"
 
+	"github.com/rhubarbwick/rhubarbwick/allotment"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/port"
 )
 
 const (
-	// toleranceFraction is the fraction of the tolerance that is used. The rest covers operations that reach a server
-	// after others that were counted later.
-	toleranceFraction = 0.3
+	// toleranceFraction is the fraction of the tolerance that is granted all the time. The rest is what a new holder
+	// starts with, and covers operations that reach a server after others that were granted later.
+	toleranceFraction = 0.5
+	// minReserve is the number of operations that each reserve can hold at least, if there is more than one. A reserve
+	// that holds less than one operation grants none.
+	minReserve = 2
 	// defaultWindow is the length of the window in which a rate is counted if the platform states none.
 	defaultWindow = 5 * time.Second
 	// takeTimeout limits how long a remote reserve may take to respond. It is far above the latency between data
@@ -42,10 +46,27 @@
 	return t
 }
 
-// windowLimit returns how many operations of the organisation all instances together may take in a window.
-func (t RateTolerance) windowLimit(o document.Organisation) float64 {
-	limit := o.Rate*t.Window.Seconds() + o.Burst
-	return limit + toleranceFraction*(t.Relative*limit+t.Absolute)
+// excess returns how many operations of the organisation the platform tolerates in a window beyond its rate and burst.
+func (t RateTolerance) excess(o document.Organisation) float64 {
+	return t.Relative*(o.Rate*t.Window.Seconds()+o.Burst) + t.Absolute
+}
+
+// share returns the rate and burst of each of n reserves. In a window, all of them together grant at most the
+// organisation's rate and burst and toleranceFraction of the excess. The relative part of the excess raises the rate, for
+// organisations that ask for more than theirs; the absolute part raises the burst, for those with a small one.
+func (t RateTolerance) share(o document.Organisation, n int) allotment.Amount {
+	rate := o.Rate + toleranceFraction*t.Relative*(o.Rate+o.Burst/t.Window.Seconds())
+	return allotment.Amount{Rate: allotment.ToStatements(rate / float64(n)), Burst: allotment.ToStatements(t.burst(o) / float64(n))}
+}
+
+// burst returns how many operations of the organisation all reserves together may hold.
+func (t RateTolerance) burst(o document.Organisation) float64 {
+	return o.Burst + toleranceFraction*t.Absolute
+}
+
+// maxHolders returns how many reserves of the organisation there may be, so that each can hold minReserve operations.
+func (t RateTolerance) maxHolders(o document.Organisation) int {
+	return max(int(t.burst(o)/minReserve), 1)
 }
 
 // RemoteRateReserves takes operations from the reserves of other instances.
@@ -80,10 +101,11 @@
 // Take takes one operation. It fails with kind OverRate if none is available.
 func (r *DistributedRateLimiter) Take(ctx context.Context, organisation string) error {
 	index, _ := r.documents.CurrentDocument()
-	if _, found := index.FindOrganisation(organisation); !found {
+	o, found := index.FindOrganisation(organisation)
+	if !found {
 		return nil
 	}
-	holders := r.reserve.Holders(organisation)
+	holders := r.reserve.Holders(o)
 	exhaustedCount, unresponsiveCount := 0, 0
 	for _, holder := range holders {
 		switch r.takeFrom(ctx, holder, organisation) {
--- a/proxy/rate_limiter_test.go
+++ b/proxy/rate_limiter_test.go
@@ -24,12 +24,6 @@
 	rateStep = 20 * time.Millisecond
 )
 
-// staticDocument is a document source that never changes.
-type staticDocument struct{ index document.Index }
-
-// CurrentDocument returns the document.
-func (r staticDocument) CurrentDocument() (document.Index, bool) { return r.index, true }
-
 // rateFleet simulates instances whose clients run operations of one organisation. It also connects the instances'
 // reserves.
 type rateFleet struct {
@@ -37,6 +31,8 @@
 	organisation document.Organisation
 	reserves     []*proxy.RateReserve
 	limiters     []*proxy.DistributedRateLimiter
+	index        document.Index
+	dataCentres  int
 	// unresponsive holds the instances that do not respond, and removed those that are no longer registered.
 	unresponsive map[string]bool
 	removed      map[string]bool
@@ -51,11 +47,17 @@
 }
 
 func newRateFleet(seed uint64, n int, o document.Organisation) *rateFleet {
+	return newWideRateFleet(seed, n, 4, o)
+}
+
+// newWideRateFleet returns n instances in the given number of data centres.
+func newWideRateFleet(seed uint64, n, dataCentres int, o document.Organisation) *rateFleet {
 	f := &rateFleet{
-		timer: &clock.Fake{}, random: rand.New(rand.NewPCG(seed, 1)), organisation: o,
+		timer: &clock.Fake{}, random: rand.New(rand.NewPCG(seed, 1)), dataCentres: dataCentres,
 		reserves: make([]*proxy.RateReserve, n), limiters: make([]*proxy.DistributedRateLimiter, n),
 		unresponsive: make(map[string]bool), removed: make(map[string]bool), recordsVersion: 1,
 	}
+	f.setOrganisation(o)
 	total := 0.0
 	for i := range n {
 		// Clients are spread unevenly: some instances have three times the mean, some have none.
@@ -70,22 +72,28 @@
 	return f
 }
 
+// setOrganisation changes the organisation in the document of all instances.
+func (f *rateFleet) setOrganisation(o document.Organisation) {
+	f.organisation = o
+	f.index = document.NewIndex(document.Document{Revision: 1, Organisations: []document.Organisation{o}})
+}
+
+// CurrentDocument returns the document.
+func (f *rateFleet) CurrentDocument() (document.Index, bool) { return f.index, true }
+
 // startInstance replaces an instance by a new one without state.
 func (f *rateFleet) startInstance(i int) {
-	source := staticDocument{document.NewIndex(document.Document{
-		Revision: 1, Organisations: []document.Organisation{f.organisation},
-	})}
 	f.reserves[i] = proxy.NewRateReserve(proxy.RateReserveConfig{
-		Self: f.member(i), Timer: f.timer, Documents: source, Records: f.records,
+		Self: f.member(i), Timer: f.timer, Documents: f, Records: f.records,
 		Tolerance: proxy.RateTolerance{Window: rateWindow, Relative: relativeTolerance, Absolute: absoluteTolerance},
 	})
-	f.limiters[i] = proxy.NewDistributedRateLimiter(f.timer, source, f.reserves[i], f)
+	f.limiters[i] = proxy.NewDistributedRateLimiter(f.timer, f, f.reserves[i], f)
 }
 
-// member returns an instance in one of four data centres.
+// member returns an instance in one of the data centres.
 func (f *rateFleet) member(i int) proxy.Member {
 	name := strconv.Itoa(i)
-	return proxy.Member{Name: name, Incarnation: name, Address: name, DataCentre: strconv.Itoa(i % 4)}
+	return proxy.Member{Name: name, Incarnation: name, Address: name, DataCentre: strconv.Itoa(i % f.dataCentres)}
 }
 
 func (f *rateFleet) records() (proxy.Snapshot, bool) {
@@ -230,7 +238,7 @@
 				f := newRateFleet(seed, c.instances, o)
 				for range 4 {
 					f.run(o.Rate*8, 6*time.Second)
-					f.remove(f.reserves[0].Holders(testOrganisation)[0])
+					f.remove(f.reserves[0].Holders(o)[0])
 				}
 				f.requireWithinLimit(t)
 			})
@@ -243,8 +251,53 @@
 	o := document.Organisation{Name: testOrganisation, Rate: 60, Burst: 60}
 	f := newRateFleet(1, 48, o)
 	f.run(o.Rate*0.6, 10*time.Second)
-	f.unresponsive[f.reserves[0].Holders(testOrganisation)[0].Name] = true
+	f.unresponsive[f.reserves[0].Holders(o)[0].Name] = true
 	f.refusedFraction()
 	f.run(o.Rate*0.6, 10*time.Second)
 	require.Less(t, f.refusedFraction(), 0.02)
 }
+
+// Guards against pauses in which an organisation that asks for more than its rate gets nothing. A count of the operations
+// of the last window granted all of them at its start (tilehue-ops quiet-1), and after a lower limit none for a window.
+func TestOverloadedOrganisationIsGrantedEvenly(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		instances int
+		rate      float64
+	}{{"large", 19, 128}, {"small", 48, 6}} {
+		o := document.Organisation{Name: testOrganisation, Rate: c.rate, Burst: c.rate}
+		t.Run(c.name+": steady overload", func(t *testing.T) {
+			f := newRateFleet(1, c.instances, o)
+			f.run(4*o.Rate, 10*time.Second)
+			f.requireEvenGrants(t, 4*o.Rate, 20)
+		})
+		t.Run(c.name+": a lower limit", func(t *testing.T) {
+			f := newRateFleet(1, c.instances, o)
+			f.run(4*o.Rate, 10*time.Second)
+			lower := o
+			lower.Rate, lower.Burst = o.Rate/2, o.Burst/2
+			f.setOrganisation(lower)
+			f.requireEvenGrants(t, 4*o.Rate, 10)
+		})
+	}
+}
+
+// requireEvenGrants fails if the organisation gets far less than its rate in any of the next seconds.
+func (f *rateFleet) requireEvenGrants(t *testing.T, perSecond float64, seconds int) {
+	t.Helper()
+	for i := range seconds {
+		f.refusedFraction()
+		f.run(perSecond, time.Second)
+		require.GreaterOrEqual(t, float64(len(f.admitted)), 0.9*f.organisation.Rate-1, "second %d", i)
+	}
+}
+
+// Guards against an organisation whose rate is divided among so many data centres that no reserve holds a whole
+// operation.
+func TestSmallOrganisationInManyDataCentres(t *testing.T) {
+	o := document.Organisation{Name: testOrganisation, Rate: 1, Burst: 1}
+	f := newWideRateFleet(1, 64, 16, o)
+	f.run(0.5, 60*time.Second)
+	f.requireWithinLimit(t)
+	require.Less(t, f.refusedFraction(), 0.02)
+}
--- a/proxy/rate_reserve.go
+++ b/proxy/rate_reserve.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -22,7 +24,9 @@
 // each data centre, one instance, chosen by rank, holds a reserve for an organisation. The reserves of an organisation
 // are equal and add up to its rate and burst, which limit the operations in every window of the platform's length.
 // Splitting a rate among all instances would leave less than one operation each for small organisations, and shares
-// that follow demand add up to more than the rate while demand changes. Use NewRateReserve.
+// that follow demand add up to more than the rate while demand changes. A reserve is a token bucket: an organisation that
+// asks for more than its rate is granted operations evenly, and a lower limit applies without a pause. Use
+// NewRateReserve.
 type RateReserve struct {
 	cfg RateReserveConfig
 
@@ -30,8 +34,14 @@
 	version      uint64
 	memberNames  string
 	membersSince time.Duration
-	holders      map[string][]Member
-	accounts     map[string]reserveAccount
+	holders      map[holdersKey][]Member
+	accounts     map[string]allotment.Bucket
+}
+
+// holdersKey identifies the holders of an organisation's reserves; they change with its limit.
+type holdersKey struct {
+	organisation string
+	limit        int
 }
 
 // RateReserveConfig configures a RateReserve.
@@ -43,28 +53,21 @@
 	Tolerance RateTolerance
 }
 
-// reserveAccount tracks what was granted from an organisation's reserve. It is immutable.
-type reserveAccount struct {
-	window allotment.Window
-	// heldSince is when this instance became a holder.
-	heldSince time.Duration
-}
-
 // NewRateReserve returns a reserve from which nothing has been granted.
 func NewRateReserve(cfg RateReserveConfig) *RateReserve {
 	cfg.Tolerance = cfg.Tolerance.withDefaults()
 	return &RateReserve{
-		cfg: cfg, membersSince: cfg.Timer.Now(), holders: make(map[string][]Member), accounts: make(map[string]reserveAccount),
+		cfg: cfg, membersSince: cfg.Timer.Now(), holders: make(map[holdersKey][]Member), accounts: make(map[string]allotment.Bucket),
 	}
 }
 
 // Holders returns the instances that hold reserves of the organisation, the one in this data centre first. It is empty
 // while no instance is known.
-func (r *RateReserve) Holders(organisation string) []Member {
+func (r *RateReserve) Holders(o document.Organisation) []Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refresh()
-	return r.holdersOf(organisation)
+	return r.holdersOf(o)
 }
 
 // Take takes one operation of the organisation from this instance's reserve. It reports whether one was available.
@@ -81,30 +84,27 @@
 		return false
 	}
 	r.refresh()
-	holders := r.holdersOf(organisation)
+	holders := r.holdersOf(o)
 	if !slices.ContainsFunc(holders, r.isSelf) {
 		delete(r.accounts, organisation)
 		return false
 	}
-	a, known := r.accounts[organisation]
+	account, known := r.accounts[organisation]
 	if !known {
-		a = reserveAccount{window: allotment.NewWindow(r.cfg.Tolerance.Window), heldSince: r.membersSince}
+		account = r.newAccount(o, len(holders))
 	}
-	a.window = a.window.At(now)
-	share := r.windowLimit(o, now-a.heldSince) / float64(len(holders))
-	granted := float64(a.window.Count()+1) <= share
-	if granted {
-		a.window = a.window.With(now, 1)
-	}
-	r.accounts[organisation] = a
+	account, granted := account.WithShare(now, r.cfg.Tolerance.share(o, len(holders))).Take(now, allotment.Statement)
+	r.accounts[organisation] = account
 	return granted
 }
 
-// windowLimit returns how many operations all instances together may take in a window after the reserve has been held
-// for the given time. It is lower at first, because another holder or an earlier process of this instance may have
-// granted some.
-func (r *RateReserve) windowLimit(o document.Organisation, held time.Duration) float64 {
-	return min(r.cfg.Tolerance.windowLimit(o), o.Burst/2+o.Rate*held.Seconds())
+// newAccount returns the bucket of a reserve that this instance begins to hold. Another holder, or an earlier process of
+// this instance, may have granted everything up to now. Beyond the rate since the last change of the membership, it
+// holds only what the platform tolerates on top of that.
+func (r *RateReserve) newAccount(o document.Organisation, holders int) allotment.Bucket {
+	share := r.cfg.Tolerance.share(o, holders)
+	initial := allotment.ToStatements(r.cfg.Tolerance.excess(o) * (1 - toleranceFraction) / float64(holders))
+	return allotment.Bucket{}.WithShare(r.membersSince, share).WithTokens(r.membersSince, min(initial, share.Burst))
 }
 
 func (r *RateReserve) isSelf(m Member) bool { return m.Incarnation == r.cfg.Self.Incarnation }
@@ -130,23 +130,25 @@
 	}
 }
 
-// holdersOf implements Holders. mu must be held.
-func (r *RateReserve) holdersOf(organisation string) []Member {
-	holders, found := r.holders[organisation]
-	if found {
+// holdersOf implements Holders. A small organisation has holders in some data centres only. mu must be held.
+func (r *RateReserve) holdersOf(o document.Organisation) []Member {
+	limit := r.cfg.Tolerance.maxHolders(o)
+	key := holdersKey{o.Name, limit}
+	if holders, found := r.holders[key]; found {
 		return holders
 	}
 	records, _ := r.cfg.Records()
 	best := make(map[string]Member)
 	for _, m := range allMembers(records) {
 		first, known := best[m.DataCentre]
-		if !m.Leaving && (!known || rateRank(organisation, m) > rateRank(organisation, first)) {
+		if !m.Leaving && (!known || rateRank(o.Name, m) > rateRank(o.Name, first)) {
 			best[m.DataCentre] = m
 		}
 	}
-	for _, m := range best {
-		holders = append(holders, m)
-	}
+	holders := slices.SortedFunc(maps.Values(best), func(a, b Member) int {
+		return cmp.Compare(rateRank(o.Name, b), rateRank(o.Name, a))
+	})
+	holders = holders[:min(len(holders), limit)]
 	slices.SortFunc(holders, func(a, b Member) int {
 		if isLocal := a.DataCentre == r.cfg.Self.DataCentre; isLocal != (b.DataCentre == r.cfg.Self.DataCentre) {
 			if isLocal {
@@ -156,7 +158,7 @@
 		}
 		return strings.Compare(a.DataCentre, b.DataCentre)
 	})
-	r.holders[organisation] = holders
+	r.holders[key] = holders
 	return holders
 }
 
