--- a/proxy/rate_reserve.go
+++ b/proxy/rate_reserve.go
@@ -100,11 +100,11 @@
 
 // newAccount returns the bucket of a reserve that this instance begins to hold. Another holder, or an earlier process of
 // this instance, may have granted everything up to now. Beyond the rate since the last change of the membership, it
-// holds only what the platform tolerates on top of that.
+// holds only what the platform tolerates on top of that, or minReserve operations if that is less.
 func (r *RateReserve) newAccount(o document.Organisation, holders int) allotment.Bucket {
 	share := r.cfg.Tolerance.share(o, holders)
-	initial := allotment.ToStatements(r.cfg.Tolerance.excess(o) * (1 - toleranceFraction) / float64(holders))
-	return allotment.Bucket{}.WithShare(r.membersSince, share).WithTokens(r.membersSince, min(initial, share.Burst))
+	tolerated := r.cfg.Tolerance.excess(o) * (1 - toleranceFraction) / float64(holders)
+	return allotment.Bucket{}.WithShare(r.membersSince, share).WithTokens(r.membersSince, allotment.ToStatements(max(tolerated, minReserve)))
 }
 
 func (r *RateReserve) isSelf(m Member) bool { return m.Incarnation == r.cfg.Self.Incarnation }
