Ask the relays of all data centres in turn while records are outdated

Cause: a relay that had lost the store excluded the head for 400 ms and asked the next instance of the head's data centre, which follows that head. With waits of 300 ms it alternated between two instances and never asked another data centre. If the store rejected all of the first-ranked data centres, documents did not arrive at all.

Change: a stale relay is excluded for 2 s and its data centre for 200 ms times the number of data centres, so all others are asked before it. Instances with outdated records wait 100 ms for an answer, not 300 ms. The fake store checks the version on Delete, and its rejections can change.

Ruled out: taking no relay of the own data centre (the relay then never found the instance that had taken its place).

--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -46,6 +47,7 @@
 	listed        map[string]dispatch.Listing
 	listedVersion port.Version
 	storeDown     bool
+	dataCentres   int
 	// partitioned holds the instances that can be reached only by their clients.
 	partitioned map[string]bool
 	// storeRejects holds the instances whose calls the store rejects.
@@ -119,9 +121,16 @@
 
 // withCluster runs a test with n instances in two data centres, and two groups of three servers.
 func withCluster(t *testing.T, n int, test func(w *cluster)) {
+	t.Helper()
+	withClusterIn(t, n, 2, test)
+}
+
+// withClusterIn is withCluster with another number of data centres.
+func withClusterIn(t *testing.T, n, dataCentres int, test func(w *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := newCluster(t)
+		w.dataCentres = dataCentres
 		for i := range n {
 			name := fmt.Sprintf("front-%d", i)
 			w.start(name, w.dataCentreOf(name))
@@ -132,9 +141,11 @@
 	})
 }
 
-// dataCentreOf returns "a" for instances with an even number and "b" for the others.
+// dataCentreOf spreads the instances over the data centres "a", "b" and so on by their numbers.
 func (w *cluster) dataCentreOf(name string) string {
-	return []string{"a", "b"}[int(name[len(name)-1]-'0')%2]
+	n, err := strconv.Atoi(strings.TrimPrefix(name, "front-"))
+	require.NoError(w.t, err)
+	return string(rune('a' + n%w.dataCentres))
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -461,10 +472,11 @@
 	w.instance(name).peerService.Suspend(context.Background(), stored)
 }
 
-// rejectAtStore makes the store reject calls from the given instances.
+// rejectAtStore makes the store reject calls from the given instances only.
 func (w *cluster) rejectAtStore(numbers ...int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	clear(w.storeRejects)
 	for _, n := range numbers {
 		w.storeRejects[fmt.Sprintf("front-%d", n)] = true
 	}
@@ -571,13 +583,16 @@
 	return r.cluster.version, nil
 }
 
-// Delete removes a record.
-func (r *clusterClient) Delete(ctx context.Context, name string, _ port.Version) error {
+// Delete removes a record if it is still at the expected version; zero accepts any version.
+func (r *clusterClient) Delete(ctx context.Context, name string, expected port.Version) error {
 	done, err := r.call(ctx, true)
 	if err != nil {
 		return err
 	}
 	defer done()
+	if expected != 0 && r.cluster.objects[name].Version != expected {
+		return port.Errorf(port.Conflict, "version mismatch")
+	}
 	delete(r.cluster.objects, name)
 	return nil
 }
--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -327,3 +327,47 @@
 		})
 	})
 }
+
+// Guards against relays of one data centre that answer each other with outdated state while the store rejects all of
+// them, at once or in turn. In scale-2 --seed 492698650963 of Festquote, a withdrawn key worked for 5 s.
+func TestDocumentReachesDataCentreRejectedByStore(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		dataCentres int
+		rejected    [][]int
+	}{
+		{"all of one data centre", 2, [][]int{{0, 2, 4, 6, 8, 10}}},
+		{"all of the other data centre", 2, [][]int{{1, 3, 5, 7, 9, 11}}},
+		{"in turn in one data centre", 2, [][]int{{0, 2, 4}, {6, 8, 10}, {0, 4, 8}, {2, 6, 10}}},
+		{"in turn in the other data centre", 2, [][]int{{1, 3, 5}, {7, 9, 11}, {1, 5, 9}, {3, 7, 11}}},
+		{"in turn in both", 2, [][]int{{0, 2, 4, 1, 3, 5}, {6, 8, 10, 7, 9, 11}, {0, 4, 8, 1, 5, 9}, {2, 6, 10, 3, 7, 11}}},
+		{"all but one of six data centres", 6, [][]int{
+			{1, 2, 3, 4, 5, 7, 8, 9, 10, 11}, {0, 2, 3, 4, 5, 6, 8, 9, 10, 11}, {0, 1, 3, 4, 5, 6, 7, 9, 10, 11},
+			{0, 1, 2, 4, 5, 6, 7, 8, 10, 11}, {0, 1, 2, 3, 5, 6, 7, 8, 9, 11}, {0, 1, 2, 3, 4, 6, 7, 8, 9, 10},
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withClusterIn(t, 12, c.dataCentres, func(w *cluster) {
+				sleep(2 * time.Second)
+				for round := range 8 {
+					w.rejectAtStore(c.rejected[round%len(c.rejected)]...)
+					w.requireDocumentSpreads(round)
+					sleep(time.Second)
+				}
+			})
+		})
+	}
+}
+
+// requireDocumentSpreads changes the document, and fails if an instance does not have it within the shortest time that a
+// deployment allows (config_apply_ms).
+func (w *cluster) requireDocumentSpreads(round int) {
+	w.t.Helper()
+	const limit = 3 * time.Second
+	next := w.doc
+	next.Revision += 4
+	w.setDocument(next)
+	took := w.waitFor(func() bool { return w.allHaveRevision(next.Revision) })
+	w.t.Logf("round %d: %s", round, took)
+	require.Less(w.t, took, limit, "round %d", round)
+}
--- a/proxy/syncer.go
+++ b/proxy/syncer.go
@@ -16,6 +16,9 @@
 const (
 	// exchangeWait is how long a relay may delay a response, which is also the maximum time between two exchanges.
 	exchangeWait = 300 * time.Millisecond
+	// staleExchangeWait replaces exchangeWait while this instance's records are outdated. It lets a relay that has just
+	// begun to read the store answer with the first records.
+	staleExchangeWait = 100 * time.Millisecond
 	// exchangeTimeout limits an exchange beyond that wait.
 	exchangeTimeout = 700 * time.Millisecond
 	// cleanInterval is how often a relay checks for failed instances.
@@ -29,8 +32,13 @@
 	extendRecordsAge = 1400 * time.Millisecond
 	// extendCheckInterval is how often that age is checked.
 	extendCheckInterval = 100 * time.Millisecond
-	// staleRelayExclusionTime is how long a relay is excluded that responds but has lost the store.
-	staleRelayExclusionTime = 400 * time.Millisecond
+	// A data centre whose relay responds but has lost the store is not asked again for staleHeadTryTime times the number
+	// of data centres, but at least minStaleHeadExclusion, so that the relays of all others are asked before it.
+	staleHeadTryTime      = 200 * time.Millisecond
+	minStaleHeadExclusion = 400 * time.Millisecond
+	// staleRelayExclusionTime is how long such a relay itself is excluded. The next in rank is asked instead, which the
+	// other instances of its data centre follow by then if it reaches the store.
+	staleRelayExclusionTime = 2 * time.Second
 	// firstReadTimeout is how long a relay that has begun to read the store waits for the first response.
 	firstReadTimeout = 500 * time.Millisecond
 	// storeLostAge is the age of the records above which an instance no longer relies on the relays to find the store.
@@ -68,8 +76,10 @@
 	cfg SyncerConfig
 	// failed holds the relays that are excluded because they did not respond, and stale those that are excluded because
 	// they have lost the store.
-	failed      exclusions
-	stale       exclusions
+	failed exclusions
+	stale  exclusions
+	// staleHeads holds the data centres whose relay has lost the store.
+	staleHeads  exclusions
 	cleaner     *cleaner
 	lastCleaned time.Duration
 	stopReading context.CancelFunc
@@ -175,10 +185,14 @@
 }
 
 // head returns the relay that reads the store for all instances: the relay of the highest-ranked data centre that has a
-// relay that is not excluded.
+// relay that is not excluded. Data centres whose relay has lost the store are passed over for a while, so that an
+// instance asks those of other data centres before it asks another instance of the same one.
 func (c *Syncer) head(now time.Duration) (Member, bool) {
 	var best Member
 	for dataCentre := range c.dataCentres() {
+		if c.staleHeads.has(dataCentre, now) {
+			continue
+		}
 		relay, found := c.firstRelay(dataCentre, func(m Member) bool { return c.isExcluded(m, now) })
 		if found && (best.Incarnation == "" || instance.RankOf(headRelayKey, dataCentre) > instance.RankOf(headRelayKey, best.DataCentre)) {
 			best = relay
@@ -256,13 +270,20 @@
 // true if this instance is itself a relay that follows the head; it then reads the store as soon as the head's state is
 // outdated.
 func (c *Syncer) follow(ctx context.Context, relay Member, fromRelay bool) {
-	response, err := c.exchange(ctx, relay, exchangeWait)
+	wait := exchangeWait
+	if c.cfg.Timer.Now()-c.readAt() > maxRelayRecordsAge {
+		// Another relay may have newer state.
+		wait = staleExchangeWait
+	}
+	response, err := c.exchange(ctx, relay, wait)
 	storeLost := c.cfg.Timer.Now()-c.readAt() > storeLostAge
 	switch {
 	case err == nil && response.Fresh:
 		c.stopReaders()
 	case fromRelay && err == nil:
-		// It may be about to take over reading the store from another relay.
+		now := c.cfg.Timer.Now()
+		pause := max(minStaleHeadExclusion, staleHeadTryTime*time.Duration(len(c.dataCentres())))
+		c.staleHeads = c.staleHeads.with(relay.DataCentre, now, now+pause)
 		c.exclude(relay, staleRelayExclusionTime)
 		c.startReaders(ctx)
 	case fromRelay:
