Contain panics of goroutines that serve one peer

Cause: no goroutine recovered from a panic, so one unexpected answer or message ended the process with all its sessions. Change: sessions, loans, dials, rollbacks and calls of other instances end alone; each panic is logged with its stack and counted (gateway_panics_total). A connection that a panic leaves acquired is released. Goroutines that own shared state keep ending the process, because their state may be half changed.

--- a/adapter/fleet/lending_client_test.go
+++ b/adapter/fleet/lending_client_test.go
@@ -62,7 +62,7 @@
 	o := &fakeOwner{results: results, requests: make(chan proxy.LoanRequest, len(results)+1), ended: make(chan struct{})}
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := &serverRun{server: fleet.NewServer(nil, o, nil, socket)}
+	s := &serverRun{server: fleet.NewServer(nil, o, nil, socket, nil)}
 	go s.run()
 	t.Cleanup(s.server.Close)
 	l := fleet.NewLendingClient(&net.Dialer{})
--- a/adapter/fleet/server.go
+++ b/adapter/fleet/server.go
@@ -37,10 +37,14 @@
 
 var _ fleetv1connect.FleetServiceHandler = (*Server)(nil)
 
-// NewServer returns a server on the socket.
-func NewServer(service *proxy.PeerService, l loanService, r rateReserve, socket net.Listener) *Server {
+// NewServer returns a server on the socket. A call that panics is recorded and ends with an error.
+func NewServer(service *proxy.PeerService, l loanService, r rateReserve, socket net.Listener, recorder proxy.Recorder) *Server {
 	s := &Server{service: service, loans: l, rates: r, socket: socket}
-	_, handler := fleetv1connect.NewFleetServiceHandler(s, connect.WithReadMaxBytes(maxMessageSize))
+	_, handler := fleetv1connect.NewFleetServiceHandler(s, connect.WithReadMaxBytes(maxMessageSize),
+		connect.WithRecover(func(_ context.Context, call connect.Spec, _ http.Header, reason any) error {
+			recorder.Record(proxy.NewPeerPanicked("instance", reason))
+			return connect.NewError(connect.CodeInternal, port.Errorf(port.Internal, "call %s panicked", call.Procedure))
+		}))
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
--- a/adapter/metrics/gateway.go
+++ b/adapter/metrics/gateway.go
@@ -35,6 +35,7 @@
 	storeCalls     *prometheus.CounterVec
 	statements     *prometheus.CounterVec
 	ownersExcluded prometheus.Counter
+	panics         *prometheus.CounterVec
 	next           proxy.Recorder
 }
 
@@ -60,9 +61,10 @@
 		ownersExcluded: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "gateway_owners_passed_over_total", Help: "Times that the owner of a pool was passed over.",
 		}),
-		next: next,
+		panics: newCounterVec("gateway_panics_total", "Panics while one peer was served, by kind of peer.", "peer"),
+		next:   next,
 	}
-	g.registry.MustRegister(g.requests, g.latency, g.promotionSteps, g.primaryChanges, g.storeCalls, g.statements, g.ownersExcluded, collectors.NewGoCollector(),
+	g.registry.MustRegister(g.requests, g.latency, g.promotionSteps, g.primaryChanges, g.storeCalls, g.statements, g.ownersExcluded, g.panics, collectors.NewGoCollector(),
 		newGaugeFunc("gateway_document_revision", "The revision of the document in force.", func() float64 { return float64(s.DocumentRevision()) }),
 		newGaugeFunc("gateway_document_age_seconds", "How long ago the document was known to be the newest.",
 			func() float64 { return s.DocumentAge().Seconds() }),
@@ -106,6 +108,8 @@
 		}
 	case proxy.PoolOwnerExcluded:
 		g.ownersExcluded.Inc()
+	case proxy.PeerPanicked:
+		g.panics.WithLabelValues(e.Peer).Inc()
 	case proxy.PromotionStep:
 		g.promotionSteps.WithLabelValues(e.Step).Inc()
 	case proxy.PrimaryChanged:
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -109,7 +109,7 @@
 		Dialer: dialer, Records: store, Promotions: p.promotions,
 		Recorder: p.metrics,
 	})
-	p.peerServer = fleet.NewServer(p.peerService, p.sessions, rateReserve, socket)
+	p.peerServer = fleet.NewServer(p.peerService, p.sessions, rateReserve, socket, p.metrics)
 	return p, p.listen(ctx)
 }
 
--- a/proxy/dispatcher_waiters.go
+++ b/proxy/dispatcher_waiters.go
@@ -148,19 +148,22 @@
 
 func (o *connectionOpener) run() {
 	defer o.dispatcher.running.Done()
+	var outcome dispatcherCommand = openFailed{endpoint: o.endpoint, err: port.Errorf(port.Internal, "opening the connection panicked")}
+	defer func() { o.dispatcher.send(outcome) }()
+	defer RecoverPeer(o.dispatcher.cfg.Recorder, "server")
 	timer := o.dispatcher.cfg.Timer
 	ctx, cancel := port.WithTimeout(o.dispatcher.stopped, timer, dialTimeout)
 	defer cancel()
 	sent := timer.Now()
 	conn, result, err := o.dispatcher.cfg.Dialer.Dial(ctx, o.endpoint)
 	if err != nil {
-		o.dispatcher.send(openFailed{endpoint: o.endpoint, err: err})
+		outcome = openFailed{endpoint: o.endpoint, err: err}
 		return
 	}
-	o.dispatcher.send(connectionOpened{
+	outcome = connectionOpened{
 		connection:  &Connection{ID: o.id, Endpoint: o.endpoint, path: &pooled{conn: conn}},
 		observation: Observation{Server: o.endpoint.Server, Position: result.Position, SentAt: sent, ReceivedAt: timer.Now()},
-	})
+	}
 }
 
 // candidates returns the servers that the waiter may use, with the state of this instance's connections to them.
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"fmt"
+	"runtime/debug"
 	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/document"
@@ -9,7 +11,7 @@
 )
 
 // Event is a decision about a request, or a change in the instance's view of the system: RequestCompleted,
-// PrimaryChanged, PromotionStep, SourceChanged, MemberUnresponsive or PoolOwnerExcluded.
+// PrimaryChanged, PromotionStep, SourceChanged, MemberUnresponsive, PoolOwnerExcluded or PeerPanicked.
 type Event interface{ event() }
 
 // RequestCompleted reports the result of a request.
@@ -76,7 +78,31 @@
 	Reason string
 }
 
+// PeerPanicked reports that serving one peer, a client or another instance, panicked. Its connection or call ended; the
+// others are not affected.
+type PeerPanicked struct {
+	Peer   string
+	Reason string
+	Stack  string
+}
+
+// NewPeerPanicked returns the event of a panic. It must be called by the deferred function that has recovered the reason, so that the stack is that of
+// the panic.
+func NewPeerPanicked(peer string, reason any) PeerPanicked {
+	return PeerPanicked{Peer: peer, Reason: fmt.Sprint(reason), Stack: string(debug.Stack())}
+}
+
+// RecoverPeer ends a panic of a goroutine that serves or calls one peer, and records it. It must be deferred directly.
+// The goroutines that own state shared by all peers, such as the dispatcher's, have no such boundary: their state may be
+// half changed, so the process ends and is restarted.
+func RecoverPeer(recorder Recorder, peer string) {
+	if r := recover(); r != nil {
+		recorder.Record(NewPeerPanicked(peer, r))
+	}
+}
+
 func (RequestCompleted) event()   {}
+func (PeerPanicked) event()       {}
 func (PoolOwnerExcluded) event()  {}
 func (MemberUnresponsive) event() {}
 func (PrimaryChanged) event()     {}
--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -82,6 +82,8 @@
 	slow
 	// refuseSessionState refuses session values and prepared statements.
 	refuseSessionState
+	// panicking panics in the code that reads the answer.
+	panicking
 )
 
 const slowServerDelay = 300 * time.Millisecond
@@ -834,6 +836,8 @@
 	case !isForward:
 	case f == dropAnswers, f == dropCommitAnswers && isCommit:
 		return nil, port.Errorf(port.Unavailable, "the answer was lost")
+	case f == panicking:
+		panic("unexpected answer")
 	case f == slow:
 		sleep(slowServerDelay)
 	}
--- a/proxy/lending.go
+++ b/proxy/lending.go
@@ -49,6 +49,7 @@
 func (m *SessionManager) Lend(ctx context.Context, stream LoanStream) error {
 	m.sessions.Add(1)
 	defer m.sessions.Done()
+	defer m.Recover("instance")
 	req, err := stream.Receive()
 	if err != nil {
 		return err
@@ -84,15 +85,17 @@
 
 // serve runs the borrower's requests until the loan ends.
 func (c *lentConnection) serve(ctx context.Context, req LoanRequest) error {
+	// The connection is still acquired here only after a panic.
+	defer c.manager.release(c.acquired, false)
 	for {
 		results, err := c.manager.run(ctx, c.acquired, req.State, req.Steps...)
 		if err != nil {
-			c.manager.cfg.Dispatcher.Return(c.acquired.connection, false)
+			c.manager.release(c.acquired, false)
 			return c.stream.Send(failureResult(results, err))
 		}
 		isOver := c.acquired.state == statement.Idle
 		if isOver {
-			c.manager.cfg.Dispatcher.Return(c.acquired.connection, true)
+			c.manager.release(c.acquired, true)
 		}
 		if err := c.stream.Send(LoanAnswers{Answers: results}); err != nil || isOver {
 			if !isOver {
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -84,7 +84,7 @@
 			return lastResult
 		}
 		result, out := s.forward(ctx, conn, w)
-		s.manager.cfg.Dispatcher.Return(conn.connection, out.keepsConnection())
+		s.manager.release(conn, out.keepsConnection())
 		switch out {
 		case outcomeFinal:
 			return result.WithState(statement.Idle)
@@ -246,11 +246,12 @@
 	owner, _ := grant.Connection.owner()
 	s.server, s.owner, s.attempts = grant.Connection.Endpoint.Server, owner.Name, s.attempts+1
 	conn := &acquiredConnection{connection: grant.Connection, choice: grant.Choice, overdueAfter: grant.OverdueAfter}
+	s.lastAcquired = conn
 	if primary, term, ok := s.manager.cfg.Views.Primary(w.route.Group); ok && primary == grant.Connection.Endpoint.Server {
 		conn.asPrimary, conn.term = true, term
 	}
 	if grant.Choice.MinPosition.IsZero() && !conn.asPrimary {
-		s.manager.cfg.Dispatcher.Return(grant.Connection, true)
+		s.manager.release(conn, true)
 		return nil, port.Errorf(port.NoPrimary, "the primary of group %s was replaced", w.route.Group)
 	}
 	return conn, nil
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -44,6 +44,8 @@
 	owner    string
 	attempts int
 	tx       *transaction
+	// lastAcquired is the connection that was acquired last.
+	lastAcquired *acquiredConnection
 }
 
 // transaction is a client's open transaction.
@@ -68,6 +70,8 @@
 	state statement.TransactionState
 	// used is true once steps have been run.
 	used bool
+	// released is true once the connection was returned or its rollback has begun.
+	released bool
 	// overdueAfter is the time after which a missing answer counts as lost; zero for connections of other instances'
 	// pools.
 	overdueAfter time.Duration
@@ -91,6 +95,7 @@
 
 func (s *Session) run(ctx context.Context) {
 	defer s.client.Close()
+	defer s.releaseLast()
 	defer s.abortTransaction()
 	for {
 		req, err := s.receive(ctx)
@@ -241,6 +246,13 @@
 	s.tx = nil
 }
 
+// releaseLast releases the connection that a panic left acquired.
+func (s *Session) releaseLast() {
+	if s.lastAcquired != nil {
+		s.manager.release(s.lastAcquired, false)
+	}
+}
+
 // failTransaction puts the transaction into the failed state and releases its connection.
 func (s *Session) failTransaction() {
 	s.abortTransaction()
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -98,9 +98,17 @@
 func (m *SessionManager) Serve(ctx context.Context, c ClientConn, a organisation.Allowed) {
 	m.sessions.Add(1)
 	defer m.sessions.Done()
+	defer m.Recover("client")
 	NewSession(m, c, a).Run(ctx)
 }
 
+// Recover is RecoverPeer with the manager's recorder.
+func (m *SessionManager) Recover(peer string) {
+	if r := recover(); r != nil {
+		m.cfg.Recorder.Record(NewPeerPanicked(peer, r))
+	}
+}
+
 // CloseIdleSessions closes each present session as soon as it has no transaction, so that its client connects to
 // another instance.
 func (m *SessionManager) CloseIdleSessions() {
@@ -223,18 +231,27 @@
 // rollback rolls back the transaction in the background and releases the connection.
 func (m *SessionManager) rollback(conn *acquiredConnection) {
 	if conn.state == statement.Idle {
-		m.cfg.Dispatcher.Return(conn.connection, true)
+		m.release(conn, true)
 		return
 	}
+	conn.released = true
 	task := &rollbackTask{manager: m, acquired: conn}
 	m.rollbacks.Add(1)
 	go task.run()
 }
 
+// release returns the connection to the dispatcher, unless that was done before.
+func (m *SessionManager) release(conn *acquiredConnection, usable bool) {
+	if !conn.released {
+		conn.released = true
+		m.cfg.Dispatcher.Return(conn.connection, usable)
+	}
+}
+
 // releaseAfter releases a connection whose last statement had the given outcome.
 func (m *SessionManager) releaseAfter(conn *acquiredConnection, out outcome) {
 	if !out.keepsConnection() {
-		m.cfg.Dispatcher.Return(conn.connection, false)
+		m.release(conn, false)
 		return
 	}
 	m.rollback(conn)
@@ -248,10 +265,13 @@
 
 func (t *rollbackTask) run() {
 	defer t.manager.rollbacks.Done()
+	usable := false
+	defer func() { t.manager.cfg.Dispatcher.Return(t.acquired.connection, usable) }()
+	defer t.manager.Recover("server")
 	ctx, cancel := port.WithTimeout(context.Background(), t.manager.cfg.Timer, rollbackTimeout)
 	defer cancel()
 	_, err := t.manager.run(ctx, t.acquired, statement.SessionState{}, statement.Step{Command: statement.RollbackTransaction{}})
-	t.manager.cfg.Dispatcher.Return(t.acquired.connection, err == nil && t.acquired.state == statement.Idle)
+	usable = err == nil && t.acquired.state == statement.Idle
 }
 
 // isStillPrimary reports whether the connection's server is still the primary in the term in which it was acquired. It
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -209,3 +209,37 @@
 		require.True(t, views.IsPrimary(testGroup, "s2", group.Term(4)))
 	})
 }
+
+// Guards against one unexpected answer that ends the process, or that leaves a connection acquired for good.
+func TestPanicEndsOneSession(t *testing.T) {
+	write, read := statement.Write{Text: "WRITE a 1"}, statement.Read{Text: "READ a"}
+	for _, c := range []struct {
+		name       string
+		statements []statement.Statement
+	}{
+		{"single write", []statement.Statement{write}},
+		{"first statement of a transaction", []statement.Statement{statement.Begin{}, write}},
+		{"read", []statement.Statement{read}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withCluster(t, 2, func(w *cluster) {
+				for _, server := range []string{"s1", "s2", "s3"} {
+					w.setFault(server, panicking)
+				}
+				client := &fakeClient{}
+				for _, stmt := range c.statements {
+					client.requests = append(client.requests, request(stmt))
+				}
+				w.instance("front-0").serve(client)
+				sleep(5 * time.Second)
+				for _, server := range []string{"s1", "s2", "s3"} {
+					w.setFault(server, 0)
+					for _, name := range []string{"front-0", "front-1"} {
+						require.Zero(t, w.instance(name).dispatcher.Outstanding(server), "%s at %s", server, name)
+					}
+				}
+				requireSuccess(t, w.send("front-0", write)[0])
+			})
+		})
+	}
+}
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -138,7 +138,7 @@
 	for {
 		results, err := s.manager.run(ctx, conn, s.sessionState, statement.Step{Command: statement.Forward{Request: w.req}})
 		if err != nil {
-			s.manager.cfg.Dispatcher.Return(conn.connection, false)
+			s.manager.release(conn, false)
 			if !s.tx.wrote {
 				return statement.FailureResult(port.NotKept, "the server did not answer the commit; the transaction wrote nothing", statement.Idle)
 			}
@@ -163,7 +163,7 @@
 // confirmCommit confirms a commit. A write is confirmed only if the server was still the primary when the answer
 // arrived.
 func (s *Session) confirmCommit(ctx context.Context, conn *acquiredConnection, result statement.Result) statement.Result {
-	s.manager.cfg.Dispatcher.Return(conn.connection, true)
+	s.manager.release(conn, true)
 	if conn.asPrimary && !s.manager.isStillPrimary(ctx, conn) {
 		if s.tx.wrote {
 			return statement.FailureResult(port.UnknownOutcome, "the primary was replaced while it ran the commit", statement.Idle)
