--- a/adapter/peer/client.go
+++ b/adapter/peer/client.go
@@ -37,7 +37,7 @@
 	}
 	transport := &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxConnsPerHost:        MaxAttestations,
+		MaxConnsPerHost:        maxConnsPerInstance,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		IdleConnTimeout:        idleTimeout,
 		Protocols:              protocols((*http.Protocols).SetUnencryptedHTTP2),
--- a/adapter/peer/peer.go
+++ b/adapter/peer/peer.go
@@ -16,6 +16,9 @@
 const (
 	// MaxMessageSize limits a message in bytes. It has room for the largest document and the other fields.
 	MaxMessageSize = document.MaxSize + 64<<10
+	// maxConnsPerInstance limits the connections to one other instance. Calls share HTTP/2 connections, so that one is
+	// usual; further ones are opened when all streams of the others are in use.
+	maxConnsPerInstance = 16
 	// MaxAttestations limits the attestations in a response. In two years there will be 16 data centres.
 	MaxAttestations = 256
 	// MaxConcurrentCalls limits the calls that an instance handles at the same time. In two years a relay will have about
--- a/group/primary_loss.go
+++ b/group/primary_loss.go
@@ -14,7 +14,7 @@
 	lacking := 0
 	for _, member := range v.members {
 		o, ok := v.observations[member.Name]
-		if !ok || now-o.RequestedAt > MaxObservationAge {
+		if !ok || now-o.RequestedAt > MaxVoteAge {
 			continue
 		}
 		if isNew && o.Status.Promised <= highest {
@@ -38,7 +38,7 @@
 	}
 	silent := 0
 	for _, o := range v.observations {
-		fresh := now-o.RequestedAt <= MaxObservationAge
+		fresh := now-o.RequestedAt <= MaxVoteAge
 		if fresh && o.Status.Role == Replica && o.Status.PrimarySilence >= PrimaryFailureTimeout/2 {
 			silent++
 		}
@@ -55,7 +55,7 @@
 	remaining := 0
 	for _, member := range v.members {
 		o, seen := v.observations[member.Name]
-		if seen && !member.Draining && now-o.RequestedAt <= MaxObservationAge && !o.fenced() && !o.Status.Last().IsZero() {
+		if seen && !member.Draining && now-o.RequestedAt <= MaxVoteAge && !o.fenced() && !o.Status.Last().IsZero() {
 			remaining++
 		}
 	}
--- a/group/view.go
+++ b/group/view.go
@@ -19,9 +19,9 @@
 	stateSince time.Duration
 }
 
-// MaxObservationAge is the maximum age of an answer that counts as a vote against the primary. An observer that was
+// MaxVoteAge is the maximum age of an answer that counts as a vote against the primary. An observer that was
 // partitioned must not act on earlier observations.
-const MaxObservationAge = 2 * time.Second
+const MaxVoteAge = 2 * time.Second
 
 // fenced reports whether the server has promised a term that it does not follow yet, so that it accepts no entries.
 func (o Observation) fenced() bool { return o.Status.Promised > o.Status.Followed }
--- a/session/selection.go
+++ b/session/selection.go
@@ -8,9 +8,9 @@
 	"github.com/rhubarbwick/rhubarbwick/group"
 )
 
-// MaxObservationAge is the maximum age of a server's last status for it to be selected for reads. Servers that no
+// MaxReadStatusAge is the maximum age of a server's last status for it to be selected for reads. Servers that no
 // longer respond are not selected.
-const MaxObservationAge = 2500 * time.Millisecond
+const MaxReadStatusAge = 2500 * time.Millisecond
 
 // MaxPrimaryObservationAge is the maximum age of the primary's last status for a write to be sent to it. It is slightly
 // longer than the status period of an instance that does not watch the group, so that a write rarely waits for a
@@ -136,14 +136,14 @@
 	return slices.ContainsFunc(v.Members(), func(m group.Member) bool {
 		o, ok := v.Observation(m.Name)
 		age := now - o.RequestedAt
-		return ok && !m.Draining && o.Status.Role == group.Replica && age > RefreshAge && age <= MaxObservationAge
+		return ok && !m.Draining && o.Status.Role == group.Replica && age > RefreshAge && age <= MaxReadStatusAge
 	})
 }
 
 // isEligible reports whether the member can serve a read that has to see floor.
 func isEligible(r Request, v group.View, m group.Member, floor group.Position, now time.Duration) bool {
 	o, ok := v.Observation(m.Name)
-	if !ok || m.Draining || now-o.RequestedAt > MaxObservationAge || !o.Status.History.Contains(floor) {
+	if !ok || m.Draining || now-o.RequestedAt > MaxReadStatusAge || !o.Status.History.Contains(floor) {
 		return false
 	}
 	if r.hasReadPosition || r.AcceptedAge == 0 {
--- a/standin/database/group.go
+++ b/standin/database/group.go
@@ -84,7 +84,7 @@
 	}
 	s.applied = len(s.log)
 	for _, replica := range g.servers {
-		if replica != s && replica.running && !replica.primary && !replica.replicationPaused {
+		if replica != s && replica.running && !replica.primary {
 			replica.log = append(replica.log[:0:0], s.log...)
 			replica.term = s.term
 			end := len(s.log)
--- a/standin/database/server.go
+++ b/standin/database/server.go
@@ -15,14 +15,13 @@
 	group *Group
 
 	// The fields below are protected by the group's lock.
-	listener          net.Listener
-	running           bool
-	primary           bool
-	replicationPaused bool
-	term              uint64
-	log               []Write
-	applied           int
-	conns             map[net.Conn]bool
+	listener net.Listener
+	running  bool
+	primary  bool
+	term     uint64
+	log      []Write
+	applied  int
+	conns    map[net.Conn]bool
 	// executions counts the executions of each query by its id.
 	executions map[string]int
 }
