Let running statements of transactions finish at a planned stop

Cause: after half of the grace period the process cancelled all sessions, also those with a statement at a server, and the client got no answer. Loans ended in the same way, so the borrower's client was told that the outcome was unknown. Change: after that time a transaction or loan ends as soon as none of its statements is running; statements have until 0.8 of the grace period. A commit that was not sent is reported as not kept. A loan request that waits for a connection counts as running. Result: TestDrainAnswersRunningStatements; on the former code the transaction stays open and its session does not end.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -21,8 +21,10 @@
 const (
 	// heapFraction is the fraction of the machine's memory that the Go runtime uses as its soft limit.
 	heapFraction = 0.6
-	// drainFraction is the fraction of the time between SIGTERM and SIGKILL in which open transactions may end.
-	drainFraction = 0.5
+	// transactionsFraction is the fraction of the time between SIGTERM and SIGKILL in which open transactions may end, and
+	// statementsFraction that in which statements that are running then may end. The rest is left for deregistration.
+	transactionsFraction = 0.5
+	statementsFraction   = 0.8
 	// deregisterTimeout limits the update of the instance's record when it stops.
 	deregisterTimeout = 500 * time.Millisecond
 )
@@ -204,8 +206,9 @@
 	p.log.Info("instance: stopping")
 	p.gate.Close()
 	p.listener.Close()
-	stopCtx, cancel := context.WithTimeout(context.Background(), time.Duration(drainFraction*float64(p.drainTimeout.Load())))
-	p.sessions.Drain(stopCtx)
+	timeout := float64(p.drainTimeout.Load())
+	stopCtx, cancel := context.WithTimeout(context.Background(), time.Duration(statementsFraction*timeout))
+	p.sessions.Drain(stopCtx, time.Duration(transactionsFraction*timeout))
 	cancel()
 	p.peerService.Stop()
 	stopCtx, cancel = context.WithTimeout(context.Background(), deregisterTimeout)
--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -393,7 +393,9 @@
 // serve runs a client's session to its end.
 func (i *testInstance) serve(c *fakeClient) { i.serveFor(c, testOrganisation) }
 
-func (i *testInstance) serveFor(c *fakeClient, name string) {
+func (i *testInstance) serveFor(c *fakeClient, name string) { i.serveClient(c, name) }
+
+func (i *testInstance) serveClient(c proxy.ClientConn, name string) {
 	index, _ := i.state.CurrentDocument()
 	route, _ := index.FindRoute("orders")
 	route.Open = true
--- a/proxy/lending.go
+++ b/proxy/lending.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
 	"github.com/rhubarbwick/rhubarbwick/port"
@@ -57,11 +58,15 @@
 	if m.draining.Err() != nil {
 		return stream.Send(LoanRefusal{Kind: port.Stopping, Text: "the instance is stopping", OwnerUnavailable: true})
 	}
+	// The first request counts as active from here on, also while it waits for a connection.
+	m.activeRequests.Add(1)
+	endFirst := sync.OnceFunc(func() { m.activeRequests.Add(-1) })
+	defer endFirst()
 	conn, err := m.acquireLent(ctx, req.Terms)
 	if err != nil {
 		return stream.Send(LoanRefusal{Kind: port.KindOf(err), Text: err.Error()})
 	}
-	c := &lentConnection{manager: m, acquired: conn, stream: stream}
+	c := &lentConnection{manager: m, acquired: conn, stream: stream, endFirst: endFirst}
 	return c.serve(ctx, req)
 }
 
@@ -81,33 +86,49 @@
 	manager  *SessionManager
 	acquired *acquiredConnection
 	stream   LoanStream
+	// endFirst is called when the first request was answered.
+	endFirst func()
 }
 
-// serve runs the borrower's requests until the loan ends.
+// serve runs the borrower's requests until the loan ends. Once transactions must end, it refuses further requests.
 func (c *lentConnection) serve(ctx context.Context, req LoanRequest) error {
 	// The connection is still acquired here only after a panic.
 	defer c.manager.release(c.acquired, false)
 	for {
-		results, err := c.manager.run(ctx, c.acquired, req.State, req.Steps...)
-		if err != nil {
-			c.manager.release(c.acquired, false)
-			return c.stream.Send(failureResult(results, err))
-		}
-		isOver := c.acquired.state == statement.Idle
-		if isOver {
-			c.manager.release(c.acquired, true)
-		}
-		if err := c.stream.Send(LoanAnswers{Answers: results}); err != nil || isOver {
-			if !isOver {
-				c.manager.rollback(c.acquired)
-			}
+		isOver, err := c.answer(ctx, req)
+		c.endFirst()
+		if isOver || err != nil {
 			return err
 		}
 		if req, err = c.stream.Receive(); err != nil {
 			c.manager.rollback(c.acquired)
 			return nil //nolint:nilerr // The borrower may end its loan at any time.
 		}
+		if c.manager.ending.Err() != nil {
+			c.manager.rollback(c.acquired)
+			return c.stream.Send(LoanRefusal{Kind: port.Stopping, Text: "the instance is stopping", OwnerUnavailable: true})
+		}
+	}
+}
+
+// answer runs one request and sends its result. It reports whether the loan is over.
+func (c *lentConnection) answer(ctx context.Context, req LoanRequest) (isOver bool, err error) {
+	c.manager.activeRequests.Add(1)
+	defer c.manager.activeRequests.Add(-1)
+	results, err := c.manager.run(ctx, c.acquired, req.State, req.Steps...)
+	if err != nil {
+		c.manager.release(c.acquired, false)
+		return true, c.stream.Send(failureResult(results, err))
+	}
+	isOver = c.acquired.state == statement.Idle
+	if isOver {
+		c.manager.release(c.acquired, true)
+	}
+	err = c.stream.Send(LoanAnswers{Answers: results})
+	if err != nil && !isOver {
+		c.manager.rollback(c.acquired)
 	}
+	return isOver, err
 }
 
 func failureResult(results []statement.Result, err error) LoanResult {
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -106,7 +106,7 @@
 		case err != nil:
 			return
 		default:
-			err = s.client.Reply(s.answer(ctx, req))
+			err = s.answer(ctx, req)
 		}
 		if err != nil {
 			return
@@ -131,10 +131,12 @@
 		stop := s.manager.cfg.Timer.After(isolatedIdleTimeout, func(time.Duration) { cancel(errStopping) })
 		defer stop()
 	}
+	closing := s.manager.ending
 	if s.tx == nil {
-		stop := context.AfterFunc(s.closing, func() { cancel(errStopping) })
-		defer stop()
+		closing = s.closing
 	}
+	stop := context.AfterFunc(closing, func() { cancel(errStopping) })
+	defer stop()
 	req, err := s.client.Receive(waitCtx)
 	if err != nil && errors.Is(context.Cause(waitCtx), errIdle) && ctx.Err() == nil {
 		s.failTransaction()
@@ -159,13 +161,15 @@
 	}
 }
 
-// answer answers a request and records the result.
-func (s *Session) answer(ctx context.Context, req statement.Request) statement.Result {
+// answer answers a request and records the result. It fails if the client cannot be reached.
+func (s *Session) answer(ctx context.Context, req statement.Request) error {
+	s.manager.activeRequests.Add(1)
+	defer s.manager.activeRequests.Add(-1)
 	start := s.manager.cfg.Timer.Now()
 	s.server, s.owner, s.attempts = "", "", 0
 	a := s.handle(ctx, req)
 	s.manager.record(s, req, a, start)
-	return a
+	return s.client.Reply(a)
 }
 
 // handle answers a request.
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/document"
@@ -58,6 +59,11 @@
 	cfg      SessionManagerConfig
 	draining context.Context
 	drain    context.CancelFunc
+	// ending ends when transactions that are idle must end as well.
+	ending          context.Context
+	endTransactions context.CancelFunc
+	// activeRequests counts the requests of clients and of other instances that have not been answered.
+	activeRequests atomic.Int64
 
 	mu sync.Mutex
 	// closing ends when the present sessions must close as soon as they have no transaction.
@@ -77,8 +83,12 @@
 		cfg.DocumentAge = func() time.Duration { return 0 }
 	}
 	draining, drain := context.WithCancel(context.Background())
+	ending, endTransactions := context.WithCancel(context.Background())
 	closing, closeSessions := context.WithCancel(draining)
-	return &SessionManager{cfg: cfg, draining: draining, drain: drain, closing: closing, closeSessions: closeSessions}
+	return &SessionManager{
+		cfg: cfg, draining: draining, drain: drain, ending: ending, endTransactions: endTransactions,
+		closing: closing, closeSessions: closeSessions,
+	}
 }
 
 // Authorize authorizes a client that requests a route and presents a key.
@@ -125,14 +135,23 @@
 	return m.closing
 }
 
-// Drain closes each session as soon as it has no transaction. It returns when all have ended or ctx ends.
-func (m *SessionManager) Drain(ctx context.Context) {
+// Drain closes each session as soon as it has no transaction. After the given time, it also ends each transaction and
+// each loan as soon as no statement of it is running. It returns when all sessions have ended, when no statement is
+// running after that time, or when ctx ends.
+func (m *SessionManager) Drain(ctx context.Context, transactions time.Duration) {
 	m.drain()
 	done := make(chan struct{})
 	go m.runDrain(done)
+	stop := m.cfg.Timer.After(transactions, func(time.Duration) { m.endTransactions() })
+	defer stop()
 	select {
 	case <-done:
+		return
+	case <-m.ending.Done():
 	case <-ctx.Done():
+		return
+	}
+	for m.activeRequests.Load() > 0 && port.Sleep(ctx, m.cfg.Timer, drainCheckInterval) == nil {
 	}
 }
 
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -243,3 +244,68 @@
 		})
 	}
 }
+
+// Guards against a planned stop that cuts off a statement of a transaction when the time for transactions is over, and
+// against one that waits for a client which keeps its transaction open.
+func TestDrainAnswersRunningStatements(t *testing.T) {
+	const transactions = 100 * time.Millisecond
+	write := statement.Write{Text: "WRITE a 1"}
+	for _, instance := range []string{"front-0", "front-1"} {
+		t.Run("transaction at "+instance, func(t *testing.T) {
+			withCluster(t, 2, func(w *cluster) {
+				w.setFault("s1", slow)
+				client := &blockingClient{requests: make(chan statement.Request, 2), answers: make(chan statement.Result, 2)}
+				ended := make(chan struct{})
+				go client.run(w.instance(instance), ended)
+				client.requests <- request(statement.Begin{})
+				<-client.answers
+				client.requests <- request(write)
+				sleep(slowServerDelay / 3)
+				start := time.Now()
+				for _, name := range []string{"front-0", "front-1"} {
+					ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+					w.instance(name).manager.Drain(ctx, transactions)
+					cancel()
+				}
+				requireSuccess(t, <-client.answers)
+				<-ended
+				require.Less(t, time.Since(start), time.Second)
+				// The transaction is rolled back in the background.
+				sleep(time.Second)
+			})
+		})
+	}
+}
+
+// blockingClient sends the requests that it is given and waits for more until its session ends.
+type blockingClient struct {
+	requests chan statement.Request
+	answers  chan statement.Result
+}
+
+func (c *blockingClient) run(i *testInstance, ended chan<- struct{}) {
+	defer close(ended)
+	i.serveClient(c, testOrganisation)
+}
+
+// Receive returns the next request.
+func (c *blockingClient) Receive(ctx context.Context) (statement.Request, error) {
+	select {
+	case r := <-c.requests:
+		return r, nil
+	case <-ctx.Done():
+		return statement.Request{}, context.Cause(ctx)
+	}
+}
+
+// HasBufferedRequest reports that no request is buffered.
+func (c *blockingClient) HasBufferedRequest() bool { return false }
+
+// Reply delivers an answer.
+func (c *blockingClient) Reply(a statement.Result) error {
+	c.answers <- a
+	return nil
+}
+
+// Close does nothing.
+func (c *blockingClient) Close() {}
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/statement"
@@ -139,6 +140,10 @@
 		results, err := s.manager.run(ctx, conn, s.sessionState, statement.Step{Command: statement.Forward{Request: w.req}})
 		if err != nil {
 			s.manager.release(conn, false)
+			var notSent *NotSentError
+			if errors.As(err, &notSent) {
+				return statement.FailureResult(port.NotKept, "the commit was not sent to the server", statement.Idle)
+			}
 			if !s.tx.wrote {
 				return statement.FailureResult(port.NotKept, "the server did not answer the commit; the transaction wrote nothing", statement.Idle)
 			}
