Divide pools by the processor time that each pool leaves

Cause: owners were chosen by weighted hashing. Change: a host takes another pool only while no other one would have more processor time for it. Rendezvous hashing chooses which, so that few pools move when an instance or server leaves.

--- a/proxy/dispatcher_owners.go
+++ b/proxy/dispatcher_owners.go
@@ -22,7 +22,6 @@
 	if d.cfg.RemotePools == nil {
 		return Member{}, false
 	}
-	s.ownership = s.ownership.withMembers(d.members, s.server.Listing)
 	return s.ownership.remoteOwner(d.cfg.Self.Incarnation, d.unreachableOwners, now)
 }
 
@@ -38,6 +37,15 @@
 func (d *Dispatcher) updateMembers() {
 	if records, known := d.cfg.Members(); known && records.Version() != d.members.version {
 		d.members = newPoolMembers(records)
+		d.updateOwners()
+	}
+}
+
+// updateOwners updates the owners of all pools after the members or the servers have changed.
+func (d *Dispatcher) updateOwners() {
+	owners := d.members.owners(d.servers)
+	for name, s := range d.servers {
+		s.ownership = s.ownership.withOwners(owners[name])
 	}
 }
 
--- a/proxy/dispatcher_waiters.go
+++ b/proxy/dispatcher_waiters.go
@@ -219,7 +219,6 @@
 	if limit == 0 {
 		limit = defaultConnectionLimit
 	}
-	s.ownership = s.ownership.withMembers(d.members, s.server.Listing)
 	share := int(float64(limit) * s.ownership.connectionFraction(d.cfg.Self.Incarnation, d.unreachableOwners, now, len(d.members.all)))
 	if now < s.reducedUntil {
 		share = min(share, s.reducedLimit)
--- a/proxy/ownership.go
+++ b/proxy/ownership.go
@@ -40,6 +40,21 @@
 	return m
 }
 
+// owners returns the owners of each server's pool.
+func (m poolMembers) owners(servers map[string]*serverState) map[string][]Member {
+	pools := make([]dispatch.PoolServer, 0, len(servers))
+	for name, s := range servers {
+		pools = append(pools, dispatch.PoolServer{Name: name, DataCentre: s.server.Listing.DataCentre})
+	}
+	owners := make(map[string][]Member, len(servers))
+	for name, indices := range dispatch.Owners(pools, m.hosts) {
+		for _, i := range indices {
+			owners[name] = append(owners[name], m.all[i])
+		}
+	}
+	return owners
+}
+
 // exclusions maps an excluded name to the end of its exclusion. The zero value is empty.
 type exclusions map[string]time.Duration
 
@@ -59,21 +74,14 @@
 
 // ownership holds the owners of one server's pool. It is immutable; the zero value has no owners.
 type ownership struct {
-	owners  []Member
-	version uint64
+	owners []Member
 	// failed holds the incarnations of owners that did not reach the server.
 	failed exclusions
 }
 
-// withMembers returns the ownership for the given members.
-func (o ownership) withMembers(m poolMembers, l dispatch.Listing) ownership {
-	if o.version == m.version && o.owners != nil {
-		return o
-	}
-	o.version, o.owners = m.version, make([]Member, 0, len(m.all))
-	for _, i := range dispatch.Owners(l, m.hosts) {
-		o.owners = append(o.owners, m.all[i])
-	}
+// withOwners returns the ownership with other owners.
+func (o ownership) withOwners(owners []Member) ownership {
+	o.owners = owners
 	return o
 }
 
--- a/proxy/server_state.go
+++ b/proxy/server_state.go
@@ -105,6 +105,7 @@
 			d.lastResponses.Delete(name)
 		}
 	}
+	d.updateOwners()
 }
 
 // closeExcessIdle closes disconnected connections, and connections above the instance's share that have been unused for
