--- a/standin/database/group.go
+++ b/standin/database/group.go
@@ -17,6 +17,15 @@
 	Data   string
 }
 
+// Query is a query that a server has received.
+type Query struct {
+	Server string
+	// Organisation is the name that the connection was opened for.
+	Organisation string
+	ID           string
+	Text         string
+}
+
 // Group is a group of database servers. It is safe for concurrent use. Use NewGroup.
 type Group struct {
 	Name string
@@ -26,6 +35,10 @@
 	MaxConnections int
 	// OnRoleChange is called after the role of a server has changed.
 	OnRoleChange func(*Server)
+	// OnConnect and OnQuery are called for each accepted connection and each received query. They must not block or call
+	// the group.
+	OnConnect func(server, organisation string)
+	OnQuery   func(Query)
 
 	mu      sync.Mutex
 	servers []*Server
@@ -34,7 +47,7 @@
 
 // NewGroup returns a group without servers.
 func NewGroup(name string) *Group {
-	return &Group{Name: name, MaxConnections: 50, term: 1, OnRoleChange: func(*Server) {}}
+	return &Group{Name: name, MaxConnections: 50, term: 1, OnRoleChange: func(*Server) {}, OnConnect: func(string, string) {}, OnQuery: func(Query) {}}
 }
 
 // Servers returns a copy of the list of servers.
@@ -44,6 +57,13 @@
 	return append([]*Server(nil), g.servers...)
 }
 
+// Log returns a copy of the server's log.
+func (s *Server) Log() []Write {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return append([]Write(nil), s.log...)
+}
+
 // Promote makes the server the primary of the next term. It returns false if the server is not running.
 func (g *Group) Promote(id string) bool {
 	g.mu.Lock()
--- a/standin/database/server.go
+++ b/standin/database/server.go
@@ -84,13 +84,14 @@
 
 // connection is a client's connection to a server.
 type connection struct {
-	server   *Server
-	conn     net.Conn
-	prepared map[string]string
-	values   map[string]string
-	state    string
-	writes   []Write
-	readOnly bool
+	server       *Server
+	organisation string
+	conn         net.Conn
+	prepared     map[string]string
+	values       map[string]string
+	state        string
+	writes       []Write
+	readOnly     bool
 }
 
 func (c *connection) run() {
@@ -139,7 +140,8 @@
 		return false
 	}
 	s.conns[c.conn] = true
-	c.state = "I"
+	c.state, c.organisation = "I", fields[2]
+	s.group.OnConnect(s.ID, c.organisation)
 	_, err := c.conn.Write([]byte("READY I " + s.positionAt(s.applied) + "\r\n"))
 	return err == nil
 }
@@ -156,6 +158,7 @@
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
 	s.executions[id]++
+	s.group.OnQuery(Query{Server: s.ID, Organisation: c.organisation, ID: id, Text: query})
 	row, err := c.execute(query)
 	var code errorCode
 	if errors.As(err, &code) {
