Promote a draining replica that alone holds confirmed writes

With synchronous replicas, the only other copy could be on a draining server that was not even counted. Change: in an unplanned replacement, draining replicas are candidates and come after others that have received as much.

--- a/primacy/primacy_test.go
+++ b/primacy/primacy_test.go
@@ -153,6 +153,12 @@
 	t.Run("the most advanced log is first", func(t *testing.T) {
 		requireFirst(t, "c", primacy.Succession{Candidates: []primacy.Status{at("a", 1, 9), at("b", 2, 3), at("c", 2, 4)}, Replicas: 3})
 	})
+	t.Run("a draining server is preferred only if it has received more", func(t *testing.T) {
+		draining := at("a", 1, 9)
+		draining.Draining = true
+		requireFirst(t, "b", primacy.Succession{Candidates: []primacy.Status{draining, at("b", 1, 9)}, Replicas: 2})
+		requireFirst(t, "a", primacy.Succession{Candidates: []primacy.Status{at("b", 1, 8), draining}, Replicas: 2})
+	})
 	t.Run("nobody answered", func(t *testing.T) { requireIncomplete(t, primacy.Succession{Replicas: 2}) })
 	t.Run("without synchronous replicas one answer is enough", func(t *testing.T) {
 		requireFirst(t, "a", primacy.Succession{Candidates: []primacy.Status{at("a", 1, 1)}, Replicas: 2})
--- a/primacy/succession.go
+++ b/primacy/succession.go
@@ -15,6 +15,8 @@
 	Term      group.Term
 	// Received is the last position in the server's log.
 	Received group.Position
+	// Draining is true for a server that is about to leave.
+	Draining bool
 }
 
 // Succession is the input for the choice of a successor. A Succession is immutable.
@@ -27,11 +29,19 @@
 	Synchronous int
 }
 
-// Order returns the candidates in order of preference: the one with the most advanced log first. It reports false while
+// Order returns the candidates in order of preference: the one with the most advanced log first, and among equal ones
+// those that do not leave. A draining server that alone holds confirmed writes passes them on to its successor. It
+// reports false while
 // a confirmed write may exist only on replicas that did not answer.
 func (s Succession) Order() ([]Status, bool) {
 	ordered := slices.Clone(s.Candidates)
 	slices.SortFunc(ordered, func(a, b Status) int {
+		if a.Received == b.Received && a.Draining != b.Draining {
+			if a.Draining {
+				return 1
+			}
+			return -1
+		}
 		return cmp.Or(b.Received.Compare(a.Received), cmp.Compare(a.Server, b.Server))
 	})
 	unanswered := s.Replicas - len(s.Candidates)
--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -231,9 +231,12 @@
 			case s.listing.Name == oldPrimary:
 				oldPrimaryStatus = s.status
 				continue
-			case s.listing.Draining:
+			case s.listing.Draining && (r.planned || s.err != nil && r.group.SynchronousReplicas == 0):
+				// In a planned replacement the others receive everything that it has. One that does not respond is not
+				// waited for, unless it may hold the only other copy of a confirmed write.
 				continue
 			case s.err == nil:
+				s.status.Draining = s.listing.Draining
 				succession.Candidates = append(succession.Candidates, s.status)
 			}
 			succession.Replicas++
--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -60,6 +60,19 @@
 			requireOldPrimaryUnused(w)
 		})
 	})
+	t.Run("a draining replica that has received more is promoted", func(t *testing.T) {
+		withCluster(t, 6, func(w *cluster) {
+			w.updateListing("s2", true)
+			sleep(2 * time.Second)
+			w.setDown("s1", true)
+			w.suspect("s1")
+			w.waitFor(func() bool { return len(w.epochs()) > 0 })
+			w.mu.Lock()
+			first := w.promotions[0].server
+			w.mu.Unlock()
+			require.Equal(t, "s2", first)
+		})
+	})
 	t.Run("a primary that other instances reach is kept", func(t *testing.T) {
 		withCluster(t, 6, func(w *cluster) {
 			w.mu.Lock()
