Have the relays extend leases for their data centres

Cause: in an outage of the store every instance asked all others for extensions, several times a second: calls with the square of the number of instances. A round also waited for members that do not respond, longer than leases last. Change: the first relay of each data centre that responds extends, from records of 1.1 s; the others ask it at 1.3 s and extend themselves at 1.6 s only if that fails. A round ends at a majority. Relays are the instances with the most processor time. The stand-in gives a new server the log of its group.

--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -65,7 +65,9 @@
 	// exchanges counts the exchanges of cluster state, and stateTransfers those that transferred any.
 	exchanges      atomic.Int64
 	stateTransfers atomic.Int64
-	loans          atomic.Int64
+	// extensions counts the requests for lease extensions.
+	extensions atomic.Int64
+	loans      atomic.Int64
 }
 
 type promotionCall struct {
@@ -772,6 +774,7 @@
 
 // Extend calls the instance at the address.
 func (r *clusterClient) Extend(ctx context.Context, address string, versions map[string]port.Version) (bool, error) {
+	r.cluster.extensions.Add(1)
 	i, err := r.peer(ctx, address)
 	if err != nil {
 		return false, err
--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -385,6 +385,26 @@
 	require.Less(w.t, took, limit, "round %d", round)
 }
 
+// Guards against an outage of the store in which every instance asks every other one for extensions: with 195 instances,
+// 38,000 calls several times a second.
+func TestExtensionsGrowWithDataCentres(t *testing.T) {
+	const instances, dataCentres = 24, 3
+	withClusterIn(t, instances, dataCentres, func(w *cluster) {
+		sleep(primacy.MaxLeaseTTL + time.Second)
+		w.setStoreDown(true)
+		sleep(3 * time.Second)
+		before := w.extensions.Load()
+		for range 50 {
+			sleep(100 * time.Millisecond)
+			require.True(t, w.allUsePrimary("s1"), "leases are extended without a gap")
+		}
+		perSecond := float64(w.extensions.Load()-before) / 5
+		const roundsPerSecond = 1.5
+		require.Less(t, perSecond, roundsPerSecond*instances*dataCentres)
+		w.setStoreDown(false)
+	})
+}
+
 // Guards against instances that exchange the same state over and over after a new head has read it from the store under
 // another version.
 func TestExchangesSettle(t *testing.T) {
--- a/proxy/syncer.go
+++ b/proxy/syncer.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/instance"
@@ -27,9 +28,13 @@
 	headRelayKey = "head"
 	// relayExclusionTime is how long a relay that did not respond is excluded.
 	relayExclusionTime = 5 * time.Second
-	// extendRecordsAge is the age of the records above which an instance requests lease extensions. It is above the age
-	// that they reach while the store responds.
-	extendRecordsAge = 1400 * time.Millisecond
+	// extendRecordsAge is the age of the records above which a relay requests lease extensions. It is above the age that
+	// they reach while the store responds.
+	extendRecordsAge = 1100 * time.Millisecond
+	// followerAskRecordsAge is the age above which the other instances ask that relay for extended records, and
+	// followerExtendRecordsAge that above which they request extensions themselves.
+	followerAskRecordsAge    = 1300 * time.Millisecond
+	followerExtendRecordsAge = 1600 * time.Millisecond
 	// extendCheckInterval is how often that age is checked.
 	extendCheckInterval = 100 * time.Millisecond
 	// A data centre whose relay responds but has lost the store is not asked again for staleHeadTryTime times the number
@@ -78,11 +83,15 @@
 	// they have lost the store.
 	failed exclusions
 	stale  exclusions
-	// staleHeads holds the data centres whose relay has lost the store.
-	staleHeads  exclusions
-	cleaner     *cleaner
-	lastCleaned time.Duration
-	stopReading context.CancelFunc
+	// staleHeads holds the data centres whose relay has lost the store, and staleHeadRelays these relays.
+	staleHeads      exclusions
+	staleHeadRelays exclusions
+	cleaner         *cleaner
+	lastCleaned     time.Duration
+	stopReading     context.CancelFunc
+	// extendingRelay is the instance that requests lease extensions for its data centre: the first of the relays that
+	// respond, also if it has lost the store.
+	extendingRelay atomic.Pointer[Member]
 	// readingSince is when this instance began to read the store.
 	readingSince time.Duration
 	running      sync.WaitGroup
@@ -115,6 +124,8 @@
 		relay, found := c.relay(start)
 		isRelay := found && relay.Incarnation == c.cfg.Self.Incarnation
 		c.cfg.PeerService.SetRelay(isRelay)
+		first, _ := c.firstRelay(c.cfg.Self.DataCentre, func(m Member) bool { return c.isOtherExcluded(m, start) })
+		c.extendingRelay.Store(&first)
 		switch {
 		case isRelay:
 			c.runRelay(ctx, start)
@@ -193,7 +204,9 @@
 		if c.staleHeads.has(dataCentre, now) {
 			continue
 		}
-		relay, found := c.firstRelay(dataCentre, func(m Member) bool { return c.isExcluded(m, now) })
+		relay, found := c.firstRelay(dataCentre, func(m Member) bool {
+			return c.isExcluded(m, now) || c.staleHeadRelays.has(m.Incarnation, now)
+		})
 		if found && (best.Incarnation == "" || instance.RankOf(headRelayKey, dataCentre) > instance.RankOf(headRelayKey, best.DataCentre)) {
 			best = relay
 		}
@@ -251,7 +264,8 @@
 	return c.failed.has(m.Incarnation, now)
 }
 
-// rankedRelays returns the instances of a data centre in the order in which they become its relay.
+// rankedRelays returns the instances of a data centre in the order in which they become its relay: those with the most
+// processor time first, because a relay answers all others of its data centre.
 func (c *Syncer) rankedRelays(dataCentre string) []Member {
 	s, _ := c.cfg.State.Records()
 	var members []Member
@@ -261,7 +275,8 @@
 		}
 	}
 	slices.SortFunc(members, func(a, b Member) int {
-		return cmp.Compare(instance.RankOf(dataCentre, b.Incarnation), instance.RankOf(dataCentre, a.Incarnation))
+		return cmp.Or(cmp.Compare(b.Weight, a.Weight),
+			cmp.Compare(instance.RankOf(dataCentre, b.Incarnation), instance.RankOf(dataCentre, a.Incarnation)))
 	})
 	return members
 }
@@ -284,7 +299,7 @@
 		now := c.cfg.Timer.Now()
 		pause := max(minStaleHeadExclusion, staleHeadTryTime*time.Duration(len(c.dataCentres())))
 		c.staleHeads = c.staleHeads.with(relay.DataCentre, now, now+pause)
-		c.exclude(relay, staleRelayExclusionTime)
+		c.staleHeadRelays = c.staleHeadRelays.with(relay.Incarnation, now, now+staleRelayExclusionTime)
 		c.startReaders(ctx)
 	case fromRelay:
 		c.exclude(relay, relayExclusionTime)
@@ -322,10 +337,21 @@
 }
 
 // extend requests lease extensions from the other instances while neither this instance nor a relay can read the store.
+// The relays do so for their data centres: if every instance asked all others, an outage of the store would cost calls
+// with the square of their number.
 func (c *Syncer) extend(ctx context.Context) {
 	s, known := c.cfg.State.Records()
 	requestedAt := c.cfg.Timer.Now()
-	if !known || requestedAt-s.RequestedAt < extendRecordsAge {
+	limit := extendRecordsAge
+	if relay := c.extendingRelay.Load(); relay != nil && relay.Incarnation != c.cfg.Self.Incarnation {
+		limit = followerExtendRecordsAge
+		if age := requestedAt - s.RequestedAt; known && age >= followerAskRecordsAge && age < limit {
+			// If the relay does not respond, the extension is requested next time.
+			_, _ = c.exchange(ctx, *relay, 0)
+			return
+		}
+	}
+	if !known || requestedAt-s.RequestedAt < limit {
 		c.cfg.SetIsolated(false)
 		return
 	}
@@ -335,21 +361,21 @@
 	}
 	callCtx, cancel := port.WithTimeout(ctx, c.cfg.Timer, exchangeTimeout)
 	defer cancel()
+	majority := primacy.Majority(len(s.Members))
+	var agreeing atomic.Int64
 	responses := callMembers(callCtx, s.Members, func(ctx context.Context, m Member) (bool, error) {
-		return c.cfg.Peers.Extend(ctx, m.Address, versions)
-	})
-	agreeing := 0
-	for _, ok := range responses {
-		if ok {
-			agreeing++
+		ok, err := c.cfg.Peers.Extend(ctx, m.Address, versions)
+		if ok && err == nil && int(agreeing.Add(1)) >= majority {
+			// Members that do not respond would delay the extension until leases have expired.
+			cancel()
 		}
-	}
-	majority := primacy.Majority(len(s.Members))
-	if agreeing >= majority && requestedAt-s.ReadAt <= primacy.MaxLeaseTTL {
+		return ok, err
+	})
+	if int(agreeing.Load()) >= majority && requestedAt-s.ReadAt <= primacy.MaxLeaseTTL {
 		c.cfg.State.SetRecords(s.WithRequestedAt(requestedAt))
 	}
 	newest, _ := c.cfg.State.Records()
-	c.cfg.SetIsolated(len(responses) < majority && c.cfg.Timer.Now()-newest.RequestedAt >= extendRecordsAge)
+	c.cfg.SetIsolated(len(responses) < majority && c.cfg.Timer.Now()-newest.RequestedAt >= limit)
 }
 
 // exchange requests newer state from a relay and applies it.
--- a/standin/database/group.go
+++ b/standin/database/group.go
@@ -113,6 +113,15 @@
 	}
 }
 
+// transferLog gives a new server the newest log. It must be called with the lock held.
+func (g *Group) transferLog(s *Server) {
+	for _, other := range g.servers {
+		if len(other.log) > len(s.log) {
+			s.log, s.applied, s.term = append(other.log[:0:0], other.log...), len(other.log), other.term
+		}
+	}
+}
+
 func (g *Group) apply(s *Server, end int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/standin/database/server.go
+++ b/standin/database/server.go
@@ -37,6 +37,7 @@
 		ID: id, group: g, listener: listener, running: true, term: g.term, primary: len(g.servers) == 0,
 		conns: make(map[net.Conn]bool), executions: make(map[string]int),
 	}
+	g.transferLog(s)
 	g.servers = append(g.servers, s)
 	g.mu.Unlock()
 	go s.loop(listener)
