Contain panics of the PostgreSQL front end's clients

A panic while one client was served ended the process. It is now logged with its stack, and only that client's connection ends; its server connection is closed. TestPanicEndsOneClient ends the test process before.

--- a/adapter/postgres/client.go
+++ b/adapter/postgres/client.go
@@ -177,16 +177,21 @@
 
 // loop serves the client until it leaves or its connection is closed.
 func (c *client) loop() {
+	defer c.end()
 	for !c.finished {
 		e, err := c.events.Take(c.ctx)
 		if err != nil {
-			break
+			return
 		}
 		c.handle(e)
 		if c.events.Len() == 0 && !c.buffersResponse() {
 			c.flush()
 		}
 	}
+}
+
+// end releases what the client holds.
+func (c *client) end() {
 	if c.server != nil {
 		c.server.close()
 	}
--- a/adapter/postgres/failure_test.go
+++ b/adapter/postgres/failure_test.go
@@ -218,3 +218,15 @@
 	defer s.mu.Unlock()
 	s.awaitDurable = f
 }
+
+// Guards against one client whose statement causes a panic and that thereby ends the process with all other clients.
+func TestPanicEndsOneClient(t *testing.T) {
+	f, server := startOneServer(t)
+	unaffected, failing := f.connect("acme", "orders"), f.connect("other", "orders")
+	f.authorizer.setPanicFor("other")
+	require.Error(t, <-execute(failing, "insert 1"))
+	require.NoError(t, <-execute(unaffected, "insert 2"))
+	f.authorizer.setPanicFor("")
+	require.NoError(t, <-execute(f.connect("other", "orders"), "insert 3"))
+	require.Len(t, server.statements(), 2)
+}
--- a/adapter/postgres/fixture_test.go
+++ b/adapter/postgres/fixture_test.go
@@ -26,6 +26,8 @@
 	routes      map[string]document.Route
 	credentials []entry.Credentials
 	err         error
+	// panicFor is the organisation whose statements cause a panic.
+	panicFor string
 	// forwardRequests contains the requests of forwarded clients.
 	forwardRequests []entry.ForwardRequest
 }
@@ -50,6 +52,9 @@
 func (a *fakeAuthorizer) AuthorizeStatement(_ context.Context, c entry.Client) (entry.Client, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.panicFor != "" && c.Organisation == a.panicFor {
+		panic("unexpected statement")
+	}
 	return c, a.err
 }
 
@@ -57,6 +62,12 @@
 	return fmt.Sprintf("%s@%v", s.Organisation(), s.Floors())
 }
 
+func (a *fakeAuthorizer) setPanicFor(organisation string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.panicFor = organisation
+}
+
 func (a *fakeAuthorizer) setError(err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/adapter/postgres/listener.go
+++ b/adapter/postgres/listener.go
@@ -182,6 +182,7 @@
 func (l *Listener) run(ctx context.Context, conn net.Conn) {
 	defer l.running.Done()
 	defer l.removeConn(conn)
+	defer l.recoverClient()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	c, err := l.startClient(ctx, conn)
@@ -230,7 +231,20 @@
 
 func (l *Listener) runReader(c *client) {
 	defer l.running.Done()
+	// After a panic, loop ends with the context.
+	defer c.cancel(errReaderEnded)
+	defer l.recoverClient()
 	c.run()
+	<-c.ctx.Done()
+}
+
+var errReaderEnded = errors.New("the client's messages are no longer read")
+
+// recoverClient ends a panic of a goroutine that serves one client, and logs it. It must be deferred directly.
+func (l *Listener) recoverClient() {
+	if r := recover(); r != nil {
+		l.log.Error("serving a client failed unexpectedly", zap.Any("reason", r), zap.Stack("stack"))
+	}
 }
 
 // addClient registers the client under a unique process ID, for cancel requests and for Stop.
