Refuse what no server can run before it takes from the rate

Cause: a statement took an operation from its organisation's rate before a server was chosen. Change: while the primary of a group is not known, the dispatcher first says whether any server can run the operation.

--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -93,6 +93,8 @@
 	reply   *ring.Ring[grantResult]
 	// dialing is the server to which a connection is being opened for this waiter.
 	dialing string
+	// checkOnly is true if no connection is needed, only a server that can run the statement.
+	checkOnly bool
 }
 
 // AcquireRequest describes the connection that a transaction needs.
@@ -160,7 +162,11 @@
 // Acquire returns a connection to a suitable server. Its errors are of kind Busy, NoPrimary, Unavailable or Stopping;
 // no statement has run.
 func (d *Dispatcher) Acquire(ctx context.Context, req AcquireRequest) (Grant, error) {
-	w := &waiter{request: req, reply: ring.New[grantResult](1)}
+	return d.await(ctx, &waiter{request: req, reply: ring.New[grantResult](1)})
+}
+
+// await queues a waiter and returns its result.
+func (d *Dispatcher) await(ctx context.Context, w *waiter) (Grant, error) {
 	if err := d.commands.Put(ctx, acquireCommand{w}); err != nil {
 		return Grant{}, port.Wrapf(err, port.Stopping, "no connection was acquired for the statement")
 	}
@@ -172,6 +178,13 @@
 	return g.grant, g.err
 }
 
+// AwaitServer returns once a server can run the statement, whether or not a connection is free. Its errors are those of
+// Acquire.
+func (d *Dispatcher) AwaitServer(ctx context.Context, req AcquireRequest) error {
+	_, err := d.await(ctx, &waiter{request: req, reply: ring.New[grantResult](1), checkOnly: true})
+	return err
+}
+
 // Return releases a connection. An unusable connection is closed.
 func (d *Dispatcher) Return(c *Connection, usable bool) {
 	usable = usable && c.isUsable()
@@ -313,7 +326,7 @@
 // cancelWaiter removes a waiter. If it has been granted a connection in the meantime, the connection is released.
 func (d *Dispatcher) cancelWaiter(w *waiter) {
 	d.waiters = slices.DeleteFunc(d.waiters, func(other *waiter) bool { return other == w })
-	if g, ok := w.reply.TryTake(); ok && g.err == nil {
+	if g, ok := w.reply.TryTake(); ok && g.err == nil && !w.checkOnly {
 		d.release(g.grant.Connection, true, d.cfg.Timer.Now())
 	}
 }
--- a/proxy/dispatcher_waiters.go
+++ b/proxy/dispatcher_waiters.go
@@ -41,6 +41,10 @@
 	waited := now - w.arrived
 	switch choice := dispatch.Choose(w.request.Need, d.candidates(w, now), d.routingContext(w, now)).(type) {
 	case dispatch.ToServer:
+		if w.checkOnly {
+			w.reply.TryPut(grantResult{})
+			return true
+		}
 		if d.tryGrant(w, choice, now) {
 			return true
 		}
@@ -48,6 +52,10 @@
 		ahead[choice.Server]++
 		return d.rejectIfTooLate(w, choice.Server, before, waited)
 	case dispatch.NoConnection:
+		if w.checkOnly {
+			w.reply.TryPut(grantResult{})
+			return true
+		}
 		return d.rejectIfTooLate(w, "", 0, waited)
 	case dispatch.BeingReplaced:
 		w.reply.TryPut(grantResult{err: port.Errorf(port.NoPrimary, "the primary of group %s is being replaced", w.request.Group)})
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -53,7 +53,7 @@
 	if s.tx != nil {
 		return s.queryInTransaction(ctx, w)
 	}
-	route, failure := s.authorize(ctx)
+	route, failure := s.authorize(ctx, w.writes, false)
 	if !failure.IsZero() {
 		return statement.Result{Failure: failure}
 	}
@@ -220,24 +220,31 @@
 	return need
 }
 
-// acquire acquires a suitable connection for the statement.
-func (s *Session) acquire(ctx context.Context, w *pendingStatement, need dispatch.Need) (*acquiredConnection, error) {
-	target := w.route.TargetLatency()
+// acquireRequest returns the request for a connection for the first attempt of a statement on the route.
+func (s *Session) acquireRequest(route document.Route, need dispatch.Need) AcquireRequest {
+	target := route.TargetLatency()
 	if target == 0 {
 		target = defaultTimeout
 	}
-	now := s.manager.cfg.Timer.Now()
-	if w.placementDeadline == 0 {
-		w.placementDeadline = now + target/connectionWaitDivisor
-	}
 	req := AcquireRequest{
-		Group: w.route.Group, Organisation: s.authorized.Organisation, Need: need, Excluded: slices.Clone(w.excluded),
-		Priority: w.route.Priority, ConnectionWait: w.placementDeadline - now, ServerWait: target / serverWaitDivisor, Affinity: s.affinity,
+		Group: route.Group, Organisation: s.authorized.Organisation, Need: need, Priority: route.Priority,
+		ConnectionWait: target / connectionWaitDivisor, ServerWait: target / serverWaitDivisor, Affinity: s.affinity,
 	}
 	if s.manager.cfg.IsIsolated() {
 		// No new primary can become known until the isolation ends.
 		req.ServerWait = 0
 	}
+	return req
+}
+
+// acquire acquires a suitable connection for the statement.
+func (s *Session) acquire(ctx context.Context, w *pendingStatement, need dispatch.Need) (*acquiredConnection, error) {
+	now := s.manager.cfg.Timer.Now()
+	req := s.acquireRequest(w.route, need)
+	if w.placementDeadline == 0 {
+		w.placementDeadline = now + req.ConnectionWait
+	}
+	req.ConnectionWait, req.Excluded = w.placementDeadline-now, slices.Clone(w.excluded)
 	grant, err := s.manager.cfg.Dispatcher.Acquire(ctx, req)
 	if err != nil {
 		return nil, err
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -224,7 +224,7 @@
 	if s.tx != nil {
 		return statement.FailureResult(port.Protocol, "a transaction is already open", s.state())
 	}
-	route, refusal := s.authorize(ctx)
+	route, refusal := s.authorize(ctx, false, !stmt.ReadOnly)
 	if !refusal.IsZero() {
 		return statement.Result{Failure: refusal}
 	}
@@ -263,13 +263,21 @@
 	s.tx = &transaction{failed: true}
 }
 
-// authorize authorizes the client again by the document in force and takes one operation from the organisation's rate.
-func (s *Session) authorize(ctx context.Context) (document.Route, statement.Failure) {
+// authorize authorizes the client again by the document in force and takes one operation from the organisation's rate. An
+// operation that no server could run is refused before that: during an outage, repeated attempts would otherwise use up
+// the rate of operations that can run.
+func (s *Session) authorize(ctx context.Context, writes, plainTransaction bool) (document.Route, statement.Failure) {
 	allowed, failure := s.manager.reauthorize(s.authorized)
 	if !failure.IsZero() {
 		return document.Route{}, failure
 	}
 	s.authorized = allowed
+	if _, _, known := s.manager.cfg.Views.Primary(allowed.Route.Group); !known {
+		req := s.acquireRequest(allowed.Route, s.need(allowed.Route, writes, plainTransaction))
+		if err := s.manager.cfg.Dispatcher.AwaitServer(ctx, req); err != nil {
+			return document.Route{}, failureOf(err)
+		}
+	}
 	if err := s.manager.cfg.RateLimiter.Take(ctx, allowed.Organisation); err != nil {
 		return document.Route{}, failureOf(err)
 	}
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -309,3 +309,26 @@
 
 // Close does nothing.
 func (c *blockingClient) Close() {}
+
+// Guards against an outage in which refused attempts use up the rate of an organisation: in the incident of tilehue-ops, a
+// quarter of the refusals while a data centre was cut off were for exceeded rates.
+func TestRefusedOperationsKeepTheRate(t *testing.T) {
+	withCluster(t, 6, func(w *cluster) {
+		const burst = 6
+		limited := w.doc
+		limited.Revision++
+		limited.Organisations = []document.Organisation{{Name: testOrganisation, Rate: 0.1, Burst: burst}}
+		w.setDocument(limited)
+		w.waitFor(func() bool { return w.allHaveRevision(limited.Revision) })
+		w.setPartitioned(true, "front-0")
+		w.waitFor(func() bool { return !w.usesPrimary("front-0", "s1") })
+		for _, stmt := range []statement.Statement{statement.Write{Text: "WRITE a 1"}, statement.Begin{}} {
+			for range 2 * burst {
+				requireKind(t, port.NoPrimary, w.send("front-0", stmt)[0])
+			}
+		}
+		w.setPartitioned(false, "front-0")
+		w.waitFor(func() bool { return w.usesPrimary("front-0", "s1") })
+		requireSuccess(t, w.send("front-0", statement.Write{Text: "WRITE a 1"})[0])
+	})
+}
