Check suspected primaries side by side and report to one promoter in each data centre

Cause: an instance checked suspected servers one after the other, 0.6 s for each that does not answer; a data centre that fails takes the primaries of many groups with it. Change: each suspected server has a check of its own. Suspicions go to the first-ranked promoter, and then to the first-ranked instance of each other data centre until one responds; only these check.

--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -67,7 +67,9 @@
 	stateTransfers atomic.Int64
 	// extensions counts the requests for lease extensions.
 	extensions atomic.Int64
-	loans      atomic.Int64
+	// surveys counts the requests about a server.
+	surveys atomic.Int64
+	loans   atomic.Int64
 }
 
 type promotionCall struct {
@@ -95,12 +97,14 @@
 
 // fakeServer is a server that runs statements immediately.
 type fakeServer struct {
-	fault              fault
-	name               string
-	group              string
-	term               group.Term
-	primary            bool
-	down               bool
+	fault   fault
+	name    string
+	group   string
+	term    group.Term
+	primary bool
+	down    bool
+	// dark servers do not answer to new connections.
+	dark               bool
 	offset             uint64
 	refusesConnections bool
 	connections        int
@@ -784,6 +788,7 @@
 
 // Survey calls the instance at the address.
 func (r *clusterClient) Survey(ctx context.Context, address string, q proxy.SurveyRequest) (proxy.SurveyResponse, error) {
+	r.cluster.surveys.Add(1)
 	i, err := r.peer(ctx, address)
 	if err != nil {
 		return proxy.SurveyResponse{}, err
@@ -800,6 +805,12 @@
 	}
 	defer done()
 	s := r.cluster.servers[e.Server]
+	if s != nil && s.dark {
+		r.cluster.mu.Unlock()
+		<-ctx.Done()
+		r.cluster.mu.Lock()
+		return nil, statement.Result{}, port.Errorf(port.Unavailable, "no answer")
+	}
 	switch {
 	case s == nil || s.down || r.cluster.unreachable[r.name+"/"+e.Server]:
 		return nil, statement.Result{}, port.Errorf(port.Unavailable, "no server at this address")
--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -65,6 +67,8 @@
 
 	mu     sync.Mutex
 	active map[string]bool
+	// checking holds the suspected servers that are being checked.
+	checking map[string]bool
 
 	// The fields below are owned by loop.
 	pendingSince map[string]time.Duration
@@ -73,7 +77,7 @@
 // NewPromoter returns a promoter. Run starts it.
 func NewPromoter(cfg PromoterConfig) *Promoter {
 	cfg.Recorder = recorderOrNop(cfg.Recorder)
-	p := &Promoter{cfg: cfg, active: make(map[string]bool), pendingSince: make(map[string]time.Duration)}
+	p := &Promoter{cfg: cfg, active: make(map[string]bool), checking: make(map[string]bool), pendingSince: make(map[string]time.Duration)}
 	p.lock = newPromoterLockHolder(&p.cfg)
 	return p
 }
@@ -152,9 +156,36 @@
 	}
 }
 
-// handleSuspect checks whether a suspected server is a primary that must be replaced. Only the first-ranked instance
-// decides; the others report the suspicion to it.
+// handleSuspect starts a check of a suspected server unless one is running. Servers of several groups may fail at once,
+// and each check of an unresponsive one takes as long as a probe.
 func (p *Promoter) handleSuspect(ctx context.Context, server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.checking[server] {
+		return
+	}
+	p.checking[server] = true
+	c := &suspectCheck{promoter: p, server: server}
+	p.running.Go(func() { c.run(ctx) })
+}
+
+// suspectCheck checks one suspected server.
+type suspectCheck struct {
+	promoter *Promoter
+	server   string
+}
+
+func (c *suspectCheck) run(ctx context.Context) {
+	p := c.promoter
+	p.checkSuspect(ctx, c.server)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.checking, c.server)
+}
+
+// checkSuspect checks whether a suspected server is a primary that must be replaced. The first-ranked instance that
+// responds decides, and the others report the suspicion to it.
+func (p *Promoter) checkSuspect(ctx context.Context, server string) {
 	servers, _ := p.cfg.State.Servers()
 	l, listed := servers[server]
 	if !listed {
@@ -165,15 +196,7 @@
 		return
 	}
 	snapshot, _ := p.cfg.State.Records()
-	first, isSelf := p.firstPromoter(snapshot)
-	if !isSelf {
-		callCtx, cancel := port.WithTimeout(ctx, p.cfg.Timer, peerCallTimeout)
-		defer cancel()
-		if _, err := p.cfg.Peers.Survey(callCtx, first.Address, SurveyRequest{Server: server, Suspect: true}); err == nil {
-			return
-		}
-	}
-	if p.cfg.Timer.Now()-snapshot.RequestedAt > maxPromoterRecordsAge {
+	if !p.decides(ctx, snapshot, server) || p.cfg.Timer.Now()-snapshot.RequestedAt > maxPromoterRecordsAge {
 		return
 	}
 	if p.isReachable(ctx, snapshot, l) {
@@ -185,6 +208,22 @@
 	}
 }
 
+// decides reports a suspicion to the first promoter that responds, and returns true if that is this instance.
+func (p *Promoter) decides(ctx context.Context, s Snapshot, server string) bool {
+	for _, m := range p.promoters(s) {
+		if m.Incarnation == p.cfg.Self.Incarnation {
+			return true
+		}
+		callCtx, cancel := port.WithTimeout(ctx, p.cfg.Timer, peerCallTimeout)
+		_, err := p.cfg.Peers.Survey(callCtx, m.Address, SurveyRequest{Server: server, Suspect: true})
+		cancel()
+		if err == nil {
+			return false
+		}
+	}
+	return false
+}
+
 // replace starts a replacement unless this instance is already carrying one out for the group.
 func (p *Promoter) replace(ctx context.Context, g document.Group, reason string) {
 	p.mu.Lock()
@@ -250,16 +289,19 @@
 	return p.cfg.Records.Put(callCtx, primacyPrefix+r.Group, data, expected)
 }
 
-// firstPromoter returns the instance that replaces primaries and whether it is this one: the holder of the promoter
-// lock while it is alive, otherwise the first-ranked instance.
-func (p *Promoter) firstPromoter(s Snapshot) (Member, bool) {
-	best := p.cfg.Self
+// promoters returns the instances that may replace primaries, in order: the holder of the promoter lock or the
+// first-ranked instance, and the first-ranked one of each other data centre. If all instances took over when the first
+// one does not respond, a data centre that is cut off would cost calls with the square of the instances.
+func (p *Promoter) promoters(s Snapshot) []Member {
+	first := map[string]Member{p.cfg.Self.DataCentre: p.cfg.Self}
 	for _, m := range s.Members {
-		if p.memberRank(s, m) > p.memberRank(s, best) {
-			best = m
+		if best, found := first[m.DataCentre]; !found || p.memberRank(s, m) > p.memberRank(s, best) {
+			first[m.DataCentre] = m
 		}
 	}
-	return best, best.Incarnation == p.cfg.Self.Incarnation
+	return slices.SortedFunc(maps.Values(first), func(a, b Member) int {
+		return cmp.Compare(p.memberRank(s, b), p.memberRank(s, a))
+	})
 }
 
 // rank returns the number of instances that precede this one in replacing primaries.
--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -385,6 +385,38 @@
 	require.Less(w.t, took, limit, "round %d", round)
 }
 
+// Guards against primaries that are replaced one after the other when a data centre fails with all of them, and against
+// every instance checking them when the first promoter has failed as well: at 195 instances, 38,000 calls for each primary.
+func TestPrimariesThatFailTogether(t *testing.T) {
+	const instances, dataCentres = 24, 3
+	withClusterIn(t, instances, dataCentres, func(w *cluster) {
+		sleep(primacy.MaxLeaseTTL + time.Second)
+		w.catchUpReplicas()
+		w.mu.Lock()
+		for _, name := range []string{"s1", "t1"} {
+			w.servers[name].dark, w.servers[name].down = true, true
+		}
+		w.mu.Unlock()
+		before := w.surveys.Load()
+		announced := func(groupName string) bool {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			record, err := primacy.ParseRecord(w.objects["primacy/"+groupName].Data)
+			return err == nil && record.Replacement != nil
+		}
+		for range 10 {
+			w.suspect("s1")
+			w.suspect("t1")
+			sleep(50 * time.Millisecond)
+		}
+		took := w.waitFor(func() bool { return announced(testGroup) && announced(secondGroup) })
+		require.Less(t, took, 300*time.Millisecond, "after the first half second; one probe takes 0.6 s")
+		const reports, checks = 10, 2
+		require.Less(t, w.surveys.Load()-before, int64(2*instances*(reports+checks)))
+		w.waitFor(func() bool { return w.allUsePrimary("s2") && w.allUsePrimary("t2") })
+	})
+}
+
 // Guards against an outage of the store in which every instance asks every other one for extensions: with 195 instances,
 // 38,000 calls several times a second.
 func TestExtensionsGrowWithDataCentres(t *testing.T) {
