Recognise the record of a former process as the own one

Cause: after a restart, an instance's first read of the records contains its former process. If that was the first relay, the instance followed itself and waited in its own exchange. Change: relays are ranked with the own incarnation in place of a former one.

--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -48,6 +48,8 @@
 	listedVersion port.Version
 	storeDown     bool
 	dataCentres   int
+	// weights holds the processor time of instances; zero for the others.
+	weights map[string]float64
 	// partitioned holds the instances that can be reached only by their clients.
 	partitioned map[string]bool
 	// storeRejects holds the instances whose calls the store rejects.
@@ -204,7 +206,7 @@
 
 func (w *cluster) start(name, dataCentre string) {
 	w.mu.Lock()
-	self := proxy.Member{Name: name, Incarnation: fmt.Sprintf("%s@%d", name, len(w.instances)+int(w.version)), Address: name, DataCentre: dataCentre}
+	self := proxy.Member{Name: name, Incarnation: fmt.Sprintf("%s@%d", name, len(w.instances)+int(w.version)), Address: name, DataCentre: dataCentre, Weight: w.weights[name]}
 	w.mu.Unlock()
 	ctx, stop := context.WithCancel(context.Background())
 	i := &testInstance{self: self, stop: stop, ended: make(chan struct{})}
--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -385,6 +385,31 @@
 	require.Less(w.t, took, limit, "round %d", round)
 }
 
+// Guards against a first relay that takes the record of its former process for another instance and follows itself, so
+// that its data centre gets the document late after a loss of power.
+func TestServesAfterLossOfPower(t *testing.T) {
+	for _, weights := range []map[string]float64{nil, {"front-0": 0.8, "front-1": 0.8}, {"front-7": 0.8, "front-10": 0.8}} {
+		t.Run(fmt.Sprint(weights), func(t *testing.T) {
+			withCluster(t, 12, func(w *cluster) {
+				restart := func() time.Duration {
+					names := w.names()
+					for _, name := range names {
+						w.kill(name)
+					}
+					w.weights = weights
+					for _, name := range names {
+						w.start(name, w.dataCentreOf(name))
+					}
+					return w.waitFor(func() bool { return w.allUsePrimary("s1") && w.allHaveRevision(w.doc.Revision) })
+				}
+				restart()
+				sleep(5 * time.Second)
+				require.Less(t, restart(), 150*time.Millisecond, "half of the time that a relay may hold an exchange")
+			})
+		})
+	}
+}
+
 // Guards against primaries that are replaced one after the other when a data centre fails with all of them, and against
 // every instance checking them when the first promoter has failed as well: at 195 instances, 38,000 calls for each primary.
 func TestPrimariesThatFailTogether(t *testing.T) {
--- a/proxy/syncer.go
+++ b/proxy/syncer.go
@@ -270,6 +270,10 @@
 	s, _ := c.cfg.State.Records()
 	var members []Member
 	for _, m := range s.Members {
+		if m.Name == c.cfg.Self.Name {
+			// Until this instance has read its own record, there may be that of its former process.
+			m = c.cfg.Self
+		}
 		if m.DataCentre == dataCentre {
 			members = append(members, m)
 		}
