Rank relays by the names of machines

Cause: relays were ranked by incarnation. After a restart of all, each instance knows another mix of old and new processes; several followed each other, none read the store, and documents came 1.5 s late, until the records were outdated. Change: the rank of a machine is that of its name, so that all instances agree on the relay.

--- a/proxy/syncer.go
+++ b/proxy/syncer.go
@@ -265,7 +265,9 @@
 }
 
 // rankedRelays returns the instances of a data centre in the order in which they become its relay: those with the most
-// processor time first, because a relay answers all others of its data centre.
+// processor time first, because a relay answers all others of its data centre. The rank of a machine doesn't change when
+// its process is replaced: after a restart of all, each instance knows another mix of old and new processes, and with
+// different ranks all of them could follow another one.
 func (c *Syncer) rankedRelays(dataCentre string) []Member {
 	s, _ := c.cfg.State.Records()
 	var members []Member
@@ -280,7 +282,7 @@
 	}
 	slices.SortFunc(members, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(b.Weight, a.Weight),
-			cmp.Compare(instance.RankOf(dataCentre, b.Incarnation), instance.RankOf(dataCentre, a.Incarnation)))
+			cmp.Compare(instance.RankOf(dataCentre, b.Name), instance.RankOf(dataCentre, a.Name)))
 	})
 	return members
 }
