--- a/proxy/syncer.go
+++ b/proxy/syncer.go
@@ -10,7 +10,6 @@
 
 	"github.com/rhubarbwick/rhubarbwick/instance"
 	"github.com/rhubarbwick/rhubarbwick/port"
-	"github.com/rhubarbwick/rhubarbwick/primacy"
 	"github.com/rhubarbwick/rhubarbwick/ring"
 )
 
@@ -28,15 +27,6 @@
 	headRelayKey = "head"
 	// relayExclusionTime is how long a relay that did not respond is excluded.
 	relayExclusionTime = 5 * time.Second
-	// extendRecordsAge is the age of the records above which a relay requests lease extensions. It is above the age that
-	// they reach while the store responds.
-	extendRecordsAge = 1100 * time.Millisecond
-	// followerAskRecordsAge is the age above which the other instances ask that relay for extended records, and
-	// followerExtendRecordsAge that above which they request extensions themselves.
-	followerAskRecordsAge    = 1300 * time.Millisecond
-	followerExtendRecordsAge = 1600 * time.Millisecond
-	// extendCheckInterval is how often that age is checked.
-	extendCheckInterval = 100 * time.Millisecond
 	// A data centre whose relay responds but has lost the store is not asked again for staleHeadTryTime times the number
 	// of data centres, but at least minStaleHeadExclusion, so that the relays of all others are asked before it.
 	staleHeadTryTime      = 200 * time.Millisecond
@@ -185,7 +175,7 @@
 	_ = port.Sleep(ctx, c.cfg.Timer, exchangeWait)
 	if now = c.cfg.Timer.Now(); now-c.readAt() > maxRelayRecordsAge && now-c.readingSince > firstReadTimeout {
 		// The store rejects this instance or is down; another relay may still reach it.
-		c.exclude(c.cfg.Self, relayExclusionTime)
+		c.exclude(c.cfg.Self)
 	}
 }
 
@@ -308,80 +298,27 @@
 		c.staleHeadRelays = c.staleHeadRelays.with(relay.Incarnation, now, now+staleRelayExclusionTime)
 		c.startReaders(ctx)
 	case fromRelay:
-		c.exclude(relay, relayExclusionTime)
+		c.exclude(relay)
 		c.startReaders(ctx)
 	case err != nil && (c.countExcluded(c.failed) >= maxFailedRelays || c.cfg.Timer.Now()-c.readAt() > maxRelayRecordsAge):
 		// The cause may be on this side. All connections may have gone silent, so that no relay has newer state for a
 		// while, and documents must be in force within seconds.
-		c.exclude(relay, relayExclusionTime)
+		c.exclude(relay)
 		c.startReaders(ctx)
 	case err != nil:
 		// The next in rank takes its place for all instances that find the same. If each of them read the store itself,
 		// an outage of one relay would cost as many calls as there are instances.
-		c.exclude(relay, relayExclusionTime)
+		c.exclude(relay)
 	case storeLost && c.countExcluded(c.stale) < maxStaleRelays:
 		now := c.cfg.Timer.Now()
 		c.stale = c.stale.with(relay.Incarnation, now, now+relayExclusionTime)
 	}
 }
 
-// exclude excludes the instance for a while.
-func (c *Syncer) exclude(m Member, duration time.Duration) {
+// exclude excludes the instance for relayExclusionTime.
+func (c *Syncer) exclude(m Member) {
 	now := c.cfg.Timer.Now()
-	c.failed = c.failed.with(m.Incarnation, now, now+duration)
-}
-
-// extender requests lease extensions. It runs separately, so that it and the exchanges with relays do not wait for each
-// other.
-type extender struct{ syncer *Syncer }
-
-func (e *extender) loop(ctx context.Context) {
-	for ctx.Err() == nil {
-		e.syncer.extend(ctx)
-		_ = port.Sleep(ctx, e.syncer.cfg.Timer, extendCheckInterval)
-	}
-}
-
-// extend requests lease extensions from the other instances while neither this instance nor a relay can read the store.
-// The relays do so for their data centres: if every instance asked all others, an outage of the store would cost calls
-// with the square of their number.
-func (c *Syncer) extend(ctx context.Context) {
-	s, known := c.cfg.State.Records()
-	requestedAt := c.cfg.Timer.Now()
-	limit := extendRecordsAge
-	if relay := c.extendingRelay.Load(); relay != nil && relay.Incarnation != c.cfg.Self.Incarnation {
-		limit = followerExtendRecordsAge
-		if age := requestedAt - s.RequestedAt; known && age >= followerAskRecordsAge && age < limit {
-			// If the relay does not respond, the extension is requested next time.
-			_, _ = c.exchange(ctx, *relay, 0)
-			return
-		}
-	}
-	if !known || requestedAt-s.RequestedAt < limit {
-		c.cfg.SetIsolated(false)
-		return
-	}
-	versions := make(map[string]port.Version, len(s.Primacies))
-	for name, p := range s.Primacies {
-		versions[name] = p.Version
-	}
-	callCtx, cancel := port.WithTimeout(ctx, c.cfg.Timer, exchangeTimeout)
-	defer cancel()
-	majority := primacy.Majority(len(s.Members))
-	var agreeing atomic.Int64
-	responses := callMembers(callCtx, s.Members, func(ctx context.Context, m Member) (bool, error) {
-		ok, err := c.cfg.Peers.Extend(ctx, m.Address, versions)
-		if ok && err == nil && int(agreeing.Add(1)) >= majority {
-			// Members that do not respond would delay the extension until leases have expired.
-			cancel()
-		}
-		return ok, err
-	})
-	if int(agreeing.Load()) >= majority && requestedAt-s.ReadAt <= primacy.MaxLeaseTTL {
-		c.cfg.State.SetRecords(s.WithRequestedAt(requestedAt))
-	}
-	newest, _ := c.cfg.State.Records()
-	c.cfg.SetIsolated(len(responses) < majority && c.cfg.Timer.Now()-newest.RequestedAt >= limit)
+	c.failed = c.failed.with(m.Incarnation, now, now+relayExclusionTime)
 }
 
 // exchange requests newer state from a relay and applies it.
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -3,8 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -177,7 +177,7 @@
 
 // checkLoss records a violation if a request was cut off during a planned stop.
 func (c *client) checkLoss(id string, sent time.Time, err error) {
-	if err == io.EOF || !isTimeout(err) {
+	if !isTimeout(err) {
 		if c.soak.onlyPlanned(c.gateway, sent) && (c.soak.history.hasExecuted(id) || time.Since(sent) > lossSlack) {
 			c.soak.history.reportViolation("request %s was cut off by the planned stop of %s after %s: %s", id, c.gateway.name, time.Since(sent), err)
 		}
@@ -185,8 +185,8 @@
 }
 
 func isTimeout(err error) bool {
-	timeout, ok := err.(net.Error)
-	return ok && timeout.Timeout()
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
 func (c *client) write() string {
--- a/standin/database/group.go
+++ b/standin/database/group.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -117,7 +118,7 @@
 func (g *Group) transferLog(s *Server) {
 	for _, other := range g.servers {
 		if len(other.log) > len(s.log) {
-			s.log, s.applied, s.term = append(other.log[:0:0], other.log...), len(other.log), other.term
+			s.log, s.applied, s.term = slices.Clone(other.log), len(other.log), other.term
 		}
 	}
 }
