--- a/adapter/postgres/relay_test.go
+++ b/adapter/postgres/relay_test.go
@@ -210,6 +210,17 @@
 	requireKind(t, port.NoConnection, <-done)
 }
 
+// Guards against a limit of clients that also rejects the cancel requests of the clients that are connected.
+func TestCancelAtClientLimit(t *testing.T) {
+	f := startFixture(t, postgres.ListenerConfig{MaxClients: 1}, startFakeServer(t))
+	f.limit.setAllowed(0)
+	conn := f.connect("acme", "orders")
+	done := execute(conn, "insert 1")
+	f.limit.awaitDemand(1)
+	require.NoError(t, conn.PgConn().CancelRequest(t.Context()))
+	requireKind(t, port.NoConnection, <-done)
+}
+
 // Guards against a cancel request that takes effect with a wrong cancel key.
 func TestCancel(t *testing.T) {
 	server := startFakeServer(t)
