--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -288,6 +288,13 @@
 	}
 }
 
+// setCutServers partitions the server from the other servers, or heals that cut.
+func (s *server) setCutServers(cut bool) {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	s.cutServers = cut
+}
+
 func (s *server) acceptLoop(l net.Listener) {
 	for {
 		c, err := l.Accept()
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -39,6 +39,8 @@
 	address string
 	// promote decides a promotion call and returns the status.
 	promote func(service, id, holder string, epoch uint64) int
+	// onPut is called after a write of the system and before its answer.
+	onPut func(kind, name string, spec json.RawMessage)
 
 	mu       sync.Mutex
 	revision uint64
@@ -51,6 +53,7 @@
 	s := &store{
 		objects: make(map[string]map[string]object), revision: 100, changed: make(chan struct{}),
 		promote: func(string, string, string, uint64) int { return http.StatusConflict },
+		onPut:   func(string, string, json.RawMessage) {},
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -210,6 +213,7 @@
 		reply(w, http.StatusConflict, stored)
 		return
 	}
+	s.onPut(kind, name, spec)
 	reply(w, http.StatusOK, stored)
 }
 
