--- a/review/standin/withdrawn.go
+++ b/review/standin/withdrawn.go
@@ -110,3 +110,36 @@
 	}
 	return nil
 }
+
+// judgeOld checks rule ONE: no write is committed at the old primary and acknowledged after the leader has begun to lead.
+// Writes within the stability window after the end of the cut are not counted.
+func (w *world) judgeOld(attempts []*attempt, old *server, leader string, led, healed time.Time) (string, error) {
+	n, of := successes(attempts, healed.Add(12*time.Second), time.Now())
+	w.rec.add("of the writes sent later than 12 s after the end of the cut, %d of %d succeeded", n, of)
+	if led.IsZero() {
+		return "", nil
+	}
+	stale, lost, excused := 0, 0, 0
+	w.group.mu.Lock()
+	defer w.group.mu.Unlock()
+	for _, a := range attempts {
+		if !a.success || a.server != old.id || !a.ran.After(led) {
+			continue
+		}
+		if !a.ran.After(healed.Add(stabilityWindow)) {
+			excused++
+			continue
+		}
+		stale++
+		if !w.serverLocked(leader).holdsID(a.id) {
+			lost++
+		}
+		w.rec.add("write %s was committed at the old primary %.3f s after %s began to lead, and acknowledged", a.id, a.ran.Sub(led).Seconds(), leader)
+	}
+	w.rec.add("%d more such writes ran within %s after the end of the cut and are not counted", excused, stabilityWindow)
+	if stale == 0 {
+		return "", nil
+	}
+	return fmt.Sprintf("ONE: %d writes were committed at the old primary after the promote had taken effect, and acknowledged; %d of them are lost; "+
+		"of the writes sent later than 12 s after the cut, %d of %d succeeded", stale, lost, n, of), nil
+}
