--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -44,6 +44,8 @@
 	sync  int
 	store *store
 	rec   *recorder
+	// work is the time that a statement takes.
+	work time.Duration
 	// onRun is called for each statement that a server runs. It must not block.
 	onRun func(server *server, tenant, id, text string)
 
@@ -77,7 +79,7 @@
 }
 
 func newGroup(name string, sync int, s *store, rec *recorder) *group {
-	g := &group{name: name, sync: sync, store: s, rec: rec, onRun: func(*server, string, string, string) {}}
+	g := &group{name: name, sync: sync, store: s, rec: rec, work: workTime, onRun: func(*server, string, string, string) {}}
 	go g.loop()
 	return g
 }
@@ -403,7 +405,7 @@
 func (c *serverConn) query(id, text string) (string, bool) {
 	verb, _, _ := strings.Cut(text, " ")
 	if id != "-" {
-		time.Sleep(workTime)
+		time.Sleep(c.s.g.work)
 	}
 	g := c.s.g
 	g.mu.Lock()
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -45,14 +45,18 @@
 
 // world holds the stand-ins and the processes of one case.
 type world struct {
-	rec      *recorder
-	store    *store
-	group    *group
-	root     string
-	dir      string
-	base     string
-	routes   []route
-	keys     map[string][]string
+	rec    *recorder
+	store  *store
+	group  *group
+	root   string
+	dir    string
+	base   string
+	routes []route
+	keys   map[string][]string
+	// limited holds the keys of tenants with a low rate.
+	limited map[string]string
+	// log receives the output of the next gateway; nil means a file.
+	log      *os.File
 	version  int
 	gateways []*gateway
 }
@@ -102,6 +106,9 @@
 	for name, keys := range w.keys {
 		tenants = append(tenants, map[string]any{"name": name, "api_keys": keys, "priority": 1, "rate_per_s": 500, "burst": 500})
 	}
+	for name, key := range w.limited {
+		tenants = append(tenants, map[string]any{"name": name, "api_keys": []string{key}, "priority": 1, "rate_per_s": 2, "burst": 2})
+	}
 	w.store.set("config", "main", map[string]any{
 		"version": w.version, "routes": routes, "tenants": tenants,
 		"services": []map[string]any{{
@@ -220,6 +227,9 @@
 	cmd.Dir = g.w.root
 	cmd.Env = append(os.Environ(), "RHUBARBWICK_SETTINGS="+g.settings)
 	cmd.Stdout, cmd.Stderr = log, log
+	if g.w.log != nil {
+		cmd.Stdout, cmd.Stderr = g.w.log, g.w.log
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
