Keep a replacement whose promotion was requested

Cause: a promoter was lost between its promotion call and the write of the new primary. The promoter that took over found the old primary alive and withdrew the announcement. The record showed no trace of the call.

Change: the successor is written to the record, under its version, before the call. An announcement that names a successor is not withdrawn; only the successor named last is adopted without another call. A record that cannot be written ends the attempt instead of counting as the failure of one candidate, which would have sent a step-down to the primary in use.

Why it works: nothing that the platform may still carry out is unknown to the instance that takes over, so the old primary is never used again.

--- a/primacy/record.go
+++ b/primacy/record.go
@@ -60,6 +60,9 @@
 	Epoch uint64 `json:"epoch"`
 	// Planned is true when the primary is still healthy, so that its running transactions may complete first.
 	Planned bool `json:"planned"`
+	// Successor is the server whose promotion was last requested or is about to be; empty before the first request. It
+	// is stored before the request, because a promoter that fails after the request cannot store it any more.
+	Successor string `json:"successor,omitempty"`
 }
 
 // ParseRecord decodes a stored record.
@@ -77,12 +80,42 @@
 // Encode encodes the record for the store.
 func (r Record) Encode() ([]byte, error) { return json.Marshal(r) }
 
-// WithReplacement returns the record with an announced replacement.
+// WithReplacement returns the record with an announced replacement. The successor of an earlier announcement is kept:
+// its promotion may still take effect.
 func (r Record) WithReplacement(x Replacement) Record {
+	if r.Replacement != nil {
+		x.Successor = r.Replacement.Successor
+	}
+	r.Replacement = &x
+	return r
+}
+
+// WithSuccessor returns the record of an announced replacement with the server that is about to be promoted.
+func (r Record) WithSuccessor(server string) Record {
+	x := *r.Replacement
+	x.Successor = server
 	r.Replacement = &x
 	return r
 }
 
+// WithoutReplacement returns the record with the announcement withdrawn.
+func (r Record) WithoutReplacement() Record {
+	r.Replacement = nil
+	return r
+}
+
+// CanWithdraw reports whether the primary of an announced replacement may be used again. Once the promotion of a
+// successor may have been requested, the successor may become the primary at any time.
+func (r Record) CanWithdraw() bool { return r.Replacement != nil && r.Replacement.Successor == "" }
+
+// IsSuccessor reports whether a server that reports itself as the primary of a later term can be adopted as the
+// successor. If the promotion of another server was requested after its own, that one may have become the primary of an
+// even later term.
+func (r Record) IsSuccessor(s Status) bool {
+	return s.IsPrimary && s.Term > r.Term &&
+		(r.Replacement == nil || r.Replacement.Successor == "" || r.Replacement.Successor == s.Server)
+}
+
 // WithPrimary returns the record with the server as primary of the term.
 func (r Record) WithPrimary(server string, term group.Term) Record {
 	r.Primary, r.Term, r.Replacement = server, term, nil
--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -62,8 +63,10 @@
 	// stillUsedOldPrimary holds the instances that still used the old primary when a promotion took effect.
 	stillUsedOldPrimary []string
 	refusePromotion     bool
-	storeCalls          atomic.Int64
-	dials               atomic.Int64
+	// promotionDelay is the time from a promotion call until the server leads.
+	promotionDelay time.Duration
+	storeCalls     atomic.Int64
+	dials          atomic.Int64
 	// exchanges counts the exchanges of cluster state, and stateTransfers those that transferred any.
 	exchanges      atomic.Int64
 	stateTransfers atomic.Int64
@@ -106,7 +109,9 @@
 	primary bool
 	down    bool
 	// dark servers do not answer to new connections.
-	dark               bool
+	dark bool
+	// cutOff servers do not learn that another server was promoted.
+	cutOff             bool
 	offset             uint64
 	refusesConnections bool
 	connections        int
@@ -674,31 +679,40 @@
 		return port.Errorf(port.Conflict, "server %s is not running", server)
 	}
 	w.promotions = append(w.promotions, promotionCall{server: server, epoch: epoch})
+	delay := w.promotionDelay
+	done()
+	if delay > 0 {
+		time.AfterFunc(delay, func() { w.lead(server) })
+	} else {
+		w.lead(server)
+	}
+	return nil
+}
+
+// lead makes a server the primary of the next term unless it is the primary of the newest one.
+func (w *cluster) lead(server string) {
+	w.mu.Lock()
 	var oldPrimary *fakeServer
 	newest := group.Term(0)
 	chosen := w.servers[server]
 	members := w.groupServers(chosen.group)
 	for _, s := range members {
 		newest = max(newest, s.term)
-		if s.primary {
+		if s.primary && s != chosen {
 			oldPrimary = s
 		}
 	}
-	if !chosen.primary {
+	if !chosen.primary || chosen.term < newest {
 		for _, s := range members {
-			s.primary = false
+			s.primary = s.primary && s.cutOff
 		}
 		chosen.primary, chosen.term = true, newest+1
 	}
-	instances := make(map[string]*testInstance, len(w.instances))
-	for name, i := range w.instances {
-		instances[name] = i
-	}
-	done()
-	if oldPrimary != nil && oldPrimary.name != server {
+	instances := maps.Clone(w.instances)
+	w.mu.Unlock()
+	if oldPrimary != nil {
 		w.recordPrimaryUsers(instances, oldPrimary, newest)
 	}
-	return nil
 }
 
 // groupServers returns the servers of a group. mu must be held.
@@ -936,3 +950,41 @@
 	}
 	return i.reserve.Take(organisation), nil
 }
+
+// setCutOff decides whether a server learns that another one was promoted.
+func (w *cluster) setCutOff(server string, cutOff bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.servers[server].cutOff = cutOff
+}
+
+func (w *cluster) setPartitionedFor(d time.Duration, name string) {
+	w.setPartitioned(true, name)
+	time.AfterFunc(d, func() { w.setPartitioned(false, name) })
+}
+
+func (w *cluster) setStoreDownFor(d time.Duration) {
+	w.setStoreDown(true)
+	time.AfterFunc(d, func() { w.setStoreDown(false) })
+}
+
+// rejectNamesAtStore makes the store reject calls from the named instances only.
+func (w *cluster) rejectNamesAtStore(names ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clear(w.storeRejects)
+	for _, name := range names {
+		w.storeRejects[name] = true
+	}
+}
+
+// restartAll kills all instances and starts them again.
+func (w *cluster) restartAll(string) {
+	names := w.names()
+	for _, name := range names {
+		w.kill(name)
+	}
+	for _, name := range names {
+		w.start(name, w.dataCentreOf(name))
+	}
+}
--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -27,8 +28,18 @@
 	// server may take to become primary, before the replacement is restarted.
 	successorTimeout     = 5 * time.Second
 	becomePrimaryTimeout = 5 * time.Second
+	// promotionSettleTime is how long after the call a promotion has certainly taken effect. The platform announces some
+	// hundred milliseconds, and the slowest known deployment takes 1.5 s.
+	promotionSettleTime = 3 * time.Second
 )
 
+// candidateError is a failure that concerns one candidate only. The next one may be promoted.
+type candidateError struct{ err error }
+
+func (e *candidateError) Error() string { return e.err.Error() }
+
+func (e *candidateError) Unwrap() error { return e.err }
+
 // replacement replaces one group's primary.
 type replacement struct {
 	promoter *Promoter
@@ -100,7 +111,7 @@
 // suspendAll returns once no instance uses the old primary: each has confirmed that, its process has been replaced, or
 // its lease has expired since the announcement. Leases can be extended only until a majority of the instances has
 // confirmed; without that majority, it waits for the longest possible lease. It withdraws the announcement if the old
-// primary responds again in the meantime.
+// primary responds again in the meantime and no promotion can have been requested.
 func (r *replacement) suspendAll(ctx context.Context) error {
 	p := r.promoter
 	until := p.cfg.Timer.Now() + primacy.MaxLeaseTTL + leaseMargin
@@ -125,7 +136,7 @@
 		if err := p.lock.renew(ctx, r.epoch); port.KindOf(err) == port.Conflict {
 			return err
 		}
-		if !r.planned && err == nil && r.hasRecovered(ctx) {
+		if !r.planned && err == nil && r.stored.Record.CanWithdraw() && r.hasRecovered(ctx) {
 			return r.withdraw(ctx)
 		}
 		if err := port.Sleep(ctx, p.cfg.Timer, suspendRetryDelay); err != nil {
@@ -180,9 +191,7 @@
 
 // withdraw removes the announcement.
 func (r *replacement) withdraw(ctx context.Context) error {
-	record := r.stored.Record
-	record.Replacement = nil
-	if _, err := r.promoter.putRecord(ctx, record, r.stored.Version); err != nil {
+	if _, err := r.promoter.putRecord(ctx, r.stored.Record.WithoutReplacement(), r.stored.Version); err != nil {
 		return err
 	}
 	r.notifyAll(ctx)
@@ -202,7 +211,8 @@
 					return status, nil
 				}
 				r.recordStep("candidate failed", candidate.Server, err.Error())
-				if port.KindOf(err) != port.Conflict {
+				var failed *candidateError
+				if !errors.As(err, &failed) {
 					return primacy.Status{}, err
 				}
 			}
@@ -223,11 +233,12 @@
 	for {
 		succession := primacy.Succession{Synchronous: r.group.SynchronousReplicas}
 		var oldPrimaryStatus primacy.Status
-		for _, s := range r.statuses(ctx) {
+		statuses := r.statuses(ctx)
+		if leader, found := r.leader(statuses); found {
+			return []primacy.Status{leader}, true
+		}
+		for _, s := range statuses {
 			switch {
-			case s.err == nil && s.status.IsPrimary && s.status.Term > r.stored.Record.Term:
-				// A server that an earlier promoter chose is already the primary.
-				return []primacy.Status{s.status}, true
 			case s.listing.Name == oldPrimary:
 				oldPrimaryStatus = s.status
 				continue
@@ -270,18 +281,36 @@
 	return statuses
 }
 
-// promoteOne makes the old primary step down if it can be reached, promotes the candidate, and waits until it is the
-// primary.
+// leader returns the server that an earlier promoter has already made the primary.
+func (r *replacement) leader(statuses []serverStatus) (primacy.Status, bool) {
+	var newest primacy.Status
+	for _, s := range statuses {
+		if s.err == nil && s.status.Term > newest.Term && r.stored.Record.IsSuccessor(s.status) {
+			newest = s.status
+		}
+	}
+	return newest, newest.Server != ""
+}
+
+// promoteOne promotes the candidate and waits until it is the primary. Before that, it stores the candidate's name in the
+// record and makes the old primary step down if it can be reached. It fails with a candidateError if another candidate
+// may be promoted.
 func (r *replacement) promoteOne(ctx context.Context, candidate primacy.Status) (primacy.Status, error) {
 	p := r.promoter
+	if r.stored.Record.IsSuccessor(candidate) {
+		return candidate, nil
+	}
+	if err := r.storeSuccessor(ctx, candidate.Server); err != nil {
+		return primacy.Status{}, err
+	}
 	next := max(r.stored.Record.Term, candidate.Term) + 1
 	servers, _ := p.cfg.State.Servers()
-	if oldPrimary, listed := servers[r.stored.Record.Primary]; listed && !candidate.IsPrimary {
+	if oldPrimary, listed := servers[r.stored.Record.Primary]; listed {
 		// The suspension already keeps an unreachable primary from being used.
 		_, _ = p.sendCommands(ctx, oldPrimary, statement.StepDown{Term: next})
 	}
 	until := p.cfg.Timer.Now() + becomePrimaryTimeout
-	for !candidate.IsPrimary {
+	for {
 		if err := p.lock.renew(ctx, r.epoch); err != nil {
 			return primacy.Status{}, err
 		}
@@ -291,7 +320,10 @@
 		if err == nil {
 			break
 		}
-		if port.KindOf(err) == port.Conflict || p.cfg.Timer.Now() >= until {
+		if port.KindOf(err) == port.Conflict {
+			return primacy.Status{}, &candidateError{err}
+		}
+		if p.cfg.Timer.Now() >= until {
 			return primacy.Status{}, err
 		}
 		if err := port.Sleep(ctx, p.cfg.Timer, suspendRetryDelay); err != nil {
@@ -299,18 +331,33 @@
 		}
 	}
 	r.recordStep("named", candidate.Server, "")
-	return r.awaitPrimary(ctx, candidate.Server, until)
+	return r.awaitPrimary(ctx, candidate, until)
 }
 
-// awaitPrimary waits until the server is the primary in a newer term than the old primary's.
-func (r *replacement) awaitPrimary(ctx context.Context, server string, until time.Duration) (primacy.Status, error) {
+// storeSuccessor stores the server that is about to be promoted. The old primary cannot be used again afterwards.
+func (r *replacement) storeSuccessor(ctx context.Context, server string) error {
+	record := r.stored.Record.WithSuccessor(server)
+	version, err := r.promoter.putRecord(ctx, record, r.stored.Version)
+	if err != nil {
+		return err
+	}
+	r.stored = StoredPrimacy{Record: record, Version: version}
+	r.recordStep("chosen", server, "")
+	return nil
+}
+
+// awaitPrimary waits until the promoted server is the primary of a later term than before. If it was the primary
+// already, the promotion may have changed nothing, which is certain only after promotionSettleTime.
+func (r *replacement) awaitPrimary(ctx context.Context, before primacy.Status, until time.Duration) (primacy.Status, error) {
 	p := r.promoter
+	settled := p.cfg.Timer.Now() + promotionSettleTime
 	for p.cfg.Timer.Now() < until {
 		servers, _ := p.cfg.State.Servers()
-		l, listed := servers[server]
+		l, listed := servers[before.Server]
 		if listed {
 			status, err := p.status(ctx, l)
-			if err == nil && status.IsPrimary && status.Term > r.stored.Record.Term {
+			isSettled := status.Term > before.Term || p.cfg.Timer.Now() >= settled
+			if err == nil && status.IsPrimary && status.Term > r.stored.Record.Term && isSettled {
 				return status, nil
 			}
 		}
@@ -318,7 +365,9 @@
 			return primacy.Status{}, err
 		}
 	}
-	return primacy.Status{}, port.Errorf(port.Conflict, "server %s was promoted but did not become primary", server)
+	return primacy.Status{}, &candidateError{
+		port.Errorf(port.Conflict, "server %s was promoted but did not become primary", before.Server),
+	}
 }
 
 // writeSuccessor writes the successor and its term to the record and notifies all instances.
--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -186,6 +186,51 @@
 	})
 }
 
+// Guards against an old primary that is used again although the promotion of its successor has been requested: its writes
+// are confirmed, and lost once it learns of the successor.
+func TestReplacementAfterPromotionCall(t *testing.T) {
+	for name, disrupt := range map[string]func(w *cluster, promoter string){
+		"the promoter is killed":           func(w *cluster, promoter string) { w.kill(promoter) },
+		"the promoter restarts":            func(w *cluster, promoter string) { w.kill(promoter); w.start(promoter, w.dataCentreOf(promoter)) },
+		"the promoter is partitioned":      func(w *cluster, promoter string) { w.setPartitionedFor(5*time.Second, promoter) },
+		"all instances lose power":         (*cluster).restartAll,
+		"the store is down":                func(w *cluster, _ string) { w.setStoreDownFor(7 * time.Second) },
+		"the store rejects the promoter":   func(w *cluster, promoter string) { w.rejectNamesAtStore(promoter) },
+		"another instance does not answer": func(w *cluster, promoter string) { w.kill(promoter); w.setPartitioned(true, w.names()[0]) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCluster(t, 6, func(w *cluster) {
+				sleep(primacy.MaxLeaseTTL + time.Second)
+				w.promotionDelay = 600 * time.Millisecond
+				w.setCutOff("s1", true)
+				w.setDown("s1", true)
+				w.suspect("s1")
+				w.waitFor(func() bool { return len(w.epochs()) > 0 })
+				promoter, found := w.promoter()
+				require.True(t, found)
+				disrupt(w, promoter)
+				w.setDown("s1", false)
+				w.requireNeverUsed("s1", 20*time.Second)
+				w.rejectAtStore()
+				w.setPartitioned(false, w.names()...)
+				w.waitFor(func() bool { return w.allUsePrimary("s2") || w.allUsePrimary("s3") })
+				requireEpochsInOrder(w)
+				requireOldPrimaryUnused(w)
+			})
+		})
+	}
+}
+
+// requireNeverUsed fails if an instance uses the primary of the test group within the time.
+func (w *cluster) requireNeverUsed(server string, d time.Duration) {
+	w.t.Helper()
+	for until := time.Now().Add(d); time.Now().Before(until); sleep(10 * time.Millisecond) {
+		for _, name := range w.names() {
+			require.False(w.t, w.usesPrimary(name, server), "%s uses %s", name, server)
+		}
+	}
+}
+
 // Guards against an outage of the store that leaves groups without a primary, and against one that leads to two
 // primaries.
 func TestLeasesWithoutStore(t *testing.T) {
