Ask unlisted servers before a promotion

Cause: a promoter waits for every replica that may hold the only other copy of a write, but it knew only those that the platform lists. The entry of a replica that is cut off from the store expires while the replica still acknowledges writes. A draining replica was left out of a planned replacement in the same way.

Change: the record of a group with synchronous replicas names the group's servers and their addresses, and a promoter asks all of them. A former server is dropped when its address is listed for another server, or after a minute. The succession is computed in primacy from the answers.

Why it works: the list of servers to ask no longer depends on a report that a server cannot deliver, and it outlives the instances.

--- a/primacy/primacy_test.go
+++ b/primacy/primacy_test.go
@@ -186,6 +186,70 @@
 	require.False(t, complete)
 }
 
+// Guards against a succession that leaves out a server which may hold the only copy of a confirmed write, and against the
+// adoption of a server whose promotion was followed by that of another one.
+func TestNewSuccession(t *testing.T) {
+	answered := func(s primacy.Status) primacy.Answer { return primacy.Answer{Status: s, HasAnswered: true} }
+	replica := func(server string, offset uint64) primacy.Answer {
+		return answered(primacy.Status{Server: server, Term: 3, Received: group.Position{Term: 3, Offset: offset}})
+	}
+	leader := func(server string, term group.Term) primacy.Answer {
+		return answered(primacy.Status{Server: server, IsPrimary: true, Term: term})
+	}
+	lost := func(server string, draining bool) primacy.Answer {
+		return primacy.Answer{Status: primacy.Status{Server: server, Draining: draining}}
+	}
+	draining := func(a primacy.Answer) primacy.Answer {
+		a.Status.Draining = true
+		return a
+	}
+	r := announced(3, "a")
+	planned := stable(3, "a").WithReplacement(primacy.Replacement{Promoter: "p", Epoch: 1, Planned: true})
+	t.Run("the old primary is no candidate", func(t *testing.T) {
+		requireFirst(t, "b", primacy.NewSuccession(r, 1, []primacy.Answer{lost("a", false), replica("b", 1)}))
+	})
+	t.Run("a draining replica that does not answer may hold the synchronous copy", func(t *testing.T) {
+		answers := []primacy.Answer{lost("a", false), replica("b", 1), lost("c", true)}
+		requireIncomplete(t, primacy.NewSuccession(r, 1, answers))
+		requireFirst(t, "b", primacy.NewSuccession(r, 0, answers))
+	})
+	t.Run("a draining replica is passed over in a planned replacement without synchronous replicas", func(t *testing.T) {
+		answers := []primacy.Answer{replica("a", 9), replica("b", 1), draining(replica("c", 2))}
+		requireFirst(t, "b", primacy.NewSuccession(planned, 0, answers))
+		requireFirst(t, "c", primacy.NewSuccession(planned, 1, answers))
+	})
+	t.Run("a listed server is preferred only if it has received as much", func(t *testing.T) {
+		unlisted := replica("b", 2)
+		unlisted.Status.Unlisted = true
+		requireFirst(t, "c", primacy.NewSuccession(r, 0, []primacy.Answer{unlisted, replica("c", 2)}))
+		requireFirst(t, "b", primacy.NewSuccession(r, 0, []primacy.Answer{unlisted, replica("c", 1)}))
+	})
+	t.Run("a server that leads a later term is adopted", func(t *testing.T) {
+		requireLeader(t, "c", primacy.NewSuccession(r, 0, []primacy.Answer{leader("a", 3), leader("b", 4), leader("c", 5)}))
+		requireLeader(t, "b", primacy.NewSuccession(r.WithSuccessor("b"), 0, []primacy.Answer{leader("b", 4), replica("c", 1)}))
+	})
+	t.Run("a server that is not the last named successor is not adopted", func(t *testing.T) {
+		requireLeader(t, "", primacy.NewSuccession(r.WithSuccessor("c"), 0, []primacy.Answer{leader("b", 4), lost("c", false)}))
+	})
+}
+
+func requireLeader(t *testing.T, want string, s primacy.Succession) {
+	t.Helper()
+	leader, found := s.Leader()
+	require.Equal(t, want, leader.Server)
+	require.Equal(t, want != "", found)
+}
+
+// Guards against a server that is forgotten while it may hold a confirmed write, and against one that is waited for after
+// it has gone.
+func TestKnownServers(t *testing.T) {
+	a, b, moved := primacy.Server{Name: "a", Address: "1"}, primacy.Server{Name: "b", Address: "2"}, primacy.Server{Name: "b", Address: "3"}
+	isGone := func(gone bool) func(primacy.Server) bool { return func(primacy.Server) bool { return gone } }
+	require.Equal(t, []primacy.Server{a, b}, primacy.KnownServers([]primacy.Server{a}, []primacy.Server{b}, isGone(false)))
+	require.Equal(t, []primacy.Server{b}, primacy.KnownServers([]primacy.Server{a}, []primacy.Server{b}, isGone(true)))
+	require.Equal(t, []primacy.Server{moved}, primacy.KnownServers([]primacy.Server{b}, []primacy.Server{moved}, isGone(true)))
+}
+
 // Guards against accepting a damaged or incomplete record.
 func TestParseRecord(t *testing.T) {
 	t.Run("a record survives encoding and decoding", func(t *testing.T) {
--- a/primacy/record.go
+++ b/primacy/record.go
@@ -14,6 +14,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/group"
@@ -48,10 +50,35 @@
 	Group   string     `json:"group"`
 	Term    group.Term `json:"term"`
 	Primary string     `json:"primary"`
+	// Servers are the servers that may hold the only other copy of a confirmed write, sorted by name. Only groups with
+	// synchronous replicas have any. The list is stored because a server's entry at the platform may expire while the
+	// server is alive.
+	Servers []Server `json:"servers,omitempty"`
 	// Replacement is set from the announcement of a replacement until the successor is the primary.
 	Replacement *Replacement `json:"replacement,omitempty"`
 }
 
+// Server is a server of a group and where it was last reached.
+type Server struct {
+	Name       string `json:"name"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre,omitempty"`
+}
+
+// KnownServers returns the servers that a promoter must take into account: those that are listed, and those recorded
+// earlier that are not certainly gone.
+func KnownServers(recorded, listed []Server, isGone func(Server) bool) []Server {
+	known := slices.Clone(listed)
+	for _, s := range recorded {
+		isListed := slices.ContainsFunc(listed, func(l Server) bool { return l.Name == s.Name })
+		if !isListed && !isGone(s) {
+			known = append(known, s)
+		}
+	}
+	slices.SortFunc(known, func(a, b Server) int { return strings.Compare(a.Name, b.Name) })
+	return known
+}
+
 // Replacement announces that the primary is being replaced.
 type Replacement struct {
 	// Promoter is the incarnation of the instance that replaces the primary.
@@ -116,6 +143,12 @@
 		(r.Replacement == nil || r.Replacement.Successor == "" || r.Replacement.Successor == s.Server)
 }
 
+// WithServers returns the record with other servers.
+func (r Record) WithServers(servers []Server) Record {
+	r.Servers = servers
+	return r
+}
+
 // WithPrimary returns the record with the server as primary of the term.
 func (r Record) WithPrimary(server string, term group.Term) Record {
 	r.Primary, r.Term, r.Replacement = server, term, nil
--- a/primacy/succession.go
+++ b/primacy/succession.go
@@ -17,6 +17,18 @@
 	Received group.Position
 	// Draining is true for a server that is about to leave.
 	Draining bool
+	// Unlisted is true for a server that the platform does not list. Clients cannot be sent to it until it is listed.
+	Unlisted bool
+}
+
+// isPreferred reports whether the server can be used as it is.
+func (s Status) isPreferred() bool { return !s.Draining && !s.Unlisted }
+
+// Answer is the answer of a server of the group to a promoter. Status has the server's name and what the platform lists
+// about it also if HasAnswered is false.
+type Answer struct {
+	Status      Status
+	HasAnswered bool
 }
 
 // Succession is the input for the choice of a successor. A Succession is immutable.
@@ -27,17 +39,52 @@
 	Replicas int
 	// Synchronous is the number of replicas that had to receive a write before it was confirmed.
 	Synchronous int
+	// OldPrimary is the answer of the primary that is being replaced.
+	OldPrimary Answer
+	record     Record
+}
+
+// NewSuccession returns the succession for the announced replacement of the record. answers has one element for each
+// known server of the group, synchronous is the number of replicas that receive a write before it is confirmed.
+func NewSuccession(r Record, synchronous int, answers []Answer) Succession {
+	s := Succession{Synchronous: synchronous, record: r}
+	isPlanned := r.Replacement != nil && r.Replacement.Planned
+	for _, a := range answers {
+		switch {
+		case a.Status.Server == r.Primary:
+			s.OldPrimary = a
+			continue
+		case synchronous == 0 && a.Status.Draining && (isPlanned || !a.HasAnswered):
+			// In a planned replacement the others receive everything that it has. One that does not answer is not
+			// waited for, unless it may hold the only other copy of a confirmed write.
+			continue
+		case a.HasAnswered:
+			s.Candidates = append(s.Candidates, a.Status)
+		}
+		s.Replicas++
+	}
+	return s
+}
+
+// Leader returns the server that an earlier promoter has already made the primary.
+func (s Succession) Leader() (Status, bool) {
+	var newest Status
+	for _, c := range append(slices.Clone(s.Candidates), s.OldPrimary.Status) {
+		if c.Term > newest.Term && s.record.IsSuccessor(c) {
+			newest = c
+		}
+	}
+	return newest, newest.Server != ""
 }
 
 // Order returns the candidates in order of preference: the one with the most advanced log first, and among equal ones
-// those that do not leave. A draining server that alone holds confirmed writes passes them on to its successor. It
-// reports false while
-// a confirmed write may exist only on replicas that did not answer.
+// those that are listed and do not leave. A draining server that alone holds confirmed writes passes them on to its
+// successor. It reports false while a confirmed write may exist only on replicas that did not answer.
 func (s Succession) Order() ([]Status, bool) {
 	ordered := slices.Clone(s.Candidates)
 	slices.SortFunc(ordered, func(a, b Status) int {
-		if a.Received == b.Received && a.Draining != b.Draining {
-			if a.Draining {
+		if a.Received == b.Received && a.isPreferred() != b.isPreferred() {
+			if b.isPreferred() {
 				return 1
 			}
 			return -1
@@ -48,3 +95,8 @@
 	isComplete := len(ordered) > 0 && (s.Synchronous == 0 || unanswered < s.Synchronous)
 	return ordered, isComplete
 }
+
+// IsBehind reports whether the old primary holds more than the candidate.
+func (s Succession) IsBehind(candidate Status) bool {
+	return s.OldPrimary.HasAnswered && s.OldPrimary.Status.Received.Compare(candidate.Received) > 0
+}
--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -988,3 +988,46 @@
 		w.start(name, w.dataCentreOf(name))
 	}
 }
+
+// unlist removes a server's entry from the list of servers and waits until all instances have read the list.
+func (w *cluster) unlist(name string) {
+	w.mu.Lock()
+	delete(w.listed, name)
+	w.version++
+	w.listedVersion = w.version
+	w.mu.Unlock()
+	w.waitFor(func() bool {
+		for _, i := range w.names() {
+			if servers, _ := w.instance(i).state.Servers(); servers[name].Name != "" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// addServer adds a replica to the test group.
+func (w *cluster) addServer(name, address string) {
+	w.mu.Lock()
+	w.servers[name] = &fakeServer{name: name, group: testGroup, term: 3, offset: 100}
+	w.mu.Unlock()
+	w.updateListing(name, false)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l := w.listed[name]
+	l.Address = address
+	w.listed[name] = l
+}
+
+func (w *cluster) setOffset(server string, offset uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.servers[server].offset = offset
+}
+
+// loseOldPrimary makes the primary of the test group fail, and the instances suspect it.
+func (w *cluster) loseOldPrimary() {
+	w.setDown("s1", true)
+	w.suspect("s1")
+	w.waitFor(func() bool { return !w.usesPrimary("front-0", "s1") })
+}
--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -6,7 +6,6 @@
 	"maps"
 	"math"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -72,6 +71,7 @@
 
 	// The fields below are owned by loop.
 	pendingSince map[string]time.Duration
+	servers      serverRecorder
 }
 
 // NewPromoter returns a promoter. Run starts it.
@@ -79,6 +79,7 @@
 	cfg.Recorder = recorderOrNop(cfg.Recorder)
 	p := &Promoter{cfg: cfg, active: make(map[string]bool), checking: make(map[string]bool), pendingSince: make(map[string]time.Duration)}
 	p.lock = newPromoterLockHolder(&p.cfg)
+	p.servers = newServerRecorder(p)
 	return p
 }
 
@@ -123,6 +124,7 @@
 	reason, wait := p.replacementReason(s, stored.Record)
 	if reason == "" {
 		delete(p.pendingSince, g.Name)
+		p.servers.update(ctx, s, g, stored)
 		return
 	}
 	now := p.cfg.Timer.Now()
@@ -260,7 +262,7 @@
 	if now-since < firstRecordDelay+time.Duration(p.rank(s))*firstRecordRankDelay {
 		return
 	}
-	for _, l := range p.servers(groupName) {
+	for _, l := range p.listedServers(groupName) {
 		if l.Role != dispatch.Primary || l.Draining {
 			continue
 		}
@@ -323,19 +325,6 @@
 	return instance.RankOf(promoterLockName, m.Incarnation)
 }
 
-// servers returns the listed servers of the group, sorted by name.
-func (p *Promoter) servers(groupName string) []dispatch.Listing {
-	all, _ := p.cfg.State.Servers()
-	var inGroup []dispatch.Listing
-	for _, l := range all {
-		if l.Group == groupName {
-			inGroup = append(inGroup, l)
-		}
-	}
-	slices.SortFunc(inGroup, func(a, b dispatch.Listing) int { return strings.Compare(a.Name, b.Name) })
-	return inGroup
-}
-
 // sendCommands connects to a server, sends the commands and returns the answers to the greeting and to each command.
 func (p *Promoter) sendCommands(ctx context.Context, l dispatch.Listing, commands ...statement.Command) ([]statement.Result, error) {
 	callCtx, cancel := port.WithTimeout(ctx, p.cfg.Timer, dialTimeout)
--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/rhubarbwick/rhubarbwick/dispatch"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/primacy"
@@ -202,94 +201,78 @@
 func (r *replacement) promote(ctx context.Context) (primacy.Status, error) {
 	p := r.promoter
 	until := p.cfg.Timer.Now() + successorTimeout
-	for p.cfg.Timer.Now() < until {
-		order, complete := r.candidates(ctx)
-		if complete {
-			for _, candidate := range order {
-				status, err := r.promoteOne(ctx, candidate)
-				if err == nil {
-					return status, nil
-				}
-				r.recordStep("candidate failed", candidate.Server, err.Error())
-				var failed *candidateError
-				if !errors.As(err, &failed) {
-					return primacy.Status{}, err
-				}
+	for {
+		succession := r.succession(ctx)
+		if leader, found := succession.Leader(); found {
+			return leader, nil
+		}
+		isLast := p.cfg.Timer.Now() >= until
+		if order, complete := succession.Order(); complete {
+			status, err := r.promoteFirst(ctx, order)
+			var failed *candidateError
+			if err == nil || !errors.As(err, &failed) {
+				return status, err
 			}
 		}
+		if isLast {
+			return primacy.Status{}, port.Errorf(port.NoPrimary, "no server of the group could be promoted")
+		}
 		if err := port.Sleep(ctx, p.cfg.Timer, statusInterval); err != nil {
 			return primacy.Status{}, err
 		}
 	}
-	return primacy.Status{}, port.Errorf(port.NoPrimary, "no server of the group could be promoted")
 }
 
-// candidates queries the group's servers and returns those that may be promoted, best first. It returns false while a
-// server that did not respond may hold more data.
-func (r *replacement) candidates(ctx context.Context) ([]primacy.Status, bool) {
+// promoteFirst promotes the first candidate that can be promoted. It fails with a candidateError if there is none.
+func (r *replacement) promoteFirst(ctx context.Context, order []primacy.Status) (primacy.Status, error) {
+	var err error
+	for _, candidate := range order {
+		var status primacy.Status
+		if status, err = r.promoteOne(ctx, candidate); err == nil {
+			return status, nil
+		}
+		r.recordStep("candidate failed", candidate.Server, err.Error())
+		var failed *candidateError
+		if !errors.As(err, &failed) {
+			break
+		}
+	}
+	return primacy.Status{}, err
+}
+
+// succession queries the group's servers. In a planned replacement it waits up to catchUpTimeout until the first
+// candidate has received what the old primary holds.
+func (r *replacement) succession(ctx context.Context) primacy.Succession {
 	p := r.promoter
-	oldPrimary := r.stored.Record.Primary
 	until := p.cfg.Timer.Now() + catchUpTimeout
 	for {
-		succession := primacy.Succession{Synchronous: r.group.SynchronousReplicas}
-		var oldPrimaryStatus primacy.Status
-		statuses := r.statuses(ctx)
-		if leader, found := r.leader(statuses); found {
-			return []primacy.Status{leader}, true
-		}
-		for _, s := range statuses {
-			switch {
-			case s.listing.Name == oldPrimary:
-				oldPrimaryStatus = s.status
-				continue
-			case s.listing.Draining && (r.planned || s.err != nil && r.group.SynchronousReplicas == 0):
-				// In a planned replacement the others receive everything that it has. One that does not respond is not
-				// waited for, unless it may hold the only other copy of a confirmed write.
-				continue
-			case s.err == nil:
-				s.status.Draining = s.listing.Draining
-				succession.Candidates = append(succession.Candidates, s.status)
-			}
-			succession.Replicas++
-		}
+		succession := primacy.NewSuccession(r.stored.Record, r.group.SynchronousReplicas, r.answers(ctx))
 		order, complete := succession.Order()
-		isBehind := complete && r.planned && oldPrimaryStatus.Received.Compare(order[0].Received) > 0
+		isBehind := complete && r.planned && succession.IsBehind(order[0])
 		if !isBehind || p.cfg.Timer.Now() >= until || port.Sleep(ctx, p.cfg.Timer, statusInterval) != nil {
-			return order, complete
+			return succession
 		}
 	}
 }
 
-// serverStatus is one server's response to a status query.
-type serverStatus struct {
-	listing dispatch.Listing
-	status  primacy.Status
-	err     error
-}
-
-// statuses queries all servers of the group concurrently.
-func (r *replacement) statuses(ctx context.Context) []serverStatus {
+// answers queries all known servers of the group concurrently.
+func (r *replacement) answers(ctx context.Context) []primacy.Answer {
 	p := r.promoter
-	servers := p.servers(r.group.Name)
-	statuses := make([]serverStatus, len(servers))
+	servers := p.knownServers(r.stored.Record)
+	answers := make([]primacy.Answer, len(servers))
 	var running sync.WaitGroup
 	for i, l := range servers {
-		statuses[i].listing = l
-		running.Go(func() { statuses[i].status, statuses[i].err = p.status(ctx, l) })
+		running.Go(func() {
+			status, err := p.status(ctx, l.Listing)
+			if err != nil {
+				status = primacy.Status{Server: l.Name}
+			}
+			status.Draining, status.Unlisted = l.Draining, l.isUnlisted
+			answers[i] = primacy.Answer{Status: status, HasAnswered: err == nil}
+		})
 	}
 	running.Wait()
-	return statuses
-}
-
-// leader returns the server that an earlier promoter has already made the primary.
-func (r *replacement) leader(statuses []serverStatus) (primacy.Status, bool) {
-	var newest primacy.Status
-	for _, s := range statuses {
-		if s.err == nil && s.status.Term > newest.Term && r.stored.Record.IsSuccessor(s.status) {
-			newest = s.status
-		}
-	}
-	return newest, newest.Server != ""
+	return answers
 }
 
 // promoteOne promotes the candidate and waits until it is the primary. Before that, it stores the candidate's name in the
@@ -297,9 +280,6 @@
 // may be promoted.
 func (r *replacement) promoteOne(ctx context.Context, candidate primacy.Status) (primacy.Status, error) {
 	p := r.promoter
-	if r.stored.Record.IsSuccessor(candidate) {
-		return candidate, nil
-	}
 	if err := r.storeSuccessor(ctx, candidate.Server); err != nil {
 		return primacy.Status{}, err
 	}
@@ -352,9 +332,7 @@
 	p := r.promoter
 	settled := p.cfg.Timer.Now() + promotionSettleTime
 	for p.cfg.Timer.Now() < until {
-		servers, _ := p.cfg.State.Servers()
-		l, listed := servers[before.Server]
-		if listed {
+		if l, known := p.knownServer(r.stored.Record, before.Server); known {
 			status, err := p.status(ctx, l)
 			isSettled := status.Term > before.Term || p.cfg.Timer.Now() >= settled
 			if err == nil && status.IsPrimary && status.Term > r.stored.Record.Term && isSettled {
--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/primacy"
 )
@@ -231,6 +232,104 @@
 	}
 }
 
+// Guards against the promotion of a server that lacks confirmed writes, because the replica that holds their other copy is
+// alive but not listed.
+func TestUnlistedReplicaHoldsConfirmedWrites(t *testing.T) {
+	t.Run("it is promoted", func(t *testing.T) {
+		withSynchronousCluster(t, func(w *cluster) {
+			w.unlist("s2")
+			w.loseOldPrimary()
+			w.waitFor(func() bool { return len(w.epochs()) > 0 })
+			w.updateListing("s2", false)
+			w.waitFor(func() bool { return w.allUsePrimary("s2") })
+			w.requireNeverPromoted("s1", "s3")
+		})
+	})
+	t.Run("it is promoted by instances that have never seen it listed", func(t *testing.T) {
+		withSynchronousCluster(t, func(w *cluster) {
+			w.unlist("s2")
+			w.restartAll("")
+			w.waitFor(func() bool { return w.allUsePrimary("s1") })
+			w.loseOldPrimary()
+			w.waitFor(func() bool { return len(w.epochs()) > 0 })
+			w.requireNeverPromoted("s1", "s3")
+		})
+	})
+	t.Run("it is waited for while it does not answer", func(t *testing.T) {
+		withSynchronousCluster(t, func(w *cluster) {
+			w.unlist("s2")
+			w.setDown("s2", true)
+			w.loseOldPrimary()
+			sleep(20 * time.Second)
+			require.Empty(t, w.epochs())
+			w.setDown("s2", false)
+			w.updateListing("s2", false)
+			w.waitFor(func() bool { return w.allUsePrimary("s2") })
+			w.requireNeverPromoted("s1", "s3")
+		})
+	})
+	t.Run("it is gone if its address is used by another server", func(t *testing.T) {
+		withSynchronousCluster(t, func(w *cluster) {
+			w.unlist("s2")
+			w.setDown("s2", true)
+			w.setOffset("s3", 100)
+			w.addServer("s4", "s2")
+			sleep(5 * time.Second)
+			w.loseOldPrimary()
+			w.waitFor(func() bool { return w.allUsePrimary("s3") || w.allUsePrimary("s4") })
+		})
+	})
+	t.Run("it is gone after the retention", func(t *testing.T) {
+		withSynchronousCluster(t, func(w *cluster) {
+			w.unlist("s2")
+			w.setDown("s2", true)
+			w.setOffset("s3", 100)
+			const retention = time.Minute
+			sleep(retention + 10*time.Second)
+			w.loseOldPrimary()
+			w.waitFor(func() bool { return w.allUsePrimary("s3") })
+		})
+	})
+	t.Run("a draining one is asked in a planned replacement", func(t *testing.T) {
+		withSynchronousCluster(t, func(w *cluster) {
+			w.updateListing("s2", true)
+			sleep(2 * time.Second)
+			w.updateListing("s1", true)
+			w.waitFor(func() bool { return len(w.epochs()) > 0 })
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			require.Equal(t, "s2", w.promotions[0].server)
+		})
+	})
+}
+
+// withSynchronousCluster runs a test in which s2 has received everything that s1 has confirmed, and s3 has not.
+func withSynchronousCluster(t *testing.T, test func(w *cluster)) {
+	t.Helper()
+	withCluster(t, 6, func(w *cluster) {
+		next := w.doc
+		next.Revision++
+		next.Groups = []document.Group{{Name: testGroup, Connections: 40, SynchronousReplicas: 1}, {Name: secondGroup, Connections: 40}}
+		w.setDocument(next)
+		w.waitFor(func() bool { return w.allHaveRevision(next.Revision) })
+		w.setOffset("s2", 100)
+		sleep(primacy.MaxLeaseTTL + time.Second)
+		test(w)
+		requireOldPrimaryUnused(w)
+		requireEpochsInOrder(w)
+	})
+}
+
+// requireNeverPromoted fails if one of the servers was promoted.
+func (w *cluster) requireNeverPromoted(servers ...string) {
+	w.t.Helper()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range w.promotions {
+		require.NotContains(w.t, servers, p.server)
+	}
+}
+
 // Guards against an outage of the store that leaves groups without a primary, and against one that leads to two
 // primaries.
 func TestLeasesWithoutStore(t *testing.T) {
