Use the old primary again if there is no successor

What callers would see: a group refuses all writes although its primary is alive, if the primary was suspected while no replica answered or no promotion was accepted.

Cause: once all instances had let go of the primary, the promoter never looked at it again.

Change: if too few servers answer and the old primary does, and it has followed no later primary, the announcement is withdrawn, or the old primary is promoted when another promotion may have been requested.

Evidence: TestPrimaryWithoutSuccessorIsUsedAgain failed before in both subtests and passes now; so does "the old primary is used again if it comes back first".

Why it works: the log of an old primary that followed no later one has every confirmed write, so it is a safe successor of itself.

--- a/primacy/record.go
+++ b/primacy/record.go
@@ -135,6 +135,11 @@
 // successor may have been requested, the successor may become the primary at any time.
 func (r Record) CanWithdraw() bool { return r.Replacement != nil && r.Replacement.Successor == "" }
 
+// IsLedBy reports whether the server reports itself as the primary of a later term, or as the old primary in its own term.
+func (r Record) IsLedBy(s Status) bool {
+	return s.IsPrimary && (s.Term > r.Term || s.Server == r.Primary && s.Term == r.Term)
+}
+
 // IsSuccessor reports whether a server that reports itself as the primary of a later term can be adopted as the
 // successor. If the promotion of another server was requested after its own, that one may have become the primary of an
 // even later term.
--- a/primacy/succession.go
+++ b/primacy/succession.go
@@ -96,6 +96,12 @@
 	return ordered, isComplete
 }
 
+// IntactPrimary returns the old primary if it has answered and has followed no later one. Its log has every confirmed
+// write, so it can lead the group again when the replicas that answered are not enough.
+func (s Succession) IntactPrimary() (Status, bool) {
+	return s.OldPrimary.Status, s.OldPrimary.HasAnswered && s.OldPrimary.Status.Term <= s.record.Term
+}
+
 // IsBehind reports whether the old primary holds more than the candidate.
 func (s Succession) IsBehind(candidate Status) bool {
 	return s.OldPrimary.HasAnswered && s.OldPrimary.Status.Received.Compare(candidate.Received) > 0
--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -213,6 +213,8 @@
 			if err == nil || !errors.As(err, &failed) {
 				return status, err
 			}
+		} else if oldPrimary, intact := succession.IntactPrimary(); intact && (!r.planned || isLast) {
+			return r.keep(ctx, oldPrimary)
 		}
 		if isLast {
 			return primacy.Status{}, port.Errorf(port.NoPrimary, "no server of the group could be promoted")
@@ -240,6 +242,15 @@
 	return primacy.Status{}, err
 }
 
+// keep uses the old primary again, because too few other servers respond. If the promotion of another server may have
+// been requested, the old primary is promoted as well.
+func (r *replacement) keep(ctx context.Context, oldPrimary primacy.Status) (primacy.Status, error) {
+	if oldPrimary.IsPrimary && r.stored.Record.CanWithdraw() {
+		return primacy.Status{}, r.withdraw(ctx)
+	}
+	return r.promoteOne(ctx, oldPrimary)
+}
+
 // succession queries the group's servers. In a planned replacement it waits up to catchUpTimeout until the first
 // candidate has received what the old primary holds.
 func (r *replacement) succession(ctx context.Context) primacy.Succession {
@@ -285,7 +296,7 @@
 	}
 	next := max(r.stored.Record.Term, candidate.Term) + 1
 	servers, _ := p.cfg.State.Servers()
-	if oldPrimary, listed := servers[r.stored.Record.Primary]; listed {
+	if oldPrimary, listed := servers[r.stored.Record.Primary]; listed && oldPrimary.Name != candidate.Server {
 		// The suspension already keeps an unreachable primary from being used.
 		_, _ = p.sendCommands(ctx, oldPrimary, statement.StepDown{Term: next})
 	}
@@ -335,7 +346,7 @@
 		if l, known := p.knownServer(r.stored.Record, before.Server); known {
 			status, err := p.status(ctx, l)
 			isSettled := status.Term > before.Term || p.cfg.Timer.Now() >= settled
-			if err == nil && status.IsPrimary && status.Term > r.stored.Record.Term && isSettled {
+			if err == nil && r.stored.Record.IsLedBy(status) && isSettled {
 				return status, nil
 			}
 		}
--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -268,6 +268,17 @@
 			w.requireNeverPromoted("s1", "s3")
 		})
 	})
+	t.Run("the old primary is used again if it comes back first", func(t *testing.T) {
+		withSynchronousCluster(t, func(w *cluster) {
+			w.unlist("s2")
+			w.setDown("s2", true)
+			w.loseOldPrimary()
+			sleep(20 * time.Second)
+			w.setDown("s1", false)
+			w.waitFor(func() bool { return w.allUsePrimary("s1") })
+			require.Empty(t, w.epochs())
+		})
+	})
 	t.Run("it is gone if its address is used by another server", func(t *testing.T) {
 		withSynchronousCluster(t, func(w *cluster) {
 			w.unlist("s2")
@@ -330,6 +341,31 @@
 	}
 }
 
+// Guards against a group that remains without a primary although its old one is alive: its announced replacement found no
+// other server.
+func TestPrimaryWithoutSuccessorIsUsedAgain(t *testing.T) {
+	for _, refused := range []bool{false, true} {
+		t.Run(fmt.Sprintf("promotions refused: %t", refused), func(t *testing.T) {
+			withCluster(t, 6, func(w *cluster) {
+				w.setDown("s2", !refused)
+				w.setDown("s3", !refused)
+				w.mu.Lock()
+				w.refusePromotion = refused
+				w.mu.Unlock()
+				w.loseOldPrimary()
+				sleep(20 * time.Second)
+				w.setDown("s1", false)
+				w.setDown("s2", true)
+				w.setDown("s3", true)
+				w.mu.Lock()
+				w.refusePromotion = false
+				w.mu.Unlock()
+				w.waitFor(func() bool { return w.allUsePrimary("s1") })
+			})
+		})
+	}
+}
+
 // Guards against an outage of the store that leaves groups without a primary, and against one that leads to two
 // primaries.
 func TestLeasesWithoutStore(t *testing.T) {
