Check the key for each statement of a transaction

Cause: the gateway authorized a client once for each operation, and a transaction is one operation. Changes of routes apply from the next transaction on; keys have no such exception.

Change: each statement of a transaction checks the key, and nothing else, by the document in force. A refusal rolls the transaction back.

Why it works: no statement reaches a server without a decision by the newest document that the instance has.

--- a/organisation/authorization.go
+++ b/organisation/authorization.go
@@ -84,12 +84,29 @@
 	return Authorize(lookup, Credentials{Organisation: o.Name, Key: key, Route: route}, fresh)
 }
 
-// Reauthorize checks whether an authorized client may run another statement, given the current document.
+// Reauthorize checks whether an authorized client may run another statement outside a transaction, given the current
+// document.
 func Reauthorize(lookup Lookup, a Allowed, fresh bool) Decision {
 	route, found := lookup.FindRoute(a.Route.Name)
 	if a.KeyID == "" {
 		return reauthorizeOpen(a, route, found)
 	}
+	if denied, isDenied := ReauthorizeKey(lookup, a, fresh).(Denied); isDenied {
+		return denied
+	}
+	if !found {
+		return Denied{Kind: port.UnknownRoute, Reason: reasonRoute}
+	}
+	a.Route = route
+	return a
+}
+
+// ReauthorizeKey checks whether the key of an authorized client is still valid, given the current document. Inside a
+// transaction nothing else is checked: a change to a route applies from the next transaction on.
+func ReauthorizeKey(lookup Lookup, a Allowed, fresh bool) Decision {
+	if a.KeyID == "" {
+		return a
+	}
 	if !fresh {
 		return Denied{Kind: port.NotFresh, Reason: reasonStaleDocument}
 	}
@@ -98,10 +115,6 @@
 	if !ok {
 		return Denied{Kind: port.KeyRefused, Reason: "the key was withdrawn"}
 	}
-	if !found {
-		return Denied{Kind: port.UnknownRoute, Reason: reasonRoute}
-	}
-	a.Route = route
 	return a
 }
 
--- a/organisation/organisation_test.go
+++ b/organisation/organisation_test.go
@@ -67,6 +67,30 @@
 	}
 }
 
+// Guards against a transaction that goes on with a withdrawn key, and against one that is ended by a change to its route.
+func TestReauthorizeKey(t *testing.T) {
+	key, hash := organisation.NewKey([organisation.KeySize]byte{1})
+	d := testDocument(hash, organisation.KeyHash{})
+	keyed, _ := organisation.Authorize(d, organisation.Credentials{Organisation: "acme", Key: key, Route: "w"}, true).(organisation.Allowed)
+	open, _ := organisation.Authorize(d, organisation.Credentials{Route: "menu"}, true).(organisation.Allowed)
+	for name, c := range map[string]struct {
+		lookup organisation.Lookup
+		a      organisation.Allowed
+		fresh  bool
+		want   organisation.Decision
+	}{
+		"unchanged":                  {document.NewIndex(d), keyed, true, keyed},
+		"key withdrawn":              {testDocument(organisation.KeyHash{}, hash), keyed, true, denied(port.KeyRefused)},
+		"organisation removed":       {document.Document{Routes: d.Routes}, keyed, true, denied(port.KeyRefused)},
+		"route removed":              {document.Document{Organisations: d.Organisations}, keyed, true, keyed},
+		"stale document":             {d, keyed, false, denied(port.NotFresh)},
+		"open route, stale document": {d, open, false, open},
+		"open route was removed":     {document.Document{}, open, true, open},
+	} {
+		t.Run(name, func(t *testing.T) { requireDecision(t, c.want, organisation.ReauthorizeKey(c.lookup, c.a, c.fresh)) })
+	}
+}
+
 func testDocument(acme, bolt organisation.KeyHash) document.Document {
 	return document.Document{
 		Organisations: []document.Organisation{
--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -422,10 +422,15 @@
 type fakeClient struct {
 	requests []statement.Request
 	answers  []statement.Result
+	// beforeReceive is called with the number of requests that have been answered. It may be nil.
+	beforeReceive func(answered int)
 }
 
 // Receive returns the next request.
 func (c *fakeClient) Receive(context.Context) (statement.Request, error) {
+	if c.beforeReceive != nil {
+		c.beforeReceive(len(c.answers))
+	}
 	if len(c.requests) == 0 {
 		return statement.Request{}, errors.New("the client has disconnected")
 	}
@@ -1031,3 +1036,21 @@
 	w.suspect("s1")
 	w.waitFor(func() bool { return !w.usesPrimary("front-0", "s1") })
 }
+
+// changeDocument writes a changed document and waits until all instances have it.
+func (w *cluster) changeDocument(change func(d *document.Document)) {
+	next := w.doc
+	next.Revision++
+	next.Organisations, next.Routes = slices.Clone(next.Organisations), slices.Clone(next.Routes)
+	change(&next)
+	w.setDocument(next)
+	w.waitFor(func() bool { return w.allHaveRevision(next.Revision) })
+}
+
+func (w *cluster) withdrawKeys() {
+	w.changeDocument(func(d *document.Document) { d.Organisations[0].Keys = nil })
+}
+
+func (w *cluster) removeRoutes() {
+	w.changeDocument(func(d *document.Document) { d.Routes = nil })
+}
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -177,6 +177,11 @@
 	if s.tx != nil && s.tx.failed {
 		return s.handleFailed(req)
 	}
+	if s.tx != nil {
+		if failure := s.manager.reauthorizeKey(s.authorized); !failure.IsZero() {
+			return s.refuseInTransaction(req, failure)
+		}
+	}
 	switch stmt := req.Statement.(type) {
 	case statement.SetValue:
 		s.sessionState = s.sessionState.WithValue(stmt.Name, stmt.Value)
@@ -210,6 +215,19 @@
 	}
 }
 
+// refuseInTransaction refuses a statement of a transaction and rolls the transaction back.
+func (s *Session) refuseInTransaction(req statement.Request, f statement.Failure) statement.Result {
+	switch req.Statement.(type) {
+	case statement.Rollback:
+		return s.rollback()
+	case statement.Commit:
+		s.abortTransaction()
+		return statement.Result{Failure: f}
+	default:
+		return s.failStatement(f)
+	}
+}
+
 func (s *Session) success() statement.Result { return statement.Result{State: s.state()} }
 
 func (s *Session) deallocate(stmt statement.Deallocate) statement.Result {
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -180,11 +180,22 @@
 // reauthorize decides whether an authorized client may run another operation.
 func (m *SessionManager) reauthorize(a organisation.Allowed) (organisation.Allowed, statement.Failure) {
 	index, fresh := m.cfg.Documents.CurrentDocument()
-	switch a := organisation.Reauthorize(index, a, fresh).(type) {
+	return allowedOf(organisation.Reauthorize(index, a, fresh))
+}
+
+// reauthorizeKey decides whether an authorized client may go on with its transaction.
+func (m *SessionManager) reauthorizeKey(a organisation.Allowed) statement.Failure {
+	index, fresh := m.cfg.Documents.CurrentDocument()
+	_, failure := allowedOf(organisation.ReauthorizeKey(index, a, fresh))
+	return failure
+}
+
+func allowedOf(d organisation.Decision) (organisation.Allowed, statement.Failure) {
+	switch d := d.(type) {
 	case organisation.Allowed:
-		return a, statement.Failure{}
+		return d, statement.Failure{}
 	case organisation.Denied:
-		return organisation.Allowed{}, statement.Failure{Kind: a.Kind, Text: a.Reason}
+		return organisation.Allowed{}, statement.Failure{Kind: d.Kind, Text: d.Reason}
 	default:
 		return organisation.Allowed{}, statement.Failure{Kind: port.Internal, Text: "unknown authorization decision"}
 	}
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/organisation"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/statement"
 )
@@ -116,6 +118,84 @@
 	})
 }
 
+// Guards against a withdrawn key that goes on reading and writing for as long as its transaction lasts.
+func TestWithdrawnKeyEndsTransaction(t *testing.T) {
+	write, read := statement.Write{Text: "WRITE a 1"}, statement.Read{Text: "READ a"}
+	prepare := statement.Prepare{Name: "p", Shape: statement.Shape{Writes: true, Text: "q"}}
+	for name, c := range map[string]struct {
+		before []statement.Statement
+		next   statement.Statement
+	}{
+		"first statement":    {[]statement.Statement{statement.Begin{}}, write},
+		"write":              {[]statement.Statement{statement.Begin{}, read}, write},
+		"read":               {[]statement.Statement{statement.Begin{ReadOnly: true}, read}, read},
+		"prepared statement": {[]statement.Statement{prepare, statement.Begin{}, read}, statement.Execute{Name: "p"}},
+		"session value":      {[]statement.Statement{statement.Begin{}, read}, statement.SetValue{Name: "tz", Value: "kigali"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withKeyedClient(t, c.before, []statement.Statement{c.next, statement.Commit{}}, (*cluster).withdrawKeys, func(answers []statement.Result) {
+				requireKind(t, port.KeyRefused, answers[0])
+				require.Equal(t, statement.Failed, answers[0].State)
+				requireKind(t, port.NotKept, answers[1])
+			})
+		})
+	}
+	t.Run("commit", func(t *testing.T) {
+		before := []statement.Statement{statement.Begin{}, write}
+		withKeyedClient(t, before, []statement.Statement{statement.Commit{}, read}, (*cluster).withdrawKeys, func(answers []statement.Result) {
+			requireKind(t, port.KeyRefused, answers[0])
+			require.Equal(t, statement.Idle, answers[0].State)
+			requireKind(t, port.KeyRefused, answers[1])
+		})
+	})
+	t.Run("rollback", func(t *testing.T) {
+		before := []statement.Statement{statement.Begin{}, write}
+		withKeyedClient(t, before, []statement.Statement{statement.Rollback{}}, (*cluster).withdrawKeys, func(answers []statement.Result) {
+			requireSuccess(t, answers[0])
+		})
+	})
+	t.Run("a transaction goes on after its route is removed", func(t *testing.T) {
+		before := []statement.Statement{statement.Begin{}, write}
+		withKeyedClient(t, before, []statement.Statement{write, statement.Commit{}, read}, (*cluster).removeRoutes, func(answers []statement.Result) {
+			requireSuccess(t, answers[0])
+			requireSuccess(t, answers[1])
+			requireKind(t, port.UnknownRoute, answers[2])
+		})
+	})
+}
+
+// withKeyedClient runs the statements of a client with a key, applies the change to the cluster, and checks the answers to
+// the statements after it. No connection may remain in use.
+func withKeyedClient(t *testing.T, before, after []statement.Statement, change func(w *cluster), check func(answers []statement.Result)) {
+	t.Helper()
+	withCluster(t, 2, func(w *cluster) {
+		const key = "secret"
+		w.changeDocument(func(d *document.Document) {
+			d.Organisations[0].Keys = []document.Key{{ID: "first", SHA256: organisation.HashKey(key).String()}}
+			d.Routes[0].Open = false
+		})
+		i := w.instance("front-0")
+		allowed, err := i.manager.Authorize("orders", key)
+		require.NoError(t, err)
+		c := &fakeClient{beforeReceive: func(answered int) {
+			if answered == len(before) {
+				change(w)
+			}
+		}}
+		for _, stmt := range slices.Concat(before, after) {
+			c.requests = append(c.requests, request(stmt))
+		}
+		i.manager.Serve(w.t.Context(), c, allowed)
+		require.Len(t, c.answers, len(before)+len(after))
+		for _, a := range c.answers[:len(before)] {
+			requireSuccess(t, a)
+		}
+		check(c.answers[len(before):])
+		i.manager.Drain(w.t.Context(), time.Second)
+		require.Zero(t, i.dispatcher.Outstanding("s1"))
+	})
+}
+
 // Guards against a client that cannot end a failed transaction, and against statements accepted in the wrong
 // transaction state.
 func TestSessionStates(t *testing.T) {
