End messages at CR LF only

Cause: the reader of the line protocol ended a message at each line feed. The stand-in server did the same, so that no test showed it.

Other line feeds and carriage returns are part of a field.

--- a/cmd/gateway/fixture_test.go
+++ b/cmd/gateway/fixture_test.go
@@ -214,8 +214,12 @@
 func (c *client) line() string {
 	c.t.Helper()
 	require.NoError(c.t, c.conn.SetReadDeadline(time.Now().Add(waitTimeout)))
-	line, err := c.lines.ReadString('\n')
-	require.NoError(c.t, err)
+	line := ""
+	for !strings.HasSuffix(line, "\r\n") {
+		part, err := c.lines.ReadString('\n')
+		require.NoError(c.t, err)
+		line += part
+	}
 	return strings.TrimSuffix(line, "\r\n")
 }
 
--- a/cmd/gateway/gateway_test.go
+++ b/cmd/gateway/gateway_test.go
@@ -69,6 +69,15 @@
 		requireError(t, "MALFORMED", c.query("NONSENSE"))
 		requireRow(t, "7", c.query("READ tin"))
 	})
+	t.Run("a line feed in the data is part of the data", func(t *testing.T) {
+		// A server ran the text after the line feed as a second request.
+		c := dial(t, one.clientAddress, "orders", testKey)
+		c.line()
+		for _, data := range []string{"1\nQUERY x WRITE lf 2", "3\r", "\n", "4\r\r5", "\n6\n"} {
+			requireProof(t, c.query("WRITE lf "+data))
+			requireRow(t, data, c.query("READ lf"))
+		}
+	})
 	t.Run("metrics are served and contain no organisation", func(t *testing.T) {
 		text := get(t, "http://"+one.metricsAddress+"/metrics")
 		require.Contains(t, text, `rhubarbwick_gateway_requests_total{freshness="every_write",result="success"}`)
--- a/standin/database/server.go
+++ b/standin/database/server.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -98,6 +100,7 @@
 func (c *connection) run() {
 	defer c.close()
 	lines := bufio.NewScanner(c.conn)
+	lines.Split(splitMessages)
 	if !lines.Scan() || !c.handshake(lines.Text()) {
 		return
 	}
@@ -113,6 +116,18 @@
 	}
 }
 
+// splitMessages is a bufio.SplitFunc for messages, which end with CR LF. A line feed alone is part of a field.
+func splitMessages(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	const lineEnd = "\r\n"
+	if i := bytes.Index(data, []byte(lineEnd)); i >= 0 {
+		return i + len(lineEnd), data[:i], nil
+	}
+	if atEOF && len(data) > 0 {
+		return 0, nil, io.ErrUnexpectedEOF
+	}
+	return 0, nil, nil
+}
+
 func (c *connection) close() {
 	c.server.group.mu.Lock()
 	delete(c.server.conns, c.conn)
