Write all log lines from a queue

Cause: the process wrote its own lines, and serve all its lines, directly to the output. The first step of a stop is such a line.

Change: the lines of both front ends go through a bounded queue with one goroutine behind it. A full queue drops lines, those about requests first, and metrics count them.

Why it works: no goroutine but the queue's own one writes to the output.

--- a/adapter/decisions/log.go
+++ b/adapter/decisions/log.go
@@ -18,6 +18,9 @@
 	// maxQueuedEvents is the capacity of the queue of events that are not written yet. Further events are dropped and
 	// counted.
 	maxQueuedEvents = 1024
+	// maxQueuedRequests is the number of queued events from which on events about requests are dropped. The rest is left
+	// for events that change the instance's view of the cluster.
+	maxQueuedRequests = 896
 	// maxRequestLinesPerSecond limits the lines about requests. Events that change the instance's view of the cluster are
 	// not subject to it.
 	maxRequestLinesPerSecond = 50
@@ -27,9 +30,10 @@
 
 // Log writes events to a structured log. It implements proxy.Recorder.
 type Log struct {
-	logger *zap.Logger
-	timer  port.Timer
-	events *ring.Ring[proxy.Event]
+	logger   *zap.Logger
+	requests *zap.Logger
+	timer    port.Timer
+	events   *ring.Ring[proxy.Event]
 	// dropped is the number of events that were dropped because of the queue or the rate limit.
 	dropped atomic.Uint64
 
@@ -41,14 +45,15 @@
 
 var _ proxy.Recorder = (*Log)(nil)
 
-// New returns a log that writes to logger.
-func New(logger *zap.Logger, timer port.Timer) *Log {
-	return &Log{logger: logger, timer: timer, events: ring.New[proxy.Event](maxQueuedEvents)}
+// New returns a log that writes the lines about requests to requests, and all others to logger.
+func New(logger, requests *zap.Logger, timer port.Timer) *Log {
+	return &Log{logger: logger, requests: requests, timer: timer, events: ring.New[proxy.Event](maxQueuedEvents)}
 }
 
 // Record queues an event. If the queue is full, it drops and counts the event.
 func (l *Log) Record(e proxy.Event) {
-	if !l.events.TryPut(e) {
+	_, isRequest := e.(proxy.RequestCompleted)
+	if isRequest && l.events.Len() >= maxQueuedRequests || !l.events.TryPut(e) {
 		l.dropped.Add(1)
 	}
 }
@@ -117,7 +122,7 @@
 	if result == "" {
 		result = "success"
 	}
-	l.logger.Info("request: answered", zap.String("request", e.ID), zap.String("result", result),
+	l.requests.Info("request: answered", zap.String("request", e.ID), zap.String("result", result),
 		zap.String("reason", e.Reason), zap.String("organisation", e.Organisation), zap.String("route", e.Route),
 		zap.String("group", e.Group),
 		zap.String("server", e.Server), zap.String("owner", e.PoolOwner), zap.Int("tries", e.Attempts), zap.Duration("took", e.Duration),
--- a/adapter/decisions/log_test.go
+++ b/adapter/decisions/log_test.go
@@ -35,7 +35,7 @@
 func startLog(t *testing.T, logger *zap.Logger) *logRun {
 	t.Helper()
 	ctx, stop := context.WithCancel(t.Context())
-	r := &logRun{log: decisions.New(logger, &clock.Fake{}), stop: stop}
+	r := &logRun{log: decisions.New(logger, logger, &clock.Fake{}), stop: stop}
 	r.ended.Go(func() { r.log.Run(ctx) })
 	return r
 }
--- a/adapter/metrics/metrics.go
+++ b/adapter/metrics/metrics.go
@@ -39,8 +39,8 @@
 
 var _ postgres.Observer = (*Metrics)(nil)
 
-// New returns metrics with all counters at zero.
-func New() *Metrics {
+// New returns metrics with all counters at zero. droppedLogLines returns the number of log lines that were dropped.
+func New(droppedLogLines func() uint64) *Metrics {
 	m := &Metrics{
 		registry: prometheus.NewRegistry(),
 		reads: newCounterVec("reads_total", "Read transactions that were placed on a server, by the role of the server.",
@@ -60,6 +60,7 @@
 	}
 	m.registry.MustRegister(m.forwards.collectors()...)
 	m.registry.MustRegister(m.reads, m.requests, m.refusals, m.organisations, m.storeCalls, m.selecting,
+		newGaugeFunc("log_lines_left_out", "Log lines that were not written.", func() float64 { return float64(droppedLogLines()) }),
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.initializeSeries()
 	return m
--- a/cmd/gateway/fixture_test.go
+++ b/cmd/gateway/fixture_test.go
@@ -47,6 +47,7 @@
 	stop             context.CancelFunc
 	done             chan error
 	log              *syncBuffer
+	process          *process
 }
 
 // syncBuffer is a buffer for concurrent use.
@@ -123,20 +124,28 @@
 // start starts a gateway and waits until it is ready.
 func (f *fixture) start(name string) *gatewayInstance {
 	f.t.Helper()
-	g := &gatewayInstance{log: &syncBuffer{}, done: make(chan error, 1)}
+	log := &syncBuffer{}
+	return f.startWithLog(name, log, log)
+}
+
+// startWithLog is start for a gateway whose log is written to w. log is shown if a test fails.
+func (f *fixture) startWithLog(name string, w io.Writer, log *syncBuffer) *gatewayInstance {
+	f.t.Helper()
+	g := &gatewayInstance{log: log, done: make(chan error, 1)}
 	ctx, stop := context.WithCancel(f.t.Context())
 	const anyPort = "127.0.0.1:0"
-	log, err := startup.NewLogger(logSettings, g.log)
+	lines, err := startup.NewLog(logSettings, w)
 	require.NoError(f.t, err)
+	f.t.Cleanup(lines.Close)
 	p, err := newProcess(ctx, platform.Settings{
 		Name: name, DataCentre: "kig-a", ClientAddress: anyPort, ReadyAddress: anyPort, PeerAddress: anyPort,
 		MetricsAddress: anyPort, StoreAddress: f.address, CloudAddress: f.address, MemoryMB: 200, FileDescriptors: 2000,
 		DrainTimeout: 6 * time.Second, RateTolerance: proxy.RateTolerance{Window: 5 * time.Second},
-	}, startup.NewIncarnation(), log)
+	}, startup.NewIncarnation(), lines)
 	require.NoError(f.t, err)
 	p.settingsPath = filepath.Join(f.t.TempDir(), "missing.conf")
 	g.clientAddress, g.readinessAddress, g.metricsAddress = p.listener.Address(), p.readinessServer.Address(), p.metricsServer.Address()
-	g.stop = stop
+	g.stop, g.process = stop, p
 	running := &runner{process: p, done: g.done}
 	go running.run(ctx)
 	f.gateways[name] = g
@@ -259,3 +268,25 @@
 	t.Helper()
 	require.True(t, strings.HasPrefix(lines[0], "ERROR "+code+" "), "%v", lines)
 }
+
+// blockedWriter blocks its first write until the test ends, like a full pipe that nobody reads.
+type blockedWriter struct {
+	blocked  chan struct{}
+	released chan struct{}
+	once     sync.Once
+}
+
+func newBlockedWriter(t *testing.T) *blockedWriter {
+	w := &blockedWriter{blocked: make(chan struct{}), released: make(chan struct{})}
+	t.Cleanup(func() { close(w.released) })
+	return w
+}
+
+// Write blocks until the test ends.
+func (w *blockedWriter) Write(b []byte) (int, error) {
+	w.once.Do(func() { close(w.blocked) })
+	<-w.released
+	return len(b), nil
+}
+
+func (w *blockedWriter) waitUntilBlocked() { <-w.blocked }
--- a/cmd/gateway/gateway.go
+++ b/cmd/gateway/gateway.go
@@ -51,10 +51,11 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	log, err := startup.NewLogger(logSettings, opts.Streams.Out)
+	log, err := startup.NewLog(logSettings, opts.Streams.Out)
 	if err != nil {
-		return port.Wrapf(err, port.Invalid, "cannot create the logger")
+		return port.Wrapf(err, port.Invalid, "cannot create the log")
 	}
+	defer log.Close()
 	p, err := newProcess(ctx, cfg, startup.NewIncarnation(), log)
 	if err != nil {
 		return err
--- a/cmd/gateway/gateway_test.go
+++ b/cmd/gateway/gateway_test.go
@@ -194,6 +194,37 @@
 	require.Contains(t, string(record.Spec), `"stopped":true`)
 }
 
+// Guards against an instance that cannot start, reload, leave or stop while nobody reads its log: it ignored SIGTERM and was
+// killed in the middle of requests.
+func TestGatewayWithUnreadLog(t *testing.T) {
+	f := newFixture(t)
+	unread := newBlockedWriter(t)
+	g := f.startWithLog("one", unread, &syncBuffer{})
+	unread.waitUntilBlocked()
+	c := dial(t, g.clientAddress, "orders", testKey)
+	c.line()
+	requireProof(t, c.query("WRITE a 1"))
+	g.process.reload(g.process.settings)
+	g.process.setIsolated(true)
+	require.False(t, isReady(g.readinessAddress))
+	g.process.setIsolated(false)
+	require.True(t, isReady(g.readinessAddress))
+	busy := dial(t, g.clientAddress, "orders", testKey)
+	busy.line()
+	requireSuccess(t, busy.query("BEGIN"))
+	requireProof(t, busy.query("WRITE h 1"))
+	g.stop()
+	require.Eventually(t, func() bool { return !isReady(g.readinessAddress) }, waitTimeout, 5*time.Millisecond)
+	requireProof(t, busy.query("COMMIT"))
+	select {
+	case err := <-g.done:
+		require.NoError(t, err)
+		g.done <- nil
+	case <-time.After(waitTimeout):
+		require.Fail(t, "the gateway did not stop")
+	}
+}
+
 // Guards against a process that starts with a missing or incomplete settings file.
 func TestGatewaySettings(t *testing.T) {
 	t.Run("no file", func(t *testing.T) {
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -13,6 +13,7 @@
 	"github.com/rhubarbwick/rhubarbwick/adapter/decisions"
 	"github.com/rhubarbwick/rhubarbwick/adapter/fleet"
 	"github.com/rhubarbwick/rhubarbwick/adapter/metrics"
+	"github.com/rhubarbwick/rhubarbwick/cmd/startup"
 	"github.com/rhubarbwick/rhubarbwick/platform"
 	"github.com/rhubarbwick/rhubarbwick/proxy"
 	"github.com/rhubarbwick/rhubarbwick/ring"
@@ -57,12 +58,12 @@
 }
 
 // newProcess opens the sockets and creates the components.
-func newProcess(ctx context.Context, s platform.Settings, incarnation string, log *zap.Logger) (*process, error) {
+func newProcess(ctx context.Context, s platform.Settings, incarnation string, log *startup.Log) (*process, error) {
 	debug.SetMemoryLimit(int64(heapFraction * float64(s.MemoryMB) * (1 << 20)))
-	log = log.With(zap.String("instance", s.Name))
-	p := &process{settings: s, log: log, timer: clock.NewBootTimeService()}
-	p.decisions = decisions.New(log, p.timer)
-	p.metrics = p.newMetrics()
+	name := zap.String("instance", s.Name)
+	p := &process{settings: s, log: log.Process.With(name), timer: clock.NewBootTimeService()}
+	p.decisions = decisions.New(p.log, log.Requests.With(name), p.timer)
+	p.metrics = p.newMetrics(log.Dropped)
 	socket, err := platform.Listen(ctx, s.PeerAddress, "other instances")
 	if err != nil {
 		return nil, err
@@ -115,7 +116,8 @@
 	return p, p.listen(ctx)
 }
 
-func (p *process) newMetrics() *metrics.Gateway {
+// newMetrics returns the metrics. droppedLines returns the number of log lines that were dropped.
+func (p *process) newMetrics(droppedLines func() uint64) *metrics.Gateway {
 	return metrics.NewGateway(metrics.GatewayState{
 		DocumentRevision: func() uint64 {
 			source, _ := p.state.CurrentDocument()
@@ -123,7 +125,7 @@
 		},
 		DocumentAge:     func() time.Duration { return p.state.DocumentAge() },
 		InstanceCount:   func() int { return p.state.InstanceCount() },
-		DroppedLogLines: p.decisions.Dropped,
+		DroppedLogLines: func() uint64 { return p.decisions.Dropped() + droppedLines() },
 		IsOpen:          func() bool { return p.gate.IsOpen() },
 	}, p.decisions)
 }
--- a/cmd/serve/fixture_test.go
+++ b/cmd/serve/fixture_test.go
@@ -102,8 +102,9 @@
 	cfg.Console.PasswordSHA256 = hashOf(operatorPassword)
 	cfg.Log.Level = "debug"
 	logs := &syncBuffer{}
-	log, err := startup.NewLogger(cfg.Log, logs)
+	log, err := startup.NewLog(cfg.Log, logs)
 	require.NoError(t, err)
+	t.Cleanup(log.Close)
 	p, err := newProcess(ctx, cfg, "instance-under-test", log)
 	require.NoError(t, err)
 	running.Go(func() { assert.NoError(t, p.run(ctx, io.Discard)) })
--- a/cmd/serve/process.go
+++ b/cmd/serve/process.go
@@ -40,6 +40,7 @@
 	cfg          settings.Settings
 	self         instance.Instance
 	log          *zap.Logger
+	requestLog   *zap.Logger
 	timer        *clock.Service
 	metrics      *metrics.Metrics
 	store        port.Store
@@ -60,8 +61,8 @@
 }
 
 // newProcess opens the sockets and creates the components.
-func newProcess(ctx context.Context, cfg settings.Settings, incarnation string, log *zap.Logger) (*process, error) {
-	p := &process{cfg: cfg, log: log, timer: clock.NewService(), metrics: metrics.New()}
+func newProcess(ctx context.Context, cfg settings.Settings, incarnation string, log *startup.Log) (*process, error) {
+	p := &process{cfg: cfg, log: log.Process, requestLog: log.Requests, timer: clock.NewService(), metrics: metrics.New(log.Dropped)}
 	if err := p.listen(ctx); err != nil {
 		return nil, err
 	}
@@ -212,7 +213,7 @@
 		TLS:              tlsConfig,
 		Observer:         p.metrics,
 		Forward:          &postgres.ForwardConfig{Authorizer: authorizer, Connector: p.router, Observer: p.metrics},
-	}, p.metrics.Authorizer(authorizer), p.metrics.ServerSelector(selector), p.pool, p.timer, p.log)
+	}, p.metrics.Authorizer(authorizer), p.metrics.ServerSelector(selector), p.pool, p.timer, p.requestLog)
 	p.peerServer.WithForwardHandler(forwardHandler{p.listener})
 	p.assembleAdmin(signer)
 	return nil
--- a/cmd/serve/serve.go
+++ b/cmd/serve/serve.go
@@ -49,11 +49,11 @@
 	if opts.Incarnation == "" {
 		opts.Incarnation = startup.NewIncarnation()
 	}
-	log, err := startup.NewLogger(cfg.Log, opts.Streams.Err)
+	log, err := startup.NewLog(cfg.Log, opts.Streams.Err)
 	if err != nil {
-		return port.Wrapf(err, port.Invalid, "cannot create the logger")
+		return port.Wrapf(err, port.Invalid, "cannot create the log")
 	}
-	defer func() { _ = log.Sync() }()
+	defer log.Close()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	p, err := newProcess(ctx, cfg, opts.Incarnation, log)
--- a/cmd/startup/startup.go
+++ b/cmd/startup/startup.go
@@ -1,4 +1,4 @@
-// Package startup creates the logger and the identity of an instance for the commands that run one.
+// Package startup creates the log and the identity of an instance for the commands that run one.
 package startup
 
 import (
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/rhubarbwick/rhubarbwick/adapter/logqueue"
 	"github.com/rhubarbwick/rhubarbwick/adapter/settings"
 )
 
@@ -20,8 +21,18 @@
 	return hex.EncodeToString(id[:])
 }
 
-// NewLogger returns the logger of the process. Each component logs under its own name, which prefixes its lines.
-func NewLogger(cfg settings.Log, w io.Writer) (*zap.Logger, error) {
+// Log is the log of a process. Its lines are written by a queue, so that logging never blocks.
+type Log struct {
+	// Process is for lines about the process, which are dropped last. Each component logs under its own name, which
+	// prefixes its lines.
+	Process *zap.Logger
+	// Requests is for lines about single requests and clients, which are dropped first.
+	Requests *zap.Logger
+	queue    *logqueue.Queue
+}
+
+// NewLog returns a log that writes to w. It must be closed. It fails if the level is unknown.
+func NewLog(cfg settings.Log, w io.Writer) (*Log, error) {
 	level, err := zapcore.ParseLevel(cfg.Level)
 	if err != nil {
 		return nil, err
@@ -32,5 +43,16 @@
 	if cfg.Format == "json" {
 		encoder = zapcore.NewJSONEncoder(encoding)
 	}
-	return zap.New(zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(w)), level)), nil
+	queue := logqueue.New(w)
+	return &Log{
+		Process:  zap.New(zapcore.NewCore(encoder, queue.Lines(), level)),
+		Requests: zap.New(zapcore.NewCore(encoder, queue.BulkLines(), level)),
+		queue:    queue,
+	}, nil
 }
+
+// Dropped returns the number of lines that were dropped because nobody read the output in time.
+func (l *Log) Dropped() uint64 { return l.queue.Dropped() }
+
+// Close writes the remaining lines, unless nobody reads them.
+func (l *Log) Close() { l.queue.Close() }
