Register once, and read the records again for a new instance

What clients saw: after a loss of power of all instances, some refused everything for 610 ms; the bound of TestServesAfterLossOfPower is 300 ms.

Cause: an instance that missed itself in the first read registered a second time while the first registration was under way, met a conflict and began to follow its relay 100 ms late. One that registered after its relay's read got no lease before the next regular read, 500 ms later.

Change: no second registration before the first has ended. A relay reads the records at once when an instance that they lack asks it for state.

TestInstanceRegistersOnce fails without the first half.

--- a/proxy/cluster_state.go
+++ b/proxy/cluster_state.go
@@ -36,6 +36,7 @@
 	hasRecords         bool
 	changed            chan struct{}
 	selfUnregistered   *ring.Ring[struct{}]
+	recordsOutdated    *ring.Ring[struct{}]
 	history            *MembershipHistory
 }
 
@@ -43,7 +44,7 @@
 func NewClusterState(self Member, timer port.Timer, views *PrimaryViews, maxDocumentAge time.Duration) *ClusterState {
 	return &ClusterState{
 		self: self, timer: timer, views: views, maxDocumentAge: maxDocumentAge, changed: make(chan struct{}),
-		selfUnregistered: ring.New[struct{}](1), history: NewMembershipHistory(),
+		selfUnregistered: ring.New[struct{}](1), recordsOutdated: ring.New[struct{}](1), history: NewMembershipHistory(),
 	}
 }
 
@@ -114,6 +115,9 @@
 // SelfUnregistered returns a ring that receives a token whenever this instance is missing from the records.
 func (c *ClusterState) SelfUnregistered() *ring.Ring[struct{}] { return c.selfUnregistered }
 
+// RecordsOutdated returns a ring that receives a token when another instance shows that the records lack a member.
+func (c *ClusterState) RecordsOutdated() *ring.Ring[struct{}] { return c.recordsOutdated }
+
 // IsComplete reports whether enough state is known to serve clients.
 func (c *ClusterState) IsComplete() bool {
 	c.mu.Lock()
--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -39,9 +39,11 @@
 type cluster struct {
 	t *testing.T
 
-	mu            sync.Mutex
-	version       port.Version
-	objects       map[string]port.Object
+	mu      sync.Mutex
+	version port.Version
+	objects map[string]port.Object
+	// writes counts the successful writes of each record.
+	writes        map[string]int
 	doc           document.Document
 	docVersion    port.Version
 	servers       map[string]*fakeServer
@@ -168,7 +170,7 @@
 
 func newCluster(t *testing.T) *cluster {
 	w := &cluster{
-		t: t, objects: make(map[string]port.Object), servers: make(map[string]*fakeServer),
+		t: t, objects: make(map[string]port.Object), writes: make(map[string]int), servers: make(map[string]*fakeServer),
 		listed: make(map[string]dispatch.Listing), partitioned: make(map[string]bool), storeRejects: make(map[string]bool), unreachable: make(map[string]bool),
 		instances: make(map[string]*testInstance), version: 10,
 	}
@@ -605,6 +607,7 @@
 	}
 	r.cluster.version++
 	r.cluster.objects[name] = port.Object{Name: name, Version: r.cluster.version, Data: data}
+	r.cluster.writes[name]++
 	return r.cluster.version, nil
 }
 
--- a/proxy/peer_service.go
+++ b/proxy/peer_service.go
@@ -18,6 +18,8 @@
 	maxRelayRecordsAge = 1200 * time.Millisecond
 	// plannedDrainTimeout is how long statements at a primary may take to finish in a planned replacement.
 	plannedDrainTimeout = 500 * time.Millisecond
+	// unknownMemberInterval is the least time between two reads of the records because of the same unknown instance.
+	unknownMemberInterval = time.Second
 	// drainCheckInterval is how often an instance checks whether they have finished.
 	drainCheckInterval = 10 * time.Millisecond
 )
@@ -45,11 +47,14 @@
 	mu sync.Mutex
 	// lastExchange holds the time of each instance's last exchange.
 	lastExchange map[string]time.Duration
+	// unknownSince holds the instances that the records lacked when they last exchanged state, and when the records were
+	// last read because of them.
+	unknownSince map[string]time.Duration
 }
 
 // NewPeerService returns a peer service.
 func NewPeerService(cfg PeerServiceConfig) *PeerService {
-	return &PeerService{cfg: cfg, lastExchange: make(map[string]time.Duration)}
+	return &PeerService{cfg: cfg, lastExchange: make(map[string]time.Duration), unknownSince: make(map[string]time.Duration)}
 }
 
 // Stop makes the service refuse to extend leases, because promoters no longer ask a stopping instance to release the
@@ -84,6 +89,7 @@
 func (s *PeerService) Exchange(ctx context.Context, req ExchangeRequest) ExchangeResponse {
 	start := s.cfg.Timer.Now()
 	s.recordExchange(req.From, start)
+	s.checkRegistered(req.From, start)
 	s.waitForChange(ctx, req, start+min(req.Wait, maxExchangeWait))
 	now := s.cfg.Timer.Now()
 	res := ExchangeResponse{Held: now - start}
@@ -150,6 +156,29 @@
 	s.lastExchange[m.Incarnation] = now
 }
 
+// checkRegistered has the records read again if they lack the instance, which has registered since. It uses no primary
+// until it gets records that contain it, and the next read may be half a second away.
+func (s *PeerService) checkRegistered(m Member, now time.Duration) {
+	records, known := s.cfg.State.Records()
+	isRegistered := records.HasMember(m)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if isRegistered {
+		delete(s.unknownSince, m.Incarnation)
+		return
+	}
+	if last, seen := s.unknownSince[m.Incarnation]; !known || seen && now-last < unknownMemberInterval {
+		return
+	}
+	for other, last := range s.unknownSince {
+		if now-last > unresponsiveTimeout {
+			delete(s.unknownSince, other)
+		}
+	}
+	s.unknownSince[m.Incarnation] = now
+	s.cfg.State.RecordsOutdated().TryPut(struct{}{})
+}
+
 // waitForChange returns when there is state that the requesting instance does not have, or at the deadline.
 func (s *PeerService) waitForChange(ctx context.Context, req ExchangeRequest, until time.Duration) {
 	for {
--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -596,6 +596,27 @@
 	}
 }
 
+// Guards against an instance that registers twice at its start: the second write conflicts with the first one, and the
+// instance serves later.
+func TestInstanceRegistersOnce(t *testing.T) {
+	withCluster(t, 6, func(w *cluster) {
+		for range 10 {
+			w.mu.Lock()
+			clear(w.writes)
+			w.mu.Unlock()
+			w.restartAll("")
+			w.waitFor(func() bool { return w.allUsePrimary("s1") })
+			sleep(time.Second)
+			for _, name := range w.names() {
+				w.mu.Lock()
+				n := w.writes["instance/"+name]
+				w.mu.Unlock()
+				require.Equal(t, 1, n, name)
+			}
+		}
+	})
+}
+
 // Guards against primaries that are replaced one after the other when a data centre fails with all of them. That only one
 // instance of each data centre checks when the first promoter has failed as well is not tested.
 func TestPrimariesThatFailTogether(t *testing.T) {
--- a/proxy/store_readers.go
+++ b/proxy/store_readers.go
@@ -215,8 +215,10 @@
 		if _, err := r.State.SelfUnregistered().Take(ctx); err != nil {
 			return
 		}
-		// Records older than this instance's own record do not contain it yet.
-		if s, _ := r.State.Records(); !s.HasMember(r.Self) && uint64(s.Newest()) > r.writtenVersion.Load() {
+		// Records older than this instance's own record do not contain it yet. Before the first registration there is
+		// none, and a second registration at the same time would only delay the first one by a conflict.
+		written := r.writtenVersion.Load()
+		if s, _ := r.State.Records(); written != 0 && !s.HasMember(r.Self) && uint64(s.Newest()) > written {
 			r.Register(ctx)
 		}
 	}
--- a/proxy/syncer.go
+++ b/proxy/syncer.go
@@ -103,6 +103,8 @@
 	c.running.Go(func() { n.loop(ctx) })
 	e := &extender{syncer: c}
 	c.running.Go(func() { e.loop(ctx) })
+	o := &outdatedRecordsReader{syncer: c}
+	c.running.Go(func() { o.loop(ctx) })
 	c.loop(ctx)
 	c.stopReaders()
 	c.running.Wait()
