Check the promoter lock after each renewal

Cause: the lease of the lock was counted from before the renewal, but the clock was not checked when the answer came, so a promoter that was frozen meanwhile acted on a lease that had ended. The step-down came before the renewal.

Change: a renewal counts only if it was sent less than a lease ago. The lock is renewed before the step-down as well as before the call.

Evidence: TestPromoterThatStoodStill saw the epochs 2, 1 before and sees one promotion now.

--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -65,6 +65,8 @@
 	// stillUsedOldPrimary holds the instances that still used the old primary when a promotion took effect.
 	stillUsedOldPrimary []string
 	refusePromotion     bool
+	// answerDelay returns how late the answer to a successful write of a record is. It may be nil.
+	answerDelay func(name string, data []byte) time.Duration
 	// promotionDelay is the time from a promotion call until the server leads.
 	promotionDelay time.Duration
 	storeCalls     atomic.Int64
@@ -601,14 +603,20 @@
 	if err != nil {
 		return 0, err
 	}
-	defer done()
-	if r.cluster.objects[name].Version != expected {
+	w := r.cluster
+	if w.objects[name].Version != expected {
+		done()
 		return 0, port.Errorf(port.Conflict, "version mismatch")
 	}
-	r.cluster.version++
-	r.cluster.objects[name] = port.Object{Name: name, Version: r.cluster.version, Data: data}
-	r.cluster.writes[name]++
-	return r.cluster.version, nil
+	w.version++
+	version, answerDelay := w.version, w.answerDelay
+	w.objects[name] = port.Object{Name: name, Version: version, Data: data}
+	w.writes[name]++
+	done()
+	if answerDelay != nil {
+		sleep(answerDelay(name, data))
+	}
+	return version, nil
 }
 
 // Delete removes a record if it is still at the expected version; zero accepts any version.
--- a/proxy/promoter_lock.go
+++ b/proxy/promoter_lock.go
@@ -85,11 +85,25 @@
 	if lock.Holder != h.cfg.Self.Incarnation || lock.Epoch != ownEpoch {
 		next = PromoterLock{Holder: h.cfg.Self.Incarnation, Epoch: lock.Epoch + 1}
 	}
-	return next.Epoch, h.put(ctx, next, s.PromoterLock.Version)
+	if err := h.put(ctx, next, s.PromoterLock.Version); err != nil {
+		return 0, err
+	}
+	return next.Epoch, h.check(next.Epoch)
+}
+
+// check fails unless the lock can certainly not have been taken over. The holder must have sent its last renewal within
+// promoterLockLease: it may have stood still since, also while it waited for the answer.
+func (h *promoterLockHolder) check(epoch uint64) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if age := h.cfg.Timer.Now() - h.renewedAt; h.epoch != epoch || age >= promoterLockLease {
+		return port.Errorf(port.Unavailable, "the promoter lock was last renewed %s ago", age.Round(time.Millisecond))
+	}
+	return nil
 }
 
 // renew renews the lock if it still has the epoch and was not renewed recently. It fails with kind Conflict if another
-// instance has taken the lock.
+// instance has taken the lock, and with kind Unavailable if check fails after the renewal.
 func (h *promoterLockHolder) renew(ctx context.Context, epoch uint64) error {
 	if err := h.semaphore.Put(ctx, struct{}{}); err != nil {
 		return err
@@ -110,7 +124,10 @@
 		return port.Errorf(port.Conflict, "instance %s has taken the promoter lock", lock.Holder)
 	}
 	lock.Renewals++
-	return h.put(ctx, lock, s.PromoterLock.Version)
+	if err := h.put(ctx, lock, s.PromoterLock.Version); err != nil {
+		return err
+	}
+	return h.check(epoch)
 }
 
 func (h *promoterLockHolder) read(ctx context.Context) (Snapshot, error) {
--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -294,6 +294,10 @@
 	if err := r.storeSuccessor(ctx, candidate.Server); err != nil {
 		return primacy.Status{}, err
 	}
+	// Neither a step-down nor a promotion may be sent after another promoter has taken over.
+	if err := p.lock.renew(ctx, r.epoch); err != nil {
+		return primacy.Status{}, err
+	}
 	next := max(r.stored.Record.Term, candidate.Term) + 1
 	servers, _ := p.cfg.State.Servers()
 	if oldPrimary, listed := servers[r.stored.Record.Primary]; listed && oldPrimary.Name != candidate.Server {
--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/primacy"
+	"github.com/rhubarbwick/rhubarbwick/proxy"
 )
 
 // requireEpochsInOrder fails if an epoch was used after a greater one.
@@ -222,6 +224,42 @@
 	}
 }
 
+// Guards against a promoter that stands still while it renews its lock, and afterwards makes the primary that another one
+// has promoted in the meantime step down.
+func TestPromoterThatStoodStill(t *testing.T) {
+	const pause = 8 * time.Second
+	withCluster(t, 6, func(w *cluster) {
+		sleep(primacy.MaxLeaseTTL + time.Second)
+		// Both status queries and the step-down take long, so that the lock is renewed right before the promotion call.
+		w.mu.Lock()
+		w.servers["s1"].dark, w.servers["s1"].down = true, true
+		paused := false
+		w.answerDelay = func(name string, data []byte) time.Duration {
+			var lock proxy.PromoterLock
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if name != "duty/promotion" || json.Unmarshal(data, &lock) != nil || lock.Renewals == 0 || paused {
+				return 0
+			}
+			paused = true
+			return pause
+		}
+		w.mu.Unlock()
+		w.suspect("s1")
+		w.waitFor(func() bool { return w.allUsePrimary("s2") })
+		require.True(t, paused)
+		sleep(pause)
+		requireEpochsInOrder(w)
+		requireOldPrimaryUnused(w)
+		require.True(t, w.allUsePrimary("s2"))
+		w.runWrites("front-0", "front-1")
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		require.True(t, w.servers["s2"].primary)
+		require.Len(t, w.promotions, 1)
+	})
+}
+
 // requireNeverUsed fails if an instance uses the primary of the test group within the time.
 func (w *cluster) requireNeverUsed(server string, d time.Duration) {
 	w.t.Helper()
