Replace a recorded primary that is a replica

What callers would see: a group that refuses every write for good, after its recorded primary has become a replica.

Cause: a primary was replaced only if it could not be reached, was not listed, or drained.

Change: a write that the primary refuses as read-only makes it suspected. If the list and the server's own status call it a replica, it is replaced: by a server that leads a later term, or by itself in a new term if it has followed no later primary, because then no server holds more.

--- a/primacy/succession.go
+++ b/primacy/succession.go
@@ -33,7 +33,7 @@
 
 // Succession is the input for the choice of a successor. A Succession is immutable.
 type Succession struct {
-	// Candidates are the replicas that have answered and may be promoted.
+	// Candidates are the replicas that have answered and may be promoted. The old primary is one after it stepped down.
 	Candidates []Status
 	// Replicas is the number of replicas in the group, including those that did not answer.
 	Replicas int
@@ -53,6 +53,11 @@
 		switch {
 		case a.Status.Server == r.Primary:
 			s.OldPrimary = a
+			if a.HasAnswered && !a.Status.IsPrimary && !a.Status.Draining && a.Status.Term <= r.Term {
+				// It has stepped down and followed no later primary, so no server holds more.
+				s.Candidates = append(s.Candidates, a.Status)
+				s.Replicas++
+			}
 			continue
 		case synchronous == 0 && a.Status.Draining && (isPlanned || !a.HasAnswered):
 			// In a planned replacement the others receive everything that it has. One that does not answer is not
--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -201,13 +201,27 @@
 	if !p.decides(ctx, snapshot, server) || p.cfg.Timer.Now()-snapshot.RequestedAt > maxPromoterRecordsAge {
 		return
 	}
-	if p.isReachable(ctx, snapshot, l) {
-		return
-	}
+	reason := p.failure(ctx, snapshot, l)
 	index, _ := p.cfg.State.CurrentDocument()
-	if g, found := index.FindGroup(l.Group); found {
-		p.replace(ctx, g, "no instance can reach the primary")
+	if g, found := index.FindGroup(l.Group); found && reason != "" {
+		p.replace(ctx, g, reason)
+	}
+}
+
+// failure returns why a suspected primary must be replaced. It returns an empty reason if the primary need not be
+// replaced.
+func (p *Promoter) failure(ctx context.Context, s Snapshot, l dispatch.Listing) string {
+	if !p.isReachable(ctx, s, l) {
+		return "no instance can reach the primary"
+	}
+	if l.Role == dispatch.Primary {
+		return ""
+	}
+	// The list may be older than the promotion of the server, so the server itself decides.
+	if status, err := p.status(ctx, l); err == nil && !status.IsPrimary {
+		return "the primary reports itself as a replica"
 	}
+	return ""
 }
 
 // decides reports a suspicion to the first promoter that responds, and returns true if that is this instance.
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -177,6 +177,9 @@
 		w.excluded = append(w.excluded, server)
 		return a, outcomeNotRun
 	case port.ReadOnly:
+		if conn.asPrimary {
+			s.manager.cfg.Dispatcher.Suspect(server)
+		}
 		w.excluded = append(w.excluded, server)
 		return a, outcomeNotRun
 	case port.UnknownStatement:
--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -10,10 +10,13 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rhubarbwick/rhubarbwick/dispatch"
 	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/group"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/primacy"
 	"github.com/rhubarbwick/rhubarbwick/proxy"
+	"github.com/rhubarbwick/rhubarbwick/statement"
 )
 
 // requireEpochsInOrder fails if an epoch was used after a greater one.
@@ -224,6 +227,68 @@
 	}
 }
 
+// Guards against a group that refuses every write for good, because its record names a server that is a replica.
+func TestRecordedPrimaryIsReplica(t *testing.T) {
+	// The failover time of a primary that all instances reach.
+	const limit = 3 * time.Second
+	t.Run("it is promoted again, because it has every confirmed write", func(t *testing.T) {
+		withCluster(t, 6, func(w *cluster) {
+			w.setPrimary("s1", 3, false)
+			w.runWrites("front-0", "front-4")
+			took := w.waitFor(func() bool { return w.allUsePrimary("s1") && w.writeSucceeds("front-2") })
+			require.Less(t, took, limit)
+			w.requireNeverPromoted("s2", "s3")
+		})
+	})
+	t.Run("a server that leads a later term is adopted", func(t *testing.T) {
+		withCluster(t, 6, func(w *cluster) {
+			w.setPrimary("s1", 4, false)
+			w.setPrimary("s3", 4, true)
+			w.runWrites("front-0", "front-4")
+			took := w.waitFor(func() bool { return w.allUsePrimary("s3") && w.writeSucceeds("front-2") })
+			require.Less(t, took, limit)
+			require.Empty(t, w.epochs())
+		})
+	})
+	t.Run("a list that is older than a promotion replaces nothing", func(t *testing.T) {
+		withCluster(t, 6, func(w *cluster) {
+			w.setPrimary("s1", 3, false)
+			w.mu.Lock()
+			w.servers["s1"].primary = true
+			w.mu.Unlock()
+			w.suspect("s1")
+			sleep(5 * time.Second)
+			require.Empty(t, w.epochs())
+			require.True(t, w.allUsePrimary("s1"))
+		})
+	})
+}
+
+// setPrimary changes the role and the term of a server and waits until all instances have read that it did.
+func (w *cluster) setPrimary(name string, term group.Term, primary bool) {
+	w.mu.Lock()
+	w.servers[name].primary, w.servers[name].term = primary, term
+	w.mu.Unlock()
+	w.updateListing(name, false)
+	role := dispatch.Replica
+	if primary {
+		role = dispatch.Primary
+	}
+	w.waitFor(func() bool {
+		for _, i := range w.names() {
+			if servers, _ := w.instance(i).state.Servers(); servers[name].Role != role {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// writeSucceeds reports whether a write through the instance succeeds.
+func (w *cluster) writeSucceeds(name string) bool {
+	return w.send(name, statement.Write{Text: "WRITE a 1"})[0].Failure.IsZero()
+}
+
 // Guards against a promoter that stands still while it renews its lock, and afterwards makes the primary that another one
 // has promoted in the meantime step down.
 func TestPromoterThatStoodStill(t *testing.T) {
