Count silence only while a relay can hear

What callers would see: refusals and needless writes to the store after a relay was cut off or stood still for 15 s.

Cause: a relay marks instances that have not exchanged state with it for 15 s, also when it was the relay that nobody could reach.

Change: the time starts anew while the relay's own records are outdated, and after a gap of more than 3 s between two checks.

--- a/proxy/cleaner.go
+++ b/proxy/cleaner.go
@@ -17,6 +17,8 @@
 	// removalDelay is how long a record stays marked before it is removed. A live instance sees the mark and registers
 	// again; the lease of one that does not see it has expired by then.
 	removalDelay = primacy.LeaseTTL + time.Second
+	// maxCleanGap is the time between two checks above which the cleaner does not know what happened in between.
+	maxCleanGap = 3 * cleanInterval
 )
 
 // cleaner removes the records of failed instances in its data centre. Each replacement of a primary waits for every
@@ -27,6 +29,10 @@
 	lastSeen map[string]time.Duration
 	// markedAt holds the time at which a record was first seen marked.
 	markedAt map[string]time.Duration
+	// observingSince is when this instance became able to notice the others: it has checked them regularly and reached
+	// the store since. While it was cut off or stood still itself, their silence means nothing.
+	observingSince time.Duration
+	lastChecked    time.Duration
 }
 
 func newCleaner(cfg *SyncerConfig) *cleaner {
@@ -37,6 +43,10 @@
 func (c *cleaner) clean(ctx context.Context) {
 	s, _ := c.cfg.State.Records()
 	now := c.cfg.Timer.Now()
+	if now-s.ReadAt > maxRelayRecordsAge || now-c.lastChecked > maxCleanGap {
+		c.observingSince = now
+	}
+	c.lastChecked = now
 	registered := make(map[string]bool, len(s.Members))
 	for _, m := range s.Members {
 		if m.DataCentre != c.cfg.Self.DataCentre || m.Incarnation == c.cfg.Self.Incarnation {
@@ -74,7 +84,7 @@
 	c.lastSeen[m.Incarnation] = lastSeen
 	if !m.Leaving {
 		delete(c.markedAt, m.Incarnation)
-		if now-lastSeen >= unresponsiveTimeout {
+		if now-max(lastSeen, c.observingSince) >= unresponsiveTimeout {
 			c.markLeaving(ctx, s, m)
 		}
 		return
--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -624,6 +625,42 @@
 	})
 }
 
+// Guards against a relay that was cut off or stood still itself, and then takes all others for failed: their records were
+// marked, and they lost their leases until they had registered again.
+func TestRelayThatWasCutOffMarksNobody(t *testing.T) {
+	for n := range 6 {
+		relay := fmt.Sprintf("front-%d", n)
+		t.Run(relay, func(t *testing.T) {
+			withCluster(t, 6, func(w *cluster) {
+				sleep(3 * time.Second)
+				w.setPartitioned(true, relay)
+				// Long enough to find the others unresponsive, but not to be removed itself.
+				sleep(15800 * time.Millisecond)
+				w.setPartitioned(false, relay)
+				for range 400 {
+					sleep(10 * time.Millisecond)
+					require.Empty(t, w.markedMembers(relay))
+				}
+				w.waitFor(func() bool { return w.allUsePrimary("s1") })
+			})
+		})
+	}
+}
+
+// markedMembers returns the instances other than one whose records are marked as leaving.
+func (w *cluster) markedMembers(except string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var marked []string
+	for name, o := range w.objects {
+		var m proxy.Member
+		if strings.HasPrefix(name, "instance/") && json.Unmarshal(o.Data, &m) == nil && m.Leaving && m.Name != except {
+			marked = append(marked, m.Name)
+		}
+	}
+	return marked
+}
+
 // Guards against relays of one data centre that answer each other with outdated state while the store rejects all of
 // them, at once or in turn. In scale-2 --seed 492698650963 of Festquote, a withdrawn key worked for 5 s.
 func TestDocumentReachesDataCentreRejectedByStore(t *testing.T) {
