End the sessions of clients without pauses

What clients would see: a stopping instance serves a client that sends its next request within 20 ms of each answer until it is killed, with a request under way.

Cause: a session ends when no request has arrived, and the look for one that has waits 20 ms.

Change: one second after the stop began, a request outside a transaction is refused as not run and its session ends.

Evidence: TestEagerClientDoesNotKeepInstance failed before (the drain lasted beyond 2 s) and passes now.

--- a/proxy/session.go
+++ b/proxy/session.go
@@ -105,6 +105,11 @@
 			err = s.client.Reply(statement.FailureResult(bad.Kind, bad.Text, s.state()))
 		case err != nil:
 			return
+		case s.tx == nil && s.manager.refusesRequests():
+			err = s.client.Reply(statement.FailureResult(port.Stopping, "the instance is stopping", statement.Idle))
+			if !s.client.HasBufferedRequest() {
+				return
+			}
 		default:
 			err = s.answer(ctx, req)
 		}
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -24,6 +24,9 @@
 	// slowOwnerThreshold is how long an answer through the owner of a pool may take before the owner is probed. A probe
 	// is cheap, and every statement that waits for a failed owner is lost.
 	slowOwnerThreshold = 120 * time.Millisecond
+	// stoppingServiceTime is how long a stopping instance still serves requests of sessions that should have ended. A
+	// client that sends each request right after an answer leaves no moment in which its session can be closed.
+	stoppingServiceTime = time.Second
 )
 
 // RateLimiter limits the organisations' operations across all instances.
@@ -59,6 +62,8 @@
 	cfg      SessionManagerConfig
 	draining context.Context
 	drain    context.CancelFunc
+	// drainedAt is when the instance began to stop; zero before that.
+	drainedAt atomic.Int64
 	// ending ends when transactions that are idle must end as well.
 	ending          context.Context
 	endTransactions context.CancelFunc
@@ -139,6 +144,7 @@
 // each loan as soon as no statement of it is running. It returns when all sessions have ended, when no statement is
 // running after that time, or when ctx ends.
 func (m *SessionManager) Drain(ctx context.Context, transactions time.Duration) {
+	m.drainedAt.Store(int64(m.cfg.Timer.Now()))
 	m.drain()
 	done := make(chan struct{})
 	go m.runDrain(done)
@@ -155,6 +161,12 @@
 	}
 }
 
+// refusesRequests reports whether the instance has been stopping for so long that it refuses requests outside
+// transactions.
+func (m *SessionManager) refusesRequests() bool {
+	return m.draining.Err() != nil && m.cfg.Timer.Now()-time.Duration(m.drainedAt.Load()) >= stoppingServiceTime
+}
+
 func (m *SessionManager) runDrain(done chan<- struct{}) {
 	m.sessions.Wait()
 	m.rollbacks.Wait()
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -196,6 +196,51 @@
 	})
 }
 
+// eagerClient sends each request right after the answer to the one before, also when its session should end.
+type eagerClient struct {
+	next    statement.Statement
+	answers []statement.Result
+	closed  bool
+}
+
+// Receive returns the next request, whether or not ctx has ended.
+func (c *eagerClient) Receive(context.Context) (statement.Request, error) {
+	sleep(5 * time.Millisecond)
+	return request(c.next), nil
+}
+
+// HasBufferedRequest returns false.
+func (c *eagerClient) HasBufferedRequest() bool { return false }
+
+// Reply records an answer.
+func (c *eagerClient) Reply(a statement.Result) error {
+	c.answers = append(c.answers, a)
+	return nil
+}
+
+// Close records that the session has ended.
+func (c *eagerClient) Close() { c.closed = true }
+
+// Guards against a client without pauses between its requests that keeps a stopping instance from ending until it is
+// killed.
+func TestEagerClientDoesNotKeepInstance(t *testing.T) {
+	withCluster(t, 2, func(w *cluster) {
+		c := &eagerClient{next: statement.Write{Text: "WRITE a 1"}}
+		i := w.instance("front-0")
+		go i.serveClient(c, testOrganisation)
+		sleep(time.Second)
+		start := time.Now()
+		i.manager.Drain(w.t.Context(), 3*time.Second)
+		require.Less(t, time.Since(start), 2*time.Second)
+		require.True(t, c.closed)
+		last := len(c.answers) - 1
+		requireKind(t, port.Stopping, c.answers[last])
+		for _, a := range c.answers[:last] {
+			requireSuccess(t, a)
+		}
+	})
+}
+
 // Guards against a client that cannot end a failed transaction, and against statements accepted in the wrong
 // transaction state.
 func TestSessionStates(t *testing.T) {
