--- a/proxy/server_recorder.go
+++ b/proxy/server_recorder.go
@@ -60,6 +60,7 @@
 		step.Step, step.Reason = "servers not recorded", err.Error()
 	}
 	p.cfg.Recorder.Record(step)
+	// After a failure, the next regular read supplies the record.
 	_ = p.cfg.Readers.ReadRecords(ctx)
 }
 
