Check a client's key again right before a statement is sent

Cause: the key was checked when a statement arrived. Nothing looked at the document again after the wait for a connection, and the owner of a pool did not know the key of a borrower's client.

Change: SessionManager.run is the only way to a server and asks organisation.CheckClearance before it sends anything but a rollback. A loan carries the key's id and the revision by which the borrower checked it. The owner refuses only by a newer document, so that a key which was just added is not refused.

--- a/adapter/fleet/lend_codec.go
+++ b/adapter/fleet/lend_codec.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"github.com/rhubarbwick/rhubarbwick/document"
 	fleetv1 "github.com/rhubarbwick/rhubarbwick/gen/rhubarbwick/fleet/v1"
 	"github.com/rhubarbwick/rhubarbwick/group"
 	"github.com/rhubarbwick/rhubarbwick/port"
@@ -11,12 +12,14 @@
 func encodeTerms(t proxy.LoanTerms) *fleetv1.LoanTerms {
 	return &fleetv1.LoanTerms{
 		Server: t.Server, Organisation: t.Organisation, Priority: uint32(max(t.Priority, 0)), WaitMs: uint32(t.Wait.Milliseconds()),
+		KeyId: t.KeyID, Revision: uint64(t.Revision),
 	}
 }
 
 func decodeTerms(m *fleetv1.LoanTerms) proxy.LoanTerms {
 	return proxy.LoanTerms{
 		Server: m.GetServer(), Organisation: m.GetOrganisation(), Priority: int(m.GetPriority()), Wait: milliseconds(uint64(m.GetWaitMs())),
+		KeyID: m.GetKeyId(), Revision: document.Revision(m.GetRevision()),
 	}
 }
 
--- a/organisation/authorization.go
+++ b/organisation/authorization.go
@@ -46,8 +46,9 @@
 const (
 	reasonStaleDocument = "this instance cannot tell which keys were withdrawn, because it can reach neither the platform " +
 		"nor the other data centres"
-	reasonKey   = "the key does not belong to the organisation"
-	reasonRoute = "the route does not exist"
+	reasonKey       = "the key does not belong to the organisation"
+	reasonRoute     = "the route does not exist"
+	reasonWithdrawn = "the key was withdrawn"
 )
 
 // Authorize authorizes a client at start-up. A client without a valid key cannot find out which routes exist. fresh
@@ -113,7 +114,7 @@
 	hash := a.KeyHash
 	_, ok := findKey(lookup, a.Organisation, func(k document.Key) bool { return k.ID == a.KeyID && matchesHash(k, hash) })
 	if !ok {
-		return Denied{Kind: port.KeyRefused, Reason: "the key was withdrawn"}
+		return Denied{Kind: port.KeyRefused, Reason: reasonWithdrawn}
 	}
 	return a
 }
--- a/proxy/acquire.go
+++ b/proxy/acquire.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
+	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/ring"
 )
@@ -24,8 +25,11 @@
 type AcquireRequest struct {
 	Group        string
 	Organisation string
-	Need         dispatch.Need
-	Excluded     []string
+	// KeyID is the client's key, and Revision the document by which it was checked. They go along with a loan.
+	KeyID    string
+	Revision document.Revision
+	Need     dispatch.Need
+	Excluded []string
 	// Priority orders waiting statements; zero is served first.
 	Priority int
 	// ConnectionWait limits the wait for a connection; ServerWait limits the wait while no server is suitable.
--- a/proxy/connection.go
+++ b/proxy/connection.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/statement"
 )
@@ -169,6 +170,12 @@
 // Unwrap returns the cause, whose kind is the kind of the refusal.
 func (u *NotSentError) Unwrap() error { return u.Err }
 
+// DeniedError reports that the client may no longer run the steps. Nothing was sent to a server.
+type DeniedError struct{ Failure statement.Failure }
+
+// Error describes why the client is denied.
+func (d *DeniedError) Error() string { return d.Failure.Text }
+
 // connectionLostError returns the error for a step that was not sent after earlier steps of the same run were. The
 // transaction that those steps opened is lost with the connection.
 func connectionLostError(err error) error {
@@ -179,6 +186,9 @@
 type LoanTerms struct {
 	Server       string
 	Organisation string
+	// KeyID is the client's key, and Revision the document by which the borrower checked it.
+	KeyID    string
+	Revision document.Revision
 	// Priority orders waiting statements; zero is served first.
 	Priority int
 	// Wait limits how long the first steps may wait for the server.
--- a/proxy/dispatcher_owners.go
+++ b/proxy/dispatcher_owners.go
@@ -61,6 +61,8 @@
 		// clear when the next connection is opened.
 	case c.notSent.OwnerUnavailable:
 		d.excludeOwner(owner, c.notSent.Error(), now)
+	case port.KindOf(c.notSent) == port.KeyRefused:
+		// The owner has a newer document, in which the client's key was withdrawn.
 	case port.KindOf(c.notSent) == port.Busy:
 		// The owner has too much work for this server, and no other instance reaches the server faster.
 	default:
--- a/proxy/dispatcher_waiters.go
+++ b/proxy/dispatcher_waiters.go
@@ -122,8 +122,8 @@
 	d.nextID++
 	c := &Connection{ID: d.nextID, Endpoint: d.endpoint(s, w.request), path: &borrowed{
 		owner: owner, loan: d.cfg.RemotePools.Borrow(owner, LoanTerms{
-			Server: choice.Server, Organisation: w.request.Organisation, Priority: w.request.Priority,
-			Wait: max(w.request.ConnectionWait-(now-w.arrived), 0),
+			Server: choice.Server, Organisation: w.request.Organisation, KeyID: w.request.KeyID, Revision: w.request.Revision,
+			Priority: w.request.Priority, Wait: max(w.request.ConnectionWait-(now-w.arrived), 0),
 		}),
 	}}
 	w.reply.TryPut(grantResult{grant: Grant{Connection: c, Choice: choice}})
--- a/proxy/lending.go
+++ b/proxy/lending.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
+	"github.com/rhubarbwick/rhubarbwick/organisation"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/statement"
 )
@@ -78,7 +79,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &acquiredConnection{connection: grant.Connection, choice: grant.Choice, overdueAfter: grant.OverdueAfter}, nil
+	return &acquiredConnection{
+		connection: grant.Connection, choice: grant.Choice, overdueAfter: grant.OverdueAfter,
+		clearance: organisation.LoanClearance{Organisation: t.Organisation, KeyID: t.KeyID, Revision: t.Revision},
+	}, nil
 }
 
 // lentConnection is a connection that is lent to another instance.
@@ -116,6 +120,10 @@
 	c.manager.activeRequests.Add(1)
 	defer c.manager.activeRequests.Add(-1)
 	results, err := c.manager.run(ctx, c.acquired, req.State, req.Steps...)
+	if failure, isDenied := denialOf(err); isDenied {
+		c.manager.releaseAfter(c.acquired, outcomeDenied)
+		return true, c.stream.Send(LoanRefusal{Kind: failure.Kind, Text: failure.Text})
+	}
 	if err != nil {
 		c.manager.release(c.acquired, false)
 		return true, c.stream.Send(failureResult(results, err))
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -9,6 +9,7 @@
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/organisation"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/statement"
 )
@@ -86,7 +87,7 @@
 		result, out := s.forward(ctx, conn, w)
 		s.manager.release(conn, out.keepsConnection())
 		switch out {
-		case outcomeFinal:
+		case outcomeFinal, outcomeDenied:
 			return result.WithState(statement.Idle)
 		case outcomeUnknown:
 			if w.writes {
@@ -118,6 +119,8 @@
 	outcomeUnknown
 	// outcomeNotSent means that the connection is unusable and no server ran the statement.
 	outcomeNotSent
+	// outcomeDenied means that the client may no longer run the statement. Nothing was sent.
+	outcomeDenied
 )
 
 // keepsConnection reports whether the connection can be used again.
@@ -143,6 +146,9 @@
 
 // connectionErrorResult returns the answer to a statement whose connection failed.
 func connectionErrorResult(ctx context.Context, err error) (statement.Result, outcome) {
+	if failure, isDenied := denialOf(err); isDenied {
+		return statement.Result{Failure: failure, State: statement.Failed}, outcomeDenied
+	}
 	var notSent *NotSentError
 	if errors.As(err, &notSent) {
 		kind := port.KindOf(err)
@@ -154,6 +160,20 @@
 	return statement.FailureResult(connectionErrorKind(ctx), "the server did not answer", statement.Failed), outcomeUnknown
 }
 
+// denialOf returns the failure of a statement that the client may no longer run, according to this instance or to the
+// owner of the pool.
+func denialOf(err error) (statement.Failure, bool) {
+	var denied *DeniedError
+	if errors.As(err, &denied) {
+		return denied.Failure, true
+	}
+	var notSent *NotSentError
+	if errors.As(err, &notSent) && port.KindOf(err) == port.KeyRefused {
+		return failureOf(notSent.Err), true
+	}
+	return statement.Failure{}, false
+}
+
 // connectionErrorKind distinguishes a statement that timed out from one whose connection was lost.
 func connectionErrorKind(ctx context.Context) port.Kind {
 	if ctx.Err() != nil {
@@ -230,7 +250,7 @@
 		target = defaultTimeout
 	}
 	req := AcquireRequest{
-		Group: route.Group, Organisation: s.authorized.Organisation, Need: need, Priority: route.Priority,
+		Group: route.Group, Organisation: s.authorized.Organisation, KeyID: s.authorized.KeyID, Need: need, Priority: route.Priority,
 		ConnectionWait: target / connectionWaitDivisor, ServerWait: target / serverWaitDivisor, Affinity: s.affinity,
 	}
 	if s.manager.cfg.IsIsolated() {
@@ -248,6 +268,8 @@
 		w.placementDeadline = now + req.ConnectionWait
 	}
 	req.ConnectionWait, req.Excluded = w.placementDeadline-now, slices.Clone(w.excluded)
+	index, _ := s.manager.cfg.Documents.CurrentDocument()
+	req.Revision = index.Document().Revision
 	grant, err := s.manager.cfg.Dispatcher.Acquire(ctx, req)
 	if err != nil {
 		return nil, err
@@ -255,7 +277,10 @@
 	s.affinity = grant.Connection.ID
 	owner, _ := grant.Connection.owner()
 	s.server, s.owner, s.attempts = grant.Connection.Endpoint.Server, owner.Name, s.attempts+1
-	conn := &acquiredConnection{connection: grant.Connection, choice: grant.Choice, overdueAfter: grant.OverdueAfter}
+	conn := &acquiredConnection{
+		connection: grant.Connection, choice: grant.Choice, overdueAfter: grant.OverdueAfter,
+		clearance: organisation.ClientClearance{Allowed: s.authorized},
+	}
 	s.lastAcquired = conn
 	if primary, term, ok := s.manager.cfg.Views.Primary(w.route.Group); ok && primary == grant.Connection.Endpoint.Server {
 		conn.asPrimary, conn.term = true, term
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -75,6 +75,8 @@
 	// overdueAfter is the time after which a missing answer counts as lost; zero for connections of other instances'
 	// pools.
 	overdueAfter time.Duration
+	// clearance is checked each time before something is sent to the server.
+	clearance organisation.Clearance
 }
 
 // slowAfter returns the time after which a missing answer causes the server or the pool's owner to be suspected.
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -202,6 +202,21 @@
 	return failure
 }
 
+// checkClearance decides whether the steps may leave for a server under the document in force. A rollback always may. It
+// is the only place in which a statement that waited for its server is checked again, and every path to a server leads
+// through it.
+func (m *SessionManager) checkClearance(c organisation.Clearance, steps []statement.Step) error {
+	if _, isRollback := steps[0].Command.(statement.RollbackTransaction); isRollback {
+		return nil
+	}
+	index, fresh := m.cfg.Documents.CurrentDocument()
+	_, failure := allowedOf(organisation.CheckClearance(index, index.Document().Revision, c, fresh))
+	if failure.IsZero() {
+		return nil
+	}
+	return &DeniedError{Failure: failure}
+}
+
 func allowedOf(d organisation.Decision) (organisation.Allowed, statement.Failure) {
 	switch d := d.(type) {
 	case organisation.Allowed:
@@ -226,6 +241,9 @@
 	ctx context.Context, conn *acquiredConnection, state statement.SessionState, steps ...statement.Step,
 ) ([]statement.Result, error) {
 	d, c := m.cfg.Dispatcher, conn.connection
+	if err := m.checkClearance(conn.clearance, steps); err != nil {
+		return nil, err
+	}
 	if conn.used {
 		d.ReportStarted(c)
 	}
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -49,7 +49,7 @@
 		s.tx.acquired = nil
 		s.manager.releaseAfter(conn, out)
 		lastResult = result
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || out == outcomeDenied {
 			break
 		}
 	}
@@ -138,6 +138,10 @@
 func (s *Session) commitOn(ctx context.Context, conn *acquiredConnection, w *pendingStatement) statement.Result {
 	for {
 		results, err := s.manager.run(ctx, conn, s.sessionState, statement.Step{Command: statement.Forward{Request: w.req}})
+		if failure, isDenied := denialOf(err); isDenied {
+			s.manager.releaseAfter(conn, outcomeDenied)
+			return statement.Result{Failure: failure}
+		}
 		if err != nil {
 			s.manager.release(conn, false)
 			var notSent *NotSentError
