End idle transactions whose key is withdrawn

Callers saw: an idle transaction kept its server connection and its locks after the withdrawal of its key, until the client's next statement or the idle limit.

Cause: a session checked the key only when a statement arrived.

Change: a watcher checks the keys of waiting transactions when the document changes and ends those that were withdrawn. The next statement is told so, also if the key was granted again meanwhile: what the transaction did before is gone.

--- a/proxy/session.go
+++ b/proxy/session.go
@@ -57,6 +57,8 @@
 	// wrote is true once a write has been sent.
 	wrote  bool
 	failed bool
+	// unreported is why the transaction was ended between two statements; zero once the client was told.
+	unreported statement.Failure
 }
 
 // acquiredConnection is a connection that a session has acquired. term is the primary's term if the server was chosen
@@ -133,6 +135,10 @@
 		stop := s.manager.cfg.Timer.After(s.manager.transactionIdle(), func(time.Duration) { cancel(errIdle) })
 		defer stop()
 	}
+	if s.tx != nil && !s.tx.failed {
+		remove := s.manager.keys.add(s.authorized, cancel)
+		defer remove()
+	}
 	if s.tx == nil && s.manager.cfg.IsIsolated() {
 		// A client of an isolated instance is served better by the instance that it connects to next.
 		stop := s.manager.cfg.Timer.After(isolatedIdleTimeout, func(time.Duration) { cancel(errStopping) })
@@ -145,11 +151,20 @@
 	stop := context.AfterFunc(closing, func() { cancel(errStopping) })
 	defer stop()
 	req, err := s.client.Receive(waitCtx)
-	if err != nil && errors.Is(context.Cause(waitCtx), errIdle) && ctx.Err() == nil {
+	if err == nil || ctx.Err() != nil {
+		return req, err
+	}
+	switch cause := context.Cause(waitCtx); {
+	case errors.Is(cause, errIdle):
+		s.failTransaction()
+		return s.client.Receive(ctx)
+	case errors.Is(cause, errWithdrawn):
 		s.failTransaction()
+		s.tx.unreported = statement.Failure{Kind: port.KeyRefused, Text: cause.Error()}
 		return s.client.Receive(ctx)
+	default:
+		return req, err
 	}
-	return req, err
 }
 
 var (
@@ -211,6 +226,10 @@
 
 // handleFailed answers a request in a failed transaction, which can only be ended.
 func (s *Session) handleFailed(req statement.Request) statement.Result {
+	if failure := s.tx.unreported; !failure.IsZero() {
+		s.tx.unreported = statement.Failure{}
+		return s.refuseInTransaction(req, failure)
+	}
 	switch req.Statement.(type) {
 	case statement.Rollback:
 		return s.rollback()
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -53,6 +53,8 @@
 	IsIsolated func() bool
 	// Recorder may be nil.
 	Recorder Recorder
+	// DocumentChanged returns a channel that is closed when the document may have changed. It may be nil.
+	DocumentChanged func() <-chan struct{}
 	// DocumentAge returns the time since the document was last known to be the newest. It may be nil.
 	DocumentAge func() time.Duration
 }
@@ -69,6 +71,7 @@
 	endTransactions context.CancelFunc
 	// activeRequests counts the requests of clients and of other instances that have not been answered.
 	activeRequests atomic.Int64
+	keys           keyWatcher
 
 	mu sync.Mutex
 	// closing ends when the present sessions must close as soon as they have no transaction.
@@ -93,9 +96,13 @@
 	return &SessionManager{
 		cfg: cfg, draining: draining, drain: drain, ending: ending, endTransactions: endTransactions,
 		closing: closing, closeSessions: closeSessions,
+		keys: keyWatcher{documents: cfg.Documents, changed: cfg.DocumentChanged},
 	}
 }
 
+// Run ends idle transactions whose key is withdrawn, until ctx ends.
+func (m *SessionManager) Run(ctx context.Context) { m.keys.loop(ctx) }
+
 // Authorize authorizes a client that requests a route and presents a key.
 func (m *SessionManager) Authorize(route, key string) (organisation.Allowed, error) {
 	index, fresh := m.cfg.Documents.CurrentDocument()
--- a/proxy/withdrawn_key_test.go
+++ b/proxy/withdrawn_key_test.go
@@ -100,3 +100,59 @@
 		}
 	}
 }
+
+// waitingClient sends a transaction's statements and then waits with it open. After it was told to go on, it sends the
+// rest.
+type waitingClient struct {
+	fakeClient
+	rest   []statement.Request
+	goOn   chan struct{}
+	waited bool
+}
+
+// Receive returns the next request, or ctx's error while the client waits.
+func (c *waitingClient) Receive(ctx context.Context) (statement.Request, error) {
+	if len(c.requests) > 0 || c.waited {
+		return c.fakeClient.Receive(ctx)
+	}
+	select {
+	case <-c.goOn:
+		c.waited, c.requests = true, c.rest
+		return c.fakeClient.Receive(ctx)
+	case <-ctx.Done():
+		return statement.Request{}, ctx.Err()
+	}
+}
+
+// Guards against an idle transaction with a withdrawn key that keeps its locks and its connection until its client sends
+// something, and against one that goes on when the key is granted again.
+func TestIdleTransactionEndsWithItsKey(t *testing.T) {
+	write := statement.Write{Text: "WRITE a 1"}
+	for _, name := range []string{"front-0", "front-1"} {
+		for change, apply := range keyChanges {
+			t.Run(change+" at "+name, func(t *testing.T) {
+				withCluster(t, 2, func(w *cluster) {
+					allowed := w.authorizeKey(name)
+					c := &waitingClient{goOn: make(chan struct{}), rest: []statement.Request{request(write), request(write), request(statement.Commit{})}}
+					c.requests = []statement.Request{request(statement.Begin{}), request(write)}
+					done := make(chan struct{})
+					go func() {
+						w.instance(name).manager.Serve(context.Background(), c, allowed)
+						close(done)
+					}()
+					sleep(time.Second)
+					require.Equal(t, 1, w.instance("front-0").dispatcher.Outstanding("s1"))
+					apply(w)
+					w.waitFor(func() bool { return w.instance("front-0").dispatcher.Outstanding("s1") == 0 })
+					w.authorizeKey(name)
+					close(c.goOn)
+					<-done
+					requireKind(t, port.KeyRefused, c.answers[2])
+					require.Equal(t, statement.Failed, c.answers[2].State)
+					requireKind(t, port.Protocol, c.answers[3])
+					requireKind(t, port.NotKept, c.answers[4])
+				})
+			})
+		}
+	}
+}
