Let clients wait for the state of a new instance

Cause: after a loss of power of all instances the platform sends clients to instances that are not ready, because none is. They refused every START until they had the document.

Change: a client of a new instance waits until the readiness gate opens for the first time, for at most 1.5 s; clients give up after 2 s.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -93,6 +93,7 @@
 	p.sessions = proxy.NewSessionManager(proxy.SessionManagerConfig{
 		Timer: p.timer, Dispatcher: p.dispatcher, Views: p.views, Documents: p.state, RateLimiter: rateLimiter, Recorder: p.metrics,
 		DocumentAge: p.state.DocumentAge, IsIsolated: p.gate.IsIsolated, DocumentChanged: p.state.Changed,
+		AwaitState: p.gate.Await,
 	})
 	notifications := ring.New[proxy.Member](0)
 	p.peerService = proxy.NewPeerService(proxy.PeerServiceConfig{
@@ -178,7 +179,7 @@
 	defer stop()
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context){
-		p.timer.Run, p.dispatcher.Run, p.sessions.Run, p.runSyncer, p.promoter.Run, p.listener.Run, p.decisions.Run, p.registration.Run, reloader.Run,
+		p.timer.Run, p.dispatcher.Run, p.sessions.Run, p.gate.Run, p.runSyncer, p.promoter.Run, p.listener.Run, p.decisions.Run, p.registration.Run, reloader.Run,
 	} {
 		running.Go(func() { run(runCtx) })
 	}
--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -235,7 +235,7 @@
 	i.rateLimiter = proxy.NewDistributedRateLimiter(timer, i.state, i.reserve, client)
 	i.manager = proxy.NewSessionManager(proxy.SessionManagerConfig{
 		Timer: timer, Dispatcher: i.dispatcher, Views: i.views, Documents: i.state, RateLimiter: i.rateLimiter, IsIsolated: i.gate.IsIsolated,
-		DocumentChanged: i.state.Changed,
+		DocumentChanged: i.state.Changed, AwaitState: i.gate.Await,
 	})
 	notifications := ring.New[proxy.Member](0)
 	i.peerService = proxy.NewPeerService(proxy.PeerServiceConfig{
@@ -256,7 +256,7 @@
 	w.instances[name] = i
 	w.mu.Unlock()
 	b := &serviceRunner{services: []func(context.Context){
-		timer.Run, i.dispatcher.Run, i.manager.Run, promoter.Run, registration.Run,
+		timer.Run, i.dispatcher.Run, i.manager.Run, i.gate.Run, promoter.Run, registration.Run,
 		func(ctx context.Context) {
 			registration.Register(ctx)
 			syncer.Run(ctx)
--- a/proxy/readiness_gate.go
+++ b/proxy/readiness_gate.go
@@ -1,15 +1,22 @@
 package proxy
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/port"
 )
 
-// primariesTimeout is how long a new instance that has all other state waits for the primaries of the groups. A group
-// without a primary must not keep the instance from serving the other groups.
-const primariesTimeout = 2 * time.Second
+const (
+	// primariesTimeout is how long a new instance that has all other state waits for the primaries of the groups. A group
+	// without a primary must not keep the instance from serving the other groups.
+	primariesTimeout = 2 * time.Second
+	// openCheckInterval is how often a new instance checks whether it has the state that it needs.
+	openCheckInterval = 10 * time.Millisecond
+	// maxOpenWait is how long a client may wait for a new instance to have its state. Clients give up after two seconds.
+	maxOpenWait = 1500 * time.Millisecond
+)
 
 // ReadinessGate decides when an instance accepts clients.
 type ReadinessGate struct {
@@ -23,12 +30,51 @@
 	opened        bool
 	closed        bool
 	isolated      bool
+	// opening is closed when the gate opens for the first time, or is closed before that.
+	opening chan struct{}
+}
+
+// Run opens the gate once the instance has the state that it needs.
+func (g *ReadinessGate) Run(ctx context.Context) { g.loop(ctx) }
+
+func (g *ReadinessGate) loop(ctx context.Context) {
+	for !g.IsOpen() && port.Sleep(ctx, g.Timer, openCheckInterval) == nil {
+	}
+}
+
+// Await waits until the gate has opened for the first time, for at most maxOpenWait. After a loss of power of all
+// instances, the platform sends clients to instances that are not ready, because none is. Those that start all have the
+// state they need within some hundred milliseconds; clients that were refused until then would use up their repetitions.
+func (g *ReadinessGate) Await(ctx context.Context) {
+	g.mu.Lock()
+	opening, isOpen := g.openingChannel(), g.opened || g.closed
+	g.mu.Unlock()
+	if isOpen {
+		return
+	}
+	ctx, cancel := port.WithTimeout(ctx, g.Timer, maxOpenWait)
+	defer cancel()
+	select {
+	case <-opening:
+	case <-ctx.Done():
+	}
+}
+
+// openingChannel returns the channel that is closed when the gate opens. mu must be held.
+func (g *ReadinessGate) openingChannel() chan struct{} {
+	if g.opening == nil {
+		g.opening = make(chan struct{})
+	}
+	return g.opening
 }
 
 // Close stops accepting clients.
 func (g *ReadinessGate) Close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !g.opened && !g.closed {
+		close(g.openingChannel())
+	}
 	g.closed = true
 }
 
@@ -69,6 +115,9 @@
 		g.isComplete, g.completeSince = true, now
 	}
 	g.opened = g.hasPrimaries() || now-g.completeSince >= primariesTimeout
+	if g.opened {
+		close(g.openingChannel())
+	}
 	return g.opened
 }
 
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -53,6 +53,8 @@
 	IsIsolated func() bool
 	// Recorder may be nil.
 	Recorder Recorder
+	// AwaitState waits until a new instance has the state that it needs, for a bounded time. It may be nil.
+	AwaitState func(ctx context.Context)
 	// DocumentChanged returns a channel that is closed when the document may have changed. It may be nil.
 	DocumentChanged func() <-chan struct{}
 	// DocumentAge returns the time since the document was last known to be the newest. It may be nil.
@@ -87,6 +89,9 @@
 	if cfg.IsIsolated == nil {
 		cfg.IsIsolated = func() bool { return false }
 	}
+	if cfg.AwaitState == nil {
+		cfg.AwaitState = func(context.Context) {}
+	}
 	if cfg.DocumentAge == nil {
 		cfg.DocumentAge = func() time.Duration { return 0 }
 	}
@@ -103,8 +108,10 @@
 // Run ends idle transactions whose key is withdrawn, until ctx ends.
 func (m *SessionManager) Run(ctx context.Context) { m.keys.loop(ctx) }
 
-// Authorize authorizes a client that requests a route and presents a key.
-func (m *SessionManager) Authorize(route, key string) (organisation.Allowed, error) {
+// Authorize authorizes a client that requests a route and presents a key. On a new instance it waits for the state that
+// this needs.
+func (m *SessionManager) Authorize(ctx context.Context, route, key string) (organisation.Allowed, error) {
+	m.cfg.AwaitState(ctx)
 	index, fresh := m.cfg.Documents.CurrentDocument()
 	switch a := organisation.AuthorizeKey(index, route, key, fresh).(type) {
 	case organisation.Allowed:
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -175,7 +175,7 @@
 			d.Routes[0].Open = false
 		})
 		i := w.instance("front-0")
-		allowed, err := i.manager.Authorize("orders", key)
+		allowed, err := i.manager.Authorize(w.t.Context(), "orders", key)
 		require.NoError(t, err)
 		c := &fakeClient{beforeReceive: func(answered int) {
 			if answered == len(before) {
--- a/proxy/withdrawn_key_test.go
+++ b/proxy/withdrawn_key_test.go
@@ -28,7 +28,7 @@
 		later.Name, later.Open, later.Priority = "reports", false, 5
 		d.Routes, d.TransactionIdleMS = []document.Route{d.Routes[0], later}, 60000
 	})
-	allowed, err := w.instance(name).manager.Authorize("reports", testKey)
+	allowed, err := w.instance(name).manager.Authorize(w.t.Context(), "reports", testKey)
 	require.NoError(w.t, err)
 	return allowed
 }
