Replace a primary sooner when its data centre is cut off

Change: an owner that does not respond to a probe makes its server suspected; a reported suspicion is decided by the instance that receives it; leases are counted from the confirmation that prevents their extension (leaseWait); an unreachable old primary's status is waited for 100 ms after the others, and its step-down runs beside the promotion.

TestPromoterThatStoodStill relied on the slow step-down to have the lock renewed before a promotion call. Promotion calls that fail for a while do that now. Its checks are the same, and it fails as before if the check after the renewal is taken out.

--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -83,7 +83,7 @@
 	// lastResponses holds the time of the last response of each server.
 	lastResponses sync.Map
 	// suspects holds the servers that may have failed.
-	suspects *ring.Ring[string]
+	suspects *ring.Ring[suspicion]
 }
 
 // NewDispatcher returns a dispatcher that knows no servers.
@@ -91,7 +91,7 @@
 	cfg.Recorder = recorderOrNop(cfg.Recorder)
 	stopped, stop := context.WithCancel(context.Background())
 	return &Dispatcher{
-		cfg: cfg, commands: ring.New[dispatcherCommand](dispatcherQueueSize), stopped: stopped, stop: stop, suspects: ring.New[string](suspectQueueSize),
+		cfg: cfg, commands: ring.New[dispatcherCommand](dispatcherQueueSize), stopped: stopped, stop: stop, suspects: ring.New[suspicion](suspectQueueSize),
 		servers: make(map[string]*serverState), samples: make(map[string]primacy.PositionSamples), probing: make(map[string]bool),
 	}
 }
@@ -169,10 +169,19 @@
 }
 
 // Suspect reports that the server may have failed.
-func (d *Dispatcher) Suspect(server string) { d.suspects.PutDroppingOldest(server) }
+func (d *Dispatcher) Suspect(server string) { d.suspects.PutDroppingOldest(suspicion{server: server}) }
 
-// Suspects returns the queue of servers that may have failed.
-func (d *Dispatcher) Suspects() *ring.Ring[string] { return d.suspects }
+// suspectForPeer reports that another instance suspects the server, and that the promoters before this one do not respond.
+func (d *Dispatcher) suspectForPeer(server string) {
+	d.suspects.PutDroppingOldest(suspicion{server: server, isDelegated: true})
+}
+
+// suspicion is a server that may have failed. isDelegated is true if another instance found this one to be the first
+// promoter that responds.
+type suspicion struct {
+	server      string
+	isDelegated bool
+}
 
 // Outstanding returns the number of connections to the server that are in use or being opened.
 func (d *Dispatcher) Outstanding(server string) int {
--- a/proxy/dispatcher_owners.go
+++ b/proxy/dispatcher_owners.go
@@ -123,6 +123,9 @@
 	if c.err != nil || c.response.Incarnation != c.owner.Incarnation {
 		d.excludeOwner(c.owner, "the owner did not respond to a probe", now)
 		d.cfg.RemotePools.Abort(c.owner)
+		// Its data centre may be cut off, with the server in it. Otherwise that would become clear only after every other
+		// owner of the pool has been tried, and after a direct connection to the server.
+		d.Suspect(c.server)
 		return
 	}
 	if !c.response.HasAnswered || c.response.Age > maxOwnerResponseAge {
--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -65,6 +65,8 @@
 	// stillUsedOldPrimary holds the instances that still used the old primary when a promotion took effect.
 	stillUsedOldPrimary []string
 	refusePromotion     bool
+	// promotionsUnavailable makes promotion calls fail without an effect.
+	promotionsUnavailable bool
 	// answerDelay returns how late the answer to a successful write of a record is. It may be nil.
 	answerDelay func(name string, data []byte) time.Duration
 	// promotionDelay is the time from a promotion call until the server leads.
@@ -691,6 +693,10 @@
 		return err
 	}
 	w := r.cluster
+	if w.promotionsUnavailable {
+		done()
+		return port.Errorf(port.Unavailable, "promotions are not possible")
+	}
 	if w.servers[server].down || w.refusePromotion {
 		done()
 		return port.Errorf(port.Conflict, "server %s is not running", server)
--- a/proxy/peer_service.go
+++ b/proxy/peer_service.go
@@ -136,7 +136,7 @@
 // Survey reports when the server last responded to this instance.
 func (s *PeerService) Survey(ctx context.Context, req SurveyRequest) SurveyResponse {
 	if req.Suspect {
-		s.cfg.Dispatcher.Suspect(req.Server)
+		s.cfg.Dispatcher.suspectForPeer(req.Server)
 	}
 	respondedAt, responded := s.cfg.Dispatcher.LastResponseAt(req.Server)
 	response := SurveyResponse{Incarnation: s.cfg.Self.Incarnation, Age: s.cfg.Timer.Now() - respondedAt, HasAnswered: responded}
--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -33,6 +33,8 @@
 	missingPrimaryTimeout = 2500 * time.Millisecond
 	// peerCallTimeout limits calls to other instances.
 	peerCallTimeout = 400 * time.Millisecond
+	// suspicionTimeout limits the report of a suspicion, which is answered at once.
+	suspicionTimeout = 200 * time.Millisecond
 	// maxPromoterRecordsAge is the age of the records above which this instance counts as having lost the store.
 	maxPromoterRecordsAge = 1500 * time.Millisecond
 	// replacementTimeout is how long a replacement may last before another instance takes it over.
@@ -92,13 +94,13 @@
 func (p *Promoter) loop(ctx context.Context) {
 	for ctx.Err() == nil {
 		waitCtx, cancel := port.WithTimeout(ctx, p.cfg.Timer, groupCheckInterval)
-		server, err := p.cfg.Dispatcher.Suspects().Take(waitCtx)
+		suspected, err := p.cfg.Dispatcher.suspects.Take(waitCtx)
 		cancel()
 		if !p.cfg.State.IsComplete() {
 			continue
 		}
 		if err == nil {
-			p.handleSuspect(ctx, server)
+			p.handleSuspect(ctx, suspected)
 			continue
 		}
 		snapshot, _ := p.cfg.State.Records()
@@ -160,34 +162,35 @@
 
 // handleSuspect starts a check of a suspected server unless one is running. Servers of several groups may fail at once,
 // and each check of an unresponsive one takes as long as a probe.
-func (p *Promoter) handleSuspect(ctx context.Context, server string) {
+func (p *Promoter) handleSuspect(ctx context.Context, s suspicion) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.checking[server] {
+	if p.checking[s.server] {
 		return
 	}
-	p.checking[server] = true
-	c := &suspectCheck{promoter: p, server: server}
+	p.checking[s.server] = true
+	c := &suspectCheck{promoter: p, suspected: s}
 	p.running.Go(func() { c.run(ctx) })
 }
 
 // suspectCheck checks one suspected server.
 type suspectCheck struct {
-	promoter *Promoter
-	server   string
+	promoter  *Promoter
+	suspected suspicion
 }
 
 func (c *suspectCheck) run(ctx context.Context) {
 	p := c.promoter
-	p.checkSuspect(ctx, c.server)
+	p.checkSuspect(ctx, c.suspected)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.checking, c.server)
+	delete(p.checking, c.suspected.server)
 }
 
 // checkSuspect checks whether a suspected server is a primary that must be replaced. The first-ranked instance that
 // responds decides, and the others report the suspicion to it.
-func (p *Promoter) checkSuspect(ctx context.Context, server string) {
+func (p *Promoter) checkSuspect(ctx context.Context, suspected suspicion) {
+	server := suspected.server
 	servers, _ := p.cfg.State.Servers()
 	l, listed := servers[server]
 	if !listed {
@@ -198,7 +201,7 @@
 		return
 	}
 	snapshot, _ := p.cfg.State.Records()
-	if !p.decides(ctx, snapshot, server) || p.cfg.Timer.Now()-snapshot.RequestedAt > maxPromoterRecordsAge {
+	if !suspected.isDelegated && !p.decides(ctx, snapshot, server) || p.cfg.Timer.Now()-snapshot.RequestedAt > maxPromoterRecordsAge {
 		return
 	}
 	reason := p.failure(ctx, snapshot, l)
@@ -230,7 +233,7 @@
 		if m.Incarnation == p.cfg.Self.Incarnation {
 			return true
 		}
-		callCtx, cancel := port.WithTimeout(ctx, p.cfg.Timer, peerCallTimeout)
+		callCtx, cancel := port.WithTimeout(ctx, p.cfg.Timer, suspicionTimeout)
 		_, err := p.cfg.Peers.Survey(callCtx, m.Address, SurveyRequest{Server: server, Suspect: true})
 		cancel()
 		if err == nil {
--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -7,7 +7,9 @@
 	"sync"
 	"time"
 
+	"github.com/rhubarbwick/rhubarbwick/dispatch"
 	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/group"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/primacy"
 	"github.com/rhubarbwick/rhubarbwick/statement"
@@ -27,6 +29,9 @@
 	// server may take to become primary, before the replacement is restarted.
 	successorTimeout     = 5 * time.Second
 	becomePrimaryTimeout = 5 * time.Second
+	// lateAnswerWait is how long a promoter waits for the status of a primary that no instance reaches, once all others have
+	// answered. A server that is reached answers within some ten milliseconds.
+	lateAnswerWait = 100 * time.Millisecond
 	// promotionSettleTime is how long after the call a promotion has certainly taken effect. The platform announces some
 	// hundred milliseconds, and the slowest known deployment takes 1.5 s.
 	promotionSettleTime = 3 * time.Second
@@ -113,8 +118,7 @@
 // primary responds again in the meantime and no promotion can have been requested.
 func (r *replacement) suspendAll(ctx context.Context) error {
 	p := r.promoter
-	until := p.cfg.Timer.Now() + primacy.MaxLeaseTTL + leaseMargin
-	confirmed := NewConfirmations()
+	wait := newLeaseWait(p.cfg.Timer)
 	for {
 		// Instances that register after this read see the announcement before they use a primary.
 		members, err := r.members(ctx)
@@ -122,23 +126,20 @@
 			return err
 		}
 		if err == nil {
-			if r.suspendMembers(ctx, members, confirmed) {
+			if r.suspendMembers(ctx, members, wait) {
 				return nil
 			}
-			if confirmed.PreventExtensions(members, p.cfg.State.MembershipHistory().RemovedCount(members)) {
-				until = min(until, p.cfg.Timer.Now()+primacy.LeaseTTL+leaseMargin)
-			}
 		}
-		if p.cfg.Timer.Now() >= until {
+		if wait.isOver() {
 			return err
 		}
 		if err := p.lock.renew(ctx, r.epoch); port.KindOf(err) == port.Conflict {
 			return err
 		}
-		if !r.planned && err == nil && r.stored.Record.CanWithdraw() && r.hasRecovered(ctx) {
+		if !r.planned && err == nil && r.stored.Record.CanWithdraw() && r.hasRecovered(ctx, wait) {
 			return r.withdraw(ctx)
 		}
-		if err := port.Sleep(ctx, p.cfg.Timer, suspendRetryDelay); err != nil {
+		if err := port.Sleep(ctx, p.cfg.Timer, min(suspendRetryDelay, wait.remaining())); err != nil {
 			return err
 		}
 	}
@@ -158,27 +159,32 @@
 }
 
 // suspendMembers asks the instances that have not confirmed yet. It reports whether all did.
-func (r *replacement) suspendMembers(ctx context.Context, members []Member, confirmed *Confirmations) bool {
+func (r *replacement) suspendMembers(ctx context.Context, members []Member, wait *leaseWait) bool {
 	p := r.promoter
 	timeout := peerCallTimeout
 	if r.planned {
 		timeout += plannedDrainTimeout
 	}
-	callCtx, cancel := port.WithTimeout(ctx, p.cfg.Timer, timeout)
+	callCtx, cancel := port.WithTimeout(ctx, p.cfg.Timer, min(timeout, wait.remaining()))
 	defer cancel()
-	unconfirmed := slices.DeleteFunc(slices.Clone(members), confirmed.Has)
+	removed := p.cfg.State.MembershipHistory().RemovedCount(members)
+	unconfirmed := wait.unconfirmed(members)
 	confirmations := callMembers(callCtx, unconfirmed, func(ctx context.Context, m Member) (port.Version, error) {
-		return p.cfg.Peers.Suspend(ctx, m.Address, r.stored)
+		settled, err := p.cfg.Peers.Suspend(ctx, m.Address, r.stored)
+		if err == nil {
+			wait.confirm(m, settled, members, removed)
+		}
+		return settled, err
 	})
-	for incarnation, settled := range confirmations {
-		confirmed.Add(incarnation, settled)
-	}
+	wait.endRound(members, removed)
 	return len(confirmations) == len(unconfirmed)
 }
 
-// hasRecovered reports whether the old primary responds and is still the primary in its term.
-func (r *replacement) hasRecovered(ctx context.Context) bool {
+// hasRecovered reports whether the old primary responds, before the wait is over, and is still the primary in its term.
+func (r *replacement) hasRecovered(ctx context.Context, wait *leaseWait) bool {
 	p := r.promoter
+	ctx, cancel := port.WithTimeout(ctx, p.cfg.Timer, wait.remaining())
+	defer cancel()
 	servers, _ := p.cfg.State.Servers()
 	oldPrimary, listed := servers[r.stored.Record.Primary]
 	if !listed || oldPrimary.Draining {
@@ -266,15 +272,22 @@
 	}
 }
 
-// answers queries all known servers of the group concurrently.
+// answers queries all known servers of the group concurrently. A primary that no instance reaches is hardly waited for,
+// unless others are waited for anyway.
 func (r *replacement) answers(ctx context.Context) []primacy.Answer {
 	p := r.promoter
 	servers := p.knownServers(r.stored.Record)
 	answers := make([]primacy.Answer, len(servers))
-	var running sync.WaitGroup
+	primaryCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var running, others sync.WaitGroup
 	for i, l := range servers {
-		running.Go(func() {
-			status, err := p.status(ctx, l.Listing)
+		callCtx, group := ctx, &others
+		if l.Name == r.stored.Record.Primary && !r.planned {
+			callCtx, group = primaryCtx, &running
+		}
+		group.Go(func() {
+			status, err := p.status(callCtx, l.Listing)
 			if err != nil {
 				status = primacy.Status{Server: l.Name}
 			}
@@ -282,6 +295,9 @@
 			answers[i] = primacy.Answer{Status: status, HasAnswered: err == nil}
 		})
 	}
+	others.Wait()
+	stop := p.cfg.Timer.After(lateAnswerWait, func(time.Duration) { cancel() })
+	defer stop()
 	running.Wait()
 	return answers
 }
@@ -301,8 +317,7 @@
 	next := max(r.stored.Record.Term, candidate.Term) + 1
 	servers, _ := p.cfg.State.Servers()
 	if oldPrimary, listed := servers[r.stored.Record.Primary]; listed && oldPrimary.Name != candidate.Server {
-		// The suspension already keeps an unreachable primary from being used.
-		_, _ = p.sendCommands(ctx, oldPrimary, statement.StepDown{Term: next})
+		r.stepDown(ctx, oldPrimary, next)
 	}
 	until := p.cfg.Timer.Now() + becomePrimaryTimeout
 	for {
@@ -329,6 +344,29 @@
 	return r.awaitPrimary(ctx, candidate, until)
 }
 
+// stepDown makes the old primary step down if it can be reached. The suspension already keeps an unreachable one from
+// being used, so the promotion does not wait for it.
+func (r *replacement) stepDown(ctx context.Context, oldPrimary dispatch.Listing, next group.Term) {
+	task := &stepDownTask{promoter: r.promoter, server: oldPrimary, term: next}
+	if r.planned {
+		task.run(ctx)
+		return
+	}
+	r.promoter.running.Go(func() { task.run(ctx) })
+}
+
+// stepDownTask makes one old primary step down.
+type stepDownTask struct {
+	promoter *Promoter
+	server   dispatch.Listing
+	term     group.Term
+}
+
+func (t *stepDownTask) run(ctx context.Context) {
+	// A failure changes nothing: instances use the old primary no longer.
+	_, _ = t.promoter.sendCommands(ctx, t.server, statement.StepDown{Term: t.term})
+}
+
 // storeSuccessor stores the server that is about to be promoted. The old primary cannot be used again afterwards.
 func (r *replacement) storeSuccessor(ctx context.Context, server string) error {
 	record := r.stored.Record.WithSuccessor(server)
--- a/proxy/replacement_test.go
+++ b/proxy/replacement_test.go
@@ -296,9 +296,10 @@
 	const pause = 8 * time.Second
 	withCluster(t, 6, func(w *cluster) {
 		sleep(primacy.MaxLeaseTTL + time.Second)
-		// Both status queries and the step-down take long, so that the lock is renewed right before the promotion call.
+		// Promotions are not possible at first, so that the lock is renewed between two calls.
 		w.mu.Lock()
 		w.servers["s1"].dark, w.servers["s1"].down = true, true
+		w.promotionsUnavailable = true
 		paused := false
 		w.answerDelay = func(name string, data []byte) time.Duration {
 			var lock proxy.PromoterLock
@@ -307,7 +308,7 @@
 			if name != "duty/promotion" || json.Unmarshal(data, &lock) != nil || lock.Renewals == 0 || paused {
 				return 0
 			}
-			paused = true
+			paused, w.promotionsUnavailable = true, false
 			return pause
 		}
 		w.mu.Unlock()
