Start serving without waiting for a relay that is not up

They sent their first exchange to the head relay before its machine had power, which drops the packet; it is sent again after a second, and the exchange waited for that.

Change: connecting to an instance takes 200 ms at most, the first exchange 300 ms, and if it fails, a new instance reads the document, the servers and the records itself, once.

--- a/adapter/fleet/client.go
+++ b/adapter/fleet/client.go
@@ -25,6 +25,9 @@
 	// maxClients is the maximum number of addresses for which clients are cached. Over time, instances are replaced by
 	// others with new addresses.
 	maxClients = 512
+	// dialTimeout limits how long connecting to an instance may take. It is far above the round-trip time between data
+	// centres. A machine without power drops the first packet, which is sent again only after a second.
+	dialTimeout = 200 * time.Millisecond
 	// idleConnTimeout is how long an idle connection is kept. Instances call each other every second.
 	idleConnTimeout = 10 * time.Second
 )
@@ -39,8 +42,9 @@
 
 var _ proxy.PeerClient = (*Client)(nil)
 
-// NewClient returns a client that opens connections with the dialer.
+// NewClient returns a client that opens connections with the dialer. It sets the dialer's timeout.
 func NewClient(dialer *net.Dialer) *Client {
+	dialer.Timeout = dialTimeout
 	transport := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleConnTimeout, DisableCompression: true}
 	return &Client{http: &http.Client{Transport: transport}, clients: make(map[string]fleetv1connect.FleetServiceClient)}
 }
--- a/proxy/start_test.go
+++ b/proxy/start_test.go
@@ -44,6 +44,27 @@
 			clients.Wait()
 		})
 	})
+	t.Run("the relay and the head start later", func(t *testing.T) {
+		// Registration takes two calls, an exchange with each of two unresponsive instances 300 ms, and the reads two calls.
+		const limit = 700 * time.Millisecond
+		withCluster(t, 6, func(w *cluster) {
+			names := w.names()
+			for _, name := range names {
+				w.kill(name)
+			}
+			// Machines without power do not respond, and the records still name their former processes.
+			w.setPartitioned(true, names...)
+			sleep(time.Second)
+			for i, name := range names {
+				w.setPartitioned(false, name)
+				w.start(name, w.dataCentreOf(name))
+				start := time.Now()
+				_, err := w.instance(name).manager.Authorize(w.t.Context(), "orders", "")
+				require.NoError(w.t, err)
+				require.Less(w.t, time.Since(start), limit, "instance %d", i)
+			}
+		})
+	})
 	t.Run("the wait is bounded", func(t *testing.T) {
 		withCluster(t, 2, func(w *cluster) {
 			w.setStoreDown(true)
--- a/proxy/store_readers.go
+++ b/proxy/store_readers.go
@@ -83,6 +83,19 @@
 	running.Wait()
 }
 
+// ReadAll reads everything once, so that a new instance can serve clients. The records that it read to register itself
+// do not contain it yet, and so give it no lease on a primary. After a failure, the next exchange with a relay or the next
+// attempt supplies the rest.
+func (r *StoreReaders) ReadAll(ctx context.Context) {
+	if _, err := r.readDocument(ctx); err != nil {
+		return
+	}
+	if _, err := r.readServers(ctx); err != nil {
+		return
+	}
+	_ = r.ReadRecords(ctx)
+}
+
 // periodicReader reads something in full at a fixed interval.
 type periodicReader struct {
 	timer port.Timer
--- a/proxy/syncer.go
+++ b/proxy/syncer.go
@@ -21,6 +21,9 @@
 	staleExchangeWait = 100 * time.Millisecond
 	// exchangeTimeout limits an exchange beyond that wait.
 	exchangeTimeout = 700 * time.Millisecond
+	// firstExchangeTimeout replaces exchangeTimeout while this instance cannot serve clients yet. The relay may be starting as
+	// well, and its machine may have dropped the first packet.
+	firstExchangeTimeout = 200 * time.Millisecond
 	// cleanInterval is how often a relay checks for failed instances.
 	cleanInterval = time.Second
 	// headRelayKey is the rank key by which the data centre whose relay reads the store for all is chosen.
@@ -284,12 +287,16 @@
 // outdated.
 func (c *Syncer) follow(ctx context.Context, relay Member, fromRelay bool) {
 	wait := exchangeWait
-	if c.cfg.Timer.Now()-c.readAt() > maxRelayRecordsAge {
+	if c.cfg.Timer.Now()-c.readAt() > maxRelayRecordsAge || !c.cfg.State.IsComplete() {
 		// Another relay may have newer state.
 		wait = staleExchangeWait
 	}
 	response, err := c.exchange(ctx, relay, wait)
 	storeLost := c.cfg.Timer.Now()-c.readAt() > storeLostAge
+	if err != nil && !c.cfg.State.IsComplete() {
+		// After a loss of power of all instances, the relay may start later than this one.
+		c.cfg.Readers.ReadAll(ctx)
+	}
 	switch {
 	case err == nil && response.Fresh:
 		c.stopReaders()
@@ -330,7 +337,11 @@
 	_, serversVersion := state.Servers()
 	records, _ := state.Records()
 	requestedAt := c.cfg.Timer.Now()
-	callCtx, cancel := port.WithTimeout(ctx, c.cfg.Timer, wait+exchangeTimeout)
+	timeout := exchangeTimeout
+	if !state.IsComplete() {
+		timeout = firstExchangeTimeout
+	}
+	callCtx, cancel := port.WithTimeout(ctx, c.cfg.Timer, wait+timeout)
 	defer cancel()
 	response, err := c.cfg.Peers.Exchange(callCtx, relay.Address, ExchangeRequest{
 		From: c.cfg.Self, KnownRevision: index.Document().Revision, KnownRecords: records.Version(), KnownServers: serversVersion, Wait: wait,
