--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -65,6 +65,8 @@
 	// stillUsedOldPrimary holds the instances that still used the old primary when a promotion took effect.
 	stillUsedOldPrimary []string
 	refusePromotion     bool
+	// promotionsUnavailable makes promotion calls fail without an effect.
+	promotionsUnavailable bool
 	// answerDelay returns how late the answer to a successful write of a record is. It may be nil.
 	answerDelay func(name string, data []byte) time.Duration
 	// promotionDelay is the time from a promotion call until the server leads.
@@ -235,7 +237,7 @@
 	i.rateLimiter = proxy.NewDistributedRateLimiter(timer, i.state, i.reserve, client)
 	i.manager = proxy.NewSessionManager(proxy.SessionManagerConfig{
 		Timer: timer, Dispatcher: i.dispatcher, Views: i.views, Documents: i.state, RateLimiter: i.rateLimiter, IsIsolated: i.gate.IsIsolated,
-		DocumentChanged: i.state.Changed,
+		DocumentChanged: i.state.Changed, AwaitState: i.gate.Await,
 	})
 	notifications := ring.New[proxy.Member](0)
 	i.peerService = proxy.NewPeerService(proxy.PeerServiceConfig{
@@ -256,7 +258,7 @@
 	w.instances[name] = i
 	w.mu.Unlock()
 	b := &serviceRunner{services: []func(context.Context){
-		timer.Run, i.dispatcher.Run, i.manager.Run, promoter.Run, registration.Run,
+		timer.Run, i.dispatcher.Run, i.manager.Run, i.gate.Run, promoter.Run, registration.Run,
 		func(ctx context.Context) {
 			registration.Register(ctx)
 			syncer.Run(ctx)
@@ -691,6 +693,10 @@
 		return err
 	}
 	w := r.cluster
+	if w.promotionsUnavailable {
+		done()
+		return port.Errorf(port.Unavailable, "promotions are not possible")
+	}
 	if w.servers[server].down || w.refusePromotion {
 		done()
 		return port.Errorf(port.Conflict, "server %s is not running", server)
