Choose connections by who is expected to need them

Cause: a connection was opened for every statement whose organisation had no idle one, in place of the least recently used one, and prewarming followed the order of names. Where a server accepts fewer connections than there are organisations, connections were opened and closed in turn, each opening taking 12 ms of a slot.

Change: dispatch.Pool decides which idle connection is closed, whether a statement waits for a connection in use, and for whom connections are prewarmed, from the recent statements of each organisation and the time for which it uses a connection.

TestLeastNeededConnectionIsClosed, TestStatementAwaitsConnectionInUse and TestPrewarmingFollowsDemand failed before (dialled a, b, rare, new, a, b instead of a, b, rare, new; a, a instead of a; org-00 first instead of org-49).

--- a/adapter/decisions/log.go
+++ b/adapter/decisions/log.go
@@ -100,6 +100,9 @@
 		l.logger.Info("fleet: instance is silent", zap.String("name", e.Name), zap.Bool("removed", e.Removed))
 	case proxy.PoolOwnerExcluded:
 		l.logger.Info("pool: owner is passed over", zap.String("owner", e.Owner), zap.String("server", e.Server), zap.String("reason", e.Reason))
+	case proxy.PoolReport:
+		l.logger.Info("pool: connections chosen", zap.String("server", e.Server), zap.Int("total", e.Total), zap.Int("limit", e.Limit),
+			zap.Int("opened", e.Opened), zap.Int("replaced", e.Replaced), zap.Int("prewarmed", e.Prewarmed), zap.Int("awaited", e.Awaited))
 	case proxy.PeerPanicked:
 		l.logger.Error("peer: serving it failed unexpectedly", zap.String("peer", e.Peer), zap.String("reason", e.Reason), zap.String("stack", e.Stack))
 	case proxy.SourceChanged:
--- a/adapter/metrics/gateway.go
+++ b/adapter/metrics/gateway.go
@@ -36,6 +36,7 @@
 	statements     *prometheus.CounterVec
 	ownersExcluded prometheus.Counter
 	panics         *prometheus.CounterVec
+	admission      admissionMetrics
 	next           proxy.Recorder
 }
 
@@ -61,9 +62,10 @@
 		ownersExcluded: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "gateway_owners_passed_over_total", Help: "Times that the owner of a pool was passed over.",
 		}),
-		panics: newCounterVec("gateway_panics_total", "Panics while one peer was served, by kind of peer.", "peer"),
-		next:   next,
+		panics:    newCounterVec("gateway_panics_total", "Panics while one peer was served, by kind of peer.", "peer"),
+		admission: newAdmissionMetrics(), next: next,
 	}
+	g.registry.MustRegister(g.admission.collectors()...)
 	g.registry.MustRegister(g.requests, g.latency, g.promotionSteps, g.primaryChanges, g.storeCalls, g.statements, g.ownersExcluded, g.panics, collectors.NewGoCollector(),
 		newGaugeFunc("gateway_document_revision", "The revision of the document in force.", func() float64 { return float64(s.DocumentRevision()) }),
 		newGaugeFunc("gateway_document_age_seconds", "How long ago the document was known to be the newest.",
@@ -114,6 +116,8 @@
 		g.promotionSteps.WithLabelValues(e.Step).Inc()
 	case proxy.PrimaryChanged:
 		g.primaryChanges.Inc()
+	case proxy.PoolReport:
+		g.admission.recordPool(e)
 	}
 	g.next.Record(e)
 }
--- a/proxy/acquire.go
+++ b/proxy/acquire.go
@@ -17,6 +17,8 @@
 	reply   *ring.Ring[grantResult]
 	// dialing is the server to which a connection is being opened for this waiter.
 	dialing string
+	// awaitsSince is when the statement began to wait for a connection in use instead of opening one; zero before that.
+	awaitsSince time.Duration
 	// checkOnly is true if no connection is needed, only a server that can run the statement.
 	checkOnly bool
 }
--- a/proxy/connection.go
+++ b/proxy/connection.go
@@ -16,6 +16,8 @@
 	Endpoint Endpoint
 	path     path
 	lastUsed time.Duration
+	// grantedAt is when the connection was granted; zero if it has not been granted since it was last released.
+	grantedAt time.Duration
 }
 
 // run runs the steps on the server in order, up to the first failure, and returns their answers. If the error is a
--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -69,6 +69,7 @@
 	samples map[string]primacy.PositionSamples
 	// waiters holds the waiting statements in order of arrival.
 	waiters []*waiter
+	pass    queuePass
 	// admissions tracks how much each organisation has used the servers of this instance's pools.
 	admissions     admission.RecentAdmissions
 	nextID         uint64
@@ -240,6 +241,7 @@
 		c.reply.TryPut(d.outstanding(c.server))
 	case maintenanceTick:
 		d.closeExcessIdle(now)
+		d.reportPools(now)
 		d.prewarm(now)
 	case prewarmTick:
 		d.prewarming = false
@@ -274,6 +276,7 @@
 		return
 	}
 	s.server = s.server.WithOutstanding(-1)
+	s.use.released(c, now)
 	if _, isBorrowed := c.owner(); isBorrowed {
 		c.close()
 		return
--- a/proxy/dispatcher_prewarm.go
+++ b/proxy/dispatcher_prewarm.go
@@ -13,9 +13,9 @@
 	prewarmFraction = 0.9
 )
 
-// prewarm opens a connection to each server whose pool this instance owns, for an organisation that has none there. The
-// first statement after a start, or after the loss of another owner, then does not wait for a connection. It repeats
-// every prewarmInterval while connections remain to be opened.
+// prewarm opens a connection to each server whose pool this instance owns, for an organisation that is expected to need
+// it. The first statement after a start, or after the loss of another owner, then does not wait for a connection. It
+// repeats every prewarmInterval while connections remain to be opened.
 func (d *Dispatcher) prewarm(now time.Duration) {
 	if d.cfg.OrganisationNames == nil || d.prewarming {
 		return
@@ -23,7 +23,7 @@
 	names := d.cfg.OrganisationNames()
 	for _, s := range d.servers {
 		if d.canPrewarm(s, now) {
-			d.prewarming = d.prewarmOne(s, names) || d.prewarming
+			d.prewarming = d.prewarmOne(s, names, now) || d.prewarming
 		}
 	}
 	if d.prewarming {
@@ -42,13 +42,12 @@
 	return float64(s.total) < prewarmFraction*float64(d.connectionShare(s, now))
 }
 
-// prewarmOne opens a connection for the first organisation that has none. It reports whether it opened one.
-func (d *Dispatcher) prewarmOne(s *serverState, names []string) bool {
-	for _, name := range names {
-		if s.byOrganisation[name] == 0 {
-			d.openConnection(s, AcquireRequest{Organisation: name})
-			return true
-		}
+// prewarmOne opens a connection for the organisation that is expected to need one most. It reports whether it opened one.
+func (d *Dispatcher) prewarmOne(s *serverState, names []string, now time.Duration) bool {
+	name, found := d.connectionPool(s, now).MostNeeded(names)
+	if found {
+		s.use.report.Prewarmed++
+		d.openConnection(s, AcquireRequest{Organisation: name})
 	}
-	return false
+	return found
 }
--- a/proxy/dispatcher_waiters.go
+++ b/proxy/dispatcher_waiters.go
@@ -21,10 +21,10 @@
 	for i, w := range d.waiters {
 		queued[i] = admission.QueuedStatement{Organisation: w.request.Organisation, Priority: w.request.Priority, Arrived: w.arrived}
 	}
-	ahead := make(map[string]int)
+	d.pass = d.pass.next()
 	ended := make(map[*waiter]bool)
 	for _, i := range admission.Order(queued, d.admissions) {
-		if w := d.waiters[i]; d.serveWaiter(w, now, ahead) {
+		if w := d.waiters[i]; d.serveWaiter(w, now) {
 			ended[w] = true
 		}
 	}
@@ -35,9 +35,8 @@
 	}
 }
 
-// serveWaiter reports whether the waiter received a result. ahead counts, by server, the waiters that are served before
-// it.
-func (d *Dispatcher) serveWaiter(w *waiter, now time.Duration, ahead map[string]int) bool {
+// serveWaiter reports whether the waiter received a result.
+func (d *Dispatcher) serveWaiter(w *waiter, now time.Duration) bool {
 	waited := now - w.arrived
 	switch choice := dispatch.Choose(w.request.Need, d.candidates(w, now), d.routingContext(w, now)).(type) {
 	case dispatch.ToServer:
@@ -48,8 +47,7 @@
 		if d.tryGrant(w, choice, now) {
 			return true
 		}
-		before := ahead[choice.Server]
-		ahead[choice.Server]++
+		before := d.pass.add(w, choice.Server)
 		return d.rejectIfTooLate(w, choice.Server, before, waited)
 	case dispatch.NoConnection:
 		if w.checkOnly {
@@ -104,15 +102,15 @@
 	}
 	if c, found := s.takeIdle(w.request); found {
 		s.server, d.admissions = s.server.WithOutstanding(1), d.admissions.WithAdmission(w.request.Organisation, now)
+		s.use.granted(c, now)
 		s.running[c.ID] = now
 		w.reply.TryPut(grantResult{grant: Grant{Connection: c, Choice: choice, OverdueAfter: s.server.OverdueAfter()}})
 		return true
 	}
-	if s.total >= d.connectionShare(s, now) && !s.evict(w.request.Organisation) {
-		return false
+	if w.dialing == "" && d.makePlace(s, w, now) {
+		w.dialing = choice.Server
+		d.openConnection(s, w.request)
 	}
-	w.dialing = choice.Server
-	d.openConnection(s, w.request)
 	return false
 }
 
@@ -126,6 +124,7 @@
 			Priority: w.request.Priority, Wait: max(w.request.ConnectionWait-(now-w.arrived), 0),
 		}),
 	}}
+	s.use.granted(c, now)
 	w.reply.TryPut(grantResult{grant: Grant{Connection: c, Choice: choice}})
 }
 
--- a/proxy/server_state.go
+++ b/proxy/server_state.go
@@ -17,7 +17,9 @@
 	// byOrganisation counts the same connections by organisation.
 	byOrganisation map[string]int
 	// running maps each connection on which a statement runs to the start time of the statement.
-	running   map[uint64]time.Duration
+	running map[uint64]time.Duration
+	// use is what the choice of connections depends on.
+	use       poolUse
 	ownership ownership
 	// reducedUntil is until when the instance holds at most reducedLimit connections.
 	reducedUntil time.Duration
@@ -55,19 +57,6 @@
 	return slices.ContainsFunc(s.idle, func(c *Connection) bool { return c.Endpoint.Organisation != organisation })
 }
 
-// evict closes the least recently used connection of another organisation.
-func (s *serverState) evict(organisation string) bool {
-	for i, c := range s.idle {
-		if c.Endpoint.Organisation != organisation {
-			s.idle = slices.Delete(s.idle, i, i+1)
-			c.close()
-			s.removeConnection(c.Endpoint.Organisation)
-			return true
-		}
-	}
-	return false
-}
-
 // addConnection counts a connection of the organisation.
 func (s *serverState) addConnection(organisation string) {
 	s.total++
@@ -108,21 +97,12 @@
 	d.updateOwners()
 }
 
-// closeExcessIdle closes disconnected connections, and connections above the instance's share that have been unused for
-// idleTimeout.
+// closeExcessIdle closes disconnected connections, and the least needed ones above the instance's share that have been
+// unused for idleTimeout.
 func (d *Dispatcher) closeExcessIdle(now time.Duration) {
 	for _, s := range d.servers {
-		excess := s.total - d.connectionShare(s, now)
-		s.closeIdle(func(c *Connection) bool {
-			if !c.isUsable() {
-				return true
-			}
-			isExcess := excess > 0 && now-c.lastUsed > idleTimeout
-			if isExcess {
-				excess--
-			}
-			return isExcess
-		})
+		s.closeIdle(func(c *Connection) bool { return !c.isUsable() })
+		d.closeExcess(s, now)
 	}
 }
 
