Send no statement to servers of a data centre in maintenance

Cause: an operator could take single servers out of service, but not a data centre. Statements went on to reach its servers until each of them was draining.

Change: with the settings key bounds.evacuation_ms, the head relay reads the objects of kind evacuations (a wait for changes, and a full read every 1.5 s), and all instances get the list with its store version in Exchange. dispatch.Choose leaves out the servers there, and refuses at once (no_primary) what no other server may run. SessionManager.run checks the list again right before anything is sent, at the owner of a connection and at its borrower. A transaction has 1.5 s and then ends (not_kept); its connection is closed instead of rolled back. An instance that does not know the list yet sends nothing for at most 5 s. Without the key nothing is read.

Tests: TestMaintenanceList, TestMaintenanceVersions, TestMaintenanceStatements, TestMaintenanceTransactions, TestChooseInMaintenance, TestCheckSend, TestMaintenances, TestMaintenanceSetting, TestMaintenanceCodec. A test failed with each of these removed in turn: the check in run, the end of idle transactions, the input of Choose, the check before prewarming, the kind of a refused loan, the exclusion of its server, the comparison of versions. None failed without the relay's early answer after a change, which saves up to 0.3 s, and without the readiness gate's wait for the first list, which the dispatcher also enforces.

--- a/adapter/fleet/client.go
+++ b/adapter/fleet/client.go
@@ -69,7 +69,7 @@
 func (c *Client) Exchange(ctx context.Context, address string, req proxy.ExchangeRequest) (proxy.ExchangeResponse, error) {
 	msg := &fleetv1.ExchangeRequest{
 		From: encodeMember(req.From), KnownRevision: uint64(req.KnownRevision), KnownRecords: req.KnownRecords, KnownServers: uint64(req.KnownServers),
-		WaitMs: uint32(req.Wait.Milliseconds()),
+		WaitMs: uint32(req.Wait.Milliseconds()), KnownMaintenance: encodeVersion(req.KnownMaintenance),
 	}
 	res, err := c.clientFor(address).Exchange(ctx, connect.NewRequest(msg))
 	if err != nil {
@@ -139,7 +139,7 @@
 		Held: milliseconds(uint64(m.GetHeldMs())), DocumentAge: milliseconds(m.GetDocumentAgeMs()),
 		RecordsVersion: m.GetRecordsVersion(), RecordsAge: milliseconds(m.GetRecordsAgeMs()),
 		ReadAge:        milliseconds(m.GetReadAgeMs()),
-		ServersVersion: port.Version(m.GetServersVersion()), Fresh: m.GetFresh(),
+		ServersVersion: port.Version(m.GetServersVersion()), Fresh: m.GetFresh(), Maintenance: decodeMaintenance(m.GetMaintenance()),
 	}
 	if len(m.GetDocument()) > 0 {
 		r.Document = &document.Document{}
--- a/adapter/fleet/server.go
+++ b/adapter/fleet/server.go
@@ -68,7 +68,7 @@
 	m := req.Msg
 	response := s.service.Exchange(ctx, proxy.ExchangeRequest{
 		From: decodeMember(m.GetFrom()), KnownRevision: document.Revision(m.GetKnownRevision()), KnownRecords: m.GetKnownRecords(),
-		KnownServers: port.Version(m.GetKnownServers()), Wait: milliseconds(uint64(m.GetWaitMs())),
+		KnownServers: port.Version(m.GetKnownServers()), Wait: milliseconds(uint64(m.GetWaitMs())), KnownMaintenance: decodeVersion(m.KnownMaintenance),
 	})
 	res, err := encodeExchangeResponse(response)
 	if err != nil {
@@ -130,6 +130,7 @@
 	m := &fleetv1.ExchangeResponse{
 		HeldMs: uint32(r.Held.Milliseconds()), DocumentAgeMs: ceilMilliseconds(r.DocumentAge), RecordsVersion: r.RecordsVersion,
 		RecordsAgeMs: ceilMilliseconds(r.RecordsAge), ReadAgeMs: ceilMilliseconds(r.ReadAge), ServersVersion: uint64(r.ServersVersion), Fresh: r.Fresh,
+		Maintenance: encodeMaintenance(r.Maintenance),
 	}
 	if r.Document != nil {
 		data, err := json.Marshal(r.Document)
--- /dev/null
+++ b/cmd/gateway/maintenance.go
@@ -0,0 +1,16 @@
+package gateway
+
+import "github.com/rhubarbwick/rhubarbwick/proxy"
+
+// useMaintenance makes the process read which data centres are in maintenance, if the deployment's settings state a bound
+// for it. Otherwise it is not read, because each call to the store costs money.
+func (p *process) useMaintenance(readers *proxy.StoreReaders) {
+	if p.settings.MaintenanceBound == 0 {
+		return
+	}
+	readers.Maintenances = p.store.Maintenances()
+	p.state.UseMaintenance()
+	p.maintenance = proxy.NewMaintenanceMonitor(proxy.MaintenanceMonitorConfig{
+		Timer: p.timer, State: p.state, Views: p.views, Dispatcher: p.dispatcher, Bound: p.settings.MaintenanceBound, Recorder: p.metrics,
+	})
+}
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -55,6 +55,8 @@
 	metrics         *metrics.Gateway
 	metricsServer   *platform.HTTPServer
 	gate            *proxy.ReadinessGate
+	// maintenance is nil if the deployment has no maintenance.
+	maintenance *proxy.MaintenanceMonitor
 }
 
 // newProcess opens the sockets and creates the components.
@@ -84,6 +86,7 @@
 	p.dispatcher = proxy.NewDispatcher(proxy.DispatcherConfig{
 		DataCentre: s.DataCentre, Timer: p.timer, Views: p.views, Dialer: dialer,
 		ConnectionLimit: p.state.ConnectionLimit, Self: self, Members: p.state.Records, OrganisationNames: p.state.OrganisationNames, Recorder: p.metrics, RemotePools: p.lending, SurveyPeer: peers.Survey,
+		Maintenance: p.state.Maintenance,
 	})
 	p.state.OnServersChanged(p.dispatcher.SetListings)
 	rateReserve := proxy.NewRateReserve(proxy.RateReserveConfig{
@@ -93,6 +96,7 @@
 	p.sessions = proxy.NewSessionManager(proxy.SessionManagerConfig{
 		Timer: p.timer, Dispatcher: p.dispatcher, Views: p.views, Documents: p.state, RateLimiter: rateLimiter, Recorder: p.metrics,
 		DocumentAge: p.state.DocumentAge, IsIsolated: p.gate.IsIsolated, DocumentChanged: p.state.Changed,
+		Maintenance: p.state,
 	})
 	notifications := ring.New[proxy.Member](0)
 	p.peerService = proxy.NewPeerService(proxy.PeerServiceConfig{
@@ -100,6 +104,7 @@
 		Notifications: notifications,
 	})
 	readers := &proxy.StoreReaders{Documents: store, Listings: store, Records: store, State: p.state, Timer: p.timer}
+	p.useMaintenance(readers)
 	p.registration = &proxy.Registration{
 		Self: self, Records: store, Readers: readers, State: p.state, Timer: p.timer,
 	}
@@ -182,6 +187,9 @@
 	} {
 		running.Go(func() { run(runCtx) })
 	}
+	if p.maintenance != nil {
+		running.Go(func() { p.maintenance.Run(runCtx) })
+	}
 	running.Go(p.readinessServer.Run)
 	running.Go(p.metricsServer.Run)
 	running.Go(p.peerServer.Run)
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -59,9 +59,11 @@
 	Floor func(age time.Duration) (group.Position, bool)
 	// Excluded lists the servers that have refused this statement already.
 	Excluded []string
+	// Maintenance contains the data centres whose servers run no statements.
+	Maintenance Maintenance
 }
 
-// Choice is the result of Choose. It is one of ToServer, NoConnection, NoServer and BeingReplaced.
+// Choice is the result of Choose. It is one of ToServer, NoConnection, NoServer, BeingReplaced and InMaintenance.
 type Choice interface{ choice() }
 
 // ToServer sends the statement to the server. A replica must have applied MinPosition before it serves the read;
@@ -81,16 +83,24 @@
 // statement may wait.
 type BeingReplaced struct{}
 
+// InMaintenance means that all servers that could run the statement are in data centres in maintenance, which lasts
+// longer than the statement may wait.
+type InMaintenance struct{}
+
 func (ToServer) choice()      {}
 func (NoConnection) choice()  {}
 func (NoServer) choice()      {}
 func (BeingReplaced) choice() {}
+func (InMaintenance) choice() {}
 
 // Choose selects the suitable server of least cost for a statement.
 func Choose(need Need, candidates []Candidate, in RoutingContext) Choice {
 	if _, needsPrimary := need.(NeedPrimary); needsPrimary && in.Replacing {
 		return BeingReplaced{}
 	}
+	if isInMaintenance(need, candidates, in) {
+		return InMaintenance{}
+	}
 	var choice Choice = NoServer{}
 	best := time.Duration(-1)
 	for _, c := range candidates {
@@ -114,7 +124,7 @@
 // checkServer reports whether the server can run the statement, and the position that a read at a replica needs.
 func checkServer(need Need, s Server, in RoutingContext) (group.Position, bool) {
 	name := s.Listing.Name
-	if s.Listing.Draining || !s.IsUp(in.Now) || slices.Contains(in.Excluded, name) {
+	if s.Listing.Draining || in.Maintenance.Has(s.Listing.DataCentre) || !s.IsUp(in.Now) || slices.Contains(in.Excluded, name) {
 		return group.Position{}, false
 	}
 	if need, isChosen := need.(NeedServer); isChosen {
--- a/proxy/cluster_state.go
+++ b/proxy/cluster_state.go
@@ -38,6 +38,7 @@
 	selfUnregistered   *ring.Ring[struct{}]
 	recordsOutdated    *ring.Ring[struct{}]
 	history            *MembershipHistory
+	maintenance        maintenanceState
 }
 
 // NewClusterState returns an empty state.
@@ -122,7 +123,7 @@
 func (c *ClusterState) IsComplete() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.hasDocument && c.servers != nil && c.hasRecords
+	return c.hasDocument && c.servers != nil && c.hasRecords && !c.awaitsMaintenance()
 }
 
 // Changed returns a channel that is closed at the next change.
--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -52,6 +52,8 @@
 	Recorder Recorder
 	// RemotePools reaches the pools of other instances. SurveyPeer asks the owner of a pool about a server.
 	RemotePools RemotePools
+	// Maintenance returns the data centres in maintenance. It may be nil.
+	Maintenance func() dispatch.Maintenance
 	SurveyPeer  func(ctx context.Context, address string, q SurveyRequest) (SurveyResponse, error)
 }
 
@@ -77,6 +79,7 @@
 	// unreachableOwners holds the incarnations of pool owners that could not be reached or lend no connections.
 	unreachableOwners exclusions
 	probing           map[string]bool
+	maintenance       dispatch.Maintenance
 	// prewarming is true while connections are being prewarmed.
 	prewarming bool
 
@@ -205,6 +208,7 @@
 func (d *Dispatcher) handle(c dispatcherCommand) {
 	now := d.cfg.Timer.Now()
 	d.updateMembers()
+	d.updateMaintenance()
 	switch c := c.(type) {
 	case acquireCommand:
 		c.waiter.arrived = now
@@ -278,7 +282,7 @@
 		c.close()
 		return
 	}
-	if !usable || !c.isUsable() || s.server.Listing.Draining || s.server.Listing.Address != c.Endpoint.Address {
+	if !usable || !c.isUsable() || s.server.Listing.Draining || d.isInMaintenance(s) || s.server.Listing.Address != c.Endpoint.Address {
 		c.close()
 		s.removeConnection(c.Endpoint.Organisation)
 		return
--- a/proxy/dispatcher_owners.go
+++ b/proxy/dispatcher_owners.go
@@ -65,6 +65,8 @@
 		// The owner has a newer document, in which the client's key was withdrawn.
 	case port.KindOf(c.notSent) == port.Busy:
 		// The owner has too much work for this server, and no other instance reaches the server faster.
+	case port.KindOf(c.notSent) == port.NoPrimary, port.KindOf(c.notSent) == port.NotKept:
+		// The owner knows that the server's data centre is in maintenance.
 	default:
 		d.cfg.Recorder.Record(PoolOwnerExcluded{Owner: owner.Name, Server: c.connection.Endpoint.Server, Reason: c.notSent.Error()})
 		d.excludePath(s, owner.Incarnation, now)
--- a/proxy/dispatcher_waiters.go
+++ b/proxy/dispatcher_waiters.go
@@ -60,6 +60,9 @@
 	case dispatch.BeingReplaced:
 		w.reply.TryPut(grantResult{err: port.Errorf(port.NoPrimary, "the primary of group %s is being replaced", w.request.Group)})
 		return true
+	case dispatch.InMaintenance:
+		w.reply.TryPut(grantResult{err: w.maintenanceError()})
+		return true
 	default:
 		if waited < w.request.ServerWait || w.dialing != "" && waited < w.request.ConnectionWait {
 			return false
@@ -132,6 +135,7 @@
 func (d *Dispatcher) endpoint(s *serverState, req AcquireRequest) Endpoint {
 	return Endpoint{
 		Group: s.server.Listing.Group, Server: s.server.Listing.Name, Address: s.server.Listing.Address,
+		DataCentre:   s.server.Listing.DataCentre,
 		Organisation: req.Organisation,
 	}
 }
@@ -216,7 +220,8 @@
 	samples := d.samples[w.request.Group]
 	return dispatch.RoutingContext{
 		Now: now, DataCentre: d.cfg.DataCentre, Primary: primary, Replacing: view.Record.Replacement != nil, Excluded: w.request.Excluded,
-		Floor: func(age time.Duration) (group.Position, bool) { return samples.Floor(w.arrived, age) },
+		Maintenance: d.maintenance,
+		Floor:       func(age time.Duration) (group.Position, bool) { return samples.Floor(w.arrived, age) },
 	}
 }
 
--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -77,8 +77,9 @@
 	// extensions counts the requests for lease extensions.
 	extensions atomic.Int64
 	// surveys counts the requests about a server.
-	surveys atomic.Int64
-	loans   atomic.Int64
+	surveys     atomic.Int64
+	loans       atomic.Int64
+	maintenance fakeMaintenance
 }
 
 type promotionCall struct {
@@ -119,6 +120,12 @@
 	offset             uint64
 	refusesConnections bool
 	connections        int
+	// opened counts the connections that were opened to the server.
+	opened int
+	// lastStatement is when the server last received a client's statement.
+	lastStatement time.Time
+	// rollbacks counts the rollbacks that the server received.
+	rollbacks int
 }
 
 // testInstance is an instance with the components that the tests need.
@@ -227,6 +234,7 @@
 	i.dispatcher = proxy.NewDispatcher(proxy.DispatcherConfig{
 		DataCentre: dataCentre, Timer: timer, Views: i.views, Dialer: client, ConnectionLimit: i.state.ConnectionLimit,
 		Self: self, Members: i.state.Records, OrganisationNames: i.state.OrganisationNames, RemotePools: client, SurveyPeer: client.Survey,
+		Maintenance: i.state.Maintenance,
 	})
 	i.state.OnServersChanged(i.dispatcher.SetListings)
 	i.reserve = proxy.NewRateReserve(proxy.RateReserveConfig{
@@ -235,13 +243,14 @@
 	i.rateLimiter = proxy.NewDistributedRateLimiter(timer, i.state, i.reserve, client)
 	i.manager = proxy.NewSessionManager(proxy.SessionManagerConfig{
 		Timer: timer, Dispatcher: i.dispatcher, Views: i.views, Documents: i.state, RateLimiter: i.rateLimiter, IsIsolated: i.gate.IsIsolated,
-		DocumentChanged: i.state.Changed,
+		DocumentChanged: i.state.Changed, Maintenance: i.state,
 	})
 	notifications := ring.New[proxy.Member](0)
 	i.peerService = proxy.NewPeerService(proxy.PeerServiceConfig{
 		Self: self, Timer: timer, State: i.state, Views: i.views, Dispatcher: i.dispatcher, Dialer: client, Notifications: notifications,
 	})
 	readers := &proxy.StoreReaders{Documents: client, Listings: client, Records: client, State: i.state, Timer: timer}
+	monitor := w.useMaintenance(i, readers, timer)
 	syncer := proxy.NewSyncer(proxy.SyncerConfig{
 		Self: self, Timer: timer, State: i.state, Peers: client, PeerService: i.peerService, Readers: readers,
 		Notifications: notifications, SetIsolated: func(isolated bool) { i.gate.SetIsolated(isolated) },
@@ -256,7 +265,7 @@
 	w.instances[name] = i
 	w.mu.Unlock()
 	b := &serviceRunner{services: []func(context.Context){
-		timer.Run, i.dispatcher.Run, i.manager.Run, promoter.Run, registration.Run,
+		timer.Run, i.dispatcher.Run, i.manager.Run, promoter.Run, registration.Run, monitor,
 		func(ctx context.Context) {
 			registration.Register(ctx)
 			syncer.Run(ctx)
@@ -851,6 +860,7 @@
 		return nil, statement.Result{}, port.Errorf(port.NoConnection, "too many connections")
 	}
 	s.connections++
+	s.opened++
 	return &fakeServerConn{client: r, server: s, lost: make(chan struct{})}, statement.Result{Position: s.position()}, nil
 }
 
@@ -911,6 +921,7 @@
 	case statement.OpenTransaction:
 		l.inTx = true
 	case statement.RollbackTransaction:
+		s.rollbacks++
 		l.inTx = false
 	case statement.Forward:
 		a.Failure = l.forward(o)
@@ -930,6 +941,7 @@
 
 func (l *fakeServerConn) forward(o statement.Forward) statement.Failure {
 	s := l.server
+	s.lastStatement = time.Now()
 	if _, ends := o.Request.Statement.(statement.Commit); ends {
 		l.inTx = false
 	}
--- /dev/null
+++ b/proxy/maintenance_watcher.go
@@ -0,0 +1,147 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rhubarbwick/rhubarbwick/dispatch"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/statement"
+)
+
+// errMaintenance ends the wait of a transaction whose server is in a data centre in maintenance.
+var errMaintenance = errors.New("the transaction was ended because its server's data centre is in maintenance")
+
+// MaintenanceSource provides the data centres in maintenance.
+type MaintenanceSource interface {
+	Maintenance() dispatch.Maintenance
+	// Changed returns a channel that is closed when the set may have changed.
+	Changed() <-chan struct{}
+}
+
+// maintenanceWatcher decides for a SessionManager which statements may be sent, and ends the waits of transactions that
+// are idle at a server in maintenance. Such a transaction would otherwise keep its connection and its locks until its
+// client's next statement.
+type maintenanceWatcher struct {
+	// source is nil if the deployment has no maintenance.
+	source   MaintenanceSource
+	timer    port.Timer
+	recorder Recorder
+
+	mu      sync.Mutex
+	waiting map[*maintainedTransaction]struct{}
+}
+
+// maintainedTransaction is a transaction that waits for its client's next statement.
+type maintainedTransaction struct {
+	dataCentre string
+	end        context.CancelCauseFunc
+}
+
+func (w *maintenanceWatcher) current() dispatch.Maintenance {
+	if w.source == nil {
+		return dispatch.Maintenance{}
+	}
+	return w.source.Maintenance()
+}
+
+// add watches a transaction that is idle at the endpoint until the returned function is called.
+func (w *maintenanceWatcher) add(e Endpoint, end context.CancelCauseFunc) (remove func()) {
+	if w.source == nil {
+		return func() {}
+	}
+	t := &maintainedTransaction{dataCentre: e.DataCentre, end: end}
+	w.mu.Lock()
+	if w.waiting == nil {
+		w.waiting = make(map[*maintainedTransaction]struct{})
+	}
+	w.waiting[t] = struct{}{}
+	w.mu.Unlock()
+	// The time of the transaction may have passed while its last statement ran.
+	w.check(t, w.current())
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.waiting, t)
+	}
+}
+
+func (w *maintenanceWatcher) check(t *maintainedTransaction, m dispatch.Maintenance) {
+	if _, isOver := dispatch.CheckSend(m, t.dataCentre, true, w.timer.Now()).(dispatch.EndTransaction); isOver {
+		t.end(errMaintenance)
+	}
+}
+
+func (w *maintenanceWatcher) loop(ctx context.Context) {
+	if w.source == nil {
+		return
+	}
+	for ctx.Err() == nil {
+		changed := w.source.Changed()
+		m := w.current()
+		w.checkAll(m)
+		waitCtx, cancel := ctx, context.CancelFunc(func() {})
+		if remaining := w.untilNextEnd(m); remaining > 0 {
+			waitCtx, cancel = port.WithTimeout(ctx, w.timer, remaining)
+		}
+		select {
+		case <-changed:
+		case <-waitCtx.Done():
+		}
+		cancel()
+	}
+}
+
+func (w *maintenanceWatcher) checkAll(m dispatch.Maintenance) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for t := range w.waiting {
+		w.check(t, m)
+	}
+}
+
+// untilNextEnd returns the time until transactions in one of the data centres have to end, or zero if there is none.
+func (w *maintenanceWatcher) untilNextEnd(m dispatch.Maintenance) time.Duration {
+	now, next := w.timer.Now(), time.Duration(0)
+	for _, name := range m.DataCentres() {
+		if left := m.Since(name) + dispatch.TransactionGrace - now; left > 0 && (next == 0 || left < next) {
+			next = left
+		}
+	}
+	return next
+}
+
+// checkMaintenance decides whether the steps may be sent to the connection's server. A rollback may not: the connection
+// is closed instead, which has the same effect.
+func (w *maintenanceWatcher) checkMaintenance(conn *acquiredConnection, steps []statement.Step) error {
+	e, m := conn.connection.Endpoint, w.current()
+	if !m.Has(e.DataCentre) {
+		return nil
+	}
+	if _, isRollback := steps[0].Command.(statement.RollbackTransaction); isRollback {
+		return &NotSentError{Err: port.Errorf(port.NotKept, "the data centre of server %s is in maintenance", e.Server)}
+	}
+	inTransaction := conn.state != statement.Idle
+	switch dispatch.CheckSend(m, e.DataCentre, inTransaction, w.timer.Now()).(type) {
+	case dispatch.RunElsewhere:
+		w.recorder.Record(MaintenanceRefusal{DataCentre: e.DataCentre})
+		return &NotSentError{Err: port.Errorf(port.NoPrimary, "the data centre of server %s is in maintenance", e.Server)}
+	case dispatch.EndTransaction:
+		w.recorder.Record(MaintenanceRefusal{DataCentre: e.DataCentre, InTransaction: true})
+		return &NotSentError{Err: port.Errorf(port.NotKept, "the data centre of server %s is in maintenance and the transaction was ended", e.Server)}
+	default:
+		return nil
+	}
+}
+
+// excludeInMaintenance prevents the statement from being sent again to a server that refused it because of maintenance,
+// which this instance may not know of yet.
+func (w *pendingStatement) excludeInMaintenance(err error, conn *acquiredConnection) {
+	var notSent *NotSentError
+	if errors.As(err, &notSent) && port.KindOf(err) == port.NoPrimary {
+		w.excluded = append(w.excluded, conn.connection.Endpoint.Server)
+		w.noServerWait = true
+	}
+}
--- a/proxy/peer_client.go
+++ b/proxy/peer_client.go
@@ -48,6 +48,9 @@
 	// KnownRecords and KnownServers are the versions that the requesting instance has.
 	KnownRecords uint64
 	KnownServers port.Version
+	// KnownMaintenance is the version of the requester's list of data centres in maintenance; nil if it does not use the
+	// list.
+	KnownMaintenance *port.Version
 	// Wait is how long the relay may wait for newer state.
 	Wait time.Duration
 }
@@ -67,6 +70,8 @@
 	// Servers is nil if the requesting instance has the newest ones.
 	Servers        map[string]dispatch.Listing
 	ServersVersion port.Version
+	// Maintenance is nil if the relay does not know which data centres are in maintenance.
+	Maintenance *MaintenanceList
 	// Fresh is false if the relay's own records are outdated.
 	Fresh bool
 }
--- a/proxy/peer_service.go
+++ b/proxy/peer_service.go
@@ -203,7 +203,8 @@
 	index, _ := s.cfg.State.CurrentDocument()
 	_, at := s.cfg.State.Servers()
 	records, _ := s.cfg.State.Records()
-	return index.Document().Revision > req.KnownRevision || at > req.KnownServers || records.Version() > req.KnownRecords
+	return index.Document().Revision > req.KnownRevision || at > req.KnownServers || records.Version() > req.KnownRecords ||
+		s.cfg.State.hasNewerMaintenance(req.KnownMaintenance)
 }
 
 // fillResponse adds the state that the requesting instance does not have.
@@ -217,6 +218,7 @@
 	if servers, at := state.Servers(); servers != nil && at != req.KnownServers {
 		res.Servers, res.ServersVersion = servers, at
 	}
+	res.Maintenance = state.MaintenanceList()
 	records, known := state.Records()
 	if !known {
 		return
--- a/proxy/ports.go
+++ b/proxy/ports.go
@@ -50,6 +50,7 @@
 	Group        string
 	Server       string
 	Address      string
+	DataCentre   string
 	Organisation string
 }
 
@@ -86,6 +87,24 @@
 func (ListingUpdated) listingChange() {}
 func (ListingRemoved) listingChange() {}
 
+// Maintenances reads the names of the data centres in maintenance. Its methods behave like those of Documents.
+type Maintenances interface {
+	ReadAll(ctx context.Context) ([]string, port.Version, error)
+	AwaitChanges(ctx context.Context, since port.Version, wait time.Duration) ([]MaintenanceChange, port.Version, error)
+}
+
+// MaintenanceChange is a change to the list of data centres in maintenance: MaintenanceBegun or MaintenanceEnded.
+type MaintenanceChange interface{ maintenanceChange() }
+
+// MaintenanceBegun reports that a data centre is in maintenance.
+type MaintenanceBegun struct{ DataCentre string }
+
+// MaintenanceEnded reports that a data centre is no longer in maintenance.
+type MaintenanceEnded struct{ DataCentre string }
+
+func (MaintenanceBegun) maintenanceChange() {}
+func (MaintenanceEnded) maintenanceChange() {}
+
 // Records stores rhubarbwick's own objects in the platform's store. An object's name is its kind and its own name,
 // joined by "/".
 type Records interface {
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -36,6 +36,8 @@
 	// placementDeadline is when the statement is refused if it has not been sent to a server; zero until the first
 	// attempt.
 	placementDeadline time.Duration
+	// noServerWait is true if the statement is refused at once when no server is suitable.
+	noServerWait bool
 }
 
 // query answers a read, a write or an execution of a prepared statement.
@@ -130,6 +132,7 @@
 func (s *Session) forward(ctx context.Context, conn *acquiredConnection, w *pendingStatement) (statement.Result, outcome) {
 	results, err := s.manager.run(ctx, conn, s.sessionState, s.step(conn, w))
 	if err != nil {
+		w.excludeInMaintenance(err, conn)
 		return connectionErrorResult(ctx, err)
 	}
 	return s.evaluate(ctx, conn, w, results[0])
@@ -152,7 +155,7 @@
 	var notSent *NotSentError
 	if errors.As(err, &notSent) {
 		kind := port.KindOf(err)
-		if kind != port.Busy {
+		if kind != port.Busy && kind != port.NoPrimary {
 			kind = port.NotKept
 		}
 		return statement.FailureResult(kind, err.Error(), statement.Failed), outcomeNotSent
@@ -268,6 +271,9 @@
 		w.placementDeadline = now + req.ConnectionWait
 	}
 	req.ConnectionWait, req.Excluded = w.placementDeadline-now, slices.Clone(w.excluded)
+	if w.noServerWait {
+		req.ServerWait = 0
+	}
 	index, _ := s.manager.cfg.Documents.CurrentDocument()
 	req.Revision = index.Document().Revision
 	grant, err := s.manager.cfg.Dispatcher.Acquire(ctx, req)
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -134,6 +134,8 @@
 	if s.tx != nil && s.tx.acquired != nil {
 		stop := s.manager.cfg.Timer.After(s.manager.transactionIdle(), func(time.Duration) { cancel(errIdle) })
 		defer stop()
+		remove := s.manager.maintenance.add(s.tx.acquired.connection.Endpoint, cancel)
+		defer remove()
 	}
 	if s.tx != nil && !s.tx.failed {
 		remove := s.manager.keys.add(s.authorized, cancel)
@@ -162,6 +164,10 @@
 		s.failTransaction()
 		s.tx.unreported = statement.Failure{Kind: port.KeyRefused, Text: cause.Error()}
 		return s.client.Receive(ctx)
+	case errors.Is(cause, errMaintenance):
+		s.failTransaction()
+		s.tx.unreported = statement.Failure{Kind: port.NotKept, Text: cause.Error()}
+		return s.client.Receive(ctx)
 	default:
 		return req, err
 	}
@@ -316,7 +322,7 @@
 		return document.Route{}, failure
 	}
 	s.authorized = allowed
-	if _, _, known := s.manager.cfg.Views.Primary(allowed.Route.Group); !known {
+	if _, _, known := s.manager.cfg.Views.Primary(allowed.Route.Group); !known || !s.manager.maintenance.current().IsEmpty() {
 		req := s.acquireRequest(allowed.Route, s.need(allowed.Route, writes, plainTransaction))
 		if err := s.manager.cfg.Dispatcher.AwaitServer(ctx, req); err != nil {
 			return document.Route{}, failureOf(err)
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -57,6 +57,8 @@
 	DocumentChanged func() <-chan struct{}
 	// DocumentAge returns the time since the document was last known to be the newest. It may be nil.
 	DocumentAge func() time.Duration
+	// Maintenance provides the data centres in maintenance. It may be nil.
+	Maintenance MaintenanceSource
 }
 
 // SessionManager manages the sessions of an instance.
@@ -72,6 +74,7 @@
 	// activeRequests counts the requests of clients and of other instances that have not been answered.
 	activeRequests atomic.Int64
 	keys           keyWatcher
+	maintenance    maintenanceWatcher
 
 	mu sync.Mutex
 	// closing ends when the present sessions must close as soon as they have no transaction.
@@ -96,12 +99,18 @@
 	return &SessionManager{
 		cfg: cfg, draining: draining, drain: drain, ending: ending, endTransactions: endTransactions,
 		closing: closing, closeSessions: closeSessions,
-		keys: keyWatcher{documents: cfg.Documents, changed: cfg.DocumentChanged},
+		keys:        keyWatcher{documents: cfg.Documents, changed: cfg.DocumentChanged},
+		maintenance: maintenanceWatcher{source: cfg.Maintenance, timer: cfg.Timer, recorder: cfg.Recorder},
 	}
 }
 
-// Run ends idle transactions whose key is withdrawn, until ctx ends.
-func (m *SessionManager) Run(ctx context.Context) { m.keys.loop(ctx) }
+// Run ends idle transactions whose key is withdrawn or whose server is in maintenance, until ctx ends.
+func (m *SessionManager) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() { m.maintenance.loop(ctx) })
+	m.keys.loop(ctx)
+	running.Wait()
+}
 
 // Authorize authorizes a client that requests a route and presents a key.
 func (m *SessionManager) Authorize(route, key string) (organisation.Allowed, error) {
@@ -251,6 +260,9 @@
 	if err := m.checkClearance(conn.clearance, steps); err != nil {
 		return nil, err
 	}
+	if err := m.maintenance.checkMaintenance(conn, steps); err != nil {
+		return nil, err
+	}
 	if conn.used {
 		d.ReportStarted(c)
 	}
--- a/proxy/store_readers.go
+++ b/proxy/store_readers.go
@@ -55,8 +55,10 @@
 	Documents Documents
 	Listings  Listings
 	Records   Records
-	State     *ClusterState
-	Timer     port.Timer
+	// Maintenances is nil if the deployment has no maintenance.
+	Maintenances Maintenances
+	State        *ClusterState
+	Timer        port.Timer
 }
 
 // Run reads and watches the store until ctx ends.
@@ -70,14 +72,15 @@
 		return err
 	}
 	var running sync.WaitGroup
-	for _, reader := range []interface{ loop(ctx context.Context) }{
+	readers := []reader{
 		// The watchers read at the start, so the first full read can wait.
 		&periodicReader{timer: r.Timer, delay: documentReadInterval, interval: documentReadInterval, read: readDocument, backoff: backoff{max: maxFullReadBackoff}},
 		&periodicReader{timer: r.Timer, delay: serversReadInterval, interval: serversReadInterval, read: readServers, backoff: backoff{max: maxFullReadBackoff}},
 		&periodicReader{timer: r.Timer, interval: recordsReadInterval, read: r.ReadRecords},
 		&watcher{timer: r.Timer, read: r.readDocument, await: r.awaitDocument},
 		&watcher{timer: r.Timer, read: r.readServers, await: r.awaitServers},
-	} {
+	}
+	for _, reader := range append(readers, r.maintenanceReaders()...) {
 		running.Go(func() { reader.loop(ctx) })
 	}
 	running.Wait()
--- a/proxy/syncer.go
+++ b/proxy/syncer.go
@@ -105,6 +105,8 @@
 	c.running.Go(func() { e.loop(ctx) })
 	o := &outdatedRecordsReader{syncer: c}
 	c.running.Go(func() { o.loop(ctx) })
+	m := &missingListReader{readers: c.cfg.Readers}
+	c.running.Go(func() { m.loop(ctx) })
 	c.loop(ctx)
 	c.stopReaders()
 	c.running.Wait()
@@ -334,6 +336,7 @@
 	defer cancel()
 	response, err := c.cfg.Peers.Exchange(callCtx, relay.Address, ExchangeRequest{
 		From: c.cfg.Self, KnownRevision: index.Document().Revision, KnownRecords: records.Version(), KnownServers: serversVersion, Wait: wait,
+		KnownMaintenance: state.MaintenanceVersion(),
 	})
 	if err != nil {
 		return ExchangeResponse{}, err
@@ -356,6 +359,9 @@
 	if r.Servers != nil {
 		state.AdoptServers(r.Servers, r.ServersVersion)
 	}
+	if r.Maintenance != nil {
+		state.SetMaintenance(*r.Maintenance)
+	}
 	records, known := state.Records()
 	switch {
 	case r.Records != nil:
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -62,6 +62,7 @@
 	results, err := s.manager.run(ctx, conn, s.sessionState, s.openStep(conn), s.step(conn, w))
 	switch {
 	case err != nil:
+		w.excludeInMaintenance(err, conn)
 		return connectionErrorResult(ctx, err)
 	case len(results) == 1:
 		return s.evaluateOpen(ctx, conn, w, results[0])
