Read the data centres in maintenance with the first state

An instance that starts while its relay does not respond reads its state itself. Without this list it serves nothing where the deployment has maintenance.

--- a/proxy/store_readers.go
+++ b/proxy/store_readers.go
@@ -96,6 +96,11 @@
 	if _, err := r.readServers(ctx); err != nil {
 		return
 	}
+	if r.Maintenances != nil {
+		if _, err := r.readMaintenance(ctx); err != nil {
+			return
+		}
+	}
 	_ = r.ReadRecords(ctx)
 }
 
