Run a failed read once more on another server

Cause: a server that fails a part of its statements while it reports that it is healthy makes reads fail, although the other servers of the group would run them.

Change: a read outside a transaction, or the first one of a transaction, that may run elsewhere is run once more at another server. Writes, later statements of transactions and reads that only the primary can run are not.

--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -103,6 +103,8 @@
 	refuseSessionState
 	// panicking panics in the code that reads the answer.
 	panicking
+	// failing runs statements and reports that they failed.
+	failing
 )
 
 const slowServerDelay = 300 * time.Millisecond
@@ -117,6 +119,8 @@
 	down    bool
 	// dark servers do not answer to new connections.
 	dark bool
+	// failures counts the statements that failed.
+	failures int
 	// cutOff servers do not learn that another server was promoted.
 	cutOff             bool
 	offset             uint64
@@ -955,6 +959,9 @@
 	switch {
 	case s.fault == busy:
 		return statement.Failure{Kind: port.Busy}
+	case s.fault == failing:
+		s.failures++
+		return statement.Failure{Kind: port.StatementFailed, Text: "error"}
 	case writes && !s.primary:
 		return statement.Failure{Kind: port.ReadOnly}
 	case writes:
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -33,6 +33,8 @@
 	shape    *statement.Shape
 	writes   bool
 	excluded []string
+	// mayMove is true while another server may run the statement after one that failed to.
+	mayMove bool
 	// placementDeadline is when the statement is refused if it has not been sent to a server; zero until the first
 	// attempt.
 	placementDeadline time.Duration
@@ -77,9 +79,11 @@
 
 // runSingle runs a statement outside a transaction. If a server refuses it, another one is tried.
 func (s *Session) runSingle(ctx context.Context, w *pendingStatement) statement.Result {
+	need := s.need(w.route, w.writes, false)
+	_, w.mayMove = need.(dispatch.NeedReader)
 	var lastResult statement.Result
 	for attempt := 0; attempt < maxAttempts; attempt++ {
-		conn, err := s.acquire(ctx, w, s.need(w.route, w.writes, false))
+		conn, err := s.acquire(ctx, w, need)
 		if err != nil {
 			if lastResult.Failure.IsZero() || port.KindOf(err) == port.Stopping {
 				return statement.Result{Failure: failureOf(err)}
@@ -205,6 +209,14 @@
 		}
 		w.excluded = append(w.excluded, server)
 		return a, outcomeNotRun
+	case port.StatementFailed:
+		if w.mayMove {
+			// Some servers fail a part of their statements while they report that they are healthy. Nothing depends on a read
+			// that failed, so another server runs it once.
+			w.mayMove, w.excluded = false, append(w.excluded, server)
+			return a, outcomeNotRun
+		}
+		return a, outcomeFinal
 	case port.UnknownStatement:
 		return a, outcomeNotSent
 	default:
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"github.com/rhubarbwick/rhubarbwick/dispatch"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/statement"
 )
@@ -24,6 +25,7 @@
 	if s.tx.acquired == nil {
 		return s.runFirstStatement(ctx, w)
 	}
+	w.mayMove = false
 	result, out := s.forward(ctx, s.tx.acquired, w)
 	return s.finishStatement(w, result, out)
 }
@@ -32,6 +34,7 @@
 // either, another one is tried.
 func (s *Session) runFirstStatement(ctx context.Context, w *pendingStatement) statement.Result {
 	need := s.need(s.tx.route, w.writes, !s.tx.readOnly)
+	_, w.mayMove = need.(dispatch.NeedReader)
 	var lastResult statement.Result
 	for attempt := 0; attempt < maxAttempts; attempt++ {
 		conn, err := s.acquire(ctx, w, need)
