Switch primaries over out of a data centre in maintenance

Cause: a primary in a data centre in maintenance ran no statements, but nothing replaced it, so its group refused every write until the end.

Change: the promoter replaces such a primary if a server elsewhere can lead, at most four groups at once, those first whose last attempt is the oldest. primacy.NewSuccession leaves out servers that may not become primary, and Succession.Decide promotes a server only if it holds what the old primary and the left-out replicas hold. An old primary that does not answer counts as lost after 1.5 s without a response to any instance. The maintenance is checked again right before the call that promotes. Transactions at the old primary get the time that is left to them. When the maintenance ends before a successor was chosen, the old primary is used again. Deployments without maintenance decide as before.

Tests: TestSwitchover, TestMaintenanceDuringReplacement, TestDecide; TestDecideWithoutMaintenance compares the decision with the earlier one. A test failed with each of these removed in turn: the limit of four, the order of the groups, the check before the call, the left-out servers, the time for transactions, the guard for groups without a server elsewhere, the delay before a primary counts as lost. None failed without the withdrawal while instances are still asked; Decide reaches the same result afterwards.

--- a/primacy/succession.go
+++ b/primacy/succession.go
@@ -19,6 +19,8 @@
 	Draining bool
 	// Unlisted is true for a server that the platform does not list. Clients cannot be sent to it until it is listed.
 	Unlisted bool
+	// Ineligible is true for a server that may not become primary, because its data centre is in maintenance.
+	Ineligible bool
 }
 
 // isPreferred reports whether the server can be used as it is.
@@ -35,6 +37,10 @@
 type Succession struct {
 	// Candidates are the replicas that have answered and may be promoted. The old primary is one after it stepped down.
 	Candidates []Status
+	// Ineligible are the replicas that have answered but may not become primary. Restricted is true if any server of the
+	// group may not, whether or not it has answered.
+	Ineligible []Status
+	Restricted bool
 	// Replicas is the number of replicas in the group, including those that did not answer.
 	Replicas int
 	// Synchronous is the number of replicas that had to receive a write before it was confirmed.
@@ -50,10 +56,11 @@
 	s := Succession{Synchronous: synchronous, record: r}
 	isPlanned := r.Replacement != nil && r.Replacement.Planned
 	for _, a := range answers {
+		s.Restricted = s.Restricted || a.Status.Ineligible
 		switch {
 		case a.Status.Server == r.Primary:
 			s.OldPrimary = a
-			if a.HasAnswered && !a.Status.IsPrimary && !a.Status.Draining && a.Status.Term <= r.Term {
+			if a.HasAnswered && !a.Status.IsPrimary && !a.Status.Draining && !a.Status.Ineligible && a.Status.Term <= r.Term {
 				// It has stepped down and followed no later primary, so no server holds more.
 				s.Candidates = append(s.Candidates, a.Status)
 				s.Replicas++
@@ -63,6 +70,8 @@
 			// In a planned replacement the others receive everything that it has. One that does not answer is not
 			// waited for, unless it may hold the only other copy of a confirmed write.
 			continue
+		case a.HasAnswered && a.Status.Ineligible:
+			s.Ineligible = append(s.Ineligible, a.Status)
 		case a.HasAnswered:
 			s.Candidates = append(s.Candidates, a.Status)
 		}
@@ -74,7 +83,7 @@
 // Leader returns the server that an earlier promoter has already made the primary.
 func (s Succession) Leader() (Status, bool) {
 	var newest Status
-	for _, c := range append(slices.Clone(s.Candidates), s.OldPrimary.Status) {
+	for _, c := range slices.Concat(s.Candidates, s.Ineligible, []Status{s.OldPrimary.Status}) {
 		if c.Term > newest.Term && s.record.IsSuccessor(c) {
 			newest = c
 		}
@@ -96,7 +105,7 @@
 		}
 		return cmp.Or(b.Received.Compare(a.Received), cmp.Compare(a.Server, b.Server))
 	})
-	unanswered := s.Replicas - len(s.Candidates)
+	unanswered := s.Replicas - len(s.Candidates) - len(s.Ineligible)
 	isComplete := len(ordered) > 0 && (s.Synchronous == 0 || unanswered < s.Synchronous)
 	return ordered, isComplete
 }
--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -85,6 +85,7 @@
 type promotionCall struct {
 	server string
 	epoch  uint64
+	at     time.Time
 }
 
 // fault is a failure mode of a fake server.
@@ -704,7 +705,7 @@
 		done()
 		return port.Errorf(port.Conflict, "server %s is not running", server)
 	}
-	w.promotions = append(w.promotions, promotionCall{server: server, epoch: epoch})
+	w.promotions = append(w.promotions, promotionCall{server: server, epoch: epoch, at: time.Now()})
 	delay := w.promotionDelay
 	done()
 	if delay > 0 {
--- a/proxy/maintenance_fake_test.go
+++ b/proxy/maintenance_fake_test.go
@@ -82,6 +82,12 @@
 // withMaintenance runs a test with n instances in the data centres "a" and "b". The first server of each group, its
 // primary, is in data centre "a", the second in "b" and the third in "c".
 func withMaintenance(t *testing.T, n int, test func(w *cluster)) {
+	t.Helper()
+	withPreparedMaintenance(t, n, nil, test)
+}
+
+// withPreparedMaintenance is withMaintenance with a function that is called before the instances start.
+func withPreparedMaintenance(t *testing.T, n int, prepare, test func(w *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := newCluster(t)
@@ -92,6 +98,9 @@
 			w.place(name, string(rune('a'+i%3)))
 		}
 		w.catchUpReplicas()
+		if prepare != nil {
+			prepare(w)
+		}
 		for i := range n {
 			name := "front-" + string(rune('0'+i))
 			w.start(name, w.dataCentreOf(name))
--- a/proxy/peer_service.go
+++ b/proxy/peer_service.go
@@ -102,7 +102,8 @@
 func (s *PeerService) Suspend(ctx context.Context, p StoredPrimacy) port.Version {
 	s.cfg.Views.Update(p, 0, 0)
 	if p.Record.Replacement != nil && p.Record.Replacement.Planned {
-		until := s.cfg.Timer.Now() + plannedDrainTimeout
+		servers, _ := s.cfg.State.Servers()
+		until := s.cfg.Timer.Now() + s.cfg.State.drainTimeout(servers[p.Record.Primary])
 		for s.cfg.Dispatcher.Outstanding(p.Record.Primary) > 0 && s.cfg.Timer.Now() < until {
 			if port.Sleep(ctx, s.cfg.Timer, drainCheckInterval) != nil {
 				break
--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -67,7 +67,8 @@
 	mu     sync.Mutex
 	active map[string]bool
 	// checking holds the suspected servers that are being checked.
-	checking map[string]bool
+	checking    map[string]bool
+	switchovers switchovers
 
 	// The fields below are owned by loop.
 	pendingSince map[string]time.Duration
@@ -78,6 +79,7 @@
 func NewPromoter(cfg PromoterConfig) *Promoter {
 	cfg.Recorder = recorderOrNop(cfg.Recorder)
 	p := &Promoter{cfg: cfg, active: make(map[string]bool), checking: make(map[string]bool), pendingSince: make(map[string]time.Duration)}
+	p.switchovers = switchovers{active: make(map[string]bool), startedAt: make(map[string]time.Duration)}
 	p.lock = newPromoterLockHolder(&p.cfg)
 	p.servers = newServerRecorder(p)
 	return p
@@ -108,7 +110,7 @@
 		}
 		p.lock.observe(snapshot)
 		index, _ := p.cfg.State.CurrentDocument()
-		for _, g := range index.Document().Groups {
+		for _, g := range p.inCheckOrder(index.Document().Groups) {
 			p.checkGroup(ctx, snapshot, g)
 		}
 	}
@@ -153,6 +155,8 @@
 		return "the primary is not listed", missingPrimaryTimeout
 	case l.Draining:
 		return "the primary is draining", 0
+	case p.mustSwitchOver(l):
+		return reasonMaintenance, 0
 	default:
 		return "", 0
 	}
@@ -244,7 +248,7 @@
 func (p *Promoter) replace(ctx context.Context, g document.Group, reason string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.active[g.Name] {
+	if p.active[g.Name] || !p.mayStart(g) {
 		return
 	}
 	p.active[g.Name] = true
@@ -262,6 +266,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.active, groupName)
+	delete(p.switchovers.active, groupName)
 }
 
 // writeFirstRecord writes the first record of a group, which names the group's primary and the term that this server
--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -47,6 +47,10 @@
 	stored   StoredPrimacy
 	epoch    uint64
 	planned  bool
+	// isSwitchover is true if the old primary was in maintenance when the replacement was announced.
+	isSwitchover bool
+	// lostSince is when no instance was first found to reach the old primary; zero while one does.
+	lostSince time.Duration
 }
 
 func (r *replacement) run(ctx context.Context) {
@@ -92,9 +96,9 @@
 // primary.
 func (r *replacement) announce(ctx context.Context) error {
 	p := r.promoter
-	servers, _ := p.cfg.State.Servers()
-	oldPrimary, listed := servers[r.stored.Record.Primary]
-	r.planned = listed && oldPrimary.Draining
+	oldPrimary, listed := r.oldPrimary()
+	r.isSwitchover = r.isSwitchoverOf(oldPrimary)
+	r.planned = listed && (r.isPlannedFor(oldPrimary) || r.isSwitchover)
 	record := r.stored.Record.WithReplacement(primacy.Replacement{
 		Promoter: p.cfg.Self.Incarnation, Epoch: r.epoch, Planned: r.planned,
 	})
@@ -135,9 +139,12 @@
 		if err := p.lock.renew(ctx, r.epoch); port.KindOf(err) == port.Conflict {
 			return err
 		}
-		if !r.planned && err == nil && r.stored.Record.CanWithdraw() && r.hasRecovered(ctx) {
+		if err == nil && r.mayWithdraw() && r.hasRecovered(ctx) {
 			return r.withdraw(ctx)
 		}
+		if r.isSwitchover {
+			r.probeOldPrimary(ctx)
+		}
 		if err := port.Sleep(ctx, p.cfg.Timer, suspendRetryDelay); err != nil {
 			return err
 		}
@@ -162,7 +169,7 @@
 	p := r.promoter
 	timeout := peerCallTimeout
 	if r.planned {
-		timeout += plannedDrainTimeout
+		timeout += r.drainTimeout()
 	}
 	callCtx, cancel := port.WithTimeout(ctx, p.cfg.Timer, timeout)
 	defer cancel()
@@ -179,9 +186,8 @@
 // hasRecovered reports whether the old primary responds and is still the primary in its term.
 func (r *replacement) hasRecovered(ctx context.Context) bool {
 	p := r.promoter
-	servers, _ := p.cfg.State.Servers()
-	oldPrimary, listed := servers[r.stored.Record.Primary]
-	if !listed || oldPrimary.Draining {
+	oldPrimary, listed := r.oldPrimary()
+	if !listed || r.isPlannedFor(oldPrimary) {
 		return false
 	}
 	status, err := p.status(ctx, oldPrimary)
@@ -207,18 +213,25 @@
 			return leader, nil
 		}
 		isLast := p.cfg.Timer.Now() >= until
-		if order, complete := succession.Order(); complete {
-			status, err := r.promoteFirst(ctx, order)
+		attempt := primacy.Attempt{
+			IsPlanned: r.planned && !r.mayWithdraw(), IsSwitchover: r.isSwitchover, IsOldPrimaryLost: r.isOldPrimaryLost(ctx, succession, isLast), IsLast: isLast,
+		}
+		switch d := succession.Decide(attempt).(type) {
+		case primacy.Promote:
+			status, err := r.promoteFirst(ctx, d.Order)
 			var failed *candidateError
 			if err == nil || !errors.As(err, &failed) {
 				return status, err
 			}
-		} else if oldPrimary, intact := succession.IntactPrimary(); intact && (!r.planned || isLast) {
-			return r.keep(ctx, oldPrimary)
+		case primacy.KeepPrimary:
+			return r.keep(ctx, d.Primary)
 		}
 		if isLast {
 			return primacy.Status{}, port.Errorf(port.NoPrimary, "no server of the group could be promoted")
 		}
+		if err := r.keepLock(ctx); port.KindOf(err) == port.Conflict {
+			return primacy.Status{}, err
+		}
 		if err := port.Sleep(ctx, p.cfg.Timer, statusInterval); err != nil {
 			return primacy.Status{}, err
 		}
@@ -278,7 +291,7 @@
 			if err != nil {
 				status = primacy.Status{Server: l.Name}
 			}
-			status.Draining, status.Unlisted = l.Draining, l.isUnlisted
+			status.Draining, status.Unlisted, status.Ineligible = l.Draining, l.isUnlisted, p.isInMaintenance(l.Listing)
 			answers[i] = primacy.Answer{Status: status, HasAnswered: err == nil}
 		})
 	}
@@ -309,6 +322,9 @@
 		if err := p.lock.renew(ctx, r.epoch); err != nil {
 			return primacy.Status{}, err
 		}
+		if l, known := p.knownServer(r.stored.Record, candidate.Server); known && p.isInMaintenance(l) {
+			return primacy.Status{}, &candidateError{port.Errorf(port.Conflict, "%s", reasonMaintenance)}
+		}
 		callCtx, cancel := port.WithTimeout(ctx, p.cfg.Timer, callTimeout)
 		err := p.cfg.Promotions.Promote(callCtx, r.group.Name, candidate.Server, p.cfg.Self.Incarnation, r.epoch)
 		cancel()
