--- a/standin/database/server.go
+++ b/standin/database/server.go
@@ -11,6 +11,9 @@
 	"strings"
 )
 
+// maxMessageSize exceeds the longest message of the protocol with the words that the proxy adds to it.
+const maxMessageSize = 2 << 20
+
 // Server is a server of a Group.
 type Server struct {
 	ID    string
@@ -100,6 +103,7 @@
 func (c *connection) run() {
 	defer c.close()
 	lines := bufio.NewScanner(c.conn)
+	lines.Buffer(nil, maxMessageSize)
 	lines.Split(splitMessages)
 	if !lines.Scan() || !c.handshake(lines.Text()) {
 		return
