Divide a gateway's places and memory among its clients

Clients could make a gateway exceed its machine's memory: nothing limited the values and the prepared statements of a session, and each of them copied the whole map. The first sessions kept all places, and the readiness port kept any number of connections.

The package clientlimit divides places, message memory and session state: a key may hold at most four times, an address eight times what is still free, so that the rest goes to those who hold the fewest. Clients without a key give way to newer ones. Sessions have limits of 256 entries and 2 MiB. Session state and prepared statements are in maps whose versions share entries. A server connection keeps digests of the texts instead of the texts. Half-sent messages of a client with a transaction end with the limit for idle transactions. HTTP ports limit connections, headers and times.

--- a/adapter/metrics/gateway.go
+++ b/adapter/metrics/gateway.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/rhubarbwick/rhubarbwick/clientlimit"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/proxy"
 )
@@ -22,6 +23,8 @@
 	// DroppedLogLines is the number of events that the decision log has not written.
 	DroppedLogLines func() uint64
 	IsOpen          func() bool
+	// Clients is the guard whose limits are shown; it may be nil.
+	Clients *clientlimit.Guard
 }
 
 // Gateway contains the metrics of a gateway process. To limit the number of series, no label is a route, an
@@ -77,6 +80,9 @@
 			}
 			return 0
 		}))
+	if s.Clients != nil {
+		registerClientLimits(g.registry, s.Clients)
+	}
 	return g
 }
 
--- /dev/null
+++ b/clientlimit/socket.go
@@ -0,0 +1,63 @@
+package clientlimit
+
+import (
+	"container/list"
+	"net"
+	"sync"
+)
+
+// LimitSocket returns a listening socket with at most n open connections. A further connection closes the oldest one, so
+// that connections that are held without use do not keep a health check from being answered. guard may be nil.
+func LimitSocket(socket net.Listener, n int, guard *Guard) net.Listener {
+	return &limitedSocket{Listener: socket, limit: n, guard: guard, open: list.New()}
+}
+
+type limitedSocket struct {
+	net.Listener
+	limit int
+	guard *Guard
+
+	mu sync.Mutex
+	// open contains the open connections, the oldest first.
+	open *list.List
+}
+
+// Accept implements net.Listener.
+func (s *limitedSocket) Accept() (net.Conn, error) {
+	conn, err := s.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &limitedConn{Conn: conn, socket: s}
+	s.mu.Lock()
+	var oldest *limitedConn
+	if s.open.Len() >= s.limit {
+		oldest = s.open.Front().Value.(*limitedConn)
+	}
+	c.element = s.open.PushBack(c)
+	s.mu.Unlock()
+	if oldest != nil {
+		s.guard.Report(HTTPClients)
+		_ = oldest.Close()
+	}
+	return c, nil
+}
+
+// limitedConn is a connection that leaves its socket's list when it is closed.
+type limitedConn struct {
+	net.Conn
+	socket *limitedSocket
+	once   sync.Once
+	// element is protected by the socket's lock.
+	element *list.Element
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.once.Do(func() {
+		c.socket.mu.Lock()
+		defer c.socket.mu.Unlock()
+		c.socket.open.Remove(c.element)
+	})
+	return c.Conn.Close()
+}
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -13,6 +13,7 @@
 	"github.com/rhubarbwick/rhubarbwick/adapter/decisions"
 	"github.com/rhubarbwick/rhubarbwick/adapter/fleet"
 	"github.com/rhubarbwick/rhubarbwick/adapter/metrics"
+	"github.com/rhubarbwick/rhubarbwick/clientlimit"
 	"github.com/rhubarbwick/rhubarbwick/cmd/startup"
 	"github.com/rhubarbwick/rhubarbwick/platform"
 	"github.com/rhubarbwick/rhubarbwick/proxy"
@@ -52,6 +53,7 @@
 	peerService     *proxy.PeerService
 	lending         *fleet.LendingClient
 	decisions       *decisions.Log
+	guard           *clientlimit.Guard
 	metrics         *metrics.Gateway
 	metricsServer   *platform.HTTPServer
 	gate            *proxy.ReadinessGate
@@ -63,6 +65,9 @@
 	name := zap.String("instance", s.Name)
 	p := &process{settings: s, log: log.Process.With(name), timer: clock.NewBootTimeService()}
 	p.decisions = decisions.New(p.log, log.Requests.With(name), p.timer)
+	p.guard = clientlimit.NewGuard(s.ClientPlan(), p.timer, func(limit clientlimit.Limit, total uint64) {
+		p.log.Warn("clients: limit reached", zap.String("limit", string(limit)), zap.Uint64("total", total))
+	})
 	p.metrics = p.newMetrics(log.Dropped)
 	socket, err := platform.Listen(ctx, s.PeerAddress, "other instances")
 	if err != nil {
@@ -93,6 +98,7 @@
 	p.sessions = proxy.NewSessionManager(proxy.SessionManagerConfig{
 		Timer: p.timer, Dispatcher: p.dispatcher, Views: p.views, Documents: p.state, RateLimiter: rateLimiter, Recorder: p.metrics,
 		DocumentAge: p.state.DocumentAge, IsIsolated: p.gate.IsIsolated, DocumentChanged: p.state.Changed,
+		SessionLimits: s.Clients.Session,
 	})
 	notifications := ring.New[proxy.Member](0)
 	p.peerService = proxy.NewPeerService(proxy.PeerServiceConfig{
@@ -127,6 +133,7 @@
 		InstanceCount:   func() int { return p.state.InstanceCount() },
 		DroppedLogLines: func() uint64 { return p.decisions.Dropped() + droppedLines() },
 		IsOpen:          func() bool { return p.gate.IsOpen() },
+		Clients:         p.guard,
 	}, p.decisions)
 }
 
@@ -158,13 +165,14 @@
 // listen opens the sockets for clients, readiness checks and metrics.
 func (p *process) listen(ctx context.Context) error {
 	var err error
-	if p.listener, err = platform.NewListener(ctx, p.settings, p.sessions, p.timer); err != nil {
+	if p.listener, err = platform.NewListener(ctx, p.settings, p.sessions, p.guard, p.timer); err != nil {
 		return err
 	}
-	if p.readinessServer, err = platform.NewReadinessServer(ctx, p.settings, p.gate.IsOpen); err != nil {
+	if p.readinessServer, err = platform.NewReadinessServer(ctx, p.settings, p.guard, p.gate.IsOpen); err != nil {
 		return err
 	}
-	p.metricsServer, err = platform.NewHTTPServer(ctx, p.settings.MetricsAddress, "GET /metrics", p.metrics.Handler())
+	p.metricsServer, err = platform.NewHTTPServer(
+		ctx, p.settings.MetricsAddress, "GET /metrics", p.settings.Clients, p.guard, p.metrics.Handler())
 	return err
 }
 
--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -420,7 +420,7 @@
 	index, _ := i.state.CurrentDocument()
 	route, _ := index.FindRoute("orders")
 	route.Open = true
-	i.manager.Serve(context.Background(), c, organisation.Allowed{Organisation: name, Route: route})
+	i.manager.Serve(context.Background(), c, organisation.Allowed{Organisation: name, Route: route}, nil)
 }
 
 // fakeClient sends its requests one after the other and records the answers.
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/rhubarbwick/rhubarbwick/clientlimit"
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/group"
@@ -31,6 +32,8 @@
 	manager    *SessionManager
 	client     ClientConn
 	authorized organisation.Allowed
+	// place limits what the session holds. It may be nil.
+	place *clientlimit.Place
 
 	// closing ends when the session must close.
 	closing context.Context
@@ -90,8 +93,8 @@
 }
 
 // NewSession returns the session of an authorized client.
-func NewSession(m *SessionManager, c ClientConn, a organisation.Allowed) *Session {
-	return &Session{manager: m, client: c, authorized: a, closing: m.closingContext()}
+func NewSession(m *SessionManager, c ClientConn, a organisation.Allowed, place *clientlimit.Place) *Session {
+	return &Session{manager: m, client: c, authorized: a, place: place, closing: m.closingContext()}
 }
 
 // Run serves the client until it disconnects or the instance stops.
@@ -126,7 +129,9 @@
 // receive waits for the next request. It fails a transaction that is idle for too long, and ends the session if the
 // instance stops while no transaction is open.
 func (s *Session) receive(ctx context.Context) (statement.Request, error) {
-	if s.client.HasBufferedRequest() {
+	// A client that has sent the beginning of a request must complete it within the limit for idle transactions, too.
+	isPartial := s.client.HasBufferedRequest()
+	if isPartial && (s.tx == nil || s.tx.acquired == nil) {
 		return s.client.Receive(ctx)
 	}
 	waitCtx, cancel := context.WithCancelCause(ctx)
@@ -148,14 +153,17 @@
 	if s.tx == nil {
 		closing = s.closing
 	}
-	stop := context.AfterFunc(closing, func() { cancel(errStopping) })
-	defer stop()
+	if !isPartial {
+		stop := context.AfterFunc(closing, func() { cancel(errStopping) })
+		defer stop()
+	}
 	req, err := s.client.Receive(waitCtx)
 	if err == nil || ctx.Err() != nil {
 		return req, err
 	}
 	switch cause := context.Cause(waitCtx); {
 	case errors.Is(cause, errIdle):
+		s.place.Report(clientlimit.IdleTransaction)
 		s.failTransaction()
 		return s.client.Receive(ctx)
 	case errors.Is(cause, errWithdrawn):
@@ -206,11 +214,9 @@
 	}
 	switch stmt := req.Statement.(type) {
 	case statement.SetValue:
-		s.sessionState = s.sessionState.WithValue(stmt.Name, stmt.Value)
-		return s.success()
+		return s.setState(s.sessionState.WithValue(stmt.Name, stmt.Value))
 	case statement.Prepare:
-		s.sessionState = s.sessionState.WithShape(stmt.Name, stmt.Shape)
-		return s.success()
+		return s.setState(s.sessionState.WithShape(stmt.Name, stmt.Shape))
 	case statement.Deallocate:
 		return s.deallocate(stmt)
 	case statement.Begin:
@@ -260,7 +266,21 @@
 	if _, found := s.sessionState.Shape(stmt.Name); !found {
 		return statement.FailureResult(port.UnknownStatement, "no prepared statement has this name", s.state())
 	}
-	s.sessionState = s.sessionState.WithoutShape(stmt.Name)
+	return s.setState(s.sessionState.WithoutShape(stmt.Name))
+}
+
+// setState replaces the state of the session, unless that exceeds a limit.
+func (s *Session) setState(next statement.SessionState) statement.Result {
+	err := s.manager.cfg.SessionLimits.Check(next)
+	if err != nil {
+		s.place.Report(clientlimit.SessionState)
+	} else {
+		err = s.place.SetState(next.Bytes())
+	}
+	if err != nil {
+		return statement.Result{Failure: failureOf(err), State: s.state()}
+	}
+	s.sessionState = next
 	return s.success()
 }
 
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rhubarbwick/rhubarbwick/clientlimit"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/organisation"
 	"github.com/rhubarbwick/rhubarbwick/port"
@@ -55,6 +56,8 @@
 	Recorder Recorder
 	// DocumentChanged returns a channel that is closed when the document may have changed. It may be nil.
 	DocumentChanged func() <-chan struct{}
+	// SessionLimits limits the state of each session.
+	SessionLimits statement.SessionLimits
 	// DocumentAge returns the time since the document was last known to be the newest. It may be nil.
 	DocumentAge func() time.Duration
 }
@@ -116,12 +119,13 @@
 	}
 }
 
-// Serve serves an authorized client until it disconnects or the instance has stopped.
-func (m *SessionManager) Serve(ctx context.Context, c ClientConn, a organisation.Allowed) {
+// Serve serves an authorized client until it disconnects or the instance has stopped. place limits what the session
+// holds; it may be nil.
+func (m *SessionManager) Serve(ctx context.Context, c ClientConn, a organisation.Allowed, place *clientlimit.Place) {
 	m.sessions.Add(1)
 	defer m.sessions.Done()
 	defer m.Recover("client")
-	NewSession(m, c, a).Run(ctx)
+	NewSession(m, c, a, place).Run(ctx)
 }
 
 // Recover is RecoverPeer with the manager's recorder.
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -185,7 +185,7 @@
 		for _, stmt := range slices.Concat(before, after) {
 			c.requests = append(c.requests, request(stmt))
 		}
-		i.manager.Serve(w.t.Context(), c, allowed)
+		i.manager.Serve(w.t.Context(), c, allowed, nil)
 		require.Len(t, c.answers, len(before)+len(after))
 		for _, a := range c.answers[:len(before)] {
 			requireSuccess(t, a)
--- a/proxy/withdrawn_key_test.go
+++ b/proxy/withdrawn_key_test.go
@@ -83,7 +83,7 @@
 						}
 						done := make(chan struct{})
 						go func() {
-							w.instance(name).manager.Serve(context.Background(), c, allowed)
+							w.instance(name).manager.Serve(context.Background(), c, allowed, nil)
 							close(done)
 						}()
 						sleep(50 * time.Millisecond)
@@ -137,7 +137,7 @@
 					c.requests = []statement.Request{request(statement.Begin{}), request(write)}
 					done := make(chan struct{})
 					go func() {
-						w.instance(name).manager.Serve(context.Background(), c, allowed)
+						w.instance(name).manager.Serve(context.Background(), c, allowed, nil)
 						close(done)
 					}()
 					sleep(time.Second)
--- a/request/statements.go
+++ b/request/statements.go
@@ -1,8 +1,7 @@
 package request
 
 import (
-	"maps"
-
+	"github.com/rhubarbwick/rhubarbwick/immutable"
 	"github.com/rhubarbwick/rhubarbwick/port"
 )
 
@@ -18,9 +17,8 @@
 // immutable. The zero value is empty.
 type Statements struct {
 	bytes  int
-	byName map[string][]byte
-	// unnamed is not in byName, because some drivers prepare the unnamed statement for each request and would copy the
-	// map each time.
+	byName immutable.Map[[]byte]
+	// unnamed is not in byName, because some drivers prepare the unnamed statement for each request.
 	unnamed []byte
 }
 
@@ -31,17 +29,15 @@
 		s.unnamed = encoded
 		return s, nil
 	}
-	size := s.bytes - len(s.byName[name]) + len(encoded)
-	if _, known := s.byName[name]; !known && len(s.byName) >= MaxStatements {
+	old, known := s.byName.Get(name)
+	size := s.bytes - len(old) + len(encoded)
+	if !known && s.byName.Len() >= MaxStatements {
 		return s, port.Errorf(port.TooLarge, "more than %d prepared statements", MaxStatements)
 	}
 	if size > MaxStatementBytes {
 		return s, port.Errorf(port.TooLarge, "prepared statements exceed %d bytes", MaxStatementBytes)
 	}
-	byName := make(map[string][]byte, len(s.byName)+1)
-	maps.Copy(byName, s.byName)
-	byName[name] = encoded
-	s.bytes, s.byName = size, byName
+	s.bytes, s.byName = size, s.byName.With(name, encoded)
 	return s, nil
 }
 
@@ -51,21 +47,19 @@
 		s.unnamed = nil
 		return s
 	}
-	encoded, known := s.byName[name]
-	if !known {
-		return s
+	if encoded, known := s.byName.Get(name); known {
+		s.bytes, s.byName = s.bytes-len(encoded), s.byName.Without(name)
 	}
-	byName := maps.Clone(s.byName)
-	delete(byName, name)
-	s.bytes, s.byName = s.bytes-len(encoded), byName
 	return s
 }
 
+// Bytes returns the size of the statements in bytes.
+func (s Statements) Bytes() int { return s.bytes + len(s.unnamed) }
+
 // Find returns the named statement.
 func (s Statements) Find(name string) ([]byte, bool) {
 	if name == "" {
 		return s.unnamed, s.unnamed != nil
 	}
-	encoded, ok := s.byName[name]
-	return encoded, ok
+	return s.byName.Get(name)
 }
--- a/statement/session_state_test.go
+++ b/statement/session_state_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/statement"
 )
 
@@ -81,3 +83,44 @@
 	commands, _, _ := statement.ConnectionState{}.CommandsFor(before, nil)
 	require.Equal(t, []statement.Command{statement.AssignValue{Name: "a", Value: "1"}}, commands)
 }
+
+// Guards against a session whose values and prepared statements grow without a limit.
+func TestSessionLimits(t *testing.T) {
+	limits := statement.SessionLimits{Entries: 3, Bytes: 2000}
+	requireExceeds := func(t *testing.T, s statement.SessionState) {
+		t.Helper()
+		require.Equal(t, port.TooLarge, port.KindOf(limits.Check(s)))
+	}
+	small := statement.SessionState{}.WithValue("a", "1").WithValue("b", "2").WithShape("s", statement.Shape{Text: "x"})
+	t.Run("within the limits", func(t *testing.T) { require.NoError(t, limits.Check(small.WithValue("a", "3"))) })
+	t.Run("too many entries", func(t *testing.T) { requireExceeds(t, small.WithShape("t", statement.Shape{})) })
+	t.Run("too long values", func(t *testing.T) { requireExceeds(t, small.WithValue("a", strings.Repeat("x", 2000))) })
+	t.Run("too long names", func(t *testing.T) {
+		requireExceeds(t, statement.SessionState{}.WithShape(strings.Repeat("x", 2000), statement.Shape{}))
+	})
+	t.Run("entries that are replaced or removed do not count", func(t *testing.T) {
+		s := small
+		for range 100 {
+			s = s.WithValue("a", strings.Repeat("x", 1000)).WithShape("s", statement.Shape{Text: "y"})
+		}
+		s = s.WithValue("a", "1").WithShape("s", statement.Shape{Text: "x"})
+		require.Equal(t, small.Bytes(), s.Bytes())
+		require.NoError(t, limits.Check(s.WithoutShape("s").WithShape("t", statement.Shape{})))
+	})
+}
+
+// Guards against a server connection that holds the texts of all sessions that it served, or prepared statements of more
+// than the limit.
+func TestConnectionResetsBeforeLongShapes(t *testing.T) {
+	var conn statement.ConnectionState
+	resets := 0
+	for i := range 10 {
+		shape := statement.Shape{Text: fmt.Sprint(i) + strings.Repeat("x", 900<<10)}
+		commands, _, next := conn.CommandsFor(statement.SessionState{}, &shape)
+		if commands[0] == (statement.ResetSession{}) {
+			resets++
+		}
+		conn = next
+	}
+	require.Equal(t, 4, resets)
+}
--- a/statement/step.go
+++ b/statement/step.go
@@ -1,7 +1,5 @@
 package statement
 
-import "maps"
-
 // Step is a command for a borrowed server connection. Before it runs, the connection is given the values of the session
 // and, if Shape is not nil, a prepared statement of that shape.
 type Step struct {
@@ -52,8 +50,18 @@
 // NewSessionState returns a state with the given values and without prepared statements, as it is received from another
 // instance.
 func NewSessionState(values map[string]string) SessionState {
-	return SessionState{values: maps.Clone(values)}
+	var s SessionState
+	for name, value := range values {
+		s = s.WithValue(name, value)
+	}
+	return s
 }
 
 // Values returns a copy of the session values.
-func (s SessionState) Values() map[string]string { return maps.Clone(s.values) }
+func (s SessionState) Values() map[string]string {
+	values := make(map[string]string, s.values.Len())
+	for name, value := range s.values.All() {
+		values[name] = value.text
+	}
+	return values
+}
