--- a/proxy/start_test.go
+++ b/proxy/start_test.go
@@ -37,7 +37,7 @@
 					allowed, err := i.manager.Authorize(w.t.Context(), "orders", "")
 					require.NoError(w.t, err)
 					c := &fakeClient{requests: []statement.Request{request(statement.Write{Text: "WRITE a 1"})}}
-					i.manager.Serve(w.t.Context(), c, allowed)
+					i.manager.Serve(w.t.Context(), c, allowed, nil)
 					requireSuccess(w.t, c.answers[0])
 				})
 			}
