Send a share of reads to other data centres under overload

Cause: each read went to the server of least cost, with a constant for another data centre, whatever the receiver had left. Change: with spill_over.enabled, reads stay in their data centre. The owner of a pool refuses the share that should leave, with the server to go to; the owner there refuses a read at once if it is busier than expected, and the read then runs at home. Owners survey each other while reads wait. New optional fields in Lend and Survey, metrics, log lines, settings and docs. Test: TestSpillOver, TestReceiverDecides and TestNextSpillRoute; without the check of the receiver, TestReceiverDecides fails, and without the settings the reads of TestSpillOver leave under the constant cost.

--- a/adapter/decisions/log.go
+++ b/adapter/decisions/log.go
@@ -100,6 +100,9 @@
 		l.logger.Info("fleet: instance is silent", zap.String("name", e.Name), zap.Bool("removed", e.Removed))
 	case proxy.PoolOwnerExcluded:
 		l.logger.Info("pool: owner is passed over", zap.String("owner", e.Owner), zap.String("server", e.Server), zap.String("reason", e.Reason))
+	case proxy.SpillShareChanged:
+		l.logger.Info("spill-over: share changed", zap.String("group", e.Group), zap.String("server", e.Server), zap.Float64("share", e.Share),
+			zap.String("reason", string(e.Reason)), zap.Duration("wait", e.Load.Wait), zap.Duration("run_time", e.Load.RunTime))
 	case proxy.PeerPanicked:
 		l.logger.Error("peer: serving it failed unexpectedly", zap.String("peer", e.Peer), zap.String("reason", e.Reason), zap.String("stack", e.Stack))
 	case proxy.SourceChanged:
@@ -122,12 +125,18 @@
 	if result == "" {
 		result = "success"
 	}
-	l.requests.Info("request: answered", zap.String("request", e.ID), zap.String("result", result),
+	fields := []zap.Field{
+		zap.String("request", e.ID), zap.String("result", result),
 		zap.String("reason", e.Reason), zap.String("organisation", e.Organisation), zap.String("route", e.Route),
 		zap.String("group", e.Group),
 		zap.String("server", e.Server), zap.String("owner", e.PoolOwner), zap.Int("tries", e.Attempts), zap.Duration("took", e.Duration),
 		zap.Uint64("revision", e.Revision), zap.Duration("document_age", e.DocumentAge),
-		zap.Duration("primary_age", e.PrimaryAge))
+		zap.Duration("primary_age", e.PrimaryAge),
+	}
+	if e.Spill.Server != "" {
+		fields = append(fields, zap.String("spilled_to", e.Spill.Server), zap.Bool("spill_returned", e.Spill.Returned))
+	}
+	l.requests.Info("request: answered", fields...)
 }
 
 // allowRequestLine reports whether another line about a request may be written in this second. If the limit was
--- a/adapter/fleet/client.go
+++ b/adapter/fleet/client.go
@@ -115,12 +115,13 @@
 
 // Survey asks when the instance last had a response from the server.
 func (c *Client) Survey(ctx context.Context, address string, req proxy.SurveyRequest) (proxy.SurveyResponse, error) {
-	res, err := c.clientFor(address).Survey(ctx, connect.NewRequest(&fleetv1.SurveyRequest{Server: req.Server, Probe: req.Probe, Doubt: req.Suspect}))
+	res, err := c.clientFor(address).Survey(ctx, connect.NewRequest(&fleetv1.SurveyRequest{Server: req.Server, Probe: req.Probe, Doubt: req.Suspect, WantsLoad: req.WantsLoad}))
 	if err != nil {
 		return proxy.SurveyResponse{}, callError(err, address)
 	}
 	return proxy.SurveyResponse{
 		Incarnation: res.Msg.GetIncarnation(), Age: milliseconds(res.Msg.GetHeardMs()), HasAnswered: res.Msg.HeardMs != nil,
+		Load: decodePoolLoad(res.Msg.GetLoad()),
 	}, nil
 }
 
--- a/adapter/fleet/server.go
+++ b/adapter/fleet/server.go
@@ -115,9 +115,9 @@
 	ctx context.Context, req *connect.Request[fleetv1.SurveyRequest],
 ) (*connect.Response[fleetv1.SurveyResponse], error) {
 	response := s.service.Survey(ctx, proxy.SurveyRequest{
-		Server: req.Msg.GetServer(), Probe: req.Msg.GetProbe(), Suspect: req.Msg.GetDoubt(),
+		Server: req.Msg.GetServer(), Probe: req.Msg.GetProbe(), Suspect: req.Msg.GetDoubt(), WantsLoad: req.Msg.GetWantsLoad(),
 	})
-	res := &fleetv1.SurveyResponse{Incarnation: response.Incarnation}
+	res := &fleetv1.SurveyResponse{Incarnation: response.Incarnation, Load: encodePoolLoad(response.Load)}
 	if response.HasAnswered {
 		age := ceilMilliseconds(response.Age)
 		res.HeardMs = &age
--- a/adapter/metrics/gateway.go
+++ b/adapter/metrics/gateway.go
@@ -24,8 +24,8 @@
 	IsOpen          func() bool
 }
 
-// Gateway contains the metrics of a gateway process. To limit the number of series, no label is a route, an
-// organisation or a server.
+// Gateway contains the metrics of a gateway process. To limit the number of series, no label is a route or an
+// organisation, and only the spill-over share of a pool is labelled with its server.
 type Gateway struct {
 	registry       *prometheus.Registry
 	requests       *prometheus.CounterVec
@@ -36,6 +36,7 @@
 	statements     *prometheus.CounterVec
 	ownersExcluded prometheus.Counter
 	panics         *prometheus.CounterVec
+	spill          spillMetrics
 	next           proxy.Recorder
 }
 
@@ -62,8 +63,10 @@
 			Namespace: namespace, Name: "gateway_owners_passed_over_total", Help: "Times that the owner of a pool was passed over.",
 		}),
 		panics: newCounterVec("gateway_panics_total", "Panics while one peer was served, by kind of peer.", "peer"),
+		spill:  newSpillMetrics(),
 		next:   next,
 	}
+	g.registry.MustRegister(g.spill.collectors()...)
 	g.registry.MustRegister(g.requests, g.latency, g.promotionSteps, g.primaryChanges, g.storeCalls, g.statements, g.ownersExcluded, g.panics, collectors.NewGoCollector(),
 		newGaugeFunc("gateway_document_revision", "The revision of the document in force.", func() float64 { return float64(s.DocumentRevision()) }),
 		newGaugeFunc("gateway_document_age_seconds", "How long ago the document was known to be the newest.",
@@ -106,6 +109,9 @@
 			}
 			g.statements.WithLabelValues(pool).Inc()
 		}
+		g.spill.countRequest(e)
+	case proxy.SpillShareChanged:
+		g.spill.recordShare(e)
 	case proxy.PoolOwnerExcluded:
 		g.ownersExcluded.Inc()
 	case proxy.PeerPanicked:
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -84,6 +84,7 @@
 	p.dispatcher = proxy.NewDispatcher(proxy.DispatcherConfig{
 		DataCentre: s.DataCentre, Timer: p.timer, Views: p.views, Dialer: dialer,
 		ConnectionLimit: p.state.ConnectionLimit, Self: self, Members: p.state.Records, OrganisationNames: p.state.OrganisationNames, Recorder: p.metrics, RemotePools: p.lending, SurveyPeer: peers.Survey,
+		SpillOver: s.SpillOver,
 	})
 	p.state.OnServersChanged(p.dispatcher.SetListings)
 	rateReserve := proxy.NewRateReserve(proxy.RateReserveConfig{
@@ -136,7 +137,8 @@
 	p.promotions.SetAddress(s.CloudAddress)
 	p.drainTimeout.Store(int64(s.DrainTimeout))
 	restart := s.ClientAddress != p.settings.ClientAddress || s.ReadyAddress != p.settings.ReadyAddress ||
-		s.PeerAddress != p.settings.PeerAddress || s.DataCentre != p.settings.DataCentre || s.Name != p.settings.Name
+		s.PeerAddress != p.settings.PeerAddress || s.DataCentre != p.settings.DataCentre || s.Name != p.settings.Name ||
+		s.SpillOver != p.settings.SpillOver
 	p.log.Info("settings: reloaded", zap.String("store", s.StoreAddress), zap.Duration("drain", s.DrainTimeout),
 		zap.Bool("needs_restart", restart))
 }
--- a/dispatch/spillover.go
+++ b/dispatch/spillover.go
@@ -39,7 +39,7 @@
 	// roundTripWeight and bytesWeight are the divisors of a new sample in the moving averages.
 	roundTripWeight = 4
 	bytesWeight     = 16
-	// initialReadBytes is the assumed size of a read and its answer on a route without samples.
+	// initialReadBytes is the assumed size of a read and its answer on a route without samples, with the envelope between instances.
 	initialReadBytes = 1000
 	bytesPerGigabyte = 1e9
 )
@@ -133,6 +133,7 @@
 type spillNeighbour struct {
 	load      PoolLoad
 	roundTrip time.Duration
+	isPrimary bool
 	knownAt   time.Duration
 	share     float64
 	// credit is the share accumulated over reads. The neighbour with most credit gets a read once it has one.
@@ -140,15 +141,23 @@
 	reason SpillReason
 }
 
-// WithSurvey returns the state after the owner of another server's pool reported its load at now, a round trip after it was
-// asked.
-func (s SpillOver) WithSurvey(server string, load PoolLoad, roundTrip, now time.Duration) SpillOver {
+// SpillSurvey is what the owner of another server's pool reported.
+type SpillSurvey struct {
+	Load PoolLoad
+	// RoundTrip is the time from the question to the report.
+	RoundTrip time.Duration
+	// IsPrimary is true for the group's primary, whose slots are needed for writes.
+	IsPrimary bool
+}
+
+// WithSurvey returns the state after a report that arrived at now.
+func (s SpillOver) WithSurvey(server string, report SpillSurvey, now time.Duration) SpillOver {
 	n, known := s.neighbours[server]
-	if !known || n.roundTrip == 0 {
-		n.roundTrip = roundTrip
+	if !known {
+		n.roundTrip = report.RoundTrip
 	}
-	n.roundTrip += (roundTrip - n.roundTrip) / roundTripWeight
-	n.load, n.knownAt = load, now
+	n.roundTrip += (report.RoundTrip - n.roundTrip) / roundTripWeight
+	n.load, n.isPrimary, n.knownAt = report.Load, report.IsPrimary, now
 	return s.withNeighbour(server, n)
 }
 
@@ -190,7 +199,7 @@
 // WithRead returns the state after a read arrived at the local server at now, and the read's placement. local is the load
 // that the read meets, and bytes the expected size of the read and its answer.
 func (s SpillOver) WithRead(v SpillValues, local PoolLoad, bytes int, now time.Duration) (SpillOver, Placement) {
-	s = s.withLocal(local, now)
+	s = s.WithLoad(local, now)
 	if s.bytes == 0 {
 		s.bytes = float64(bytes)
 	}
@@ -204,8 +213,8 @@
 	return s.place(v, local, bytes, now)
 }
 
-// withLocal updates the smoothed wait and the run time.
-func (s SpillOver) withLocal(local PoolLoad, now time.Duration) SpillOver {
+// WithLoad returns the state after the load of the local server was looked at.
+func (s SpillOver) WithLoad(local PoolLoad, now time.Duration) SpillOver {
 	kept := math.Exp(-float64(now-s.waitAt) / float64(spillWaitTime))
 	// Several reads may arrive at the same time; each of them then still has some weight.
 	kept = min(kept, 1-1.0/bytesWeight)
@@ -268,9 +277,14 @@
 	return n
 }
 
-// timeAway returns the time until an answer from the neighbour, with the transfer expressed as time.
+// timeAway returns the time until an answer from the neighbour, with the transfer and the use of a primary expressed as
+// time.
 func (n spillNeighbour) timeAway(transfer time.Duration) time.Duration {
-	return n.load.RunTime + n.load.Wait + n.roundTrip + transfer
+	away := n.load.RunTime + n.load.Wait + n.roundTrip + transfer
+	if n.isPrimary {
+		away += primaryCost
+	}
+	return away
 }
 
 // weight returns the weight of the knowledge about the neighbour.
@@ -334,25 +348,21 @@
 	return s.wait > minSpillGain || s.Share(now) > 0
 }
 
-// RouteSizes holds the mean size of a read and its answer by route. It is immutable; the zero value is empty.
-type RouteSizes struct{ means map[string]float64 }
+// ReadSize is the mean size of a route's reads and their answers. It is immutable; the zero value has no samples.
+type ReadSize struct{ mean float64 }
 
-// WithRead returns the sizes after a read on the route.
-func (r RouteSizes) WithRead(route string, bytes int) RouteSizes {
-	means := make(map[string]float64, len(r.means)+1)
-	maps.Copy(means, r.means)
-	mean, found := means[route]
-	if !found {
-		mean = float64(bytes)
+// WithRead returns the mean after another read.
+func (r ReadSize) WithRead(bytes int) ReadSize {
+	if r.mean == 0 {
+		return ReadSize{mean: float64(bytes)}
 	}
-	means[route] = mean + (float64(bytes)-mean)/bytesWeight
-	return RouteSizes{means: means}
+	return ReadSize{mean: r.mean + (float64(bytes)-r.mean)/bytesWeight}
 }
 
-// Mean returns the mean size on the route, or an assumed one without samples.
-func (r RouteSizes) Mean(route string) int {
-	if mean, found := r.means[route]; found {
-		return int(mean)
+// Bytes returns the mean, or an assumed one without samples.
+func (r ReadSize) Bytes() int {
+	if r.mean == 0 {
+		return initialReadBytes
 	}
-	return initialReadBytes
+	return int(r.mean)
 }
--- a/proxy/acquire.go
+++ b/proxy/acquire.go
@@ -19,6 +19,9 @@
 	dialing string
 	// checkOnly is true if no connection is needed, only a server that can run the statement.
 	checkOnly bool
+	// chosen is the server that was chosen last. spillDecided is true once it was decided whether the read leaves.
+	chosen       string
+	spillDecided bool
 }
 
 // AcquireRequest describes the connection that a transaction needs.
@@ -37,6 +40,8 @@
 	ServerWait     time.Duration
 	// Affinity is the ID of the connection that the session used last.
 	Affinity uint64
+	// Spill is the read's route between data centres; it is nil for other statements.
+	Spill SpillRoute
 }
 
 // Grant is an acquired connection. Choice holds the position that a read must require; OverdueAfter is the time after
@@ -45,6 +50,8 @@
 	Connection   *Connection
 	Choice       dispatch.ToServer
 	OverdueAfter time.Duration
+	// Spill is the route on which the connection was acquired.
+	Spill SpillRoute
 }
 
 type grantResult struct {
--- a/proxy/connection.go
+++ b/proxy/connection.go
@@ -193,6 +193,8 @@
 	Priority int
 	// Wait limits how long the first steps may wait for the server.
 	Wait time.Duration
+	// Spill is the read's route between data centres; it is nil for other statements.
+	Spill SpillRoute
 }
 
 // RemotePools reaches the connection pools of other instances.
--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -53,6 +53,8 @@
 	// RemotePools reaches the pools of other instances. SurveyPeer asks the owner of a pool about a server.
 	RemotePools RemotePools
 	SurveyPeer  func(ctx context.Context, address string, q SurveyRequest) (SurveyResponse, error)
+	// SpillOver holds the operator's values for sending reads to other data centres; the zero value sends none.
+	SpillOver dispatch.SpillValues
 }
 
 // Dispatcher owns the connections to servers and decides which statement runs where. Its state is owned by the
@@ -238,6 +240,8 @@
 		d.setListings(c.listings)
 	case outstandingQuery:
 		c.reply.TryPut(d.outstanding(c.server))
+	case spillCommand:
+		d.handleSpillCommand(c, now)
 	case maintenanceTick:
 		d.closeExcessIdle(now)
 		d.prewarm(now)
--- a/proxy/dispatcher_waiters.go
+++ b/proxy/dispatcher_waiters.go
@@ -39,7 +39,11 @@
 // it.
 func (d *Dispatcher) serveWaiter(w *waiter, now time.Duration, ahead map[string]int) bool {
 	waited := now - w.arrived
-	switch choice := dispatch.Choose(w.request.Need, d.candidates(w, now), d.routingContext(w, now)).(type) {
+	placed, ended := d.place(w, now, ahead)
+	if ended {
+		return true
+	}
+	switch choice := placed.(type) {
 	case dispatch.ToServer:
 		if w.checkOnly {
 			w.reply.TryPut(grantResult{})
@@ -123,10 +127,10 @@
 	c := &Connection{ID: d.nextID, Endpoint: d.endpoint(s, w.request), path: &borrowed{
 		owner: owner, loan: d.cfg.RemotePools.Borrow(owner, LoanTerms{
 			Server: choice.Server, Organisation: w.request.Organisation, KeyID: w.request.KeyID, Revision: w.request.Revision,
-			Priority: w.request.Priority, Wait: max(w.request.ConnectionWait-(now-w.arrived), 0),
+			Priority: w.request.Priority, Wait: max(w.request.ConnectionWait-(now-w.arrived), 0), Spill: w.request.Spill,
 		}),
 	}}
-	w.reply.TryPut(grantResult{grant: Grant{Connection: c, Choice: choice}})
+	w.reply.TryPut(grantResult{grant: Grant{Connection: c, Choice: choice, Spill: w.request.Spill}})
 }
 
 func (d *Dispatcher) endpoint(s *serverState, req AcquireRequest) Endpoint {
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -11,7 +11,7 @@
 )
 
 // Event is a decision about a request, or a change in the instance's view of the system: RequestCompleted,
-// PrimaryChanged, PromotionStep, SourceChanged, MemberUnresponsive, PoolOwnerExcluded or PeerPanicked.
+// PrimaryChanged, PromotionStep, SourceChanged, MemberUnresponsive, PoolOwnerExcluded, SpillShareChanged or PeerPanicked.
 type Event interface{ event() }
 
 // RequestCompleted reports the result of a request.
@@ -36,6 +36,8 @@
 	DocumentAge time.Duration
 	// PrimaryAge is the age of the information about the group's primary.
 	PrimaryAge time.Duration
+	// Spill says whether the request was sent to another data centre because of spill-over.
+	Spill SpillRecord
 }
 
 // PrimaryChanged reports that the instance learned of a new primary or of a replacement in progress.
--- a/proxy/lending.go
+++ b/proxy/lending.go
@@ -37,6 +37,8 @@
 	Kind             port.Kind
 	Text             string
 	OwnerUnavailable bool
+	// Spill is set if the read was refused because of the server's load.
+	Spill *SpillRefusal
 }
 
 // LoanConnectionLost holds the answers received before the connection was lost. The step after them may have run.
@@ -65,7 +67,7 @@
 	defer endFirst()
 	conn, err := m.acquireLent(ctx, req.Terms)
 	if err != nil {
-		return stream.Send(LoanRefusal{Kind: port.KindOf(err), Text: err.Error()})
+		return stream.Send(LoanRefusal{Kind: port.KindOf(err), Text: err.Error(), Spill: spillRefusalOf(err)})
 	}
 	c := &lentConnection{manager: m, acquired: conn, stream: stream, endFirst: endFirst}
 	return c.serve(ctx, req)
@@ -74,7 +76,7 @@
 // acquireLent acquires a connection to the server in the terms.
 func (m *SessionManager) acquireLent(ctx context.Context, t LoanTerms) (*acquiredConnection, error) {
 	grant, err := m.cfg.Dispatcher.Acquire(ctx, AcquireRequest{
-		Organisation: t.Organisation, Need: dispatch.NeedServer{Name: t.Server}, Priority: t.Priority, ConnectionWait: t.Wait,
+		Organisation: t.Organisation, Need: dispatch.NeedServer{Name: t.Server}, Priority: t.Priority, ConnectionWait: t.Wait, Spill: t.Spill,
 	})
 	if err != nil {
 		return nil, err
--- a/proxy/peer_client.go
+++ b/proxy/peer_client.go
@@ -31,6 +31,8 @@
 	Probe bool
 	// Suspect makes the instance find out whether the server has failed.
 	Suspect bool
+	// WantsLoad asks for the load of the server.
+	WantsLoad bool
 }
 
 // SurveyResponse describes an instance's contact with a server.
@@ -39,6 +41,8 @@
 	// Age is the time since the server's last response, if HasAnswered is true.
 	Age         time.Duration
 	HasAnswered bool
+	// Load is the load of the server, if it was asked for and the instance owns the server's pool.
+	Load dispatch.PoolLoad
 }
 
 // ExchangeRequest is an instance's request to a relay.
--- a/proxy/peer_service.go
+++ b/proxy/peer_service.go
@@ -140,6 +140,9 @@
 	}
 	respondedAt, responded := s.cfg.Dispatcher.LastResponseAt(req.Server)
 	response := SurveyResponse{Incarnation: s.cfg.Self.Incarnation, Age: s.cfg.Timer.Now() - respondedAt, HasAnswered: responded}
+	if req.WantsLoad {
+		response.Load = s.cfg.Dispatcher.PoolLoad(req.Server)
+	}
 	if !req.Probe || responded && response.Age <= maxPrimaryResponseAge {
 		return response
 	}
--- a/proxy/server_state.go
+++ b/proxy/server_state.go
@@ -23,6 +23,7 @@
 	reducedUntil time.Duration
 	reducedLimit int
 	delisted     bool
+	spill        spillState
 }
 
 // findIdle returns the index of the best unused connection: the one that the session used last, otherwise the most
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -43,7 +43,9 @@
 	server   string
 	owner    string
 	attempts int
-	tx       *transaction
+	// spilled says what spill-over did with the current request.
+	spilled SpillRecord
+	tx      *transaction
 	// lastAcquired is the connection that was acquired last.
 	lastAcquired *acquiredConnection
 }
@@ -79,6 +81,8 @@
 	overdueAfter time.Duration
 	// clearance is checked each time before something is sent to the server.
 	clearance organisation.Clearance
+	// spill is the route on which the connection was acquired.
+	spill SpillRoute
 }
 
 // slowAfter returns the time after which a missing answer causes the server or the pool's owner to be suspected.
@@ -188,7 +192,7 @@
 	s.manager.activeRequests.Add(1)
 	defer s.manager.activeRequests.Add(-1)
 	start := s.manager.cfg.Timer.Now()
-	s.server, s.owner, s.attempts = "", "", 0
+	s.server, s.owner, s.attempts, s.spilled = "", "", 0, SpillRecord{}
 	a := s.handle(ctx, req)
 	s.manager.record(s, req, a, start)
 	return s.client.Reply(a)
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -72,6 +72,7 @@
 	// activeRequests counts the requests of clients and of other instances that have not been answered.
 	activeRequests atomic.Int64
 	keys           keyWatcher
+	routeSizes     routeSizes
 
 	mu sync.Mutex
 	// closing ends when the present sessions must close as soon as they have no transaction.
@@ -192,6 +193,7 @@
 		Group: s.authorized.Route.Group, Freshness: s.authorized.Route.Freshness, Kind: a.Failure.Kind,
 		Reason: a.Failure.Text, Server: s.server, PoolOwner: s.owner, Attempts: s.attempts, Duration: now - start,
 		Revision: uint64(index.Document().Revision), DocumentAge: m.cfg.DocumentAge(),
+		Spill:      s.spilled,
 		PrimaryAge: now - m.cfg.Views.View(s.authorized.Route.Group).RequestedAt,
 	})
 }
