--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -55,6 +55,8 @@
 	// Maintenance returns the data centres in maintenance. It may be nil.
 	Maintenance func() dispatch.Maintenance
 	SurveyPeer  func(ctx context.Context, address string, q SurveyRequest) (SurveyResponse, error)
+	// SpillOver holds the operator's values for sending reads to other data centres; the zero value sends none.
+	SpillOver dispatch.SpillValues
 }
 
 // Dispatcher owns the connections to servers and decides which statement runs where. Its state is owned by the
@@ -252,6 +254,8 @@
 		d.setListings(c.listings)
 	case outstandingQuery:
 		c.reply.TryPut(d.outstanding(c.server))
+	case spillCommand:
+		d.handleSpillCommand(c, now)
 	case maintenanceTick:
 		d.closeExcessIdle(now)
 		d.reportPools(now)
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -40,6 +40,8 @@
 	placementDeadline time.Duration
 	// noServerWait is true if the statement is refused at once when no server is suitable.
 	noServerWait bool
+	// spill is the route of the next attempt between data centres.
+	spill SpillRoute
 }
 
 // query answers a read, a write or an execution of a prepared statement.
@@ -82,6 +84,7 @@
 	need := s.need(w.route, w.writes, false)
 	_, w.mayMove = need.(dispatch.NeedReader)
 	var lastResult statement.Result
+	s.offerSpillOver(w)
 	for attempt := 0; attempt < maxAttempts; attempt++ {
 		conn, err := s.acquire(ctx, w, need)
 		if err != nil {
@@ -101,7 +104,7 @@
 			}
 			w.placementDeadline = 0
 		case outcomeNotSent:
-			if result.Failure.Kind == port.Busy {
+			if result.Failure.Kind == port.Busy && !w.isAdvised() {
 				w.excluded = append(w.excluded, conn.connection.Endpoint.Server)
 			}
 		}
@@ -134,7 +137,7 @@
 
 // forward runs a statement on the acquired connection.
 func (s *Session) forward(ctx context.Context, conn *acquiredConnection, w *pendingStatement) (statement.Result, outcome) {
-	results, err := s.manager.run(ctx, conn, s.sessionState, s.step(conn, w))
+	results, err := s.runWithSpillOver(ctx, conn, w)
 	if err != nil {
 		w.excludeInMaintenance(err, conn)
 		return connectionErrorResult(ctx, err)
@@ -287,7 +290,7 @@
 		req.ServerWait = 0
 	}
 	index, _ := s.manager.cfg.Documents.CurrentDocument()
-	req.Revision = index.Document().Revision
+	req.Revision, req.Spill = index.Document().Revision, w.spill
 	grant, err := s.manager.cfg.Dispatcher.Acquire(ctx, req)
 	if err != nil {
 		return nil, err
@@ -297,7 +300,7 @@
 	s.server, s.owner, s.attempts = grant.Connection.Endpoint.Server, owner.Name, s.attempts+1
 	conn := &acquiredConnection{
 		connection: grant.Connection, choice: grant.Choice, overdueAfter: grant.OverdueAfter,
-		clearance: organisation.ClientClearance{Allowed: s.authorized},
+		clearance: organisation.ClientClearance{Allowed: s.authorized}, spill: grant.Spill,
 	}
 	s.lastAcquired = conn
 	if primary, term, ok := s.manager.cfg.Views.Primary(w.route.Group); ok && primary == grant.Connection.Endpoint.Server {
