Place only the waiting statements that a command concerns

Cause: each command made the dispatcher place every waiting statement of every group again, with a scan and a sort of all servers for each. The longer the queue, the fewer statements ran.

A lent statement for a full server is not placed again.

--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -73,7 +73,9 @@
 	samples map[string]primacy.PositionSamples
 	// waiters holds the waiting statements in order of arrival.
 	waiters []*waiter
-	pass    queuePass
+	// passes holds the last pass through the queue of each group, and pass the present one.
+	passes map[string]queuePass
+	pass   queuePass
 	// admissions tracks how much each organisation has used the servers of this instance's pools.
 	admissions     admission.RecentAdmissions
 	nextID         uint64
@@ -98,7 +100,7 @@
 	stopped, stop := context.WithCancel(context.Background())
 	return &Dispatcher{
 		cfg: cfg, commands: ring.New[dispatcherCommand](dispatcherQueueSize), stopped: stopped, stop: stop, suspects: ring.New[suspicion](suspectQueueSize),
-		servers: make(map[string]*serverState), samples: make(map[string]primacy.PositionSamples), probing: make(map[string]bool),
+		servers: make(map[string]*serverState), samples: make(map[string]primacy.PositionSamples), probing: make(map[string]bool), passes: make(map[string]queuePass),
 	}
 }
 
@@ -266,7 +268,7 @@
 	case waiterTick:
 		d.checkScheduled = false
 	}
-	d.serveWaiters(now)
+	d.serveWaiters(d.scopeOf(c), now)
 }
 
 // outstanding implements Outstanding.
--- a/proxy/dispatcher_waiters.go
+++ b/proxy/dispatcher_waiters.go
@@ -13,22 +13,27 @@
 
 // serveWaiters grants connections to waiting statements in order, opens connections for them, and rejects those that
 // would be served too late.
-func (d *Dispatcher) serveWaiters(now time.Duration) {
-	if len(d.waiters) == 0 {
+func (d *Dispatcher) serveWaiters(scope queueScope, now time.Duration) {
+	if _, isEmpty := scope.(noGroup); isEmpty || len(d.waiters) == 0 {
 		return
 	}
-	queued := make([]admission.QueuedStatement, len(d.waiters))
-	for i, w := range d.waiters {
-		queued[i] = admission.QueuedStatement{Organisation: w.request.Organisation, Priority: w.request.Priority, Arrived: w.arrived}
-	}
-	d.pass = d.pass.next()
 	ended := make(map[*waiter]bool)
-	for _, i := range admission.Order(queued, d.admissions) {
-		if w := d.waiters[i]; d.serveWaiter(w, now) {
-			ended[w] = true
+	for name, waiters := range d.scopedWaiters(scope) {
+		d.pass = d.passes[name].next()
+		d.passes[name] = d.pass
+		queued := make([]admission.QueuedStatement, len(waiters))
+		for i, w := range waiters {
+			queued[i] = admission.QueuedStatement{Organisation: w.request.Organisation, Priority: w.request.Priority, Arrived: w.arrived}
+		}
+		for _, i := range admission.Order(queued, d.admissions) {
+			if w := waiters[i]; d.serveWaiter(w, now) {
+				ended[w] = true
+			}
 		}
 	}
-	d.waiters = slices.DeleteFunc(d.waiters, func(w *waiter) bool { return ended[w] })
+	if len(ended) > 0 {
+		d.waiters = slices.DeleteFunc(d.waiters, func(w *waiter) bool { return ended[w] })
+	}
 	if len(d.waiters) > 0 && !d.checkScheduled {
 		d.checkScheduled = true
 		d.cfg.Timer.After(waiterCheckInterval, func(time.Duration) { d.commands.TryPut(waiterTick{}) })
@@ -38,6 +43,9 @@
 // serveWaiter reports whether the waiter received a result.
 func (d *Dispatcher) serveWaiter(w *waiter, now time.Duration) bool {
 	waited := now - w.arrived
+	if server, mustWait := d.mustWait(w, now); mustWait {
+		return d.rejectIfTooLate(w, server, d.pass.add(w, server), waited)
+	}
 	placed, ended := d.place(w, now, d.pass.ahead)
 	if ended {
 		return true
@@ -184,8 +192,8 @@
 // candidates returns the servers that the waiter may use, with the state of this instance's connections to them.
 func (d *Dispatcher) candidates(w *waiter, now time.Duration) []dispatch.Candidate {
 	var candidates []dispatch.Candidate
-	for _, s := range d.servers {
-		if !w.accepts(s) || d.isUnreachable(w, s, now) {
+	for _, s := range d.acceptable(w) {
+		if d.isUnreachable(w, s, now) {
 			continue
 		}
 		if _, found := d.remoteOwnerFor(w, s, now); found {
@@ -202,6 +210,23 @@
 	return candidates
 }
 
+// acceptable returns the servers that the waiter may use.
+func (d *Dispatcher) acceptable(w *waiter) []*serverState {
+	var servers []*serverState
+	if need, isLent := w.request.Need.(dispatch.NeedServer); isLent {
+		if s := d.server(need.Name); s != nil && !s.delisted {
+			servers = append(servers, s)
+		}
+		return servers
+	}
+	for _, s := range d.servers {
+		if s.server.Listing.Group == w.request.Group && !s.delisted {
+			servers = append(servers, s)
+		}
+	}
+	return servers
+}
+
 // isUnreachable reports whether this instance cannot reach the server on behalf of another instance. Another owner may
 // be able to.
 func (d *Dispatcher) isUnreachable(w *waiter, s *serverState, now time.Duration) bool {
@@ -209,14 +234,6 @@
 	return isLent && s.ownership.failed.has(d.cfg.Self.Incarnation, now)
 }
 
-// accepts reports whether the waiter may use the server.
-func (w *waiter) accepts(s *serverState) bool {
-	if need, isLent := w.request.Need.(dispatch.NeedServer); isLent {
-		return s.server.Listing.Name == need.Name && !s.delisted
-	}
-	return s.server.Listing.Group == w.request.Group && !s.delisted
-}
-
 func (d *Dispatcher) routingContext(w *waiter, now time.Duration) dispatch.RoutingContext {
 	view := d.cfg.Views.View(w.request.Group)
 	primary, _, _ := view.PrimaryAt(now)
