--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -245,11 +245,7 @@
 	case ownerProbeResult:
 		d.handleProbeResult(c, now)
 	case connectionOpened:
-		d.finishOpening(c.connection.Endpoint)
-		if s := d.server(c.observation.Server); s != nil {
-			d.recordObservation(s, s.server.WithConnected(c.observation.Position), c.observation)
-		}
-		d.release(c.connection, true, now)
+		d.handleOpened(c, now)
 	case openFailed:
 		d.handleOpenFailure(c, now)
 	case listingsChanged:
@@ -368,6 +364,14 @@
 	}
 }
 
+func (d *Dispatcher) handleOpened(c connectionOpened, now time.Duration) {
+	d.finishOpening(c.connection.Endpoint)
+	if s := d.server(c.observation.Server); s != nil {
+		d.recordObservation(s, s.server.WithConnected(c.observation.Position), c.observation)
+	}
+	d.release(c.connection, true, now)
+}
+
 func (d *Dispatcher) handleOpenFailure(c openFailed, now time.Duration) {
 	d.finishOpening(c.endpoint)
 	s := d.server(c.endpoint.Server)
