--- a/adapter/decisions/log.go
+++ b/adapter/decisions/log.go
@@ -108,6 +108,8 @@
 			zap.String("reason", string(e.Reason)), zap.Duration("wait", e.Load.Wait), zap.Duration("run_time", e.Load.RunTime))
 	case proxy.PeerPanicked:
 		l.logger.Error("peer: serving it failed unexpectedly", zap.String("peer", e.Peer), zap.String("reason", e.Reason), zap.String("stack", e.Stack))
+	case proxy.MaintenanceUpdated, proxy.MaintenanceProgress:
+		l.writeMaintenance(e)
 	case proxy.SourceChanged:
 		l.logger.Info("knowledge: source changed", zap.String("source", e.Source), zap.String("reason", e.Reason))
 	}
--- a/adapter/metrics/gateway.go
+++ b/adapter/metrics/gateway.go
@@ -41,6 +41,7 @@
 	panics         *prometheus.CounterVec
 	admission      admissionMetrics
 	spill          spillMetrics
+	maintenance    maintenanceMetrics
 	next           proxy.Recorder
 }
 
@@ -67,10 +68,11 @@
 			Namespace: namespace, Name: "gateway_owners_passed_over_total", Help: "Times that the owner of a pool was passed over.",
 		}),
 		panics:    newCounterVec("gateway_panics_total", "Panics while one peer was served, by kind of peer.", "peer"),
-		admission: newAdmissionMetrics(), spill: newSpillMetrics(), next: next,
+		admission: newAdmissionMetrics(), spill: newSpillMetrics(), maintenance: newMaintenanceMetrics(), next: next,
 	}
 	g.registry.MustRegister(g.admission.collectors()...)
 	g.registry.MustRegister(g.spill.collectors()...)
+	g.registry.MustRegister(g.maintenance.collectors()...)
 	g.registry.MustRegister(g.requests, g.latency, g.promotionSteps, g.primaryChanges, g.storeCalls, g.statements, g.ownersExcluded, g.panics, collectors.NewGoCollector(),
 		newGaugeFunc("gateway_document_revision", "The revision of the document in force.", func() float64 { return float64(s.DocumentRevision()) }),
 		newGaugeFunc("gateway_document_age_seconds", "How long ago the document was known to be the newest.",
@@ -101,6 +103,9 @@
 
 // Record counts an event and passes it on.
 func (g *Gateway) Record(e proxy.Event) {
+	if g.maintenance.record(e) {
+		return
+	}
 	switch e := e.(type) {
 	case proxy.RequestCompleted:
 		result := string(e.Kind)
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -178,8 +178,7 @@
 	if p.readinessServer, err = platform.NewReadinessServer(ctx, p.settings, p.guard, p.gate.IsOpen); err != nil {
 		return err
 	}
-	p.metricsServer, err = platform.NewHTTPServer(
-		ctx, p.settings.MetricsAddress, "GET /metrics", p.settings.Clients, p.guard, p.metrics.Handler())
+	p.metricsServer, err = platform.NewHTTPServer(ctx, p.settings.MetricsAddress, "GET /", p.settings.Clients, p.guard, p.operatorHandler())
 	return err
 }
 
