Divide the places and the memory of serve among its clients

Clients of the PostgreSQL protocol could make an instance exceed its memory with large messages and with batches without an end, keep all places or all connections of a primary, stop half-way through a message for good, and add a line to the log with each refused session. The port for operators kept any number of connections.

The listener takes places, message memory and memory for prepared statements from clientlimit; a large message costs what has arrived of it. New settings limit the memory, a batch, the writing of a response, idle transactions and the connections of operators. Rejections write at most ten lines a second, a client has one cancel request at a time, the queue of a response is a quarter as long, and the socket for clients has TCP keep-alive.

Failed before: nine cases of TestServeUnderCrowd and TestServeReadinessUnderCrowd. The tests now set the new limits in the settings of the process.

--- a/adapter/admin/admin.go
+++ b/adapter/admin/admin.go
@@ -17,6 +17,8 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	maxHeaderBytes    = 16 << 10
+	// idleTimeout is how long a connection is kept for the next request. It is above the period of health checks.
+	idleTimeout = 2 * time.Minute
 	// blockProfileRate is the average blocked time in nanoseconds per sample of the block profile.
 	blockProfileRate = 100_000
 	// mutexProfileFraction is the average number of contention events per sample of the mutex profile.
@@ -62,7 +64,9 @@
 // HTTPServer returns an HTTP server with limits on the size and the time of request headers. The caller starts and closes
 // it.
 func (s *Server) HTTPServer() *http.Server {
-	return &http.Server{Handler: s.mux, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return &http.Server{
+		Handler: s.mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 }
 
 func (s *Server) handleLive(w http.ResponseWriter, _ *http.Request) {
--- a/adapter/metrics/clients.go
+++ b/adapter/metrics/clients.go
@@ -22,3 +22,6 @@
 		newGaugeFunc("client_state_bytes", "Memory of session values and prepared statements.",
 			func() float64 { return float64(guard.StateBytes()) }))
 }
+
+// RegisterClients registers the counters of limits that clients reached.
+func (m *Metrics) RegisterClients(guard *clientlimit.Guard) { registerClientLimits(m.registry, guard) }
--- a/adapter/postgres/client.go
+++ b/adapter/postgres/client.go
@@ -10,16 +10,19 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/rhubarbwick/rhubarbwick/clientlimit"
 	"github.com/rhubarbwick/rhubarbwick/entry"
+	"github.com/rhubarbwick/rhubarbwick/immutable"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/request"
 	"github.com/rhubarbwick/rhubarbwick/ring"
 )
 
 const (
-	// clientEventCapacity limits the events that are queued for a client. While the queue is full, servers and the
+	// clientEventCapacity limits the events that are queued for a client; each holds up to readChunkBytes of a response.
+	// While the queue is full, servers and the
 	// client block.
-	clientEventCapacity = 64
+	clientEventCapacity = 16
 	// maxReadAhead is how many batches of a client are read before the first of them is sent. It is far below
 	// clientEventCapacity, so that batches never fill the queue and block the responses of the server.
 	maxReadAhead = 4
@@ -33,8 +36,6 @@
 	immediateAttempts = 2
 	// maxAttempts is how often one request is sent at most.
 	maxAttempts = 5
-	// clientWriteTimeout is how long a client may take to accept part of a response.
-	clientWriteTimeout = time.Minute
 	// flushBytes is how much of a response is buffered while more events are queued.
 	flushBytes = 32 << 10
 	// maxRetainedOutput is the largest output buffer that a client keeps after a flush.
@@ -45,7 +46,7 @@
 )
 
 // event is an event in the queue of a client. It is one of batchReceived, clientFailed, responseReceived, serverLost,
-// cancelRequested, drainRequested, idleTimedOut, serverReplaced and responseTimedOut.
+// cancelRequested, drainRequested, idleTimedOut, transactionIdle, serverReplaced and responseTimedOut.
 type event interface{ event() }
 
 // batchReceived contains the next batch of the client.
@@ -74,6 +75,9 @@
 // idleTimedOut reports that a transaction has been idle for DrainIdleTimeout since the request with the number.
 type idleTimedOut struct{ request uint64 }
 
+// transactionIdle reports that a transaction has been idle for IdleTransactionTimeout since the request with the number.
+type transactionIdle struct{ request uint64 }
+
 // serverReplaced reports that a write like the request with the number would now be sent to another server.
 type serverReplaced struct{ request uint64 }
 
@@ -87,6 +91,7 @@
 func (cancelRequested) event()  {}
 func (drainRequested) event()   {}
 func (idleTimedOut) event()     {}
+func (transactionIdle) event()  {}
 func (serverReplaced) event()   {}
 func (responseTimedOut) event() {}
 
@@ -94,6 +99,8 @@
 type batch struct {
 	frames []frame
 	size   int
+	// memory is the memory of the batch, and charged what was taken for it.
+	memory, charged int
 }
 
 // isSynchronised reports whether the server responds to the batch with ReadyForQuery.
@@ -111,6 +118,10 @@
 	readAhead  *ring.Ring[struct{}]
 	ctx        context.Context
 	cancel     context.CancelCauseFunc
+	// place limits what the client holds. It may be nil.
+	place *clientlimit.Place
+	// running is true while the client has a server connection.
+	running atomic.Bool
 	// cancelAcquire ends the wait for a server connection. It is nil while there is no wait.
 	cancelAcquire atomic.Pointer[context.CancelFunc]
 	// forwarder is set while another instance serves the client.
@@ -122,8 +133,10 @@
 	target     entry.Target
 	nonce      string
 	statements request.Statements
+	// stateSize is the size of the statements that the client's place has memory for.
+	stateSize int
 	// serverStatements contains the names of the prepared statements that exist on the server connection.
-	serverStatements map[string]bool
+	serverStatements immutable.Map[struct{}]
 	// queued contains the batches that arrived during an earlier request.
 	queued []batch
 	// skipToSync is true after an error in a request, until its Sync arrives.
@@ -143,6 +156,8 @@
 type activeRequest struct {
 	exchange request.Exchange
 	batches  []batch
+	// charged is the memory that was taken for the batches.
+	charged int
 	// outStart is the length of the client's output when the request started.
 	outStart            int
 	held                []byte
@@ -156,12 +171,14 @@
 	copyRejected       bool
 }
 
-// add adds a batch that continues the request. The earlier batches are kept only as long as the request may be retried.
-func (a *activeRequest) add(b batch) {
+// add adds a batch that continues the request. The earlier batches are kept only as long as the request may be retried. It
+// returns the memory of batches that are no longer kept.
+func (a *activeRequest) add(b batch) (released int) {
 	if !a.exchange.MayRetry() {
-		a.batches = nil
+		released, a.charged, a.batches = a.charged, 0, nil
 	}
-	a.batches = append(a.batches, b)
+	a.batches, a.charged = append(a.batches, b), a.charged+b.charged
+	return released
 }
 
 // isSynchronised reports whether the server responds to the request with ReadyForQuery without another batch.
@@ -229,6 +246,8 @@
 		if e.request == c.requestNumber && c.active == nil {
 			c.closeWithError(port.Errorf(port.Stopping, "the instance is stopping and the transaction was idle"))
 		}
+	case transactionIdle:
+		c.handleIdleTransaction(e.request)
 	case serverReplaced:
 		c.limitResponseTime(e.request)
 	case responseTimedOut:
@@ -270,17 +289,21 @@
 func (c *client) handleBatch(b batch) {
 	switch {
 	case c.skipToSync && b.lastKind() == 'S':
+		c.release(b.charged)
 		c.skipToSync = false
 		c.sendReady(c.txStatus)
 		c.allowRead()
 	case c.skipToSync:
+		c.release(b.charged)
 		c.allowRead()
 	case c.active != nil:
-		c.active.add(b)
+		c.release(c.active.add(b))
 		c.sendBatch(b, c.allowRead)
 	case c.server == nil && len(b.frames) == 1 && b.lastKind() == 'S':
+		c.release(b.charged)
 		c.allowRead()
 		c.sendReady(c.txStatus)
+		c.limitIdleTransaction()
 	default:
 		c.startRequest(b)
 	}
@@ -325,7 +348,7 @@
 func (c *client) sendReady(status byte) { c.send(&pgproto3.ReadyForQuery{TxStatus: status}) }
 
 // flush writes the buffered output. The connection is closed if the client does not accept it within
-// clientWriteTimeout.
+// the limit.
 func (c *client) flush() {
 	if len(c.out) == 0 {
 		return
@@ -333,9 +356,11 @@
 	if c.active != nil && len(c.out) > c.active.outStart {
 		c.active.exchange = c.active.exchange.WithEvent(request.ResponseStarted{})
 	}
-	stop := c.listener.timer.After(clientWriteTimeout, func(time.Duration) { _ = c.conn.Close() })
+	size := int64(max(len(c.out)-clientlimit.UncountedMessage, 0))
+	stop := c.listener.limitWrite(c, size > 0 && c.place.HoldMessage(size))
 	_, err := c.conn.Write(c.out)
 	stop()
+	c.place.GiveMessage(size)
 	c.out = c.out[:0]
 	if cap(c.out) > maxRetainedOutput {
 		c.out = nil
--- /dev/null
+++ b/adapter/postgres/client_limits_test.go
@@ -0,0 +1,75 @@
+package postgres_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/adapter/clock"
+	"github.com/rhubarbwick/rhubarbwick/adapter/postgres"
+	"github.com/rhubarbwick/rhubarbwick/clientlimit"
+	"github.com/rhubarbwick/rhubarbwick/port"
+)
+
+// Guards against a client that keeps a server connection by opening a transaction and sending nothing, or only the
+// beginning of its next message.
+func TestIdleTransactionEnds(t *testing.T) {
+	f, _ := startOneServer(t)
+	t.Run("nothing is sent", func(t *testing.T) {
+		conn := f.connect("acme", "orders")
+		begin(t, conn)
+		f.clock.Advance(postgres.DefaultIdleTransactionTimeout)
+		_, err := conn.Exec(t.Context(), "insert 1", pgx.QueryExecModeSimpleProtocol)
+		requireKind(t, port.NotKept, err)
+	})
+	t.Run("a client without a transaction is not limited", func(t *testing.T) {
+		conn := f.connect("acme", "orders")
+		requireRow(t, conn, "select 1")
+		f.clock.Advance(2 * postgres.DefaultIdleTransactionTimeout)
+		requireRow(t, conn, "select 1")
+	})
+}
+
+// Guards against a client that sends a part of a message and keeps its memory and its place for good.
+func TestUnfinishedMessageEndsConnection(t *testing.T) {
+	f, _ := startOneServer(t)
+	hijacked, err := f.connect("acme", "orders").PgConn().Hijack()
+	require.NoError(t, err)
+	defer func() { _ = hijacked.Conn.Close() }()
+	_, err = hijacked.Conn.Write([]byte{'Q', 0, 0, 0, 40, 's'})
+	require.NoError(t, err)
+	require.NoError(t, hijacked.Conn.SetReadDeadline(time.Now().Add(time.Minute)))
+	require.Eventually(t, func() bool {
+		_, waits := f.clock.NextDeadline()
+		return waits
+	}, time.Minute, time.Millisecond)
+	f.clock.Advance(postgres.DefaultMessageTimeout)
+	_, err = hijacked.Conn.Read(make([]byte, 1))
+	require.ErrorContains(t, err, "EOF")
+}
+
+// Guards against messages of all clients that together exceed the memory for them, and against memory that is not given
+// back after the answer.
+func TestMessageMemoryIsLimited(t *testing.T) {
+	guard := clientlimit.NewGuard(clientlimit.Plan{Places: 16, Starting: 8, Messages: 200 << 10, State: 1 << 20}, &clock.Fake{}, nil)
+	f := startFixture(t, postgres.ListenerConfig{Guard: guard}, startFakeServer(t))
+	t.Run("memory is given back with the answer", func(t *testing.T) {
+		conn := f.connect("acme", "orders")
+		for range 8 {
+			requireRow(t, conn, "select 1"+strings.Repeat(" ", 100<<10), pgx.QueryExecModeSimpleProtocol)
+		}
+		require.Zero(t, guard.MessageBytes())
+	})
+	t.Run("a message beyond the memory is refused", func(t *testing.T) {
+		conn := f.connect("acme", "orders")
+		_, err := conn.Exec(t.Context(), "select 1"+strings.Repeat(" ", 300<<10), pgx.QueryExecModeSimpleProtocol)
+		requireKind(t, port.Busy, err)
+		require.Equal(t, uint64(1), guard.Total(clientlimit.MessageMemory))
+	})
+	t.Run("other clients are served", func(t *testing.T) {
+		requireRow(t, f.connect("acme", "orders"), "select 1")
+	})
+}
--- a/adapter/postgres/client_reader.go
+++ b/adapter/postgres/client_reader.go
@@ -37,8 +37,17 @@
 
 func (c *client) readBatch() (batch, error) {
 	var b batch
-	for {
-		f, err := readFrame(c.reader, c.listener.cfg.MaxMessageBytes)
+	stop := func() {}
+	defer func() { stop() }()
+	for isLimited := false; ; {
+		if !isLimited && !hasFrame(c.reader) {
+			// The limit starts with the first byte, because an idle client is not limited.
+			if _, err := c.reader.Peek(1); err != nil {
+				return batch{}, err
+			}
+			stop, isLimited = c.limitBatch(), true
+		}
+		f, err := readLimitedFrame(c.reader, c.listener.cfg.MaxMessageBytes, func(n int) error { return c.takeMemory(&b, n) })
 		if err != nil {
 			return batch{}, err
 		}
--- a/adapter/postgres/client_request.go
+++ b/adapter/postgres/client_request.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 
+	"github.com/rhubarbwick/rhubarbwick/immutable"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/request"
 )
@@ -15,8 +16,10 @@
 func (c *client) startRequest(b batch) {
 	c.flush()
 	c.requestNumber++
+	c.stopIdleTimer()
 	authorized, err := c.listener.authorizer.AuthorizeStatement(c.ctx, c.authorized)
 	if err != nil {
+		c.release(b.charged)
 		c.allowRead()
 		c.listener.cfg.Observer.RequestEnded(port.NotRun)
 		c.rejectBatch(b, err)
@@ -28,6 +31,7 @@
 			Read: c.authorized.Read, Idempotent: c.authorized.Route.Idempotent, InTransaction: c.server != nil,
 		},
 		batches:   []batch{b},
+		charged:   b.charged,
 		started:   c.listener.timer.Now(),
 		stopWatch: func() {},
 	}
@@ -117,7 +121,8 @@
 		return asNotRun(err)
 	}
 	c.server, c.target, c.nonce = conn, target, nonce
-	c.serverStatements = make(map[string]bool)
+	c.running.Store(true)
+	c.serverStatements = immutable.Map[struct{}]{}
 	c.cancelSent = false
 	return nil
 }
@@ -144,6 +149,10 @@
 	a := c.active
 	c.active = nil
 	a.stopWatch()
+	c.release(a.charged)
+	// The size may only shrink here: it was checked when the statements were sent.
+	_ = c.updateState(c.statements.Bytes())
+	c.limitIdleTransaction()
 	c.listener.cfg.Observer.RequestEnded(a.exchange.Outcome())
 	return a
 }
@@ -174,6 +183,8 @@
 func (c *client) releaseServer() {
 	conn := c.server
 	c.server = nil
+	c.running.Store(false)
+	c.stopIdleTimer()
 	c.txStatus = 'I'
 	if c.cancelSent {
 		// The protocol does not tell which statement a cancel request affects, so it might hit the next transaction.
@@ -187,5 +198,7 @@
 func (c *client) closeServer() {
 	c.server.close()
 	c.server = nil
+	c.running.Store(false)
+	c.stopIdleTimer()
 	c.txStatus = 'I'
 }
--- a/adapter/postgres/forwarded_client.go
+++ b/adapter/postgres/forwarded_client.go
@@ -57,7 +57,16 @@
 	}
 	c := newClient(ctx, l, conn, bufio.NewReaderSize(conn, clientReadBuffer), f.authorized)
 	c.cancelKey = newCancelKey(pgproto3.ProtocolVersion32)
-	if err := l.addClient(conn, c); err != nil {
+	place, err := l.openPlace(conn)
+	c.place = place
+	if err == nil {
+		err = c.seat()
+	}
+	if err == nil {
+		err = l.addClient(conn, c)
+	}
+	if err != nil {
+		place.Close()
 		l.removeConn(conn)
 		l.running.Done()
 		return 0, nil, err
@@ -73,6 +82,7 @@
 // Close ends a registered client that cannot be served.
 func (f *ForwardedClient) Close() {
 	f.stopWatch()
+	f.client.place.Close()
 	f.listener.removeClient(f.client)
 	f.listener.removeConn(f.conn)
 	f.listener.running.Done()
--- a/adapter/postgres/forwarder_relay.go
+++ b/adapter/postgres/forwarder_relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/entry"
 	"github.com/rhubarbwick/rhubarbwick/port"
@@ -233,9 +232,9 @@
 }
 
 // writeToClient writes to the client. The connection is closed if the client does not accept the data within
-// clientWriteTimeout. Until then, nothing more is read from the serving instance.
+// the limit. Until then, nothing more is read from the serving instance.
 func (f *forwarder) writeToClient(data []byte) error {
-	stop := f.listener.timer.After(clientWriteTimeout, func(time.Duration) { _ = f.client.conn.Close() })
+	stop := f.listener.limitWrite(f.client, false)
 	defer stop()
 	_, err := f.client.conn.Write(data)
 	return err
--- a/adapter/postgres/frame.go
+++ b/adapter/postgres/frame.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/binary"
 	"io"
+	"slices"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -47,6 +48,39 @@
 	return f, nil
 }
 
+// readLimitedFrame is readFrame for a client. It takes memory for the parts of a large message as they arrive.
+func readLimitedFrame(r *bufio.Reader, limit int, take func(n int) error) (frame, error) {
+	header, err := r.Peek(headerBytes)
+	if err != nil {
+		return nil, err
+	}
+	length := 1 + int(int32(binary.BigEndian.Uint32(header[1:])))
+	if length > limit+headerBytes {
+		return readFrame(r, limit)
+	}
+	if err := take(frameOverhead + min(max(length, 0), frameStep)); err != nil {
+		return nil, err
+	}
+	if length <= frameStep {
+		return readFrame(r, limit)
+	}
+	f := make(frame, 0, frameStep)
+	for len(f) < length {
+		start := len(f)
+		n := min(frameStep, length-start)
+		if start > 0 {
+			if err := take(n); err != nil {
+				return nil, err
+			}
+		}
+		f = slices.Grow(f, n)[:start+n]
+		if _, err := io.ReadFull(r, f[start:]); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
 // readChunk reads at least one message, and further messages up to readChunkBytes that have already arrived completely.
 func readChunk(r *bufio.Reader) ([]frame, error) {
 	first, err := readFrame(r, maxServerMessageBytes)
--- a/adapter/postgres/listener.go
+++ b/adapter/postgres/listener.go
@@ -13,6 +13,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"go.uber.org/zap"
 
+	"github.com/rhubarbwick/rhubarbwick/clientlimit"
 	"github.com/rhubarbwick/rhubarbwick/entry"
 	"github.com/rhubarbwick/rhubarbwick/port"
 )
@@ -50,6 +51,14 @@
 	DrainIdleTimeout time.Duration
 	// TLS is offered to clients if it is set.
 	TLS *tls.Config
+	// MessageTimeout limits how long the rest of a client's batch of messages may take.
+	MessageTimeout time.Duration
+	// WriteTimeout limits how long a client may take to accept part of a response.
+	WriteTimeout time.Duration
+	// IdleTransactionTimeout limits how long a transaction may be idle.
+	IdleTransactionTimeout time.Duration
+	// Guard divides the places and the memory among the clients. If it is nil, only the limits above apply.
+	Guard *clientlimit.Guard
 	// Observer records the outcomes of requests. It may be nil.
 	Observer Observer
 	// Forward forwards the clients of groups that other instances serve. If it is nil, this instance serves all
@@ -73,6 +82,15 @@
 	if cfg.DrainIdleTimeout == 0 {
 		cfg.DrainIdleTimeout = DefaultDrainIdleTimeout
 	}
+	if cfg.MessageTimeout == 0 {
+		cfg.MessageTimeout = DefaultMessageTimeout
+	}
+	if cfg.WriteTimeout == 0 {
+		cfg.WriteTimeout = DefaultWriteTimeout
+	}
+	if cfg.IdleTransactionTimeout == 0 {
+		cfg.IdleTransactionTimeout = DefaultIdleTransactionTimeout
+	}
 	if cfg.Observer == nil {
 		cfg.Observer = noopObserver{}
 	}
@@ -87,6 +105,7 @@
 	pool       *Pool
 	timer      port.Timer
 	log        *zap.Logger
+	rejections lineLimit
 
 	mu     sync.Mutex
 	socket net.Listener
@@ -149,12 +168,18 @@
 }
 
 func (l *Listener) accept(ctx context.Context, conn net.Conn) {
-	if err := l.addConn(conn); err != nil {
+	place, err := l.openPlace(conn)
+	if err == nil {
+		err = l.addConn(conn)
+	}
+	if err != nil {
+		place.Close()
+		// A new connection has an empty send buffer, so that this does not block.
 		_, _ = conn.Write(encode(nil, errorResponse(severityFatal, err)))
 		_ = conn.Close()
 		return
 	}
-	go l.run(ctx, conn)
+	go l.run(ctx, conn, place)
 }
 
 func (l *Listener) addConn(conn net.Conn) error {
@@ -163,7 +188,8 @@
 	if l.stopping {
 		return port.Errorf(port.Stopping, "the instance is stopping")
 	}
-	if len(l.conns) >= l.cfg.MaxClients+extraConns {
+	// With a guard, connections that gave up their place are still being closed.
+	if l.cfg.Guard == nil && len(l.conns) >= l.cfg.MaxClients+extraConns {
 		return port.Errorf(port.NoConnection, "too many clients")
 	}
 	l.conns[conn] = false
@@ -179,15 +205,16 @@
 }
 
 // run serves one connection.
-func (l *Listener) run(ctx context.Context, conn net.Conn) {
+func (l *Listener) run(ctx context.Context, conn net.Conn, place *clientlimit.Place) {
 	defer l.running.Done()
+	defer place.Close()
 	defer l.removeConn(conn)
 	defer l.recoverClient()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	c, err := l.startClient(ctx, conn)
+	c, err := l.startClient(ctx, conn, place)
 	if err != nil {
-		l.log.Info("client rejected at start-up", zap.Error(err))
+		l.logRejection(err)
 		return
 	}
 	if c == nil {
@@ -327,14 +354,19 @@
 	}
 }
 
-// cancelOnServer sends a cancel request to the server of the connection.
+// cancelOnServer sends a cancel request to the server of the connection, unless one is being sent. Each takes a connection
+// to the server, and a client can send any number.
 func (l *Listener) cancelOnServer(conn *serverConn) {
+	if !conn.cancelling.CompareAndSwap(false, true) {
+		return
+	}
 	l.running.Add(1)
 	go l.runCancel(conn)
 }
 
 func (l *Listener) runCancel(server *serverConn) {
 	defer l.running.Done()
+	defer server.cancelling.Store(false)
 	ctx, cancel := port.WithTimeout(server.ended, l.timer, cancelTimeout)
 	defer cancel()
 	var dialer net.Dialer
--- a/adapter/postgres/prepared.go
+++ b/adapter/postgres/prepared.go
@@ -1,8 +1,7 @@
 package postgres
 
 import (
-	"maps"
-
+	"github.com/rhubarbwick/rhubarbwick/immutable"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/request"
 )
@@ -29,10 +28,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if text, ok := statements.Find(name); uses && ok && !serverHas[name] {
+		if text, ok := statements.Find(name); uses && ok && !has(serverHas, name) {
 			data = append(data, text...)
 			expected = append(expected, expectedCompletion{name: name, parse: text, added: true})
-			serverHas[name] = true
+			serverHas = serverHas.With(name, struct{}{})
 		}
 		data = append(data, f...)
 		switch f.kind() {
@@ -40,18 +39,21 @@
 			if statements, err = statements.WithStatement(name, f); err != nil {
 				return nil, err
 			}
+			if err := c.updateState(statements.Bytes()); err != nil {
+				return nil, err
+			}
 			expected = append(expected, expectedCompletion{name: name, parse: f})
-			serverHas[name] = true
+			serverHas = serverHas.With(name, struct{}{})
 		case 'C':
 			e := expectedCompletion{name: name, portal: f.body()[0] != 'S'}
 			expected = append(expected, e)
 			if !e.portal {
 				statements = statements.Without(name)
-				delete(serverHas, name)
+				serverHas = serverHas.Without(name)
 			}
 		case 'Q':
 			// A simple query destroys the unnamed statement.
-			delete(c.serverStatements, "")
+			c.serverStatements = c.serverStatements.Without("")
 		}
 	}
 	c.active.expectedCompletions = expected
@@ -60,22 +62,27 @@
 
 // expectedStatements returns the statements that the server connection and the client will have when the server has
 // processed everything sent so far.
-func (c *client) expectedStatements() (serverHas map[string]bool, statements request.Statements) {
-	serverHas, statements = maps.Clone(c.serverStatements), c.statements
+func (c *client) expectedStatements() (serverHas immutable.Map[struct{}], statements request.Statements) {
+	serverHas, statements = c.serverStatements, c.statements
 	for _, e := range c.active.expectedCompletions {
 		switch {
 		case e.portal:
 		case e.parse == nil:
-			delete(serverHas, e.name)
+			serverHas = serverHas.Without(e.name)
 			statements = statements.Without(e.name)
 		default:
-			serverHas[e.name] = true
+			serverHas = serverHas.With(e.name, struct{}{})
 			statements, _ = statements.WithStatement(e.name, e.parse)
 		}
 	}
 	return serverHas, statements
 }
 
+func has(names immutable.Map[struct{}], name string) bool {
+	_, found := names.Get(name)
+	return found
+}
+
 // statementOf returns the name of the statement that a message prepares, uses or closes. uses is true if the statement
 // has to exist.
 func statementOf(f frame) (name string, uses bool, err error) {
@@ -107,12 +114,12 @@
 	a.expectedCompletions = a.expectedCompletions[1:]
 	switch {
 	case f.kind() == '1' && first.parse != nil:
-		c.serverStatements[first.name] = true
+		c.serverStatements = c.serverStatements.With(first.name, struct{}{})
 		if statements, err := c.statements.WithStatement(first.name, first.parse); err == nil {
 			c.statements = statements
 		}
 	case f.kind() == '3' && !first.portal:
-		delete(c.serverStatements, first.name)
+		c.serverStatements = c.serverStatements.Without(first.name)
 		c.statements = c.statements.Without(first.name)
 	}
 	return !first.added
--- a/adapter/postgres/relay.go
+++ b/adapter/postgres/relay.go
@@ -206,6 +206,8 @@
 // handleServerLost retries or ends the active request after the server connection was lost.
 func (c *client) handleServerLost(err error) {
 	c.server = nil
+	c.running.Store(false)
+	c.stopIdleTimer()
 	c.txStatus = 'I'
 	if c.active == nil {
 		c.abortTransaction(port.Wrapf(err, port.NotKept, "the transaction was rolled back"))
--- a/adapter/postgres/server_conn.go
+++ b/adapter/postgres/server_conn.go
@@ -75,6 +75,8 @@
 	// sendMu keeps the parts of requests in order. pendingWrites is the number of parts that run has not written yet.
 	sendMu        sync.Mutex
 	pendingWrites atomic.Int32
+	// cancelling is true while a cancel request is sent.
+	cancelling atomic.Bool
 
 	mu     sync.Mutex
 	state  serverConnState
--- a/adapter/postgres/startup.go
+++ b/adapter/postgres/startup.go
@@ -13,6 +13,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/rhubarbwick/rhubarbwick/clientlimit"
 	"github.com/rhubarbwick/rhubarbwick/entry"
 	"github.com/rhubarbwick/rhubarbwick/port"
 )
@@ -52,13 +53,14 @@
 	raw    net.Conn
 	conn   net.Conn
 	reader *bufio.Reader
+	place  *clientlimit.Place
 }
 
 // startClient authorizes a client and completes its start-up. It returns nil without an error after a cancel request.
-func (l *Listener) startClient(ctx context.Context, conn net.Conn) (*client, error) {
+func (l *Listener) startClient(ctx context.Context, conn net.Conn, place *clientlimit.Place) (*client, error) {
 	stopTimer := l.timer.After(l.cfg.StartupTimeout, func(time.Duration) { _ = conn.Close() })
 	defer stopTimer()
-	s := &startup{listener: l, raw: conn, conn: conn, reader: bufio.NewReaderSize(conn, clientReadBuffer)}
+	s := &startup{listener: l, raw: conn, conn: conn, place: place, reader: bufio.NewReaderSize(conn, clientReadBuffer)}
 	startupCtx, cancel := port.WithTimeout(ctx, l.timer, l.cfg.StartupTimeout)
 	defer cancel()
 	start, err := s.readStartup(startupCtx)
@@ -293,6 +295,10 @@
 func (s *startup) complete(ctx context.Context, start *pgproto3.StartupMessage, authorized entry.Client) (*client, error) {
 	c := newClient(ctx, s.listener, s.conn, s.reader, authorized)
 	c.cancelKey = newCancelKey(start.ProtocolVersion)
+	c.place = s.place
+	if err := c.seat(); err != nil {
+		return nil, s.reject(err)
+	}
 	if err := s.listener.addClient(s.raw, c); err != nil {
 		return nil, s.reject(err)
 	}
--- a/adapter/settings/explain.go
+++ b/adapter/settings/explain.go
@@ -64,6 +64,9 @@
 	"instance.seeds": "IP addresses and ports of other instances, separated by commas. An instance that starts while the " +
 		"platform's store is down fetches the configuration from them. Without seeds, such an instance is not ready until " +
 		"the store responds.",
+	"instance.admin_connections": "The maximum number of connections to `admin_listen`, from 1 to 100,000. A further " +
+		"connection closes the oldest one, so that connections that are held without use do not keep a health check from " +
+		"being answered. Too low: long calls of operators are cut off.",
 	"instance.profile": "`on` serves the profiles of the Go runtime at `/debug/pprof/` of `admin_listen`, without a sign-in, " +
 		"and enables the block and mutex profiles; `off` does not. Profiles contain function names and no client data. " +
 		"Taking a profile slows the instance down.",
@@ -87,6 +90,18 @@
 	"callers.idle_drain_ms": "How long a transaction without a running statement may delay a planned stop, in milliseconds " +
 		"from 100 to 3,600,000. It is then aborted and rolled back. Too low: slow transactions are aborted. Too high: stops " +
 		"take long.",
+	"callers.memory_mb": "The memory of the instance's machine or container in megabytes, from 32 to 1,000,000. Three " +
+		"fifths of it are divided among the clients: places, messages, prepared statements, and a reserve for clients with an " +
+		"open transaction (docs/design/client-limits.md). A client that would exceed its share is refused with `busy` or " +
+		"`no_connection`. Too low: large messages are refused at load peaks. Too high: the instance can run out of memory.",
+	"callers.message_ms": "How long a client may take from the first to the last byte of a batch of messages, in " +
+		"milliseconds from 100 to 3,600,000. Its connection is then closed. Too low: large statements fail on slow networks. " +
+		"Too high: clients that stop half-way occupy memory.",
+	"callers.write_ms": "How long a client may take to accept part of a response, in milliseconds from 100 to 3,600,000. Its " +
+		"connection is then closed. Too low: slow clients fail. Too high: clients that do not read occupy server connections.",
+	"callers.idle_transaction_ms": "How long a transaction without a running statement may last, in milliseconds from 100 to " +
+		"86,400,000. It is then rolled back and the client's connection is closed. Too low: slow transactions are aborted. " +
+		"Too high: idle clients occupy server connections.",
 	"callers.tls_certificate": "The file with the TLS certificate for client connections, in PEM format. With a certificate, " +
 		"the instance accepts only encrypted connections. Without one, keys are sent in plain text, which is acceptable " +
 		"only if something in front of the instance encrypts the connections.",
--- a/adapter/settings/settings.go
+++ b/adapter/settings/settings.go
@@ -30,6 +30,8 @@
 	// Seeds are addresses of other instances, separated by commas. A starting instance fetches the document from them if the
 	// store is down.
 	Seeds string `ini:"seeds" validate:"ip_ports"`
+	// AdminConnections limits the connections to AdminListen.
+	AdminConnections int `ini:"admin_connections" validate:"min=1,max=100000"`
 	// Profile enables the profiles of the Go runtime on AdminListen.
 	Profile string `ini:"profile" validate:"oneof=off on"`
 }
@@ -51,12 +53,20 @@
 
 // Clients contains the limits on clients and the TLS certificate that they are shown.
 type Clients struct {
-	MaxConnections int    `ini:"max_connections" validate:"min=1,max=1000000"`
-	StartUpMS      int    `ini:"start_up_ms" validate:"min=100,max=60000"`
-	MessageBytes   int    `ini:"message_bytes" validate:"min=1024,max=67108864"`
-	IdleDrainMS    int    `ini:"idle_drain_ms" validate:"min=100,max=3600000"`
-	TLSCertificate string `ini:"tls_certificate" validate:"required_with=TLSKey"`
-	TLSKey         string `ini:"tls_key" validate:"required_with=TLSCertificate"`
+	MaxConnections int `ini:"max_connections" validate:"min=1,max=1000000"`
+	StartUpMS      int `ini:"start_up_ms" validate:"min=100,max=60000"`
+	MessageBytes   int `ini:"message_bytes" validate:"min=1024,max=67108864"`
+	IdleDrainMS    int `ini:"idle_drain_ms" validate:"min=100,max=3600000"`
+	// MemoryMB is the memory that is divided among the clients, the servers' connections and the program.
+	MemoryMB int `ini:"memory_mb" validate:"min=32,max=1000000"`
+	// MessageMS bounds the time from the first to the last byte of a batch of messages, and WriteMS that in which a client
+	// accepts part of a response.
+	MessageMS int `ini:"message_ms" validate:"min=100,max=3600000"`
+	WriteMS   int `ini:"write_ms" validate:"min=100,max=3600000"`
+	// IdleTransactionMS bounds the time for which a transaction may be idle.
+	IdleTransactionMS int    `ini:"idle_transaction_ms" validate:"min=100,max=86400000"`
+	TLSCertificate    string `ini:"tls_certificate" validate:"required_with=TLSKey"`
+	TLSKey            string `ini:"tls_key" validate:"required_with=TLSCertificate"`
 }
 
 // Session contains the secret with which session tokens are signed. All instances of a fleet share it.
@@ -92,6 +102,8 @@
 			PeerListen:   "127.0.0.1:6433",
 			AdminListen:  "127.0.0.1:6434",
 			Profile:      "off",
+
+			AdminConnections: 64,
 		},
 		Servers: Servers{User: "rhubarbwick", ConnectMS: 3000, WaitMS: 15000},
 		Clients: Clients{
@@ -99,6 +111,11 @@
 			StartUpMS:      10000,
 			MessageBytes:   1 << 20,
 			IdleDrainMS:    60000,
+
+			MemoryMB:          2048,
+			MessageMS:         30000,
+			WriteMS:           60000,
+			IdleTransactionMS: 300000,
 		},
 		Limits: Limits{Policy: "demand", InstanceCount: 16},
 		Log:    Log{Level: "info", Format: "text"},
--- a/clientlimit/guard_test.go
+++ b/clientlimit/guard_test.go
@@ -16,13 +16,13 @@
 // Guards against a division that gives away more memory than there is, or that refuses a few thousand sessions or a message
 // of the longest size on the smallest known machine.
 func TestPlan(t *testing.T) {
-	smallest := clientlimit.NewPlan(136*mebibyte, 2410)
+	smallest := clientlimit.NewPlan(136*mebibyte, 2410, clientlimit.LinePlace)
 	require.Equal(t, 2410, smallest.Places)
 	require.Greater(t, smallest.Messages, int64(4*mebibyte))
 	require.Greater(t, smallest.State, int64(4*mebibyte))
 	rapid.Check(t, func(t *rapid.T) {
 		memory := int64(rapid.IntRange(16, 8192).Draw(t, "MiB")) * mebibyte
-		p := clientlimit.NewPlan(memory, rapid.IntRange(1, 100_000).Draw(t, "places"))
+		p := clientlimit.NewPlan(memory, rapid.IntRange(1, 100_000).Draw(t, "places"), clientlimit.LinePlace)
 		require.Positive(t, p.Messages)
 		require.Less(t, p.Starting, p.Places+1)
 		require.Less(t, int64(p.Places)*12<<10+2*p.State+4*(p.Messages+p.Reserve), memory*6/10+mebibyte)
--- a/clientlimit/plan.go
+++ b/clientlimit/plan.go
@@ -10,8 +10,6 @@
 	// clientPart is the part of the machine's memory that clients may use. It equals the soft limit of the Go runtime; the
 	// rest holds the program and memory that is not yet collected.
 	clientPart = 0.6
-	// placeBytes is the memory of a client that sends nothing, with the messages and the state that are not counted.
-	placeBytes = 12 << 10
 	// maxPlacesPart is the part of the clients' memory that the places may use.
 	maxPlacesPart = 3.0 / 8
 	// statePart is the part for session state, and reservePart the part that only running work may use.
@@ -26,6 +24,13 @@
 	minStartingCount = 8
 )
 
+// LinePlace and PostgresPlace are the memory in bytes of a client that sends nothing, with the messages and the state that
+// are not counted. A client of the PostgreSQL protocol has three goroutines and four batches that are read ahead.
+const (
+	LinePlace     = 12 << 10
+	PostgresPlace = 40 << 10
+)
+
 // UncountedState and UncountedMessage are the sizes in bytes up to which the state and the message of a client do not
 // count, because its place includes them.
 const (
@@ -49,17 +54,24 @@
 	State, Messages, Reserve int64
 }
 
-// NewPlan divides the memory of a machine. The number of places is reduced if the memory is too small for them.
-func NewPlan(memoryBytes int64, places int) Plan {
+// NewPlan divides the memory of a machine. A place has placeBytes. The number of places is reduced if the memory is too
+// small for them.
+func NewPlan(memoryBytes int64, places, placeBytes int) Plan {
 	memory := clientPart * float64(memoryBytes)
-	places = max(min(places, int(maxPlacesPart*memory/placeBytes)), 1)
+	places = max(min(places, int(maxPlacesPart*memory/float64(placeBytes))), 1)
 	starting := min(max(int(startingPart*float64(places)), minStartingCount), (places+1)/2)
-	messages := memory - float64(places)*placeBytes - (statePart+reservePart)*memory
+	messages := memory - float64(places)*float64(placeBytes) - (statePart+reservePart)*memory
 	return Plan{
 		Places: places, Starting: starting, State: int64(statePart * memory / stateCopies),
 		Messages: int64(messages / messageCopies), Reserve: int64(reservePart * memory / messageCopies),
 	}
 }
 
+// WithStarting returns the plan with another number of places that are kept for clients without a key.
+func (p Plan) WithStarting(n int) Plan {
+	p.Starting = min(n, (p.Places+1)/2)
+	return p
+}
+
 // seats returns the number of places for clients that have presented a key.
 func (p Plan) seats() int64 { return int64(p.Places - p.Starting) }
--- a/clientlimit/socket.go
+++ b/clientlimit/socket.go
@@ -7,8 +7,12 @@
 )
 
 // LimitSocket returns a listening socket with at most n open connections. A further connection closes the oldest one, so
-// that connections that are held without use do not keep a health check from being answered. guard may be nil.
+// that connections that are held without use do not keep a health check from being answered. Zero means
+// DefaultHTTPClients. guard may be nil.
 func LimitSocket(socket net.Listener, n int, guard *Guard) net.Listener {
+	if n <= 0 {
+		n = DefaultHTTPClients
+	}
 	return &limitedSocket{Listener: socket, limit: n, guard: guard, open: list.New()}
 }
 
--- a/cmd/serve/process.go
+++ b/cmd/serve/process.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -23,6 +24,7 @@
 	"github.com/rhubarbwick/rhubarbwick/adapter/postgres"
 	"github.com/rhubarbwick/rhubarbwick/adapter/settings"
 	"github.com/rhubarbwick/rhubarbwick/allotment"
+	"github.com/rhubarbwick/rhubarbwick/clientlimit"
 	"github.com/rhubarbwick/rhubarbwick/cmd/startup"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/entry"
@@ -35,6 +37,14 @@
 // httpShutdownTimeout is how long pending HTTP calls of operators and other instances may take while the instance stops.
 const httpShutdownTimeout = time.Second
 
+const (
+	// heapFraction is the fraction of the machine's memory that the Go runtime uses as its soft limit.
+	heapFraction = 0.6
+	// startingConnections is the number of connections beyond the limit of clients for clients that are logging in and for
+	// cancel requests.
+	startingConnections = 64
+)
+
 // process is one entry instance with its components and sockets.
 type process struct {
 	cfg          settings.Settings
@@ -54,6 +64,7 @@
 	groups       *entry.GroupManager
 	pool         *postgres.Pool
 	listener     *postgres.Listener
+	guard        *clientlimit.Guard
 	peerServer   *peer.Server
 	adminServer  *admin.Server
 
@@ -63,6 +74,12 @@
 // newProcess opens the sockets and creates the components.
 func newProcess(ctx context.Context, cfg settings.Settings, incarnation string, log *startup.Log) (*process, error) {
 	p := &process{cfg: cfg, log: log.Process, requestLog: log.Requests, timer: clock.NewService(), metrics: metrics.New(log.Dropped)}
+	debug.SetMemoryLimit(int64(heapFraction * float64(cfg.Clients.MemoryMB) * (1 << 20)))
+	plan := clientlimit.NewPlan(int64(cfg.Clients.MemoryMB)<<20, cfg.Clients.MaxConnections+startingConnections, clientlimit.PostgresPlace)
+	p.guard = clientlimit.NewGuard(plan.WithStarting(startingConnections), p.timer, func(limit clientlimit.Limit, total uint64) {
+		p.log.Named("callers").Warn("limit reached", zap.String("limit", string(limit)), zap.Uint64("total", total))
+	})
+	p.metrics.RegisterClients(p.guard)
 	if err := p.listen(ctx); err != nil {
 		return nil, err
 	}
@@ -87,7 +104,7 @@
 }
 
 func (p *process) listen(ctx context.Context) error {
-	var config net.ListenConfig
+	config := net.ListenConfig{KeepAliveConfig: postgres.KeepAlive}
 	for _, l := range []struct {
 		socket  *net.Listener
 		key     string
@@ -103,6 +120,7 @@
 		}
 		*l.socket = socket
 	}
+	p.adminSocket = clientlimit.LimitSocket(p.adminSocket, p.cfg.Instance.AdminConnections, p.guard)
 	return nil
 }
 
@@ -210,9 +228,15 @@
 		MaxMessageBytes:  p.cfg.Clients.MessageBytes,
 		StartupTimeout:   settings.Milliseconds(p.cfg.Clients.StartUpMS),
 		DrainIdleTimeout: settings.Milliseconds(p.cfg.Clients.IdleDrainMS),
-		TLS:              tlsConfig,
-		Observer:         p.metrics,
-		Forward:          &postgres.ForwardConfig{Authorizer: authorizer, Connector: p.router, Observer: p.metrics},
+		MessageTimeout:   settings.Milliseconds(p.cfg.Clients.MessageMS),
+		WriteTimeout:     settings.Milliseconds(p.cfg.Clients.WriteMS),
+
+		IdleTransactionTimeout: settings.Milliseconds(p.cfg.Clients.IdleTransactionMS),
+
+		Guard:    p.guard,
+		TLS:      tlsConfig,
+		Observer: p.metrics,
+		Forward:  &postgres.ForwardConfig{Authorizer: authorizer, Connector: p.router, Observer: p.metrics},
 	}, p.metrics.Authorizer(authorizer), p.metrics.ServerSelector(selector), p.pool, p.timer, p.requestLog)
 	p.peerServer.WithForwardHandler(forwardHandler{p.listener})
 	p.assembleAdmin(signer)
--- a/untrusted/serve_fixture_test.go
+++ b/untrusted/serve_fixture_test.go
@@ -75,6 +75,7 @@
 		"[platform]", "store_url = http://" + store,
 		"[servers]", "user = system", "password = " + serverPassword,
 		"[callers]", fmt.Sprintf("max_connections = %d", placeLimit), "start_up_ms = 2000",
+		fmt.Sprintf("memory_mb = %d", memoryMB), "message_ms = 2000", "write_ms = 2000", "idle_transaction_ms = 2000",
 		"[session]", "token_secret = token-secret-of-the-test-with-32-bytes",
 		"[limits]", "policy = static", "holders = 1",
 		"[console]", "password_sha256 = " + hashOf(operatorPassword), "",
