Check configurations for contradictions and entries without effect

Cause: document check reported only violated field rules, did not read the platform's configuration, and said nothing about what a change does. Change: document.Check finds shadowed routes, organisations that no route admits, repeated keys, unused groups, and limits that contradict each other; document.Impacts states what differs from the version in force, with the effect on open sessions. Gateways log the findings of each document that comes into force, and refuse none.

--- a/adapter/decisions/log.go
+++ b/adapter/decisions/log.go
@@ -103,6 +103,12 @@
 	case proxy.SpillShareChanged:
 		l.logger.Info("spill-over: share changed", zap.String("group", e.Group), zap.String("server", e.Server), zap.Float64("share", e.Share),
 			zap.String("reason", string(e.Reason)), zap.Duration("wait", e.Load.Wait), zap.Duration("run_time", e.Load.RunTime))
+	case proxy.DocumentFinding:
+		l.logger.Warn("document: finding", zap.Uint64("revision", uint64(e.Revision)), zap.String("severity", string(e.Finding.Severity)),
+			zap.String("rule", string(e.Finding.Rule)), zap.String("section", e.Finding.Section), zap.String("key", e.Finding.Key),
+			zap.String("given", e.Finding.Value), zap.String("correct", e.Finding.Correct))
+	case proxy.DocumentChecked:
+		l.logger.Info("document: checked", zap.Uint64("revision", uint64(e.Revision)), zap.Int("new_errors", e.Errors), zap.Int("new_warnings", e.Warnings))
 	case proxy.PeerPanicked:
 		l.logger.Error("peer: serving it failed unexpectedly", zap.String("peer", e.Peer), zap.String("reason", e.Reason), zap.String("stack", e.Stack))
 	case proxy.SourceChanged:
--- a/adapter/metrics/gateway.go
+++ b/adapter/metrics/gateway.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/proxy"
 )
@@ -37,6 +38,7 @@
 	ownersExcluded prometheus.Counter
 	panics         *prometheus.CounterVec
 	spill          spillMetrics
+	findings       *prometheus.CounterVec
 	next           proxy.Recorder
 }
 
@@ -64,9 +66,11 @@
 		}),
 		panics: newCounterVec("gateway_panics_total", "Panics while one peer was served, by kind of peer.", "peer"),
 		spill:  newSpillMetrics(),
-		next:   next,
+		findings: newCounterVec("gateway_document_findings_total", "New findings of the documents that came into force, by severity.",
+			"severity"),
+		next: next,
 	}
-	g.registry.MustRegister(g.spill.collectors()...)
+	g.registry.MustRegister(append(g.spill.collectors(), g.findings)...)
 	g.registry.MustRegister(g.requests, g.latency, g.promotionSteps, g.primaryChanges, g.storeCalls, g.statements, g.ownersExcluded, g.panics, collectors.NewGoCollector(),
 		newGaugeFunc("gateway_document_revision", "The revision of the document in force.", func() float64 { return float64(s.DocumentRevision()) }),
 		newGaugeFunc("gateway_document_age_seconds", "How long ago the document was known to be the newest.",
@@ -110,6 +114,9 @@
 			g.statements.WithLabelValues(pool).Inc()
 		}
 		g.spill.countRequest(e)
+	case proxy.DocumentChecked:
+		g.findings.WithLabelValues(string(document.SeverityError)).Add(float64(e.Errors))
+		g.findings.WithLabelValues(string(document.SeverityWarning)).Add(float64(e.Warnings))
 	case proxy.SpillShareChanged:
 		g.spill.recordShare(e)
 	case proxy.PoolOwnerExcluded:
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -176,11 +176,12 @@
 	reloader := platform.NewReloader(p.settingsPath, p.settings, p.timer, p.reload, func(err error) {
 		p.log.Warn("settings: the file cannot be used, the settings stay", zap.Error(err))
 	})
+	checker := &proxy.DocumentChecker{State: p.state, Recorder: p.metrics, Describe: platform.WithPlatformNames}
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context){
-		p.timer.Run, p.dispatcher.Run, p.sessions.Run, p.runSyncer, p.promoter.Run, p.listener.Run, p.decisions.Run, p.registration.Run, reloader.Run,
+		p.timer.Run, p.dispatcher.Run, p.sessions.Run, p.runSyncer, p.promoter.Run, p.listener.Run, p.decisions.Run, p.registration.Run, reloader.Run, checker.Run,
 	} {
 		running.Go(func() { run(runCtx) })
 	}
--- a/document/codec.go
+++ b/document/codec.go
@@ -15,6 +15,18 @@
 
 // Parse decodes and validates a document. It returns the zero document if there are violations.
 func Parse(data []byte) (Document, []Violation) {
+	d, violations := decode(data)
+	if len(violations) > 0 {
+		return Document{}, violations
+	}
+	if violations := d.Validate(); len(violations) > 0 {
+		return Document{}, violations
+	}
+	return d, nil
+}
+
+// decode decodes a document without validating it.
+func decode(data []byte) (Document, []Violation) {
 	if len(data) > MaxSize {
 		return Document{}, []Violation{sizeViolation(len(data))}
 	}
@@ -27,9 +39,6 @@
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return Document{}, []Violation{{"document", fmt.Sprintf("text after byte %d", decoder.InputOffset()), "one JSON object"}}
 	}
-	if violations := d.Validate(); len(violations) > 0 {
-		return Document{}, violations
-	}
 	return d, nil
 }
 
