Send fewer reads to servers that cannot run them, and report ended shares

Cause: reads that returned because the server elsewhere lags did not change the share, so each of them paid for the way there; and the share that was reported last stayed in the metric when no reads arrived any more. Change: while more than half of the reads to a server return as unsuitable, its share is halved in each step. Shares that ended are reported once a second. Test: the subtests "a server that cannot run half of the reads gets fewer", "a replica that is too far behind gets no reads for long" and "a share ends with the reads" are new.

--- a/dispatch/spillover.go
+++ b/dispatch/spillover.go
@@ -92,6 +92,7 @@
 	SpillTransferCost  SpillReason = "transfer_cost"
 	SpillLocalShare    SpillReason = "local_share"
 	SpillNeighbourLost SpillReason = "neighbour_lost"
+	SpillNotSuitable   SpillReason = "not_suitable"
 )
 
 // Placement decides whether a read leaves its data centre. It is one of StayLocal and SendAway.
@@ -138,7 +139,9 @@
 	share     float64
 	// credit is the share accumulated over reads. The neighbour with most credit gets a read once it has one.
 	credit float64
-	reason SpillReason
+	// sent counts the reads since the last step, and unsuitable those that the server could not run.
+	sent, unsuitable int
+	reason           SpillReason
 }
 
 // SpillSurvey is what the owner of another server's pool reported.
@@ -173,6 +176,17 @@
 	return s.withNeighbour(server, n)
 }
 
+// WithUnsuitable returns the state after a read returned because the server could not run it, for example because it is too
+// far behind. If that happens to half of the reads, fewer are sent.
+func (s SpillOver) WithUnsuitable(server string) SpillOver {
+	n, known := s.neighbours[server]
+	if !known {
+		return s
+	}
+	n.unsuitable++
+	return s.withNeighbour(server, n)
+}
+
 // WithoutNeighbour returns the state after another server, or the owner of its pool, could not be reached. Nothing is sent
 // to it until it is surveyed again.
 func (s SpillOver) WithoutNeighbour(server string) SpillOver {
@@ -249,10 +263,14 @@
 func (n spillNeighbour) withStep(local, transfer, now time.Duration) spillNeighbour {
 	weight := n.weight(now)
 	saved := local - n.timeAway(transfer)
+	isUnsuitable := 2*n.unsuitable > n.sent
+	n.sent, n.unsuitable = 0, 0
 	switch {
 	case weight == 0:
 		n.credit = 0
 		return n.withShare(0, SpillOldKnowledge)
+	case isUnsuitable:
+		return n.withShare(n.share*overloadFactor, SpillNotSuitable)
 	case n.load.Wait > n.load.MaxForeignWait():
 		return n.withShare(n.share*overloadFactor, SpillReceiverBusy)
 	case saved <= 0:
@@ -324,6 +342,7 @@
 		return s, StayLocal{Reason: SpillTransferCost}
 	}
 	n.credit--
+	n.sent++
 	next[chosen] = n
 	return s, SendAway{Server: chosen, MaxWait: min(maxWait, n.load.MaxForeignWait())}
 }
@@ -337,8 +356,13 @@
 	return total
 }
 
-// Reason returns the reason of the present share.
-func (s SpillOver) Reason() SpillReason { return s.reason }
+// Reason returns the reason of the share at now.
+func (s SpillOver) Reason(now time.Duration) SpillReason {
+	if s.Share(now) > 0 || s.reason != SpillSaves {
+		return s.reason
+	}
+	return SpillOldKnowledge
+}
 
 // Load returns the smoothed load of the local server.
 func (s SpillOver) Load() PoolLoad { return PoolLoad{Wait: s.wait, RunTime: s.runTime} }
--- a/dispatch/spillover_test.go
+++ b/dispatch/spillover_test.go
@@ -190,7 +190,7 @@
 	t.Run("a read is sent with the wait that the receiver may have", func(t *testing.T) {
 		s, now := overloaded(spillValues, readBytes, 100)
 		require.Contains(t, placements(s, spillValues, local, readBytes, now), dispatch.SendAway{Server: "b", MaxWait: 2 * simRun})
-		require.Equal(t, dispatch.SpillSaves, s.Reason())
+		require.Equal(t, dispatch.SpillSaves, s.Reason(now))
 	})
 	t.Run("a read that meets no wait stays", func(t *testing.T) {
 		s, now := overloaded(spillValues, readBytes, 100)
@@ -209,10 +209,22 @@
 		s = s.WithRefusal("b", dispatch.PoolLoad{Wait: 50 * ms, RunTime: simRun}, now)
 		requireStays(t, dispatch.SpillLocalShare, s, spillValues, local, readBytes, now)
 	})
+	t.Run("a server that cannot run half of the reads gets fewer", func(t *testing.T) {
+		s, now := overloaded(spillValues, readBytes, 100)
+		before := s.Share(now)
+		for range 3 {
+			s = s.WithUnsuitable("b")
+		}
+		now += dispatch.SpillStepInterval
+		s, _ = s.WithRead(spillValues, local, readBytes, now)
+		require.InDelta(t, before/2, s.Share(now), 1e-9)
+		require.Equal(t, dispatch.SpillNotSuitable, s.Reason(now))
+	})
 	t.Run("knowledge loses weight with age", func(t *testing.T) {
 		s, now := overloaded(spillValues, readBytes, 100)
 		require.Greater(t, s.Share(now), s.Share(now+time.Second))
 		require.Zero(t, s.Share(now+2*time.Second))
+		require.Equal(t, dispatch.SpillOldKnowledge, s.Reason(now+2*time.Second))
 		requireStays(t, dispatch.SpillOldKnowledge, s, spillValues, local, readBytes, now+2*time.Second)
 	})
 	t.Run("a lost server gets nothing", func(t *testing.T) {
--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -243,8 +243,7 @@
 	case spillCommand:
 		d.handleSpillCommand(c, now)
 	case maintenanceTick:
-		d.closeExcessIdle(now)
-		d.prewarm(now)
+		d.runPeriodic(now)
 	case prewarmTick:
 		d.prewarming = false
 		d.prewarm(now)
@@ -254,6 +253,13 @@
 	d.serveWaiters(now)
 }
 
+// runPeriodic runs what is done once a second.
+func (d *Dispatcher) runPeriodic(now time.Duration) {
+	d.closeExcessIdle(now)
+	d.reportIdleShares(now)
+	d.prewarm(now)
+}
+
 // outstanding implements Outstanding.
 func (d *Dispatcher) outstanding(server string) int {
 	if s := d.server(server); s != nil {
--- a/proxy/dispatcher_spillover.go
+++ b/proxy/dispatcher_spillover.go
@@ -132,6 +132,8 @@
 		p.over = p.over.WithoutNeighbour(route.Server)
 	case route.Load.IsKnown():
 		p.over = p.over.WithRefusal(route.Server, route.Load, now)
+	default:
+		p.over = p.over.WithUnsuitable(route.Server)
 	}
 }
 
@@ -201,10 +203,19 @@
 	}
 	s.spill.reported = share
 	d.cfg.Recorder.Record(SpillShareChanged{
-		Group: s.server.Listing.Group, Server: s.server.Listing.Name, Share: share, Reason: s.spill.over.Reason(), Load: s.spill.over.Load(),
+		Group: s.server.Listing.Group, Server: s.server.Listing.Name, Share: share, Reason: s.spill.over.Reason(now), Load: s.spill.over.Load(),
 	})
 }
 
+// reportIdleShares reports shares that ended because no reads arrived, or because another instance owns the pool now.
+func (d *Dispatcher) reportIdleShares(now time.Duration) {
+	for _, s := range d.servers {
+		if s.spill.reported > 0 {
+			d.reportShare(s, now)
+		}
+	}
+}
+
 // PoolLoad returns the load of a server whose pool this instance owns; it is unknown for other servers.
 func (d *Dispatcher) PoolLoad(server string) dispatch.PoolLoad {
 	if !d.cfg.SpillOver.IsEnabled() {
--- a/proxy/spillover_route_test.go
+++ b/proxy/spillover_route_test.go
@@ -44,10 +44,11 @@
 		returned SpillReturned
 		leaves   bool
 	}{
-		"refused":          {SpillReturned{Server: "i-2", Load: local}, false},
-		"lost":             {SpillReturned{Server: "i-2", Lost: true}, false},
-		"not suitable":     {SpillReturned{Server: "i-2"}, true},
-		"of another group": {SpillReturned{Server: "i-9", Load: local}, true},
+		"refused":           {SpillReturned{Server: "i-2", Load: local}, false},
+		"lost":              {SpillReturned{Server: "i-2", Lost: true}, false},
+		"not suitable once": {SpillReturned{Server: "i-2"}, true},
+		"busy at home":      {SpillReturned{}, true},
+		"of another group":  {SpillReturned{Server: "i-9", Load: local}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var p spillState
--- a/proxy/spillover_test.go
+++ b/proxy/spillover_test.go
@@ -215,6 +215,24 @@
 			w.setPartitioned(false, "front-0", "front-2", "front-3", "front-5")
 		})
 	})
+	t.Run("a share ends with the reads", func(t *testing.T) {
+		withSpillOver(t, testSpillValues, func(w *cluster) {
+			w.overload(4 * time.Second)
+			sleep(4 * time.Second)
+			last := w.spillEvents.shares[len(w.spillEvents.shares)-1]
+			require.Zero(t, last.Share)
+			require.Equal(t, dispatch.SpillOldKnowledge, last.Reason)
+		})
+	})
+	t.Run("a replica that is too far behind gets no reads for long", func(t *testing.T) {
+		withSpillOver(t, testSpillValues, func(w *cluster) {
+			w.overload(4 * time.Second)
+			w.setOffset("s3", 1)
+			w.overload(4 * time.Second)
+			require.Zero(t, w.overload(2 * time.Second).counts[port.Lagging])
+			require.Less(t, w.statements("s3"), 20)
+		})
+	})
 	t.Run("transactions stay", func(t *testing.T) {
 		withSpillOver(t, testSpillValues, func(w *cluster) {
 			w.overload(4 * time.Second)
