--- a/adapter/metrics/gateway.go
+++ b/adapter/metrics/gateway.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/rhubarbwick/rhubarbwick/clientlimit"
+	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/proxy"
 )
@@ -42,6 +43,7 @@
 	admission      admissionMetrics
 	spill          spillMetrics
 	maintenance    maintenanceMetrics
+	findings       *prometheus.CounterVec
 	next           proxy.Recorder
 }
 
@@ -69,9 +71,11 @@
 		}),
 		panics:    newCounterVec("gateway_panics_total", "Panics while one peer was served, by kind of peer.", "peer"),
 		admission: newAdmissionMetrics(), spill: newSpillMetrics(), maintenance: newMaintenanceMetrics(), next: next,
+		findings: newCounterVec("gateway_document_findings_total", "New findings of the documents that came into force, by severity.",
+			"severity"),
 	}
 	g.registry.MustRegister(g.admission.collectors()...)
-	g.registry.MustRegister(g.spill.collectors()...)
+	g.registry.MustRegister(append(g.spill.collectors(), g.findings)...)
 	g.registry.MustRegister(g.maintenance.collectors()...)
 	g.registry.MustRegister(g.requests, g.latency, g.promotionSteps, g.primaryChanges, g.storeCalls, g.statements, g.ownersExcluded, g.panics, collectors.NewGoCollector(),
 		newGaugeFunc("gateway_document_revision", "The revision of the document in force.", func() float64 { return float64(s.DocumentRevision()) }),
@@ -122,6 +126,9 @@
 			g.statements.WithLabelValues(pool).Inc()
 		}
 		g.spill.countRequest(e)
+	case proxy.DocumentChecked:
+		g.findings.WithLabelValues(string(document.SeverityError)).Add(float64(e.Errors))
+		g.findings.WithLabelValues(string(document.SeverityWarning)).Add(float64(e.Warnings))
 	case proxy.SpillShareChanged:
 		g.spill.recordShare(e)
 	case proxy.PoolOwnerExcluded:
