Limit the statements at cold servers across the fleet

A server that has just started answers slowly, and got the full load at once. Where the settings have bounds.cold_over and bounds.cold_slack and the service has cold_per_s, the owner of the server's pool now holds a token bucket, the next owner spends what the tolerance leaves, and all others send nothing. Statements of open transactions take tokens too, and wait for them before new work. Reads go to warm servers first. A server to which no connection is left counts as restarted until the list shows its process.

TestColdServerIsLimited sums the statements of four instances at a cold server: without the settings more than 150 in a second, with them at most 35. TestColdServerIsLimitedWhileOwnersFail does so while an owner is cut off, killed or restarted.

--- a/adapter/decisions/log.go
+++ b/adapter/decisions/log.go
@@ -102,6 +102,11 @@
 		l.logger.Info("pool: owner is passed over", zap.String("owner", e.Owner), zap.String("server", e.Server), zap.String("reason", e.Reason))
 	case proxy.PeerPanicked:
 		l.logger.Error("peer: serving it failed unexpectedly", zap.String("peer", e.Peer), zap.String("reason", e.Reason), zap.String("stack", e.Stack))
+	case proxy.WarmUpChanged:
+		l.logger.Info("server: cold limit changed", zap.String("server", e.Server), zap.Bool("limited", e.Limited), zap.Bool("listed", e.Listed),
+			zap.Float64("per_second", e.PerSecond))
+	case proxy.WarmUpProgress:
+		l.logger.Info("server: statements while cold", zap.String("server", e.Server), zap.Int("granted", e.Granted), zap.Int("refused", e.Refused))
 	case proxy.SourceChanged:
 		l.logger.Info("knowledge: source changed", zap.String("source", e.Source), zap.String("reason", e.Reason))
 	}
--- a/adapter/fleet/client.go
+++ b/adapter/fleet/client.go
@@ -162,7 +162,7 @@
 func decodeServer(s *fleetv1.Server) dispatch.Listing {
 	l := dispatch.Listing{
 		Name: s.GetName(), Group: s.GetGroup(), Address: s.GetAddress(), DataCentre: s.GetDataCentre(),
-		Slots: int(s.GetSlots()), Draining: s.GetDeparting(), Incarnation: s.GetBorn(),
+		Slots: int(s.GetSlots()), Draining: s.GetDeparting(), Incarnation: s.GetBorn(), Cold: s.GetCold(),
 	}
 	if s.GetPrimary() {
 		l.Role = dispatch.Primary
--- a/adapter/fleet/server.go
+++ b/adapter/fleet/server.go
@@ -142,10 +142,18 @@
 		m.Records = append(m.Records, &fleetv1.Record{Name: o.Name, Version: uint64(o.Version), Data: o.Data})
 	}
 	for _, l := range r.Servers {
-		m.Servers = append(m.Servers, &fleetv1.Server{
-			Name: l.Name, Group: l.Group, Address: l.Address, DataCentre: l.DataCentre, Primary: l.Role == dispatch.Primary,
-			Slots: int32(l.Slots), Departing: l.Draining, Born: l.Incarnation,
-		})
+		m.Servers = append(m.Servers, encodeServer(l))
 	}
 	return m, nil
 }
+
+func encodeServer(l dispatch.Listing) *fleetv1.Server {
+	s := &fleetv1.Server{
+		Name: l.Name, Group: l.Group, Address: l.Address, DataCentre: l.DataCentre, Primary: l.Role == dispatch.Primary,
+		Slots: int32(l.Slots), Departing: l.Draining, Born: l.Incarnation,
+	}
+	if l.Cold {
+		s.Cold = &l.Cold
+	}
+	return s
+}
--- a/adapter/metrics/gateway.go
+++ b/adapter/metrics/gateway.go
@@ -36,6 +36,8 @@
 	statements     *prometheus.CounterVec
 	ownersExcluded prometheus.Counter
 	panics         *prometheus.CounterVec
+	coldChanges    *prometheus.CounterVec
+	coldStatements *prometheus.CounterVec
 	next           proxy.Recorder
 }
 
@@ -62,9 +64,12 @@
 			Namespace: namespace, Name: "gateway_owners_passed_over_total", Help: "Times that the owner of a pool was passed over.",
 		}),
 		panics: newCounterVec("gateway_panics_total", "Panics while one peer was served, by kind of peer.", "peer"),
-		next:   next,
+		coldChanges: newCounterVec("gateway_cold_servers_total", "Times that a server was limited because it is cold, or may have been restarted.",
+			"reason"),
+		coldStatements: newCounterVec("gateway_cold_statements_total", "Statements at limited servers that this instance granted or refused.", "result"),
+		next:           next,
 	}
-	g.registry.MustRegister(g.requests, g.latency, g.promotionSteps, g.primaryChanges, g.storeCalls, g.statements, g.ownersExcluded, g.panics, collectors.NewGoCollector(),
+	g.registry.MustRegister(g.requests, g.latency, g.promotionSteps, g.primaryChanges, g.storeCalls, g.statements, g.ownersExcluded, g.panics, g.coldChanges, g.coldStatements, collectors.NewGoCollector(),
 		newGaugeFunc("gateway_document_revision", "The revision of the document in force.", func() float64 { return float64(s.DocumentRevision()) }),
 		newGaugeFunc("gateway_document_age_seconds", "How long ago the document was known to be the newest.",
 			func() float64 { return s.DocumentAge().Seconds() }),
@@ -110,6 +115,11 @@
 		g.ownersExcluded.Inc()
 	case proxy.PeerPanicked:
 		g.panics.WithLabelValues(e.Peer).Inc()
+	case proxy.WarmUpChanged:
+		g.countWarmUp(e)
+	case proxy.WarmUpProgress:
+		g.coldStatements.WithLabelValues("granted").Add(float64(e.Granted))
+		g.coldStatements.WithLabelValues("refused").Add(float64(e.Refused))
 	case proxy.PromotionStep:
 		g.promotionSteps.WithLabelValues(e.Step).Inc()
 	case proxy.PrimaryChanged:
@@ -118,6 +128,17 @@
 	g.next.Record(e)
 }
 
+// countWarmUp counts the start of a limit by its reason.
+func (g *Gateway) countWarmUp(e proxy.WarmUpChanged) {
+	switch {
+	case !e.Limited:
+	case e.Listed:
+		g.coldChanges.WithLabelValues("listed").Inc()
+	default:
+		g.coldChanges.WithLabelValues("restart suspected").Inc()
+	}
+}
+
 // RecordStoreCall counts a call to the store by its result.
 func (g *Gateway) RecordStoreCall(kind string, err error) {
 	result := "success"
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -44,6 +44,10 @@
 	HasIdle bool
 	// MayOpen is true when another connection may be opened, if necessary in place of an idle one.
 	MayOpen bool
+	// Opening is true when a connection for the statement is being opened.
+	Opening bool
+	// WarmUp states whether the server is limited because it may be cold.
+	WarmUp WarmUp
 }
 
 // RoutingContext holds the input of a choice other than the need and the servers.
@@ -92,22 +96,26 @@
 		return BeingReplaced{}
 	}
 	var choice Choice = NoServer{}
-	best := time.Duration(-1)
+	best, bestWarmUp, opensWarm := time.Duration(-1), Warm, false
 	for _, c := range candidates {
 		minPosition, fits := checkServer(need, c.Server, in)
 		if !fits {
 			continue
 		}
 		if !c.HasIdle && !c.MayOpen {
+			opensWarm = opensWarm || c.Opening && c.WarmUp == Warm
 			if best < 0 {
 				choice = NoConnection{}
 			}
 			continue
 		}
-		if cost := costOf(need, c, in); best < 0 || cost < best {
-			best, choice = cost, ToServer{Server: c.Server.Listing.Name, MinPosition: minPosition}
+		if cost := costOf(need, c, in); best < 0 || c.isPreferred(cost, bestWarmUp, best) {
+			best, bestWarmUp, choice = cost, c.WarmUp, ToServer{Server: c.Server.Listing.Name, MinPosition: minPosition}
 		}
 	}
+	if opensWarm && best >= 0 && bestWarmUp != Warm {
+		return NoConnection{}
+	}
 	return choice
 }
 
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -50,6 +50,8 @@
 	Draining bool
 	// Incarnation distinguishes the successive processes of a server with the same name.
 	Incarnation int64
+	// Cold is true for a server that has started recently and is still slow.
+	Cold bool
 }
 
 // Server is what an instance knows about a server. A Server is immutable.
--- a/document/diff.go
+++ b/document/diff.go
@@ -66,6 +66,8 @@
 	lines = appendChange(lines, path, "serving instances", a.ServingInstances, b.ServingInstances)
 	lines = appendChange(lines, path, "connections", a.Connections, b.Connections)
 	lines = appendChange(lines, path, "synchronous replicas", a.SynchronousReplicas, b.SynchronousReplicas)
+	lines = appendChange(lines, path, "statements per second at a cold server", a.ColdRate, b.ColdRate)
+	lines = appendChange(lines, path, "cold start in milliseconds", a.ColdStartMS, b.ColdStartMS)
 	return append(lines, diffItems(path+" server", a.Servers, b.Servers, func(s Server) string { return s.Name }, serverLines)...)
 }
 
--- a/document/document.go
+++ b/document/document.go
@@ -69,6 +69,10 @@
 	Connections int `json:"connections,omitempty" validate:"min=0,max=100000"`
 	// SynchronousReplicas is the number of replicas that must receive a write before it is confirmed.
 	SynchronousReplicas int `json:"synchronous_replicas,omitempty" validate:"min=0,max=15"`
+	// ColdRate is the number of statements per second that a server may get while it is cold, and ColdStartMS how long a
+	// server is cold after its start, in milliseconds. A zero rate means that cold servers are not limited.
+	ColdRate    float64 `json:"cold_per_s,omitempty" validate:"gte=0,lte=10000000"`
+	ColdStartMS int64   `json:"cold_start_ms,omitempty" validate:"min=0,max=86400000"`
 }
 
 // Server is one database server of a group.
--- a/document/patch.go
+++ b/document/patch.go
@@ -172,6 +172,6 @@
 
 func equalGroups(a, b Group) bool {
 	return a.Name == b.Name && a.ServingInstances == b.ServingInstances && a.Connections == b.Connections &&
-		a.SynchronousReplicas == b.SynchronousReplicas && slices.Equal(a.Slots, b.Slots) &&
+		a.SynchronousReplicas == b.SynchronousReplicas && a.ColdRate == b.ColdRate && a.ColdStartMS == b.ColdStartMS && slices.Equal(a.Slots, b.Slots) &&
 		slices.Equal(a.Servers, b.Servers)
 }
--- a/proxy/acquire.go
+++ b/proxy/acquire.go
@@ -37,8 +37,12 @@
 	ServerWait     time.Duration
 	// Affinity is the ID of the connection that the session used last.
 	Affinity uint64
+	// Statements is how many statements are sent first; zero counts as one.
+	Statements int
 }
 
+func (r AcquireRequest) statements() int { return max(r.Statements, 1) }
+
 // Grant is an acquired connection. Choice holds the position that a read must require; OverdueAfter is the time after
 // which a missing answer counts as lost.
 type Grant struct {
--- a/proxy/cluster_state.go
+++ b/proxy/cluster_state.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rhubarbwick/rhubarbwick/admission"
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/port"
@@ -76,6 +77,13 @@
 	return g.Connections
 }
 
+// ColdRate returns the limit of the group's cold servers.
+func (c *ClusterState) ColdRate(groupName string) admission.ColdRate {
+	index, _ := c.CurrentDocument()
+	g, _ := index.FindGroup(groupName)
+	return admission.ColdRate{PerSecond: g.ColdRate, Duration: time.Duration(g.ColdStartMS) * time.Millisecond}
+}
+
 // OrganisationNames returns the names of the organisations in descending order of their rates.
 func (c *ClusterState) OrganisationNames() []string {
 	index, _ := c.CurrentDocument()
--- a/proxy/connection.go
+++ b/proxy/connection.go
@@ -16,6 +16,8 @@
 	Endpoint Endpoint
 	path     path
 	lastUsed time.Duration
+	// lost is true if the server had closed the connection when it was returned.
+	lost bool
 }
 
 // run runs the steps on the server in order, up to the first failure, and returns their answers. If the error is a
@@ -40,6 +42,12 @@
 	return isPooled && !p.inconsistent && !isDisconnected(p.conn)
 }
 
+// isLost reports whether the server has closed a connection of this instance's pool.
+func (c *Connection) isLost() bool {
+	p, isPooled := c.path.(*pooled)
+	return isPooled && isDisconnected(p.conn)
+}
+
 func (c *Connection) close() {
 	switch p := c.path.(type) {
 	case *pooled:
--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -42,6 +42,9 @@
 	Dialer     Dialer
 	// ConnectionLimit returns how many connections all instances together may hold to each server of the group.
 	ConnectionLimit func(groupName string) int
+	// WarmUp is the tolerance for cold servers, and ColdRate returns the limit of a group's cold servers. It may be nil.
+	WarmUp   admission.WarmUpTolerance
+	ColdRate func(groupName string) admission.ColdRate
 	// Self is this instance. Members returns the records whose instances may own connection pools.
 	Self    Member
 	Members func() (Snapshot, bool)
@@ -69,6 +72,8 @@
 	samples map[string]primacy.PositionSamples
 	// waiters holds the waiting statements in order of arrival.
 	waiters []*waiter
+	// spenders holds the statements of open transactions that wait for the budget of a limited server.
+	spenders []*spender
 	// admissions tracks how much each organisation has used the servers of this instance's pools.
 	admissions     admission.RecentAdmissions
 	nextID         uint64
@@ -82,6 +87,8 @@
 
 	// lastResponses holds the time of the last response of each server.
 	lastResponses sync.Map
+	// limited holds the names of the servers that are limited because they may be cold.
+	limited sync.Map
 	// suspects holds the servers that may have failed.
 	suspects *ring.Ring[string]
 }
@@ -122,6 +129,7 @@
 
 // Return releases a connection. An unusable connection is closed.
 func (d *Dispatcher) Return(c *Connection, usable bool) {
+	c.lost = c.isLost()
 	usable = usable && c.isUsable()
 	if !usable {
 		c.close()
@@ -211,6 +219,8 @@
 		d.waiters = append(d.waiters, c.waiter)
 	case cancelCommand:
 		d.cancelWaiter(c.waiter)
+	case spendingCommand:
+		d.handleSpending(c, now)
 	case returnCommand:
 		d.release(c.connection, c.usable, now)
 	case statementStarted:
@@ -281,6 +291,9 @@
 	if !usable || !c.isUsable() || s.server.Listing.Draining || s.server.Listing.Address != c.Endpoint.Address {
 		c.close()
 		s.removeConnection(c.Endpoint.Organisation)
+		if c.lost {
+			d.noteConnectionLoss(s, now)
+		}
 		return
 	}
 	c.lastUsed = now
@@ -362,6 +375,7 @@
 		s.server = s.server.WithRefusal(now)
 	default:
 		d.Suspect(c.endpoint.Server)
+		d.noteConnectionLoss(s, now)
 		d.excludePath(s, d.cfg.Self.Incarnation, now)
 	}
 }
--- a/proxy/dispatcher_owners.go
+++ b/proxy/dispatcher_owners.go
@@ -46,6 +46,7 @@
 	owners := d.members.owners(d.servers)
 	for name, s := range d.servers {
 		s.ownership = s.ownership.withOwners(owners[name])
+		d.checkWarmUp(s, d.cfg.Timer.Now())
 	}
 }
 
--- a/proxy/dispatcher_waiters.go
+++ b/proxy/dispatcher_waiters.go
@@ -14,7 +14,9 @@
 // serveWaiters grants connections to waiting statements in order, opens connections for them, and rejects those that
 // would be served too late.
 func (d *Dispatcher) serveWaiters(now time.Duration) {
+	d.serveSpenders(now)
 	if len(d.waiters) == 0 {
+		d.scheduleCheck()
 		return
 	}
 	queued := make([]admission.QueuedStatement, len(d.waiters))
@@ -29,7 +31,12 @@
 		}
 	}
 	d.waiters = slices.DeleteFunc(d.waiters, func(w *waiter) bool { return ended[w] })
-	if len(d.waiters) > 0 && !d.checkScheduled {
+	d.scheduleCheck()
+}
+
+// scheduleCheck schedules the next check of the waiting statements, if there are any.
+func (d *Dispatcher) scheduleCheck() {
+	if len(d.waiters)+len(d.spenders) > 0 && !d.checkScheduled {
 		d.checkScheduled = true
 		d.cfg.Timer.After(waiterCheckInterval, func(time.Duration) { d.commands.TryPut(waiterTick{}) })
 	}
@@ -50,7 +57,7 @@
 		}
 		before := ahead[choice.Server]
 		ahead[choice.Server]++
-		return d.rejectIfTooLate(w, choice.Server, before, waited)
+		return d.refusesCold(w, choice.Server, before, now) || d.rejectIfTooLate(w, choice.Server, before, waited)
 	case dispatch.NoConnection:
 		if w.checkOnly {
 			w.reply.TryPut(grantResult{})
@@ -74,7 +81,7 @@
 func (d *Dispatcher) rejectIfTooLate(w *waiter, server string, ahead int, waited time.Duration) bool {
 	var queue admission.Server
 	if s := d.server(server); s != nil {
-		queue = admission.Server{Slots: s.server.Listing.Slots, ServiceTime: s.server.Latency()}
+		queue = d.queueOf(s, d.cfg.Timer.Now())
 	}
 	refused, isRefused := admission.Decide(queue, ahead, waited, w.request.ConnectionWait).(admission.Refused)
 	if isRefused {
@@ -99,10 +106,11 @@
 		d.borrow(w, s, owner, choice, now)
 		return true
 	}
-	if s.isFull(now) {
+	if s.isFull(now) || !d.mayStart(w, s, now) {
 		return false
 	}
 	if c, found := s.takeIdle(w.request); found {
+		d.spend(s, w.request.statements(), now)
 		s.server, d.admissions = s.server.WithOutstanding(1), d.admissions.WithAdmission(w.request.Organisation, now)
 		s.running[c.ID] = now
 		w.reply.TryPut(grantResult{grant: Grant{Connection: c, Choice: choice, OverdueAfter: s.server.OverdueAfter()}})
@@ -138,6 +146,7 @@
 
 // openConnection starts to open a connection.
 func (d *Dispatcher) openConnection(s *serverState, req AcquireRequest) {
+	d.noteOpening(s, d.cfg.Timer.Now())
 	s.addConnection(req.Organisation)
 	s.dialing++
 	s.server = s.server.WithOutstanding(1)
@@ -182,12 +191,12 @@
 			continue
 		}
 		if _, found := d.remoteOwnerFor(w, s, now); found {
-			candidates = append(candidates, dispatch.Candidate{Server: s.server, HasIdle: true})
+			candidates = append(candidates, dispatch.Candidate{Server: s.server, HasIdle: true, WarmUp: d.warmUpOf(w, s, true, now)})
 			continue
 		}
 		_, hasIdle := s.findIdle(w.request)
 		mayOpen := w.dialing == "" && (s.total < d.connectionShare(s, now) || s.hasEvictable(w.request.Organisation))
-		candidates = append(candidates, dispatch.Candidate{Server: s.server, HasIdle: hasIdle, MayOpen: mayOpen})
+		candidates = append(candidates, dispatch.Candidate{Server: s.server, HasIdle: hasIdle, MayOpen: mayOpen, Opening: w.dialing == s.server.Listing.Name, WarmUp: d.warmUpOf(w, s, false, now)})
 	}
 	slices.SortFunc(candidates, func(a, b dispatch.Candidate) int {
 		return strings.Compare(a.Server.Listing.Name, b.Server.Listing.Name)
--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rhubarbwick/rhubarbwick/adapter/clock"
+	"github.com/rhubarbwick/rhubarbwick/admission"
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/group"
@@ -51,10 +52,14 @@
 	listedVersion port.Version
 	storeDown     bool
 	dataCentres   int
+	// warmUp is the instances' tolerance for cold servers.
+	warmUp admission.WarmUpTolerance
 	// weights holds the processor time of instances; zero for the others.
 	weights map[string]float64
 	// partitioned holds the instances that can be reached only by their clients.
 	partitioned map[string]bool
+	// cutPeers holds the instances that reach only servers and clients.
+	cutPeers map[string]bool
 	// storeRejects holds the instances whose calls the store rejects.
 	storeRejects map[string]bool
 	// unreachable holds "instance/server" pairs without a connection.
@@ -119,6 +124,11 @@
 	offset             uint64
 	refusesConnections bool
 	connections        int
+	// open holds the connections since the server's start, also those that have been closed.
+	open []*fakeServerConn
+	// arrivals holds the times at which statements arrived, if recordsArrivals is true.
+	recordsArrivals bool
+	arrivals        []time.Time
 }
 
 // testInstance is an instance with the components that the tests need.
@@ -149,10 +159,17 @@
 
 // withClusterIn is withCluster with another number of data centres.
 func withClusterIn(t *testing.T, n, dataCentres int, test func(w *cluster)) {
+	t.Helper()
+	withConfiguredCluster(t, n, func(w *cluster) { w.dataCentres = dataCentres }, test)
+}
+
+// withConfiguredCluster is withCluster after the configuration of the cluster was changed.
+func withConfiguredCluster(t *testing.T, n int, configure, test func(w *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := newCluster(t)
-		w.dataCentres = dataCentres
+		w.dataCentres = 2
+		configure(w)
 		for i := range n {
 			name := fmt.Sprintf("front-%d", i)
 			w.start(name, w.dataCentreOf(name))
@@ -173,7 +190,7 @@
 func newCluster(t *testing.T) *cluster {
 	w := &cluster{
 		t: t, objects: make(map[string]port.Object), writes: make(map[string]int), servers: make(map[string]*fakeServer),
-		listed: make(map[string]dispatch.Listing), partitioned: make(map[string]bool), storeRejects: make(map[string]bool), unreachable: make(map[string]bool),
+		listed: make(map[string]dispatch.Listing), partitioned: make(map[string]bool), cutPeers: make(map[string]bool), storeRejects: make(map[string]bool), unreachable: make(map[string]bool),
 		instances: make(map[string]*testInstance), version: 10,
 	}
 	for i, name := range []string{"s1", "s2", "s3", "t1", "t2", "t3"} {
@@ -225,6 +242,7 @@
 	i.state = proxy.NewClusterState(self, timer, i.views, 0)
 	i.gate = &proxy.ReadinessGate{Timer: timer, State: i.state, Views: i.views}
 	i.dispatcher = proxy.NewDispatcher(proxy.DispatcherConfig{
+		WarmUp: w.warmUp, ColdRate: i.state.ColdRate,
 		DataCentre: dataCentre, Timer: timer, Views: i.views, Dialer: client, ConnectionLimit: i.state.ConnectionLimit,
 		Self: self, Members: i.state.Records, OrganisationNames: i.state.OrganisationNames, RemotePools: client, SurveyPeer: client.Survey,
 	})
@@ -417,10 +435,19 @@
 func (i *testInstance) serveFor(c *fakeClient, name string) { i.serveClient(c, name) }
 
 func (i *testInstance) serveClient(c proxy.ClientConn, name string) {
+	i.serveClientUntil(context.Background(), c, name)
+}
+
+// serveUntil is serve for a client that disconnects when ctx ends.
+func (i *testInstance) serveUntil(ctx context.Context, c *fakeClient) {
+	i.serveClientUntil(ctx, c, testOrganisation)
+}
+
+func (i *testInstance) serveClientUntil(ctx context.Context, c proxy.ClientConn, name string) {
 	index, _ := i.state.CurrentDocument()
 	route, _ := index.FindRoute("orders")
 	route.Open = true
-	i.manager.Serve(context.Background(), c, organisation.Allowed{Organisation: name, Route: route})
+	i.manager.Serve(ctx, c, organisation.Allowed{Organisation: name, Route: route})
 }
 
 // fakeClient sends its requests one after the other and records the answers.
@@ -558,7 +585,7 @@
 	}
 	sleep(callLatency)
 	w.mu.Lock()
-	if (toStore && w.storeDown) || w.partitioned[r.name] {
+	if (toStore && (w.storeDown || w.cutPeers[r.name])) || w.partitioned[r.name] {
 		w.mu.Unlock()
 		<-ctx.Done()
 		return nil, port.Errorf(port.Unavailable, "no response")
@@ -761,7 +788,7 @@
 		return nil, err
 	}
 	i, found := r.cluster.instances[address]
-	isPartitioned := r.cluster.partitioned[address]
+	isPartitioned := r.cluster.partitioned[address] || address != r.name && (r.cluster.cutPeers[address] || r.cluster.cutPeers[r.name])
 	done()
 	if isPartitioned {
 		<-ctx.Done()
@@ -851,7 +878,9 @@
 		return nil, statement.Result{}, port.Errorf(port.NoConnection, "too many connections")
 	}
 	s.connections++
-	return &fakeServerConn{client: r, server: s, lost: make(chan struct{})}, statement.Result{Position: s.position()}, nil
+	c := &fakeServerConn{client: r, server: s, lost: make(chan struct{})}
+	s.open = append(s.open, c)
+	return c, statement.Result{Position: s.position()}, nil
 }
 
 func (s *fakeServer) position() group.Position { return group.Position{Term: s.term, Offset: s.offset} }
@@ -902,6 +931,7 @@
 
 func (l *fakeServerConn) run(o statement.Command) statement.Result {
 	s := l.server
+	s.recordArrival(o)
 	a := statement.Result{Proof: "proof", Position: s.position()}
 	switch o := o.(type) {
 	case statement.AssignValue, statement.PrepareShape:
--- a/proxy/lending.go
+++ b/proxy/lending.go
@@ -63,7 +63,7 @@
 	m.activeRequests.Add(1)
 	endFirst := sync.OnceFunc(func() { m.activeRequests.Add(-1) })
 	defer endFirst()
-	conn, err := m.acquireLent(ctx, req.Terms)
+	conn, err := m.acquireLent(ctx, req.Terms, len(req.Steps))
 	if err != nil {
 		return stream.Send(LoanRefusal{Kind: port.KindOf(err), Text: err.Error()})
 	}
@@ -71,16 +71,16 @@
 	return c.serve(ctx, req)
 }
 
-// acquireLent acquires a connection to the server in the terms.
-func (m *SessionManager) acquireLent(ctx context.Context, t LoanTerms) (*acquiredConnection, error) {
+// acquireLent acquires a connection to the server in the terms, for a number of statements.
+func (m *SessionManager) acquireLent(ctx context.Context, t LoanTerms, statements int) (*acquiredConnection, error) {
 	grant, err := m.cfg.Dispatcher.Acquire(ctx, AcquireRequest{
-		Organisation: t.Organisation, Need: dispatch.NeedServer{Name: t.Server}, Priority: t.Priority, ConnectionWait: t.Wait,
+		Organisation: t.Organisation, Need: dispatch.NeedServer{Name: t.Server}, Priority: t.Priority, ConnectionWait: t.Wait, Statements: statements,
 	})
 	if err != nil {
 		return nil, err
 	}
 	return &acquiredConnection{
-		connection: grant.Connection, choice: grant.Choice, overdueAfter: grant.OverdueAfter,
+		connection: grant.Connection, choice: grant.Choice, overdueAfter: grant.OverdueAfter, granted: statements,
 		clearance: organisation.LoanClearance{Organisation: t.Organisation, KeyID: t.KeyID, Revision: t.Revision},
 	}, nil
 }
--- a/proxy/lending_fake_test.go
+++ b/proxy/lending_fake_test.go
@@ -36,6 +36,9 @@
 	results  chan proxy.LoanResult
 	ended    chan struct{}
 	once     sync.Once
+	// ctx ends with the loan.
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // Run runs the steps at the owner.
@@ -48,6 +51,7 @@
 		l.stream = &fakeLoanStream{
 			requests: make(chan proxy.LoanRequest, 1), results: make(chan proxy.LoanResult, 1), ended: make(chan struct{}),
 		}
+		l.stream.ctx, l.stream.cancel = context.WithCancel(context.Background())
 		go l.stream.run(owner)
 	}
 	l.stream.requests <- proxy.LoanRequest{Terms: l.terms, State: values, Steps: steps}
@@ -78,12 +82,15 @@
 // Close ends the loan.
 func (l *fakeLoan) Close() {
 	if l.stream != nil {
-		l.stream.once.Do(func() { close(l.stream.ended) })
+		l.stream.once.Do(func() {
+			close(l.stream.ended)
+			l.stream.cancel()
+		})
 	}
 }
 
 // run handles the loan at the owner.
-func (s *fakeLoanStream) run(owner *testInstance) { _ = owner.manager.Lend(context.Background(), s) }
+func (s *fakeLoanStream) run(owner *testInstance) { _ = owner.manager.Lend(s.ctx, s) }
 
 // Receive returns the borrower's next request.
 func (s *fakeLoanStream) Receive() (proxy.LoanRequest, error) {
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -270,6 +270,11 @@
 	req.ConnectionWait, req.Excluded = w.placementDeadline-now, slices.Clone(w.excluded)
 	index, _ := s.manager.cfg.Documents.CurrentDocument()
 	req.Revision = index.Document().Revision
+	req.Statements = 1
+	if s.tx != nil {
+		// The transaction is opened together with its first statement.
+		req.Statements = 2
+	}
 	grant, err := s.manager.cfg.Dispatcher.Acquire(ctx, req)
 	if err != nil {
 		return nil, err
@@ -278,7 +283,7 @@
 	owner, _ := grant.Connection.owner()
 	s.server, s.owner, s.attempts = grant.Connection.Endpoint.Server, owner.Name, s.attempts+1
 	conn := &acquiredConnection{
-		connection: grant.Connection, choice: grant.Choice, overdueAfter: grant.OverdueAfter,
+		connection: grant.Connection, choice: grant.Choice, overdueAfter: grant.OverdueAfter, granted: req.Statements,
 		clearance: organisation.ClientClearance{Allowed: s.authorized},
 	}
 	s.lastAcquired = conn
--- a/proxy/server_state.go
+++ b/proxy/server_state.go
@@ -23,6 +23,7 @@
 	reducedUntil time.Duration
 	reducedLimit int
 	delisted     bool
+	warmUp       warmUpState
 }
 
 // findIdle returns the index of the best unused connection: the one that the session used last, otherwise the most
@@ -86,9 +87,10 @@
 	for name, l := range listings {
 		s := d.servers[name]
 		if s == nil {
-			s = &serverState{server: dispatch.NewServer(l), running: make(map[uint64]time.Duration), byOrganisation: make(map[string]int)}
+			s = &serverState{server: dispatch.NewServer(l), running: make(map[uint64]time.Duration), byOrganisation: make(map[string]int), warmUp: newWarmUpState()}
 			d.servers[name] = s
 		}
+		s.warmUp = s.warmUp.withListing(s.server.Listing, l, d.cfg.Timer.Now())
 		s.server, s.delisted = s.server.WithListing(l), false
 		if l.Draining {
 			s.closeIdle(func(*Connection) bool { return true })
@@ -101,6 +103,7 @@
 		s.delisted = true
 		s.closeIdle(func(*Connection) bool { return true })
 		if s.total == 0 {
+			d.setLimited(s, false)
 			delete(d.servers, name)
 			d.lastResponses.Delete(name)
 		}
@@ -112,6 +115,7 @@
 // idleTimeout.
 func (d *Dispatcher) closeExcessIdle(now time.Duration) {
 	for _, s := range d.servers {
+		d.maintainWarmUp(s, now)
 		excess := s.total - d.connectionShare(s, now)
 		s.closeIdle(func(c *Connection) bool {
 			if !c.isUsable() {
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -70,6 +70,8 @@
 	term       group.Term
 	// state is the transaction state that the server last reported.
 	state statement.TransactionState
+	// granted is the number of statements that were granted with the connection, for the first run.
+	granted int
 	// used is true once steps have been run.
 	used bool
 	// released is true once the connection was returned or its rollback has begun.
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -251,6 +251,9 @@
 	if err := m.checkClearance(conn.clearance, steps); err != nil {
 		return nil, err
 	}
+	if err := m.awaitBudget(ctx, conn, state, steps); err != nil {
+		return nil, err
+	}
 	if conn.used {
 		d.ReportStarted(c)
 	}
