--- a/adapter/metrics/gateway.go
+++ b/adapter/metrics/gateway.go
@@ -44,6 +44,8 @@
 	spill          spillMetrics
 	maintenance    maintenanceMetrics
 	findings       *prometheus.CounterVec
+	coldChanges    *prometheus.CounterVec
+	coldStatements *prometheus.CounterVec
 	next           proxy.Recorder
 }
 
@@ -73,9 +75,12 @@
 		admission: newAdmissionMetrics(), spill: newSpillMetrics(), maintenance: newMaintenanceMetrics(), next: next,
 		findings: newCounterVec("gateway_document_findings_total", "New findings of the documents that came into force, by severity.",
 			"severity"),
+		coldChanges: newCounterVec("gateway_cold_servers_total", "Times that a server was limited because it is cold, or may have been restarted.",
+			"reason"),
+		coldStatements: newCounterVec("gateway_cold_statements_total", "Statements at limited servers that this instance granted or refused.", "result"),
 	}
 	g.registry.MustRegister(g.admission.collectors()...)
-	g.registry.MustRegister(append(g.spill.collectors(), g.findings)...)
+	g.registry.MustRegister(append(g.spill.collectors(), g.findings, g.coldChanges, g.coldStatements)...)
 	g.registry.MustRegister(g.maintenance.collectors()...)
 	g.registry.MustRegister(g.requests, g.latency, g.promotionSteps, g.primaryChanges, g.storeCalls, g.statements, g.ownersExcluded, g.panics, collectors.NewGoCollector(),
 		newGaugeFunc("gateway_document_revision", "The revision of the document in force.", func() float64 { return float64(s.DocumentRevision()) }),
@@ -135,6 +140,11 @@
 		g.ownersExcluded.Inc()
 	case proxy.PeerPanicked:
 		g.panics.WithLabelValues(e.Peer).Inc()
+	case proxy.WarmUpChanged:
+		g.countWarmUp(e)
+	case proxy.WarmUpProgress:
+		g.coldStatements.WithLabelValues("granted").Add(float64(e.Granted))
+		g.coldStatements.WithLabelValues("refused").Add(float64(e.Refused))
 	case proxy.PromotionStep:
 		g.promotionSteps.WithLabelValues(e.Step).Inc()
 	case proxy.PrimaryChanged:
@@ -145,6 +155,17 @@
 	g.next.Record(e)
 }
 
+// countWarmUp counts the start of a limit by its reason.
+func (g *Gateway) countWarmUp(e proxy.WarmUpChanged) {
+	switch {
+	case !e.Limited:
+	case e.Listed:
+		g.coldChanges.WithLabelValues("listed").Inc()
+	default:
+		g.coldChanges.WithLabelValues("restart suspected").Inc()
+	}
+}
+
 // RecordStoreCall counts a call to the store by its result.
 func (g *Gateway) RecordStoreCall(kind string, err error) {
 	result := "success"
--- a/proxy/connection.go
+++ b/proxy/connection.go
@@ -18,6 +18,8 @@
 	lastUsed time.Duration
 	// grantedAt is when the connection was granted; zero if it has not been granted since it was last released.
 	grantedAt time.Duration
+	// lost is true if the server had closed the connection when it was returned.
+	lost bool
 }
 
 // run runs the steps on the server in order, up to the first failure, and returns their answers. If the error is a
@@ -42,6 +44,12 @@
 	return isPooled && !p.inconsistent && !isDisconnected(p.conn)
 }
 
+// isLost reports whether the server has closed a connection of this instance's pool.
+func (c *Connection) isLost() bool {
+	p, isPooled := c.path.(*pooled)
+	return isPooled && isDisconnected(p.conn)
+}
+
 func (c *Connection) close() {
 	switch p := c.path.(type) {
 	case *pooled:
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -291,6 +291,11 @@
 	}
 	index, _ := s.manager.cfg.Documents.CurrentDocument()
 	req.Revision, req.Spill = index.Document().Revision, w.spill
+	req.Statements = 1
+	if s.tx != nil {
+		// The transaction is opened together with its first statement.
+		req.Statements = 2
+	}
 	grant, err := s.manager.cfg.Dispatcher.Acquire(ctx, req)
 	if err != nil {
 		return nil, err
@@ -299,7 +304,7 @@
 	owner, _ := grant.Connection.owner()
 	s.server, s.owner, s.attempts = grant.Connection.Endpoint.Server, owner.Name, s.attempts+1
 	conn := &acquiredConnection{
-		connection: grant.Connection, choice: grant.Choice, overdueAfter: grant.OverdueAfter,
+		connection: grant.Connection, choice: grant.Choice, overdueAfter: grant.OverdueAfter, granted: req.Statements,
 		clearance: organisation.ClientClearance{Allowed: s.authorized}, spill: grant.Spill,
 	}
 	s.lastAcquired = conn
