Run statements with homes only at servers in their regions

Routes and organisations may be restricted to regions, which the proxy could not express. The document now has optional homes on both, and the settings map data centres to regions. dispatch.Homes.Allow decides; statements are refused at once if no server in the homes can run them, and are not lent by owners of pools in other regions. Without homes nothing changes.

TestHomesOfRoute and TestChooseWithinHomes guard it; TestPatchCoversEveryField covers the new fields.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -83,7 +83,7 @@
 	p.lending = fleet.NewLendingClient(platform.NewDialer())
 	p.dispatcher = proxy.NewDispatcher(proxy.DispatcherConfig{
 		DataCentre: s.DataCentre, Timer: p.timer, Views: p.views, Dialer: dialer,
-		ConnectionLimit: p.state.ConnectionLimit, WarmUp: s.WarmUpTolerance, ColdRate: p.state.ColdRate, Self: self, Members: p.state.Records, OrganisationNames: p.state.OrganisationNames, Recorder: p.metrics, RemotePools: p.lending, SurveyPeer: peers.Survey,
+		ConnectionLimit: p.state.ConnectionLimit, WarmUp: s.WarmUpTolerance, Regions: s.Regions, ColdRate: p.state.ColdRate, Self: self, Members: p.state.Records, OrganisationNames: p.state.OrganisationNames, Recorder: p.metrics, RemotePools: p.lending, SurveyPeer: peers.Survey,
 	})
 	p.state.OnServersChanged(p.dispatcher.SetListings)
 	rateReserve := proxy.NewRateReserve(proxy.RateReserveConfig{
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -63,6 +63,9 @@
 	Floor func(age time.Duration) (group.Position, bool)
 	// Excluded lists the servers that have refused this statement already.
 	Excluded []string
+	// Homes restricts the statement to the servers in some of the Regions.
+	Homes   Homes
+	Regions Regions
 }
 
 // Choice is the result of Choose. It is one of ToServer, NoConnection, NoServer and BeingReplaced.
@@ -95,6 +98,10 @@
 	if _, needsPrimary := need.(NeedPrimary); needsPrimary && in.Replacing {
 		return BeingReplaced{}
 	}
+	candidates, isPossible := withinHomes(need, candidates, in)
+	if !isPossible {
+		return OutsideHomes{}
+	}
 	var choice Choice = NoServer{}
 	best, bestWarmUp, opensWarm := time.Duration(-1), Warm, false
 	for _, c := range candidates {
--- a/document/diff.go
+++ b/document/diff.go
@@ -48,6 +48,7 @@
 	lines := appendChange(nil, path, "rate", a.Rate, b.Rate)
 	lines = appendChange(lines, path, "burst", a.Burst, b.Burst)
 	lines = appendChange(lines, path, "priority", a.Priority, b.Priority)
+	lines = appendChange(lines, path, "homes", strings.Join(a.Homes.List(), " "), strings.Join(b.Homes.List(), " "))
 	return append(lines, diffItems(path+" key", a.Keys, b.Keys, func(k Key) string { return k.ID }, keyLines)...)
 }
 
@@ -90,6 +91,7 @@
 	lines = appendChange(lines, path, "freshness", a.Freshness, b.Freshness)
 	lines = appendChange(lines, path, "timeout", a.Timeout(), b.Timeout())
 	lines = appendChange(lines, path, "target latency", a.TargetLatency(), b.TargetLatency())
+	lines = appendChange(lines, path, "homes", strings.Join(a.Homes.List(), " "), strings.Join(b.Homes.List(), " "))
 	return appendChange(lines, path, "priority", a.Priority, b.Priority)
 }
 
--- a/document/document.go
+++ b/document/document.go
@@ -47,6 +47,8 @@
 	Burst float64 `json:"burst" validate:"gte=1,lte=10000000"`
 	// Priority orders organisations under overload. Zero is the highest priority.
 	Priority int `json:"priority,omitempty" validate:"min=0,max=100"`
+	// Homes are the regions to which the organisation's statements are restricted. An empty list has no restriction.
+	Homes Homes `json:"homes,omitzero"`
 }
 
 // Key is an organisation's key. Only its hash is stored.
@@ -120,6 +122,8 @@
 	TargetLatencyMS int64 `json:"target_latency_ms,omitempty" validate:"min=0,max=86400000"`
 	// Priority orders routes under overload. Zero is the highest priority.
 	Priority int `json:"priority,omitempty" validate:"min=0,max=100"`
+	// Homes are the regions to which the route's statements are restricted. An empty list has no restriction.
+	Homes Homes `json:"homes,omitzero"`
 }
 
 // Freshness is a consistency level for the reads of a route.
--- a/document/patch.go
+++ b/document/patch.go
@@ -167,7 +167,7 @@
 
 func equalOrganisations(a, b Organisation) bool {
 	return a.Name == b.Name && a.Rate == b.Rate && a.Burst == b.Burst && a.Priority == b.Priority &&
-		slices.Equal(a.Keys, b.Keys)
+		slices.Equal(a.Keys, b.Keys) && a.Homes == b.Homes
 }
 
 func equalGroups(a, b Group) bool {
--- a/document/section_test.go
+++ b/document/section_test.go
@@ -143,6 +143,8 @@
 		return reflect.ValueOf(v.String() + "x").Convert(v.Type())
 	case reflect.Bool:
 		return reflect.ValueOf(!v.Bool())
+	case reflect.Struct:
+		return reflect.ValueOf(document.NewHomes(append(v.Interface().(document.Homes).List(), "other")...))
 	case reflect.Float64:
 		return reflect.ValueOf(v.Float() + 1)
 	default:
--- a/proxy/acquire.go
+++ b/proxy/acquire.go
@@ -37,6 +37,8 @@
 	ServerWait     time.Duration
 	// Affinity is the ID of the connection that the session used last.
 	Affinity uint64
+	// Homes restricts the statement to servers, and to owners of their pools, in some regions.
+	Homes dispatch.Homes
 	// Statements is how many statements are sent first; zero counts as one.
 	Statements int
 }
--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -42,6 +42,8 @@
 	Dialer     Dialer
 	// ConnectionLimit returns how many connections all instances together may hold to each server of the group.
 	ConnectionLimit func(groupName string) int
+	// Regions are the regions of the data centres.
+	Regions dispatch.Regions
 	// WarmUp is the tolerance for cold servers, and ColdRate returns the limit of a group's cold servers. It may be nil.
 	WarmUp   admission.WarmUpTolerance
 	ColdRate func(groupName string) admission.ColdRate
--- a/proxy/dispatcher_owners.go
+++ b/proxy/dispatcher_owners.go
@@ -16,21 +16,25 @@
 	maxOwnerResponseAge = 700 * time.Millisecond
 )
 
-// remoteOwner returns the instance through whose pool the server is reached, or false if this instance connects
-// directly.
-func (d *Dispatcher) remoteOwner(s *serverState, now time.Duration) (Member, bool) {
+// hasRemoteOwner reports whether the server is reached through another instance's pool.
+func (d *Dispatcher) hasRemoteOwner(s *serverState, now time.Duration) bool {
 	if d.cfg.RemotePools == nil {
-		return Member{}, false
+		return false
 	}
-	return s.ownership.remoteOwner(d.cfg.Self.Incarnation, d.unreachableOwners, now)
+	_, found := s.ownership.remoteOwner(d.cfg.Self.Incarnation, d.unreachableOwners, now)
+	return found
 }
 
-// remoteOwnerFor is remoteOwner for a waiter. A statement that another instance sent here is not forwarded again.
+// remoteOwnerFor returns the instance through whose pool a waiter reaches the server, or false if this instance connects
+// directly. A statement that another instance sent here is not forwarded again.
 func (d *Dispatcher) remoteOwnerFor(w *waiter, s *serverState, now time.Duration) (Member, bool) {
 	if _, isLent := w.request.Need.(dispatch.NeedServer); isLent {
 		return Member{}, false
 	}
-	return d.remoteOwner(s, now)
+	if d.cfg.RemotePools == nil {
+		return Member{}, false
+	}
+	return s.ownership.within(w.request.Homes, d.cfg.Regions).remoteOwner(d.cfg.Self.Incarnation, d.unreachableOwners, now)
 }
 
 // updateMembers updates the candidate pool owners if the records have changed.
@@ -84,7 +88,7 @@
 // while.
 func (d *Dispatcher) excludePath(s *serverState, incarnation string, now time.Duration) {
 	s.ownership = s.ownership.withFailure(incarnation, now)
-	if _, found := d.remoteOwner(s, now); found || !s.ownership.failed.has(d.cfg.Self.Incarnation, now) {
+	if d.hasRemoteOwner(s, now) || !s.ownership.failed.has(d.cfg.Self.Incarnation, now) {
 		return
 	}
 	s.server = s.server.WithFailure(now)
--- a/proxy/dispatcher_prewarm.go
+++ b/proxy/dispatcher_prewarm.go
@@ -36,7 +36,7 @@
 	if s.delisted || s.server.Listing.Draining || !s.server.IsUp(now) || s.isFull(now) || s.dialing > 0 {
 		return false
 	}
-	if _, found := d.remoteOwner(s, now); found || !s.ownership.isOwner(d.cfg.Self.Incarnation) {
+	if d.hasRemoteOwner(s, now) || !s.ownership.isOwner(d.cfg.Self.Incarnation) {
 		return false
 	}
 	return float64(s.total) < prewarmFraction*float64(d.connectionShare(s, now))
--- a/proxy/dispatcher_waiters.go
+++ b/proxy/dispatcher_waiters.go
@@ -64,6 +64,9 @@
 			return true
 		}
 		return d.rejectIfTooLate(w, "", 0, waited)
+	case dispatch.OutsideHomes:
+		w.reply.TryPut(grantResult{err: port.Errorf(port.NoPrimary, "no server of group %s in the homes of the statement can run it", w.request.Group)})
+		return true
 	case dispatch.BeingReplaced:
 		w.reply.TryPut(grantResult{err: port.Errorf(port.NoPrimary, "the primary of group %s is being replaced", w.request.Group)})
 		return true
@@ -225,6 +228,7 @@
 	samples := d.samples[w.request.Group]
 	return dispatch.RoutingContext{
 		Now: now, DataCentre: d.cfg.DataCentre, Primary: primary, Replacing: view.Record.Replacement != nil, Excluded: w.request.Excluded,
+		Homes: w.request.Homes, Regions: d.cfg.Regions,
 		Floor: func(age time.Duration) (group.Position, bool) { return samples.Floor(w.arrived, age) },
 	}
 }
--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -53,7 +53,10 @@
 	storeDown     bool
 	dataCentres   int
 	// warmUp is the instances' tolerance for cold servers.
-	warmUp admission.WarmUpTolerance
+	warmUp  admission.WarmUpTolerance
+	regions dispatch.Regions
+	// loansVia counts the loans by the data centre of the pool's owner.
+	loansVia map[string]int
 	// weights holds the processor time of instances; zero for the others.
 	weights map[string]float64
 	// partitioned holds the instances that can be reached only by their clients.
@@ -190,7 +193,7 @@
 func newCluster(t *testing.T) *cluster {
 	w := &cluster{
 		t: t, objects: make(map[string]port.Object), writes: make(map[string]int), servers: make(map[string]*fakeServer),
-		listed: make(map[string]dispatch.Listing), partitioned: make(map[string]bool), cutPeers: make(map[string]bool), storeRejects: make(map[string]bool), unreachable: make(map[string]bool),
+		listed: make(map[string]dispatch.Listing), partitioned: make(map[string]bool), cutPeers: make(map[string]bool), loansVia: make(map[string]int), storeRejects: make(map[string]bool), unreachable: make(map[string]bool),
 		instances: make(map[string]*testInstance), version: 10,
 	}
 	for i, name := range []string{"s1", "s2", "s3", "t1", "t2", "t3"} {
@@ -242,7 +245,7 @@
 	i.state = proxy.NewClusterState(self, timer, i.views, 0)
 	i.gate = &proxy.ReadinessGate{Timer: timer, State: i.state, Views: i.views}
 	i.dispatcher = proxy.NewDispatcher(proxy.DispatcherConfig{
-		WarmUp: w.warmUp, ColdRate: i.state.ColdRate,
+		Regions: w.regions, WarmUp: w.warmUp, ColdRate: i.state.ColdRate,
 		DataCentre: dataCentre, Timer: timer, Views: i.views, Dialer: client, ConnectionLimit: i.state.ConnectionLimit,
 		Self: self, Members: i.state.Records, OrganisationNames: i.state.OrganisationNames, RemotePools: client, SurveyPeer: client.Survey,
 	})
--- a/proxy/lending_fake_test.go
+++ b/proxy/lending_fake_test.go
@@ -17,6 +17,9 @@
 // Borrow returns a loan from an instance of the cluster.
 func (r *clusterClient) Borrow(owner proxy.Member, terms proxy.LoanTerms) proxy.RemoteLoan {
 	r.cluster.loans.Add(1)
+	r.cluster.mu.Lock()
+	r.cluster.loansVia[owner.DataCentre]++
+	r.cluster.mu.Unlock()
 	return &fakeLoan{client: r, owner: owner, terms: terms}
 }
 
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -252,6 +252,7 @@
 	req := AcquireRequest{
 		Group: route.Group, Organisation: s.authorized.Organisation, KeyID: s.authorized.KeyID, Need: need, Priority: route.Priority,
 		ConnectionWait: target / connectionWaitDivisor, ServerWait: target / serverWaitDivisor, Affinity: s.affinity,
+		Homes: s.homes(route),
 	}
 	if s.manager.cfg.IsIsolated() {
 		// No new primary can become known until the isolation ends.
