--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -65,6 +65,9 @@
 	Excluded []string
 	// Maintenance contains the data centres whose servers run no statements.
 	Maintenance Maintenance
+	// Homes restricts the statement to the servers in some of the Regions.
+	Homes   Homes
+	Regions Regions
 }
 
 // Choice is the result of Choose. It is one of ToServer, NoConnection, NoServer, BeingReplaced and InMaintenance.
@@ -102,6 +105,10 @@
 	if _, needsPrimary := need.(NeedPrimary); needsPrimary && in.Replacing {
 		return BeingReplaced{}
 	}
+	candidates, isPossible := withinHomes(need, candidates, in)
+	if !isPossible {
+		return OutsideHomes{}
+	}
 	if isInMaintenance(need, candidates, in) {
 		return InMaintenance{}
 	}
--- a/dispatch/choose_near.go
+++ b/dispatch/choose_near.go
@@ -9,10 +9,12 @@
 		l := c.Server.Listing
 		return l.DataCentre != in.DataCentre || l.Name == in.Primary && !usePrimary
 	})
-	if choice := Choose(need, near, in); choice != (NoServer{}) {
+	switch choice := Choose(need, near, in).(type) {
+	case NoServer, InMaintenance, OutsideHomes:
+		return Choose(need, candidates, in)
+	default:
 		return choice
 	}
-	return Choose(need, candidates, in)
 }
 
 // ChooseServer is Choose for a read that is sent to one server through its pool's owner. It returns NoServer if the server
@@ -26,6 +28,7 @@
 // CanStay reports whether a server of the data centre could run the read if none had refused it yet.
 func CanStay(need Need, candidates []Candidate, in RoutingContext) bool {
 	in.Excluded = nil
+	candidates, _ = withinHomes(need, candidates, in)
 	return slices.ContainsFunc(candidates, func(c Candidate) bool {
 		_, fits := checkServer(need, c.Server, in)
 		return fits && c.Server.Listing.DataCentre == in.DataCentre
--- a/proxy/acquire.go
+++ b/proxy/acquire.go
@@ -44,6 +44,8 @@
 	Affinity uint64
 	// Spill is the read's route between data centres; it is nil for other statements.
 	Spill SpillRoute
+	// Homes restricts the statement to servers, and to owners of their pools, in some regions.
+	Homes dispatch.Homes
 	// Statements is how many statements are sent first; zero counts as one.
 	Statements int
 }
