Wait for a requested promotion before another server is promoted

Cause: a promoter that took over a switchover promoted another server when the maintenance had changed meanwhile. The first promotion could take effect after the second one, and undo writes that were confirmed between them.

A candidate whose maintenance begins after the first call ends the attempt instead of passing on to the next candidate.

--- a/primacy/maintenance.go
+++ b/primacy/maintenance.go
@@ -31,12 +31,35 @@
 	// IsOldPrimaryLost is true if no instance reaches the old primary. It is determined only for switchovers and while a
 	// server of the group may not become primary.
 	IsOldPrimaryLost bool
+	// Pending is a server whose promotion an earlier attempt may have requested and which may still take effect; empty if
+	// there is none. If another server were promoted meanwhile, it could confirm writes and be replaced by this one.
+	Pending string
 	// IsLast is true if the time for finding a successor is over.
 	IsLast bool
 }
 
 // Decide decides what a promoter does next.
 func (s Succession) Decide(a Attempt) PromotionDecision {
+	switch d := s.decide(a).(type) {
+	case Promote:
+		if a.Pending == "" {
+			return d
+		}
+		if d.Order[0].Server == a.Pending {
+			return Promote{Order: d.Order[:1]}
+		}
+		return AwaitSuccessor{}
+	case KeepPrimary:
+		if a.Pending != "" && d.Primary.Server != a.Pending {
+			return AwaitSuccessor{}
+		}
+		return d
+	default:
+		return d
+	}
+}
+
+func (s Succession) decide(a Attempt) PromotionDecision {
 	order, isComplete := s.Order()
 	oldPrimary, isIntact := s.IntactPrimary()
 	mayKeep := isIntact && !oldPrimary.Ineligible
--- a/primacy/maintenance_test.go
+++ b/primacy/maintenance_test.go
@@ -77,6 +77,15 @@
 		kept := leading(reply("a", 9))
 		require.Equal(t, primacy.KeepPrimary{Primary: kept.Status}, decide(0, ended, kept, reply("b", 9)))
 	})
+	t.Run("another server's promotion that may still take effect is waited for", func(t *testing.T) {
+		pending := switchover
+		pending.Pending = "b"
+		require.Equal(t, primacy.AwaitSuccessor{}, decide(0, pending, old, ineligible(reply("b", 9)), reply("c", 9)))
+		requirePromotes(t, "b", decide(0, pending, old, reply("b", 9), reply("c", 9)))
+		kept := ended
+		kept.Pending = "b"
+		require.Equal(t, primacy.AwaitSuccessor{}, decide(0, kept, leading(reply("a", 9)), reply("b", 9)))
+	})
 	t.Run("a group without a server elsewhere", func(t *testing.T) {
 		require.Equal(t, primacy.AwaitSuccessor{}, decide(0, switchover, old, ineligible(reply("b", 9))))
 	})
--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -79,7 +79,7 @@
 func NewPromoter(cfg PromoterConfig) *Promoter {
 	cfg.Recorder = recorderOrNop(cfg.Recorder)
 	p := &Promoter{cfg: cfg, active: make(map[string]bool), checking: make(map[string]bool), pendingSince: make(map[string]time.Duration)}
-	p.switchovers = switchovers{active: make(map[string]bool), startedAt: make(map[string]time.Duration)}
+	p.switchovers = switchovers{active: make(map[string]bool), startedAt: make(map[string]time.Duration), leaders: make(map[string]knownLeader)}
 	p.lock = newPromoterLockHolder(&p.cfg)
 	p.servers = newServerRecorder(p)
 	return p
@@ -123,6 +123,7 @@
 		p.writeFirstRecord(ctx, s, g.Name)
 		return
 	}
+	p.observeLeader(stored.Record)
 	reason, wait := p.replacementReason(s, stored.Record)
 	if reason == "" {
 		delete(p.pendingSince, g.Name)
--- a/proxy/promoter_maintenance.go
+++ b/proxy/promoter_maintenance.go
@@ -8,6 +8,8 @@
 
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
 	"github.com/rhubarbwick/rhubarbwick/document"
+	"github.com/rhubarbwick/rhubarbwick/group"
+	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/primacy"
 )
 
@@ -29,6 +31,33 @@
 	// startedAt is when the last attempt for a group began. A group whose successors do not catch up must not keep the
 	// others from being switched over.
 	startedAt map[string]time.Duration
+	// leaders holds since when this instance knows the primary of each group.
+	leaders map[string]knownLeader
+}
+
+// knownLeader is a primary and when this instance first saw the record that names it.
+type knownLeader struct {
+	term  group.Term
+	since time.Duration
+}
+
+// observeLeader records since when the primary of the record is known.
+func (p *Promoter) observeLeader(r primacy.Record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known, found := p.switchovers.leaders[r.Group]; !found || known.term != r.Term {
+		p.switchovers.leaders[r.Group] = knownLeader{term: r.Term, since: p.cfg.Timer.Now()}
+	}
+}
+
+// leaderSince returns since when the primary of the record is known.
+func (p *Promoter) leaderSince(r primacy.Record) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known, found := p.switchovers.leaders[r.Group]; found && known.term == r.Term {
+		return known.since
+	}
+	return p.cfg.Timer.Now()
 }
 
 // isInMaintenance reports whether the server is in a data centre in maintenance.
@@ -167,3 +196,39 @@
 	}
 	return r.promoter.lock.renew(ctx, r.epoch)
 }
+
+// checkCandidate fails if the candidate is in maintenance. Before the first call that promotes it, another candidate may be
+// promoted instead. Afterwards the promotion may still take effect, which the next attempt waits for.
+func (r *replacement) checkCandidate(candidate primacy.Status, isFirst bool) error {
+	l, known := r.promoter.knownServer(r.stored.Record, candidate.Server)
+	if !known || !r.promoter.isInMaintenance(l) {
+		return nil
+	}
+	err := port.Errorf(port.Conflict, "the data centre of server %s is in maintenance", candidate.Server)
+	if isFirst {
+		return &candidateError{err}
+	}
+	return err
+}
+
+// notePending records the server whose promotion may still take effect: the successor of an earlier attempt, or the
+// primary itself if it has led only for a short time, because its promotion may have been requested twice. Without
+// maintenance, the next attempt chooses the same server again.
+func (r *replacement) notePending() {
+	p, earlier := r.promoter, r.stored.Record.Replacement
+	switch {
+	case !r.isSwitchover && p.cfg.State.Maintenance().IsEmpty():
+	case earlier != nil && earlier.Successor != "":
+		r.pending, r.pendingUntil = earlier.Successor, p.cfg.Timer.Now()+promotionSettleTime
+	default:
+		r.pending, r.pendingUntil = r.stored.Record.Primary, p.leaderSince(r.stored.Record)+promotionSettleTime
+	}
+}
+
+// pendingServer returns the server whose promotion may still take effect; empty if there is none.
+func (r *replacement) pendingServer() string {
+	if r.promoter.cfg.Timer.Now() >= r.pendingUntil {
+		return ""
+	}
+	return r.pending
+}
--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -51,6 +51,10 @@
 	isSwitchover bool
 	// lostSince is when no instance was first found to reach the old primary; zero while one does.
 	lostSince time.Duration
+	// pending is the server whose promotion an earlier attempt may have requested, and pendingUntil when that has certainly
+	// taken effect.
+	pending      string
+	pendingUntil time.Duration
 }
 
 func (r *replacement) run(ctx context.Context) {
@@ -98,6 +102,7 @@
 	p := r.promoter
 	oldPrimary, listed := r.oldPrimary()
 	r.isSwitchover = r.isSwitchoverOf(oldPrimary)
+	r.notePending()
 	r.planned = listed && (r.isPlannedFor(oldPrimary) || r.isSwitchover)
 	record := r.stored.Record.WithReplacement(primacy.Replacement{
 		Promoter: p.cfg.Self.Incarnation, Epoch: r.epoch, Planned: r.planned,
@@ -214,7 +219,8 @@
 		}
 		isLast := p.cfg.Timer.Now() >= until
 		attempt := primacy.Attempt{
-			IsPlanned: r.planned && !r.mayWithdraw(), IsSwitchover: r.isSwitchover, IsOldPrimaryLost: r.isOldPrimaryLost(ctx, succession, isLast), IsLast: isLast,
+			IsPlanned: r.planned && !r.mayWithdraw(), IsSwitchover: r.isSwitchover, IsOldPrimaryLost: r.isOldPrimaryLost(ctx, succession, isLast),
+			Pending: r.pendingServer(), IsLast: isLast,
 		}
 		switch d := succession.Decide(attempt).(type) {
 		case primacy.Promote:
@@ -318,12 +324,12 @@
 		_, _ = p.sendCommands(ctx, oldPrimary, statement.StepDown{Term: next})
 	}
 	until := p.cfg.Timer.Now() + becomePrimaryTimeout
-	for {
+	for isFirst := true; ; isFirst = false {
 		if err := p.lock.renew(ctx, r.epoch); err != nil {
 			return primacy.Status{}, err
 		}
-		if l, known := p.knownServer(r.stored.Record, candidate.Server); known && p.isInMaintenance(l) {
-			return primacy.Status{}, &candidateError{port.Errorf(port.Conflict, "%s", reasonMaintenance)}
+		if err := r.checkCandidate(candidate, isFirst); err != nil {
+			return primacy.Status{}, err
 		}
 		callCtx, cancel := port.WithTimeout(ctx, p.cfg.Timer, callTimeout)
 		err := p.cfg.Promotions.Promote(callCtx, r.group.Name, candidate.Server, p.cfg.Self.Incarnation, r.epoch)
--- a/proxy/switchover_test.go
+++ b/proxy/switchover_test.go
@@ -54,6 +54,18 @@
 	}
 }
 
+// leaderLogEnd returns the end of the log of the primary of the test group.
+func (w *cluster) leaderLogEnd() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.groupServers(testGroup) {
+		if s.primary {
+			return s.offset
+		}
+	}
+	return 0
+}
+
 // requireServed fails unless a write and a read succeed at every instance.
 func (w *cluster) requireServed() {
 	w.t.Helper()
@@ -261,6 +273,33 @@
 			w.requireNeverPromoted("s2")
 		})
 	})
+	t.Run("moves to another data centre after a promoter requested a promotion and failed", func(t *testing.T) {
+		withMaintenance(t, 6, func(w *cluster) {
+			// A promotion takes effect up to 1.5 s after the call, and a later one may overtake it.
+			w.promotionDelay = 1500 * time.Millisecond
+			w.beginMaintenance("a")
+			w.waitFor(func() bool { return len(w.epochs()) == 2 })
+			promoter, found := w.promoter()
+			require.True(t, found)
+			w.kill(promoter)
+			w.start(promoter, w.dataCentreOf(promoter))
+			w.mu.Lock()
+			w.promotionDelay = 100 * time.Millisecond
+			w.mu.Unlock()
+			w.learnMaintenance("b", w.names()...)
+			confirmed := uint64(0)
+			for range 400 {
+				w.replicate()
+				if w.writeSucceeds("front-1") {
+					confirmed++
+				}
+				sleep(50 * time.Millisecond)
+			}
+			require.Positive(t, confirmed)
+			require.True(t, w.allUsePrimary("s1") || w.allUsePrimary("s3"))
+			require.Equal(t, 100+confirmed, w.leaderLogEnd(), "every confirmed write is in the log")
+		})
+	})
 	for _, after := range []time.Duration{0, 5, 20, 80, 320, 700, 1500} {
 		t.Run(fmt.Sprintf("of a failed primary, %d ms after it failed", after), func(t *testing.T) {
 			withMaintenance(t, 6, func(w *cluster) {
--- a/spec/walk_test.go
+++ b/spec/walk_test.go
@@ -36,6 +36,8 @@
 			spec.ConfigurationBounds{Changes: 4, Ticks: 8, Queries: 16, Restarts: 2}, spec.ConfigurationFaults{}),
 		"forwarding": spec.NewForwarding(
 			spec.ForwardingBounds{Autocommit: 5, Transaction: true, Pipelined: true, Connections: 6, Shutdowns: 3}, spec.ForwardingFaults{}),
+		"switchover": spec.NewSwitchover(
+			spec.SwitchoverBounds{Writes: 4, Maintenances: 5, PromoterFailures: 3}, spec.SwitchoverFaults{}),
 		"sections": spec.NewSections(
 			spec.SectionBounds{Changes: 6, GCRuns: 3, Reads: 6, LostResponses: 2}, spec.SectionFaults{}),
 	} {
