Test starts without a list of data centres in maintenance

Cause: nothing tested that an instance whose relay does not distribute the list reads it itself, and that a list that cannot be read keeps an instance from serving for at most 5 s.

Change: two tests in TestMaintenanceList. Comparing two lists, which the dispatcher does before each command, sorts nothing any more.

--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -54,7 +54,15 @@
 
 // HasSame reports whether both sets contain the same data centres.
 func (m Maintenance) HasSame(other Maintenance) bool {
-	return m.isUnknown == other.isUnknown && slices.Equal(m.DataCentres(), other.DataCentres())
+	if m.isUnknown != other.isUnknown || len(m.since) != len(other.since) {
+		return false
+	}
+	for name := range m.since {
+		if _, found := other.since[name]; !found {
+			return false
+		}
+	}
+	return true
 }
 
 // SendDecision is the result of CheckSend. It is one of MaySend, RunElsewhere and EndTransaction.
--- a/proxy/maintenance_fake_test.go
+++ b/proxy/maintenance_fake_test.go
@@ -24,7 +24,9 @@
 	// isUsed is true if the instances use the list.
 	isUsed bool
 	names  map[string]bool
-	reads  atomic.Int64
+	// isUnreadable makes every read of the list fail.
+	isUnreadable bool
+	reads        atomic.Int64
 	// monitors holds the monitors of the instances by name.
 	monitors map[string]*proxy.MaintenanceMonitor
 }
@@ -58,6 +60,9 @@
 	}
 	defer done()
 	w := r.client.cluster
+	if w.maintenance.isUnreadable {
+		return nil, 0, port.Errorf(port.Unavailable, "status 403")
+	}
 	return slices.Sorted(maps.Keys(w.maintenance.names)), w.version, nil
 }
 
--- a/proxy/maintenance_test.go
+++ b/proxy/maintenance_test.go
@@ -49,6 +49,28 @@
 			require.True(t, w.allKnowMaintenance("c", true))
 		})
 	})
+	t.Run("an instance whose relay does not distribute the list reads it itself", func(t *testing.T) {
+		withPreparedMaintenance(t, 2, func(w *cluster) { w.maintenance.isUsed = false }, func(w *cluster) {
+			w.setMaintenance("a", true)
+			w.maintenance.isUsed = true
+			w.start("front-2", "a")
+			w.waitFor(func() bool { return w.instance("front-2").state.MaintenanceList() != nil })
+			require.True(t, w.instance("front-2").state.Maintenance().Has("a"))
+		})
+	})
+	t.Run("a list that cannot be read keeps an instance from serving for the bound only", func(t *testing.T) {
+		withPreparedMaintenance(t, 2, func(w *cluster) { w.maintenance.isUnreadable = true }, func(w *cluster) {
+			w.start("front-2", "a")
+			w.waitFor(func() bool {
+				servers, _ := w.instance("front-2").state.Servers()
+				_, hasDocument := w.instance("front-2").state.CurrentDocument()
+				return servers != nil && hasDocument
+			})
+			requireKind(t, port.NoPrimary, w.send("front-2", statement.Write{Text: "WRITE a 1"})[0])
+			took := w.waitFor(func() bool { return w.writeSucceeds("front-2") })
+			require.Less(t, took, maintenanceBound+time.Second)
+		})
+	})
 	t.Run("an instance that starts in a maintenance never uses the servers there", func(t *testing.T) {
 		withMaintenance(t, 4, func(w *cluster) {
 			w.setMaintenance("a", true)
