Keep no parts of a client's message beyond its answer

The texts of a session's values and prepared statements were parts of the message that set them, so that a request with an ID of 100 KiB kept 100 KiB for a value of five bytes, and an event in the queue of the log kept its whole message. The texts are copied, IDs are cut to 128 bytes in events, and reasons of rejected start-ups to 300 bytes.

Failed before: TestGatewayUnderCrowd, values with long request identifiers: 275,024 kB, the bound is 102,400 kB.

--- a/adapter/postgres/client_limits.go
+++ b/adapter/postgres/client_limits.go
@@ -31,6 +31,8 @@
 	frameOverhead = 128
 	// maxRejectionLines limits the log lines about clients that are rejected at start-up, per second.
 	maxRejectionLines = 10
+	// maxRejectionText is the length in bytes to which the reason is cut: it may contain a name of up to 10,000 bytes.
+	maxRejectionText = 300
 )
 
 // KeepAlive ends the connection of an unreachable client. It is for the socket on which clients connect.
@@ -139,7 +141,8 @@
 // logRejection logs that a client was rejected at start-up.
 func (l *Listener) logRejection(err error) {
 	if omitted, ok := l.rejections.allow(l.timer.Now()); ok {
-		l.log.Info("client rejected at start-up", zap.Error(err), zap.Uint64("omitted", omitted))
+		text := err.Error()
+		l.log.Info("client rejected at start-up", zap.String("error", text[:min(len(text), maxRejectionText)]), zap.Uint64("omitted", omitted))
 	}
 }
 
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,8 @@
 	// stoppingServiceTime is how long a stopping instance still serves requests of sessions that should have ended. A
 	// client that sends each request right after an answer leaves no moment in which its session can be closed.
 	stoppingServiceTime = time.Second
+	// maxLoggedID is the length in bytes to which the ID of a request is cut in events. Clients choose IDs of up to 1 MiB.
+	maxLoggedID = 128
 )
 
 // RateLimiter limits the organisations' operations across all instances.
@@ -192,7 +195,7 @@
 	now := m.cfg.Timer.Now()
 	index, _ := m.cfg.Documents.CurrentDocument()
 	m.cfg.Recorder.Record(RequestCompleted{
-		ID: req.ID, Organisation: s.authorized.Organisation, Route: s.authorized.Route.Name,
+		ID: loggedID(req.ID), Organisation: s.authorized.Organisation, Route: s.authorized.Route.Name,
 		Group: s.authorized.Route.Group, Freshness: s.authorized.Route.Freshness, Kind: a.Failure.Kind,
 		Reason: a.Failure.Text, Server: s.server, PoolOwner: s.owner, Attempts: s.attempts, Duration: now - start,
 		Revision: uint64(index.Document().Revision), DocumentAge: m.cfg.DocumentAge(),
@@ -200,6 +203,10 @@
 	})
 }
 
+// loggedID returns the beginning of a request's ID as a copy: the ID is a part of the client's message, and a queued event
+// would keep the whole message.
+func loggedID(id string) string { return strings.Clone(id[:min(len(id), maxLoggedID)]) }
+
 // reauthorize decides whether an authorized client may run another operation.
 func (m *SessionManager) reauthorize(a organisation.Allowed) (organisation.Allowed, statement.Failure) {
 	index, fresh := m.cfg.Documents.CurrentDocument()
--- a/statement/session_state.go
+++ b/statement/session_state.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"maps"
 	"strconv"
+	"strings"
 
 	"github.com/rhubarbwick/rhubarbwick/immutable"
 	"github.com/rhubarbwick/rhubarbwick/port"
@@ -71,8 +72,10 @@
 // Bytes returns the memory of the values and prepared statements in bytes.
 func (s SessionState) Bytes() int { return s.bytes }
 
-// WithValue returns the state with the value set.
+// WithValue returns the state with the value set. The texts are copied, because they may be parts of a longer message, which
+// would be kept with them.
 func (s SessionState) WithValue(name, value string) SessionState {
+	name, value = strings.Clone(name), strings.Clone(value)
 	if old, found := s.values.Get(name); found {
 		s.bytes -= entrySize(name, old.text)
 	}
@@ -81,8 +84,9 @@
 	return s
 }
 
-// WithShape returns the state with a prepared statement added or replaced.
+// WithShape returns the state with a prepared statement added or replaced. The texts are copied as in WithValue.
 func (s SessionState) WithShape(name string, shape Shape) SessionState {
+	name, shape.Text = strings.Clone(name), strings.Clone(shape.Text)
 	s = s.WithoutShape(name)
 	s.shapes, s.bytes = s.shapes.With(name, shape), s.bytes+entrySize(name, shape.Text)
 	return s
--- a/untrusted/gateway_test.go
+++ b/untrusted/gateway_test.go
@@ -34,6 +34,8 @@
 	"sessions of many keys at one address":  openSessionsOfManyKeys,
 	"refused sessions with different names": openUnknownSessions,
 	"transactions that are not continued":   holdTransactions,
+	"values with long request identifiers":  setValuesWithLongIDs,
+	"failures with long identifiers":        failWithLongIDs,
 }
 
 // TestGatewayUnderCrowd guards against clients that make a gateway exceed the memory or the descriptors of its machine,
@@ -196,6 +198,44 @@
 	pipelineStatements(c, f, func(n int) string { return fmt.Sprintf("PREPARE %s-%d READ q", name, n) })
 }
 
+// setValuesWithLongIDs sets short values in requests whose identifiers are long, and which the session must not keep.
+func setValuesWithLongIDs(_ *testing.T, c *crowd, f *gatewayFixture) {
+	id := strings.Repeat("x", 100<<10)
+	c.run(senders/4, func(int) {
+		client := c.joinLine(f.clients, crowdKey)
+		for n := range 100 {
+			if client == nil {
+				return
+			}
+			if _, err := fmt.Fprintf(client.conn, "QUERY %s SET name-%d value\r\n", id, n); err != nil {
+				return
+			}
+			if _, err := client.result(); err != nil {
+				return
+			}
+		}
+	})
+}
+
+// failWithLongIDs sends requests that fail and whose identifiers could be written to the log.
+func failWithLongIDs(_ *testing.T, c *crowd, f *gatewayFixture) {
+	id := strings.Repeat("x", 100<<10)
+	c.run(senders/4, func(int) {
+		client := c.joinLine(f.clients, crowdKey)
+		for range 100 {
+			if client == nil {
+				return
+			}
+			if _, err := fmt.Fprintf(client.conn, "QUERY %s EXECUTE nothing\r\n", id); err != nil {
+				return
+			}
+			if _, err := client.result(); err != nil {
+				return
+			}
+		}
+	})
+}
+
 // pipelineStatements sends statements without waiting for their answers, which are read.
 func pipelineStatements(c *crowd, f *gatewayFixture, text func(n int) string) {
 	c.run(senders/2, func(int) {
