--- a/clientlimit/place.go
+++ b/clientlimit/place.go
@@ -17,6 +17,7 @@
 	element         *list.Element
 	key             string
 	seated          bool
+	isLoan          bool
 	state, messages int64
 }
 
@@ -51,7 +52,7 @@
 	}
 	g := p.guard
 	g.mu.Lock()
-	allowed := p.seated && (g.messages.allows(p.key, n, keyFactor) ||
+	allowed := (p.seated || p.isLoan) && (g.messages.allows(p.key, n, keyFactor) ||
 		isRunning && g.messages.share.Used+n <= g.plan.Messages+g.plan.Reserve)
 	if allowed {
 		g.messages.add(p.key, n)
@@ -123,7 +124,7 @@
 	}
 	g.state.add(p.key, -p.state)
 	g.messages.add(p.key, -p.messages)
-	p.state, p.messages = 0, 0
+	p.state, p.messages, p.isLoan = 0, 0, false
 }
 
 // HoldMessage records n bytes of an answer that exists already. GiveMessage gives them back. It reports whether the
@@ -139,3 +140,12 @@
 	p.messages += n
 	return g.messages.share.Used > g.plan.Messages+g.plan.Reserve
 }
+
+// OpenLoan returns a place for the requests that another instance sends for clients of the organisation. It takes no seat;
+// only the memory of its messages is limited. Close must be called at the end.
+func (g *Guard) OpenLoan(organisation string) *Place {
+	if g == nil {
+		return nil
+	}
+	return &Place{guard: g, key: "loan/" + organisation, isLoan: true}
+}
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -98,7 +98,7 @@
 	p.sessions = proxy.NewSessionManager(proxy.SessionManagerConfig{
 		Timer: p.timer, Dispatcher: p.dispatcher, Views: p.views, Documents: p.state, RateLimiter: rateLimiter, Recorder: p.metrics,
 		DocumentAge: p.state.DocumentAge, IsIsolated: p.gate.IsIsolated, DocumentChanged: p.state.Changed,
-		SessionLimits: s.Clients.Session,
+		SessionLimits: s.Clients.Session, Guard: p.guard,
 	})
 	notifications := ring.New[proxy.Member](0)
 	p.peerService = proxy.NewPeerService(proxy.PeerServiceConfig{
--- a/proxy/lending.go
+++ b/proxy/lending.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 
+	"github.com/rhubarbwick/rhubarbwick/clientlimit"
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
 	"github.com/rhubarbwick/rhubarbwick/organisation"
 	"github.com/rhubarbwick/rhubarbwick/port"
@@ -25,6 +26,15 @@
 	Steps []statement.Step
 }
 
+// bytes returns the memory of the request beyond what is not counted.
+func (r LoanRequest) bytes() int64 {
+	n := r.State.Bytes()
+	for _, s := range r.Steps {
+		n += s.Bytes()
+	}
+	return int64(max(n-clientlimit.UncountedMessage, 0))
+}
+
 // LoanResult is the result of a request: LoanAnswers, LoanRefusal or LoanConnectionLost.
 type LoanResult interface{ loanResult() }
 
@@ -59,6 +69,11 @@
 	if m.draining.Err() != nil {
 		return stream.Send(LoanRefusal{Kind: port.Stopping, Text: "the instance is stopping", OwnerUnavailable: true})
 	}
+	place := m.cfg.Guard.OpenLoan(req.Terms.Organisation)
+	defer place.Close()
+	if n := req.bytes(); n > 0 && !place.TakeMessage(n, false) {
+		return stream.Send(LoanRefusal{Kind: port.Busy, Text: "too many large messages are being handled; try again"})
+	}
 	// The first request counts as active from here on, also while it waits for a connection.
 	m.activeRequests.Add(1)
 	endFirst := sync.OnceFunc(func() { m.activeRequests.Add(-1) })
@@ -67,7 +82,7 @@
 	if err != nil {
 		return stream.Send(LoanRefusal{Kind: port.KindOf(err), Text: err.Error()})
 	}
-	c := &lentConnection{manager: m, acquired: conn, stream: stream, endFirst: endFirst}
+	c := &lentConnection{manager: m, acquired: conn, stream: stream, endFirst: endFirst, place: place}
 	return c.serve(ctx, req)
 }
 
@@ -92,6 +107,8 @@
 	stream   LoanStream
 	// endFirst is called when the first request was answered.
 	endFirst func()
+	// place limits the memory of the borrower's requests. It may be nil.
+	place *clientlimit.Place
 }
 
 // serve runs the borrower's requests until the loan ends. Once transactions must end, it refuses further requests.
@@ -100,6 +117,7 @@
 	defer c.manager.release(c.acquired, false)
 	for {
 		isOver, err := c.answer(ctx, req)
+		c.place.GiveMessage(req.bytes())
 		c.endFirst()
 		if isOver || err != nil {
 			return err
@@ -108,6 +126,8 @@
 			c.manager.rollback(c.acquired)
 			return nil //nolint:nilerr // The borrower may end its loan at any time.
 		}
+		// A request of an open transaction is running work. There are no more of them than connections.
+		c.place.HoldMessage(req.bytes())
 		if c.manager.ending.Err() != nil {
 			c.manager.rollback(c.acquired)
 			return c.stream.Send(LoanRefusal{Kind: port.Stopping, Text: "the instance is stopping", OwnerUnavailable: true})
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -61,6 +61,8 @@
 	DocumentChanged func() <-chan struct{}
 	// SessionLimits limits the state of each session.
 	SessionLimits statement.SessionLimits
+	// Guard limits the memory of the requests of other instances. It may be nil.
+	Guard *clientlimit.Guard
 	// DocumentAge returns the time since the document was last known to be the newest. It may be nil.
 	DocumentAge func() time.Duration
 }
--- a/statement/step.go
+++ b/statement/step.go
@@ -9,6 +9,28 @@
 	Shape *Shape
 }
 
+// Bytes returns the length of the texts of the step.
+func (s Step) Bytes() int {
+	forward, isForward := s.Command.(Forward)
+	if !isForward {
+		return 0
+	}
+	n := len(forward.Request.ID)
+	if s.Shape != nil {
+		n += len(s.Shape.Text)
+	}
+	switch stmt := forward.Request.Statement.(type) {
+	case Read:
+		return n + len(stmt.Text)
+	case Write:
+		return n + len(stmt.Text)
+	case Execute:
+		return n + len(stmt.Name) + len(stmt.Arguments)
+	default:
+		return n
+	}
+}
+
 // RollsBackOnClose reports whether closing the connection before the results of the steps arrive undoes all of them.
 // This holds unless a step commits or writes outside a transaction. state is the transaction state before the first
 // step.
