--- a/adapter/fleet/client.go
+++ b/adapter/fleet/client.go
@@ -25,6 +25,9 @@
 	// maxClients is the maximum number of addresses for which clients are cached. Over time, instances are replaced by
 	// others with new addresses.
 	maxClients = 512
+	// dialTimeout limits how long connecting to an instance may take. It is far above the round-trip time between data
+	// centres. A machine without power drops the first packet, which is sent again only after a second.
+	dialTimeout = 200 * time.Millisecond
 	// idleConnTimeout is how long an idle connection is kept. Instances call each other every second.
 	idleConnTimeout = 10 * time.Second
 )
@@ -39,8 +42,9 @@
 
 var _ proxy.PeerClient = (*Client)(nil)
 
-// NewClient returns a client that opens connections with the dialer.
+// NewClient returns a client that opens connections with the dialer. It sets the dialer's timeout.
 func NewClient(dialer *net.Dialer) *Client {
+	dialer.Timeout = dialTimeout
 	transport := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleConnTimeout, DisableCompression: true}
 	return &Client{http: &http.Client{Transport: transport}, clients: make(map[string]fleetv1connect.FleetServiceClient)}
 }
@@ -69,7 +73,7 @@
 func (c *Client) Exchange(ctx context.Context, address string, req proxy.ExchangeRequest) (proxy.ExchangeResponse, error) {
 	msg := &fleetv1.ExchangeRequest{
 		From: encodeMember(req.From), KnownRevision: uint64(req.KnownRevision), KnownRecords: req.KnownRecords, KnownServers: uint64(req.KnownServers),
-		WaitMs: uint32(req.Wait.Milliseconds()),
+		WaitMs: uint32(req.Wait.Milliseconds()), KnownMaintenance: encodeVersion(req.KnownMaintenance),
 	}
 	res, err := c.clientFor(address).Exchange(ctx, connect.NewRequest(msg))
 	if err != nil {
@@ -140,7 +144,7 @@
 		Held: milliseconds(uint64(m.GetHeldMs())), DocumentAge: milliseconds(m.GetDocumentAgeMs()),
 		RecordsVersion: m.GetRecordsVersion(), RecordsAge: milliseconds(m.GetRecordsAgeMs()),
 		ReadAge:        milliseconds(m.GetReadAgeMs()),
-		ServersVersion: port.Version(m.GetServersVersion()), Fresh: m.GetFresh(),
+		ServersVersion: port.Version(m.GetServersVersion()), Fresh: m.GetFresh(), Maintenance: decodeMaintenance(m.GetMaintenance()),
 	}
 	if len(m.GetDocument()) > 0 {
 		r.Document = &document.Document{}
--- a/adapter/metrics/gateway.go
+++ b/adapter/metrics/gateway.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/rhubarbwick/rhubarbwick/clientlimit"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/proxy"
@@ -23,6 +24,8 @@
 	// DroppedLogLines is the number of events that the decision log has not written.
 	DroppedLogLines func() uint64
 	IsOpen          func() bool
+	// Clients is the guard whose limits are shown; it may be nil.
+	Clients *clientlimit.Guard
 }
 
 // Gateway contains the metrics of a gateway process. To limit the number of series, no label is a route or an
@@ -37,6 +40,7 @@
 	statements     *prometheus.CounterVec
 	ownersExcluded prometheus.Counter
 	panics         *prometheus.CounterVec
+	admission      admissionMetrics
 	spill          spillMetrics
 	findings       *prometheus.CounterVec
 	next           proxy.Recorder
@@ -64,12 +68,12 @@
 		ownersExcluded: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "gateway_owners_passed_over_total", Help: "Times that the owner of a pool was passed over.",
 		}),
-		panics: newCounterVec("gateway_panics_total", "Panics while one peer was served, by kind of peer.", "peer"),
-		spill:  newSpillMetrics(),
+		panics:    newCounterVec("gateway_panics_total", "Panics while one peer was served, by kind of peer.", "peer"),
+		admission: newAdmissionMetrics(), spill: newSpillMetrics(), next: next,
 		findings: newCounterVec("gateway_document_findings_total", "New findings of the documents that came into force, by severity.",
 			"severity"),
-		next: next,
 	}
+	g.registry.MustRegister(g.admission.collectors()...)
 	g.registry.MustRegister(append(g.spill.collectors(), g.findings)...)
 	g.registry.MustRegister(g.requests, g.latency, g.promotionSteps, g.primaryChanges, g.storeCalls, g.statements, g.ownersExcluded, g.panics, collectors.NewGoCollector(),
 		newGaugeFunc("gateway_document_revision", "The revision of the document in force.", func() float64 { return float64(s.DocumentRevision()) }),
@@ -84,6 +88,9 @@
 			}
 			return 0
 		}))
+	if s.Clients != nil {
+		registerClientLimits(g.registry, s.Clients)
+	}
 	return g
 }
 
@@ -127,6 +134,8 @@
 		g.promotionSteps.WithLabelValues(e.Step).Inc()
 	case proxy.PrimaryChanged:
 		g.primaryChanges.Inc()
+	case proxy.PoolReport:
+		g.admission.recordPool(e)
 	}
 	g.next.Record(e)
 }
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -13,6 +13,7 @@
 	"github.com/rhubarbwick/rhubarbwick/adapter/decisions"
 	"github.com/rhubarbwick/rhubarbwick/adapter/fleet"
 	"github.com/rhubarbwick/rhubarbwick/adapter/metrics"
+	"github.com/rhubarbwick/rhubarbwick/clientlimit"
 	"github.com/rhubarbwick/rhubarbwick/cmd/startup"
 	"github.com/rhubarbwick/rhubarbwick/platform"
 	"github.com/rhubarbwick/rhubarbwick/proxy"
@@ -52,9 +53,12 @@
 	peerService     *proxy.PeerService
 	lending         *fleet.LendingClient
 	decisions       *decisions.Log
+	guard           *clientlimit.Guard
 	metrics         *metrics.Gateway
 	metricsServer   *platform.HTTPServer
 	gate            *proxy.ReadinessGate
+	// maintenance is nil if the deployment has no maintenance.
+	maintenance *proxy.MaintenanceMonitor
 }
 
 // newProcess opens the sockets and creates the components.
@@ -63,6 +67,9 @@
 	name := zap.String("instance", s.Name)
 	p := &process{settings: s, log: log.Process.With(name), timer: clock.NewBootTimeService()}
 	p.decisions = decisions.New(p.log, log.Requests.With(name), p.timer)
+	p.guard = clientlimit.NewGuard(s.ClientPlan(), p.timer, func(limit clientlimit.Limit, total uint64) {
+		p.log.Warn("clients: limit reached", zap.String("limit", string(limit)), zap.Uint64("total", total))
+	})
 	p.metrics = p.newMetrics(log.Dropped)
 	socket, err := platform.Listen(ctx, s.PeerAddress, "other instances")
 	if err != nil {
@@ -84,7 +91,8 @@
 	p.dispatcher = proxy.NewDispatcher(proxy.DispatcherConfig{
 		DataCentre: s.DataCentre, Timer: p.timer, Views: p.views, Dialer: dialer,
 		ConnectionLimit: p.state.ConnectionLimit, Self: self, Members: p.state.Records, OrganisationNames: p.state.OrganisationNames, Recorder: p.metrics, RemotePools: p.lending, SurveyPeer: peers.Survey,
-		SpillOver: s.SpillOver,
+		Maintenance: p.state.Maintenance,
+		SpillOver:   s.SpillOver,
 	})
 	p.state.OnServersChanged(p.dispatcher.SetListings)
 	rateReserve := proxy.NewRateReserve(proxy.RateReserveConfig{
@@ -94,6 +102,8 @@
 	p.sessions = proxy.NewSessionManager(proxy.SessionManagerConfig{
 		Timer: p.timer, Dispatcher: p.dispatcher, Views: p.views, Documents: p.state, RateLimiter: rateLimiter, Recorder: p.metrics,
 		DocumentAge: p.state.DocumentAge, IsIsolated: p.gate.IsIsolated, DocumentChanged: p.state.Changed,
+		AwaitState: p.gate.Await, Maintenance: p.state,
+		SessionLimits: s.Clients.Session,
 	})
 	notifications := ring.New[proxy.Member](0)
 	p.peerService = proxy.NewPeerService(proxy.PeerServiceConfig{
@@ -101,6 +111,7 @@
 		Notifications: notifications,
 	})
 	readers := &proxy.StoreReaders{Documents: store, Listings: store, Records: store, State: p.state, Timer: p.timer}
+	p.useMaintenance(readers)
 	p.registration = &proxy.Registration{
 		Self: self, Records: store, Readers: readers, State: p.state, Timer: p.timer,
 	}
@@ -128,6 +139,7 @@
 		InstanceCount:   func() int { return p.state.InstanceCount() },
 		DroppedLogLines: func() uint64 { return p.decisions.Dropped() + droppedLines() },
 		IsOpen:          func() bool { return p.gate.IsOpen() },
+		Clients:         p.guard,
 	}, p.decisions)
 }
 
@@ -160,13 +172,14 @@
 // listen opens the sockets for clients, readiness checks and metrics.
 func (p *process) listen(ctx context.Context) error {
 	var err error
-	if p.listener, err = platform.NewListener(ctx, p.settings, p.sessions, p.timer); err != nil {
+	if p.listener, err = platform.NewListener(ctx, p.settings, p.sessions, p.guard, p.timer); err != nil {
 		return err
 	}
-	if p.readinessServer, err = platform.NewReadinessServer(ctx, p.settings, p.gate.IsOpen); err != nil {
+	if p.readinessServer, err = platform.NewReadinessServer(ctx, p.settings, p.guard, p.gate.IsOpen); err != nil {
 		return err
 	}
-	p.metricsServer, err = platform.NewHTTPServer(ctx, p.settings.MetricsAddress, "GET /metrics", p.metrics.Handler())
+	p.metricsServer, err = platform.NewHTTPServer(
+		ctx, p.settings.MetricsAddress, "GET /metrics", p.settings.Clients, p.guard, p.metrics.Handler())
 	return err
 }
 
@@ -181,10 +194,14 @@
 	defer stop()
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context){
-		p.timer.Run, p.dispatcher.Run, p.sessions.Run, p.runSyncer, p.promoter.Run, p.listener.Run, p.decisions.Run, p.registration.Run, reloader.Run, checker.Run,
+		p.timer.Run, p.dispatcher.Run, p.sessions.Run, p.gate.Run, p.runSyncer, p.promoter.Run, p.listener.Run, p.decisions.Run, p.registration.Run, reloader.Run,
+		checker.Run,
 	} {
 		running.Go(func() { run(runCtx) })
 	}
+	if p.maintenance != nil {
+		running.Go(func() { p.maintenance.Run(runCtx) })
+	}
 	running.Go(p.readinessServer.Run)
 	running.Go(p.metricsServer.Run)
 	running.Go(p.peerServer.Run)
--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -52,6 +52,8 @@
 	Recorder Recorder
 	// RemotePools reaches the pools of other instances. SurveyPeer asks the owner of a pool about a server.
 	RemotePools RemotePools
+	// Maintenance returns the data centres in maintenance. It may be nil.
+	Maintenance func() dispatch.Maintenance
 	SurveyPeer  func(ctx context.Context, address string, q SurveyRequest) (SurveyResponse, error)
 	// SpillOver holds the operator's values for sending reads to other data centres; the zero value sends none.
 	SpillOver dispatch.SpillValues
@@ -71,6 +73,9 @@
 	samples map[string]primacy.PositionSamples
 	// waiters holds the waiting statements in order of arrival.
 	waiters []*waiter
+	// passes holds the last pass through the queue of each group, and pass the present one.
+	passes map[string]queuePass
+	pass   queuePass
 	// admissions tracks how much each organisation has used the servers of this instance's pools.
 	admissions     admission.RecentAdmissions
 	nextID         uint64
@@ -79,13 +84,14 @@
 	// unreachableOwners holds the incarnations of pool owners that could not be reached or lend no connections.
 	unreachableOwners exclusions
 	probing           map[string]bool
+	maintenance       dispatch.Maintenance
 	// prewarming is true while connections are being prewarmed.
 	prewarming bool
 
 	// lastResponses holds the time of the last response of each server.
 	lastResponses sync.Map
 	// suspects holds the servers that may have failed.
-	suspects *ring.Ring[string]
+	suspects *ring.Ring[suspicion]
 }
 
 // NewDispatcher returns a dispatcher that knows no servers.
@@ -93,8 +99,8 @@
 	cfg.Recorder = recorderOrNop(cfg.Recorder)
 	stopped, stop := context.WithCancel(context.Background())
 	return &Dispatcher{
-		cfg: cfg, commands: ring.New[dispatcherCommand](dispatcherQueueSize), stopped: stopped, stop: stop, suspects: ring.New[string](suspectQueueSize),
-		servers: make(map[string]*serverState), samples: make(map[string]primacy.PositionSamples), probing: make(map[string]bool),
+		cfg: cfg, commands: ring.New[dispatcherCommand](dispatcherQueueSize), stopped: stopped, stop: stop, suspects: ring.New[suspicion](suspectQueueSize),
+		servers: make(map[string]*serverState), samples: make(map[string]primacy.PositionSamples), probing: make(map[string]bool), passes: make(map[string]queuePass),
 	}
 }
 
@@ -171,10 +177,19 @@
 }
 
 // Suspect reports that the server may have failed.
-func (d *Dispatcher) Suspect(server string) { d.suspects.PutDroppingOldest(server) }
+func (d *Dispatcher) Suspect(server string) { d.suspects.PutDroppingOldest(suspicion{server: server}) }
 
-// Suspects returns the queue of servers that may have failed.
-func (d *Dispatcher) Suspects() *ring.Ring[string] { return d.suspects }
+// suspectForPeer reports that another instance suspects the server, and that the promoters before this one do not respond.
+func (d *Dispatcher) suspectForPeer(server string) {
+	d.suspects.PutDroppingOldest(suspicion{server: server, isDelegated: true})
+}
+
+// suspicion is a server that may have failed. isDelegated is true if another instance found this one to be the first
+// promoter that responds.
+type suspicion struct {
+	server      string
+	isDelegated bool
+}
 
 // Outstanding returns the number of connections to the server that are in use or being opened.
 func (d *Dispatcher) Outstanding(server string) int {
@@ -207,6 +222,7 @@
 func (d *Dispatcher) handle(c dispatcherCommand) {
 	now := d.cfg.Timer.Now()
 	d.updateMembers()
+	d.updateMaintenance()
 	switch c := c.(type) {
 	case acquireCommand:
 		c.waiter.arrived = now
@@ -250,12 +266,13 @@
 	case waiterTick:
 		d.checkScheduled = false
 	}
-	d.serveWaiters(now)
+	d.serveWaiters(d.scopeOf(c), now)
 }
 
 // runPeriodic runs what is done once a second.
 func (d *Dispatcher) runPeriodic(now time.Duration) {
 	d.closeExcessIdle(now)
+	d.reportPools(now)
 	d.reportIdleShares(now)
 	d.prewarm(now)
 }
@@ -284,11 +301,12 @@
 		return
 	}
 	s.server = s.server.WithOutstanding(-1)
+	s.use.released(c, now)
 	if _, isBorrowed := c.owner(); isBorrowed {
 		c.close()
 		return
 	}
-	if !usable || !c.isUsable() || s.server.Listing.Draining || s.server.Listing.Address != c.Endpoint.Address {
+	if !usable || !c.isUsable() || s.server.Listing.Draining || d.isInMaintenance(s) || s.server.Listing.Address != c.Endpoint.Address {
 		c.close()
 		s.removeConnection(c.Endpoint.Organisation)
 		return
--- a/proxy/dispatcher_owners.go
+++ b/proxy/dispatcher_owners.go
@@ -65,6 +65,8 @@
 		// The owner has a newer document, in which the client's key was withdrawn.
 	case port.KindOf(c.notSent) == port.Busy:
 		// The owner has too much work for this server, and no other instance reaches the server faster.
+	case port.KindOf(c.notSent) == port.NoPrimary, port.KindOf(c.notSent) == port.NotKept:
+		// The owner knows that the server's data centre is in maintenance.
 	default:
 		d.cfg.Recorder.Record(PoolOwnerExcluded{Owner: owner.Name, Server: c.connection.Endpoint.Server, Reason: c.notSent.Error()})
 		d.excludePath(s, owner.Incarnation, now)
@@ -123,6 +125,9 @@
 	if c.err != nil || c.response.Incarnation != c.owner.Incarnation {
 		d.excludeOwner(c.owner, "the owner did not respond to a probe", now)
 		d.cfg.RemotePools.Abort(c.owner)
+		// Its data centre may be cut off, with the server in it. Otherwise that would become clear only after every other
+		// owner of the pool has been tried, and after a direct connection to the server.
+		d.Suspect(c.server)
 		return
 	}
 	if !c.response.HasAnswered || c.response.Age > maxOwnerResponseAge {
--- a/proxy/dispatcher_waiters.go
+++ b/proxy/dispatcher_waiters.go
@@ -13,33 +13,40 @@
 
 // serveWaiters grants connections to waiting statements in order, opens connections for them, and rejects those that
 // would be served too late.
-func (d *Dispatcher) serveWaiters(now time.Duration) {
-	if len(d.waiters) == 0 {
+func (d *Dispatcher) serveWaiters(scope queueScope, now time.Duration) {
+	if _, isEmpty := scope.(noGroup); isEmpty || len(d.waiters) == 0 {
 		return
 	}
-	queued := make([]admission.QueuedStatement, len(d.waiters))
-	for i, w := range d.waiters {
-		queued[i] = admission.QueuedStatement{Organisation: w.request.Organisation, Priority: w.request.Priority, Arrived: w.arrived}
-	}
-	ahead := make(map[string]int)
 	ended := make(map[*waiter]bool)
-	for _, i := range admission.Order(queued, d.admissions) {
-		if w := d.waiters[i]; d.serveWaiter(w, now, ahead) {
-			ended[w] = true
+	for name, waiters := range d.scopedWaiters(scope) {
+		d.pass = d.passes[name].next()
+		d.passes[name] = d.pass
+		queued := make([]admission.QueuedStatement, len(waiters))
+		for i, w := range waiters {
+			queued[i] = admission.QueuedStatement{Organisation: w.request.Organisation, Priority: w.request.Priority, Arrived: w.arrived}
+		}
+		for _, i := range admission.Order(queued, d.admissions) {
+			if w := waiters[i]; d.serveWaiter(w, now) {
+				ended[w] = true
+			}
 		}
 	}
-	d.waiters = slices.DeleteFunc(d.waiters, func(w *waiter) bool { return ended[w] })
+	if len(ended) > 0 {
+		d.waiters = slices.DeleteFunc(d.waiters, func(w *waiter) bool { return ended[w] })
+	}
 	if len(d.waiters) > 0 && !d.checkScheduled {
 		d.checkScheduled = true
 		d.cfg.Timer.After(waiterCheckInterval, func(time.Duration) { d.commands.TryPut(waiterTick{}) })
 	}
 }
 
-// serveWaiter reports whether the waiter received a result. ahead counts, by server, the waiters that are served before
-// it.
-func (d *Dispatcher) serveWaiter(w *waiter, now time.Duration, ahead map[string]int) bool {
+// serveWaiter reports whether the waiter received a result.
+func (d *Dispatcher) serveWaiter(w *waiter, now time.Duration) bool {
 	waited := now - w.arrived
-	placed, ended := d.place(w, now, ahead)
+	if server, mustWait := d.mustWait(w, now); mustWait {
+		return d.rejectIfTooLate(w, server, d.pass.add(w, server), waited)
+	}
+	placed, ended := d.place(w, now, d.pass.ahead)
 	if ended {
 		return true
 	}
@@ -52,8 +59,7 @@
 		if d.tryGrant(w, choice, now) {
 			return true
 		}
-		before := ahead[choice.Server]
-		ahead[choice.Server]++
+		before := d.pass.add(w, choice.Server)
 		return d.rejectIfTooLate(w, choice.Server, before, waited)
 	case dispatch.NoConnection:
 		if w.checkOnly {
@@ -64,6 +70,9 @@
 	case dispatch.BeingReplaced:
 		w.reply.TryPut(grantResult{err: port.Errorf(port.NoPrimary, "the primary of group %s is being replaced", w.request.Group)})
 		return true
+	case dispatch.InMaintenance:
+		w.reply.TryPut(grantResult{err: w.maintenanceError()})
+		return true
 	default:
 		if waited < w.request.ServerWait || w.dialing != "" && waited < w.request.ConnectionWait {
 			return false
@@ -108,15 +117,15 @@
 	}
 	if c, found := s.takeIdle(w.request); found {
 		s.server, d.admissions = s.server.WithOutstanding(1), d.admissions.WithAdmission(w.request.Organisation, now)
+		s.use.granted(c, now)
 		s.running[c.ID] = now
 		w.reply.TryPut(grantResult{grant: Grant{Connection: c, Choice: choice, OverdueAfter: s.server.OverdueAfter()}})
 		return true
 	}
-	if s.total >= d.connectionShare(s, now) && !s.evict(w.request.Organisation) {
-		return false
+	if w.dialing == "" && d.makePlace(s, w, now) {
+		w.dialing = choice.Server
+		d.openConnection(s, w.request)
 	}
-	w.dialing = choice.Server
-	d.openConnection(s, w.request)
 	return false
 }
 
@@ -130,12 +139,14 @@
 			Priority: w.request.Priority, Wait: max(w.request.ConnectionWait-(now-w.arrived), 0), Spill: w.request.Spill,
 		}),
 	}}
+	s.use.granted(c, now)
 	w.reply.TryPut(grantResult{grant: Grant{Connection: c, Choice: choice, Spill: w.request.Spill}})
 }
 
 func (d *Dispatcher) endpoint(s *serverState, req AcquireRequest) Endpoint {
 	return Endpoint{
 		Group: s.server.Listing.Group, Server: s.server.Listing.Name, Address: s.server.Listing.Address,
+		DataCentre:   s.server.Listing.DataCentre,
 		Organisation: req.Organisation,
 	}
 }
@@ -181,8 +192,8 @@
 // candidates returns the servers that the waiter may use, with the state of this instance's connections to them.
 func (d *Dispatcher) candidates(w *waiter, now time.Duration) []dispatch.Candidate {
 	var candidates []dispatch.Candidate
-	for _, s := range d.servers {
-		if !w.accepts(s) || d.isUnreachable(w, s, now) {
+	for _, s := range d.acceptable(w) {
+		if d.isUnreachable(w, s, now) {
 			continue
 		}
 		if _, found := d.remoteOwnerFor(w, s, now); found {
@@ -199,6 +210,23 @@
 	return candidates
 }
 
+// acceptable returns the servers that the waiter may use.
+func (d *Dispatcher) acceptable(w *waiter) []*serverState {
+	var servers []*serverState
+	if need, isLent := w.request.Need.(dispatch.NeedServer); isLent {
+		if s := d.server(need.Name); s != nil && !s.delisted {
+			servers = append(servers, s)
+		}
+		return servers
+	}
+	for _, s := range d.servers {
+		if s.server.Listing.Group == w.request.Group && !s.delisted {
+			servers = append(servers, s)
+		}
+	}
+	return servers
+}
+
 // isUnreachable reports whether this instance cannot reach the server on behalf of another instance. Another owner may
 // be able to.
 func (d *Dispatcher) isUnreachable(w *waiter, s *serverState, now time.Duration) bool {
@@ -206,21 +234,14 @@
 	return isLent && s.ownership.failed.has(d.cfg.Self.Incarnation, now)
 }
 
-// accepts reports whether the waiter may use the server.
-func (w *waiter) accepts(s *serverState) bool {
-	if need, isLent := w.request.Need.(dispatch.NeedServer); isLent {
-		return s.server.Listing.Name == need.Name && !s.delisted
-	}
-	return s.server.Listing.Group == w.request.Group && !s.delisted
-}
-
 func (d *Dispatcher) routingContext(w *waiter, now time.Duration) dispatch.RoutingContext {
 	view := d.cfg.Views.View(w.request.Group)
 	primary, _, _ := view.PrimaryAt(now)
 	samples := d.samples[w.request.Group]
 	return dispatch.RoutingContext{
 		Now: now, DataCentre: d.cfg.DataCentre, Primary: primary, Replacing: view.Record.Replacement != nil, Excluded: w.request.Excluded,
-		Floor: func(age time.Duration) (group.Position, bool) { return samples.Floor(w.arrived, age) },
+		Maintenance: d.maintenance,
+		Floor:       func(age time.Duration) (group.Position, bool) { return samples.Floor(w.arrived, age) },
 	}
 }
 
--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -72,6 +72,8 @@
 	// stillUsedOldPrimary holds the instances that still used the old primary when a promotion took effect.
 	stillUsedOldPrimary []string
 	refusePromotion     bool
+	// promotionsUnavailable makes promotion calls fail without an effect.
+	promotionsUnavailable bool
 	// answerDelay returns how late the answer to a successful write of a record is. It may be nil.
 	answerDelay func(name string, data []byte) time.Duration
 	// promotionDelay is the time from a promotion call until the server leads.
@@ -84,13 +86,15 @@
 	// extensions counts the requests for lease extensions.
 	extensions atomic.Int64
 	// surveys counts the requests about a server.
-	surveys atomic.Int64
-	loans   atomic.Int64
+	surveys     atomic.Int64
+	loans       atomic.Int64
+	maintenance fakeMaintenance
 }
 
 type promotionCall struct {
 	server string
 	epoch  uint64
+	at     time.Time
 }
 
 // fault is a failure mode of a fake server.
@@ -109,6 +113,8 @@
 	loaded
 	// panicking panics in the code that reads the answer.
 	panicking
+	// failing runs statements and reports that they failed.
+	failing
 )
 
 const (
@@ -126,11 +132,19 @@
 	down    bool
 	// dark servers do not answer to new connections.
 	dark bool
+	// failures counts the statements that failed.
+	failures int
 	// cutOff servers do not learn that another server was promoted.
 	cutOff             bool
 	offset             uint64
 	refusesConnections bool
 	connections        int
+	// opened counts the connections that were opened to the server.
+	opened int
+	// lastStatement is when the server last received a client's statement.
+	lastStatement time.Time
+	// rollbacks counts the rollbacks that the server received.
+	rollbacks int
 	// statements counts the statements of clients.
 	statements int
 }
@@ -244,7 +258,8 @@
 	i.dispatcher = proxy.NewDispatcher(proxy.DispatcherConfig{
 		DataCentre: dataCentre, Timer: timer, Views: i.views, Dialer: client, ConnectionLimit: i.state.ConnectionLimit,
 		Self: self, Members: i.state.Records, OrganisationNames: i.state.OrganisationNames, RemotePools: client, SurveyPeer: client.Survey,
-		SpillOver: w.spillOver, Recorder: w.recorder,
+		Maintenance: i.state.Maintenance,
+		SpillOver:   w.spillOver, Recorder: w.recorder,
 	})
 	i.state.OnServersChanged(i.dispatcher.SetListings)
 	i.reserve = proxy.NewRateReserve(proxy.RateReserveConfig{
@@ -253,13 +268,14 @@
 	i.rateLimiter = proxy.NewDistributedRateLimiter(timer, i.state, i.reserve, client)
 	i.manager = proxy.NewSessionManager(proxy.SessionManagerConfig{
 		Timer: timer, Dispatcher: i.dispatcher, Views: i.views, Documents: i.state, RateLimiter: i.rateLimiter, IsIsolated: i.gate.IsIsolated,
-		DocumentChanged: i.state.Changed, Recorder: w.recorder,
+		DocumentChanged: i.state.Changed, AwaitState: i.gate.Await, Maintenance: i.state, Recorder: w.recorder,
 	})
 	notifications := ring.New[proxy.Member](0)
 	i.peerService = proxy.NewPeerService(proxy.PeerServiceConfig{
 		Self: self, Timer: timer, State: i.state, Views: i.views, Dispatcher: i.dispatcher, Dialer: client, Notifications: notifications,
 	})
 	readers := &proxy.StoreReaders{Documents: client, Listings: client, Records: client, State: i.state, Timer: timer}
+	monitor := w.useMaintenance(i, readers, timer)
 	syncer := proxy.NewSyncer(proxy.SyncerConfig{
 		Self: self, Timer: timer, State: i.state, Peers: client, PeerService: i.peerService, Readers: readers,
 		Notifications: notifications, SetIsolated: func(isolated bool) { i.gate.SetIsolated(isolated) },
@@ -274,7 +290,7 @@
 	w.instances[name] = i
 	w.mu.Unlock()
 	b := &serviceRunner{services: []func(context.Context){
-		timer.Run, i.dispatcher.Run, i.manager.Run, promoter.Run, registration.Run,
+		timer.Run, i.dispatcher.Run, i.manager.Run, i.gate.Run, promoter.Run, registration.Run, monitor,
 		func(ctx context.Context) {
 			registration.Register(ctx)
 			syncer.Run(ctx)
@@ -438,7 +454,7 @@
 	index, _ := i.state.CurrentDocument()
 	route, _ := index.FindRoute("orders")
 	route.Open = true
-	i.manager.Serve(context.Background(), c, organisation.Allowed{Organisation: name, Route: route})
+	i.manager.Serve(context.Background(), c, organisation.Allowed{Organisation: name, Route: route}, nil)
 }
 
 // fakeClient sends its requests one after the other and records the answers.
@@ -709,11 +725,15 @@
 		return err
 	}
 	w := r.cluster
+	if w.promotionsUnavailable {
+		done()
+		return port.Errorf(port.Unavailable, "promotions are not possible")
+	}
 	if w.servers[server].down || w.refusePromotion {
 		done()
 		return port.Errorf(port.Conflict, "server %s is not running", server)
 	}
-	w.promotions = append(w.promotions, promotionCall{server: server, epoch: epoch})
+	w.promotions = append(w.promotions, promotionCall{server: server, epoch: epoch, at: time.Now()})
 	delay := w.promotionDelay
 	done()
 	if delay > 0 {
@@ -869,6 +889,7 @@
 		return nil, statement.Result{}, port.Errorf(port.NoConnection, "too many connections")
 	}
 	s.connections++
+	s.opened++
 	return &fakeServerConn{client: r, server: s, lost: make(chan struct{})}, statement.Result{Position: s.position()}, nil
 }
 
@@ -931,6 +952,7 @@
 	case statement.OpenTransaction:
 		l.inTx = true
 	case statement.RollbackTransaction:
+		s.rollbacks++
 		l.inTx = false
 	case statement.Forward:
 		a.Failure = l.forward(o)
@@ -950,6 +972,7 @@
 
 func (l *fakeServerConn) forward(o statement.Forward) statement.Failure {
 	s := l.server
+	s.lastStatement = time.Now()
 	s.statements++
 	if _, ends := o.Request.Statement.(statement.Commit); ends {
 		l.inTx = false
@@ -958,6 +981,9 @@
 	switch {
 	case s.fault == busy:
 		return statement.Failure{Kind: port.Busy}
+	case s.fault == failing:
+		s.failures++
+		return statement.Failure{Kind: port.StatementFailed, Text: "error"}
 	case writes && !s.primary:
 		return statement.Failure{Kind: port.ReadOnly}
 	case writes:
--- a/proxy/peer_service.go
+++ b/proxy/peer_service.go
@@ -102,7 +102,8 @@
 func (s *PeerService) Suspend(ctx context.Context, p StoredPrimacy) port.Version {
 	s.cfg.Views.Update(p, 0, 0)
 	if p.Record.Replacement != nil && p.Record.Replacement.Planned {
-		until := s.cfg.Timer.Now() + plannedDrainTimeout
+		servers, _ := s.cfg.State.Servers()
+		until := s.cfg.Timer.Now() + s.cfg.State.drainTimeout(servers[p.Record.Primary])
 		for s.cfg.Dispatcher.Outstanding(p.Record.Primary) > 0 && s.cfg.Timer.Now() < until {
 			if port.Sleep(ctx, s.cfg.Timer, drainCheckInterval) != nil {
 				break
@@ -136,7 +137,7 @@
 // Survey reports when the server last responded to this instance.
 func (s *PeerService) Survey(ctx context.Context, req SurveyRequest) SurveyResponse {
 	if req.Suspect {
-		s.cfg.Dispatcher.Suspect(req.Server)
+		s.cfg.Dispatcher.suspectForPeer(req.Server)
 	}
 	respondedAt, responded := s.cfg.Dispatcher.LastResponseAt(req.Server)
 	response := SurveyResponse{Incarnation: s.cfg.Self.Incarnation, Age: s.cfg.Timer.Now() - respondedAt, HasAnswered: responded}
@@ -206,7 +207,8 @@
 	index, _ := s.cfg.State.CurrentDocument()
 	_, at := s.cfg.State.Servers()
 	records, _ := s.cfg.State.Records()
-	return index.Document().Revision > req.KnownRevision || at > req.KnownServers || records.Version() > req.KnownRecords
+	return index.Document().Revision > req.KnownRevision || at > req.KnownServers || records.Version() > req.KnownRecords ||
+		s.cfg.State.hasNewerMaintenance(req.KnownMaintenance)
 }
 
 // fillResponse adds the state that the requesting instance does not have.
@@ -220,6 +222,7 @@
 	if servers, at := state.Servers(); servers != nil && at != req.KnownServers {
 		res.Servers, res.ServersVersion = servers, at
 	}
+	res.Maintenance = state.MaintenanceList()
 	records, known := state.Records()
 	if !known {
 		return
--- a/proxy/promoter.go
+++ b/proxy/promoter.go
@@ -33,6 +33,8 @@
 	missingPrimaryTimeout = 2500 * time.Millisecond
 	// peerCallTimeout limits calls to other instances.
 	peerCallTimeout = 400 * time.Millisecond
+	// suspicionTimeout limits the report of a suspicion, which is answered at once.
+	suspicionTimeout = 200 * time.Millisecond
 	// maxPromoterRecordsAge is the age of the records above which this instance counts as having lost the store.
 	maxPromoterRecordsAge = 1500 * time.Millisecond
 	// replacementTimeout is how long a replacement may last before another instance takes it over.
@@ -67,7 +69,8 @@
 	mu     sync.Mutex
 	active map[string]bool
 	// checking holds the suspected servers that are being checked.
-	checking map[string]bool
+	checking    map[string]bool
+	switchovers switchovers
 
 	// The fields below are owned by loop.
 	pendingSince map[string]time.Duration
@@ -78,6 +81,7 @@
 func NewPromoter(cfg PromoterConfig) *Promoter {
 	cfg.Recorder = recorderOrNop(cfg.Recorder)
 	p := &Promoter{cfg: cfg, active: make(map[string]bool), checking: make(map[string]bool), pendingSince: make(map[string]time.Duration)}
+	p.switchovers = switchovers{active: make(map[string]bool), startedAt: make(map[string]time.Duration)}
 	p.lock = newPromoterLockHolder(&p.cfg)
 	p.servers = newServerRecorder(p)
 	return p
@@ -92,13 +96,13 @@
 func (p *Promoter) loop(ctx context.Context) {
 	for ctx.Err() == nil {
 		waitCtx, cancel := port.WithTimeout(ctx, p.cfg.Timer, groupCheckInterval)
-		server, err := p.cfg.Dispatcher.Suspects().Take(waitCtx)
+		suspected, err := p.cfg.Dispatcher.suspects.Take(waitCtx)
 		cancel()
 		if !p.cfg.State.IsComplete() {
 			continue
 		}
 		if err == nil {
-			p.handleSuspect(ctx, server)
+			p.handleSuspect(ctx, suspected)
 			continue
 		}
 		snapshot, _ := p.cfg.State.Records()
@@ -108,7 +112,7 @@
 		}
 		p.lock.observe(snapshot)
 		index, _ := p.cfg.State.CurrentDocument()
-		for _, g := range index.Document().Groups {
+		for _, g := range p.inCheckOrder(index.Document().Groups) {
 			p.checkGroup(ctx, snapshot, g)
 		}
 	}
@@ -153,6 +157,8 @@
 		return "the primary is not listed", missingPrimaryTimeout
 	case l.Draining:
 		return "the primary is draining", 0
+	case p.mustSwitchOver(l):
+		return reasonMaintenance, 0
 	default:
 		return "", 0
 	}
@@ -160,34 +166,35 @@
 
 // handleSuspect starts a check of a suspected server unless one is running. Servers of several groups may fail at once,
 // and each check of an unresponsive one takes as long as a probe.
-func (p *Promoter) handleSuspect(ctx context.Context, server string) {
+func (p *Promoter) handleSuspect(ctx context.Context, s suspicion) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.checking[server] {
+	if p.checking[s.server] {
 		return
 	}
-	p.checking[server] = true
-	c := &suspectCheck{promoter: p, server: server}
+	p.checking[s.server] = true
+	c := &suspectCheck{promoter: p, suspected: s}
 	p.running.Go(func() { c.run(ctx) })
 }
 
 // suspectCheck checks one suspected server.
 type suspectCheck struct {
-	promoter *Promoter
-	server   string
+	promoter  *Promoter
+	suspected suspicion
 }
 
 func (c *suspectCheck) run(ctx context.Context) {
 	p := c.promoter
-	p.checkSuspect(ctx, c.server)
+	p.checkSuspect(ctx, c.suspected)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.checking, c.server)
+	delete(p.checking, c.suspected.server)
 }
 
 // checkSuspect checks whether a suspected server is a primary that must be replaced. The first-ranked instance that
 // responds decides, and the others report the suspicion to it.
-func (p *Promoter) checkSuspect(ctx context.Context, server string) {
+func (p *Promoter) checkSuspect(ctx context.Context, suspected suspicion) {
+	server := suspected.server
 	servers, _ := p.cfg.State.Servers()
 	l, listed := servers[server]
 	if !listed {
@@ -198,7 +205,7 @@
 		return
 	}
 	snapshot, _ := p.cfg.State.Records()
-	if !p.decides(ctx, snapshot, server) || p.cfg.Timer.Now()-snapshot.RequestedAt > maxPromoterRecordsAge {
+	if !suspected.isDelegated && !p.decides(ctx, snapshot, server) || p.cfg.Timer.Now()-snapshot.RequestedAt > maxPromoterRecordsAge {
 		return
 	}
 	reason := p.failure(ctx, snapshot, l)
@@ -230,7 +237,7 @@
 		if m.Incarnation == p.cfg.Self.Incarnation {
 			return true
 		}
-		callCtx, cancel := port.WithTimeout(ctx, p.cfg.Timer, peerCallTimeout)
+		callCtx, cancel := port.WithTimeout(ctx, p.cfg.Timer, suspicionTimeout)
 		_, err := p.cfg.Peers.Survey(callCtx, m.Address, SurveyRequest{Server: server, Suspect: true})
 		cancel()
 		if err == nil {
@@ -244,7 +251,7 @@
 func (p *Promoter) replace(ctx context.Context, g document.Group, reason string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.active[g.Name] {
+	if p.active[g.Name] || !p.mayStart(g) {
 		return
 	}
 	p.active[g.Name] = true
@@ -262,6 +269,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.active, groupName)
+	delete(p.switchovers.active, groupName)
 }
 
 // writeFirstRecord writes the first record of a group, which names the group's primary and the term that this server
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -33,9 +33,13 @@
 	shape    *statement.Shape
 	writes   bool
 	excluded []string
+	// mayMove is true while another server may run the statement after one that failed to.
+	mayMove bool
 	// placementDeadline is when the statement is refused if it has not been sent to a server; zero until the first
 	// attempt.
 	placementDeadline time.Duration
+	// noServerWait is true if the statement is refused at once when no server is suitable.
+	noServerWait bool
 	// spill is the route of the next attempt between data centres.
 	spill SpillRoute
 }
@@ -77,10 +81,12 @@
 
 // runSingle runs a statement outside a transaction. If a server refuses it, another one is tried.
 func (s *Session) runSingle(ctx context.Context, w *pendingStatement) statement.Result {
+	need := s.need(w.route, w.writes, false)
+	_, w.mayMove = need.(dispatch.NeedReader)
 	var lastResult statement.Result
 	s.offerSpillOver(w)
 	for attempt := 0; attempt < maxAttempts; attempt++ {
-		conn, err := s.acquire(ctx, w, s.need(w.route, w.writes, false))
+		conn, err := s.acquire(ctx, w, need)
 		if err != nil {
 			if lastResult.Failure.IsZero() || port.KindOf(err) == port.Stopping {
 				return statement.Result{Failure: failureOf(err)}
@@ -133,6 +139,7 @@
 func (s *Session) forward(ctx context.Context, conn *acquiredConnection, w *pendingStatement) (statement.Result, outcome) {
 	results, err := s.runWithSpillOver(ctx, conn, w)
 	if err != nil {
+		w.excludeInMaintenance(err, conn)
 		return connectionErrorResult(ctx, err)
 	}
 	return s.evaluate(ctx, conn, w, results[0])
@@ -155,7 +162,7 @@
 	var notSent *NotSentError
 	if errors.As(err, &notSent) {
 		kind := port.KindOf(err)
-		if kind != port.Busy {
+		if kind != port.Busy && kind != port.NoPrimary {
 			kind = port.NotKept
 		}
 		return statement.FailureResult(kind, err.Error(), statement.Failed), outcomeNotSent
@@ -205,6 +212,14 @@
 		}
 		w.excluded = append(w.excluded, server)
 		return a, outcomeNotRun
+	case port.StatementFailed:
+		if w.mayMove {
+			// Some servers fail a part of their statements while they report that they are healthy. Nothing depends on a read
+			// that failed, so another server runs it once.
+			w.mayMove, w.excluded = false, append(w.excluded, server)
+			return a, outcomeNotRun
+		}
+		return a, outcomeFinal
 	case port.UnknownStatement:
 		return a, outcomeNotSent
 	default:
@@ -271,6 +286,9 @@
 		w.placementDeadline = now + req.ConnectionWait
 	}
 	req.ConnectionWait, req.Excluded = w.placementDeadline-now, slices.Clone(w.excluded)
+	if w.noServerWait {
+		req.ServerWait = 0
+	}
 	index, _ := s.manager.cfg.Documents.CurrentDocument()
 	req.Revision, req.Spill = index.Document().Revision, w.spill
 	grant, err := s.manager.cfg.Dispatcher.Acquire(ctx, req)
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rhubarbwick/rhubarbwick/clientlimit"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/organisation"
 	"github.com/rhubarbwick/rhubarbwick/port"
@@ -53,10 +54,16 @@
 	IsIsolated func() bool
 	// Recorder may be nil.
 	Recorder Recorder
+	// AwaitState waits until a new instance has the state that it needs, for a bounded time. It may be nil.
+	AwaitState func(ctx context.Context)
 	// DocumentChanged returns a channel that is closed when the document may have changed. It may be nil.
 	DocumentChanged func() <-chan struct{}
+	// SessionLimits limits the state of each session.
+	SessionLimits statement.SessionLimits
 	// DocumentAge returns the time since the document was last known to be the newest. It may be nil.
 	DocumentAge func() time.Duration
+	// Maintenance provides the data centres in maintenance. It may be nil.
+	Maintenance MaintenanceSource
 }
 
 // SessionManager manages the sessions of an instance.
@@ -72,6 +79,7 @@
 	// activeRequests counts the requests of clients and of other instances that have not been answered.
 	activeRequests atomic.Int64
 	keys           keyWatcher
+	maintenance    maintenanceWatcher
 	routeSizes     routeSizes
 
 	mu sync.Mutex
@@ -88,6 +96,9 @@
 	if cfg.IsIsolated == nil {
 		cfg.IsIsolated = func() bool { return false }
 	}
+	if cfg.AwaitState == nil {
+		cfg.AwaitState = func(context.Context) {}
+	}
 	if cfg.DocumentAge == nil {
 		cfg.DocumentAge = func() time.Duration { return 0 }
 	}
@@ -97,15 +108,23 @@
 	return &SessionManager{
 		cfg: cfg, draining: draining, drain: drain, ending: ending, endTransactions: endTransactions,
 		closing: closing, closeSessions: closeSessions,
-		keys: keyWatcher{documents: cfg.Documents, changed: cfg.DocumentChanged},
+		keys:        keyWatcher{documents: cfg.Documents, changed: cfg.DocumentChanged},
+		maintenance: maintenanceWatcher{source: cfg.Maintenance, timer: cfg.Timer, recorder: cfg.Recorder},
 	}
 }
 
-// Run ends idle transactions whose key is withdrawn, until ctx ends.
-func (m *SessionManager) Run(ctx context.Context) { m.keys.loop(ctx) }
+// Run ends idle transactions whose key is withdrawn or whose server is in maintenance, until ctx ends.
+func (m *SessionManager) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() { m.maintenance.loop(ctx) })
+	m.keys.loop(ctx)
+	running.Wait()
+}
 
-// Authorize authorizes a client that requests a route and presents a key.
-func (m *SessionManager) Authorize(route, key string) (organisation.Allowed, error) {
+// Authorize authorizes a client that requests a route and presents a key. On a new instance it waits for the state that
+// this needs.
+func (m *SessionManager) Authorize(ctx context.Context, route, key string) (organisation.Allowed, error) {
+	m.cfg.AwaitState(ctx)
 	index, fresh := m.cfg.Documents.CurrentDocument()
 	switch a := organisation.AuthorizeKey(index, route, key, fresh).(type) {
 	case organisation.Allowed:
@@ -117,12 +136,13 @@
 	}
 }
 
-// Serve serves an authorized client until it disconnects or the instance has stopped.
-func (m *SessionManager) Serve(ctx context.Context, c ClientConn, a organisation.Allowed) {
+// Serve serves an authorized client until it disconnects or the instance has stopped. place limits what the session
+// holds; it may be nil.
+func (m *SessionManager) Serve(ctx context.Context, c ClientConn, a organisation.Allowed, place *clientlimit.Place) {
 	m.sessions.Add(1)
 	defer m.sessions.Done()
 	defer m.Recover("client")
-	NewSession(m, c, a).Run(ctx)
+	NewSession(m, c, a, place).Run(ctx)
 }
 
 // Recover is RecoverPeer with the manager's recorder.
@@ -253,6 +273,9 @@
 	if err := m.checkClearance(conn.clearance, steps); err != nil {
 		return nil, err
 	}
+	if err := m.maintenance.checkMaintenance(conn, steps); err != nil {
+		return nil, err
+	}
 	if conn.used {
 		d.ReportStarted(c)
 	}
--- a/proxy/store_readers.go
+++ b/proxy/store_readers.go
@@ -55,8 +55,10 @@
 	Documents Documents
 	Listings  Listings
 	Records   Records
-	State     *ClusterState
-	Timer     port.Timer
+	// Maintenances is nil if the deployment has no maintenance.
+	Maintenances Maintenances
+	State        *ClusterState
+	Timer        port.Timer
 }
 
 // Run reads and watches the store until ctx ends.
@@ -70,19 +72,38 @@
 		return err
 	}
 	var running sync.WaitGroup
-	for _, reader := range []interface{ loop(ctx context.Context) }{
+	readers := []reader{
 		// The watchers read at the start, so the first full read can wait.
 		&periodicReader{timer: r.Timer, delay: documentReadInterval, interval: documentReadInterval, read: readDocument, backoff: backoff{max: maxFullReadBackoff}},
 		&periodicReader{timer: r.Timer, delay: serversReadInterval, interval: serversReadInterval, read: readServers, backoff: backoff{max: maxFullReadBackoff}},
 		&periodicReader{timer: r.Timer, interval: recordsReadInterval, read: r.ReadRecords},
 		&watcher{timer: r.Timer, read: r.readDocument, await: r.awaitDocument},
 		&watcher{timer: r.Timer, read: r.readServers, await: r.awaitServers},
-	} {
+	}
+	for _, reader := range append(readers, r.maintenanceReaders()...) {
 		running.Go(func() { reader.loop(ctx) })
 	}
 	running.Wait()
 }
 
+// ReadAll reads everything once, so that a new instance can serve clients. The records that it read to register itself
+// do not contain it yet, and so give it no lease on a primary. After a failure, the next exchange with a relay or the next
+// attempt supplies the rest.
+func (r *StoreReaders) ReadAll(ctx context.Context) {
+	if _, err := r.readDocument(ctx); err != nil {
+		return
+	}
+	if _, err := r.readServers(ctx); err != nil {
+		return
+	}
+	if r.Maintenances != nil {
+		if _, err := r.readMaintenance(ctx); err != nil {
+			return
+		}
+	}
+	_ = r.ReadRecords(ctx)
+}
+
 // periodicReader reads something in full at a fixed interval.
 type periodicReader struct {
 	timer port.Timer
--- a/proxy/withdrawn_key_test.go
+++ b/proxy/withdrawn_key_test.go
@@ -28,7 +28,7 @@
 		later.Name, later.Open, later.Priority = "reports", false, 5
 		d.Routes, d.TransactionIdleMS = []document.Route{d.Routes[0], later}, 60000
 	})
-	allowed, err := w.instance(name).manager.Authorize("reports", testKey)
+	allowed, err := w.instance(name).manager.Authorize(w.t.Context(), "reports", testKey)
 	require.NoError(w.t, err)
 	return allowed
 }
@@ -83,7 +83,7 @@
 						}
 						done := make(chan struct{})
 						go func() {
-							w.instance(name).manager.Serve(context.Background(), c, allowed)
+							w.instance(name).manager.Serve(context.Background(), c, allowed, nil)
 							close(done)
 						}()
 						sleep(50 * time.Millisecond)
@@ -137,7 +137,7 @@
 					c.requests = []statement.Request{request(statement.Begin{}), request(write)}
 					done := make(chan struct{})
 					go func() {
-						w.instance(name).manager.Serve(context.Background(), c, allowed)
+						w.instance(name).manager.Serve(context.Background(), c, allowed, nil)
 						close(done)
 					}()
 					sleep(time.Second)
