Let reads leave a data centre in maintenance with spill-over

Cause: with spill_over.enabled, a read whose own data centre is in maintenance was refused, because the choice among the servers there said so and the others were not considered. Test: before the change, TestChooseNear got InMaintenance, and every read of the subtest "a data centre in maintenance sends its reads away and gets none" of TestSpillOver was refused.

--- a/dispatch/choose_near.go
+++ b/dispatch/choose_near.go
@@ -9,10 +9,12 @@
 		l := c.Server.Listing
 		return l.DataCentre != in.DataCentre || l.Name == in.Primary && !usePrimary
 	})
-	if choice := Choose(need, near, in); choice != (NoServer{}) {
+	switch choice := Choose(need, near, in).(type) {
+	case ToServer, NoConnection:
 		return choice
+	default:
+		return Choose(need, candidates, in)
 	}
-	return Choose(need, candidates, in)
 }
 
 // ChooseServer is Choose for a read that is sent to one server through its pool's owner. It returns NoServer if the server
--- a/dispatch/spillover_test.go
+++ b/dispatch/spillover_test.go
@@ -281,6 +281,14 @@
 	t.Run("a read that came back may use the local primary", func(t *testing.T) {
 		requireServer(t, "p", group.Position{}, dispatch.ChooseNear(reader, []dispatch.Candidate{free(p), free(far)}, routingContext(), true))
 	})
+	t.Run("a read leaves a data centre in maintenance", func(t *testing.T) {
+		in := routingContext()
+		in.Maintenance = in.Maintenance.WithDataCentres([]string{"a"}, 0)
+		all := []dispatch.Candidate{free(p), free(near), free(far)}
+		requireServer(t, "far", at(5), dispatch.ChooseNear(reader, all, in, false))
+		requireServer(t, "far", at(5), dispatch.ChooseNear(reader, all, in, true))
+		require.False(t, dispatch.CanStay(reader, all, in))
+	})
 	t.Run("a local replica that lacks the position is skipped", func(t *testing.T) {
 		lacking := free(near.WithMissingPosition(at(5), time.Second))
 		requireServer(t, "far", at(5), dispatch.ChooseNear(reader, []dispatch.Candidate{lacking, free(far)}, routingContext(), true))
--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -51,8 +51,6 @@
 	listedVersion port.Version
 	storeDown     bool
 	dataCentres   int
-	// serverDataCentres holds the data centres of servers; "a" for the others.
-	serverDataCentres map[string]string
 	// spillOver holds the values with which instances start.
 	spillOver dispatch.SpillValues
 	// recorder receives the events of instances that start; it may be nil.
@@ -237,9 +235,6 @@
 	if w.servers[name].primary {
 		l.Role = dispatch.Primary
 	}
-	if dataCentre := w.serverDataCentres[name]; dataCentre != "" {
-		l.DataCentre = dataCentre
-	}
 	w.version++
 	w.listed[name], w.listedVersion = l, w.version
 }
--- a/proxy/spillover_test.go
+++ b/proxy/spillover_test.go
@@ -23,9 +23,10 @@
 	t.Helper()
 	withClusterIn(t, 0, 3, func(w *cluster) {
 		w.spillOver, w.recorder = v, &w.spillEvents
-		w.serverDataCentres = map[string]string{"s2": "b", "s3": "c", "t2": "b", "t3": "c"}
-		for name := range w.servers {
-			w.updateListing(name, false)
+		w.maintenance.isUsed, w.maintenance.names = true, make(map[string]bool)
+		w.maintenance.monitors = make(map[string]*proxy.MaintenanceMonitor)
+		for i, name := range []string{"s1", "s2", "s3", "t1", "t2", "t3"} {
+			w.place(name, string(rune('a'+i%3)))
 		}
 		w.catchUpReplicas()
 		for _, name := range []string{"front-0", "front-1", "front-2", "front-3", "front-4", "front-5"} {
@@ -233,6 +234,23 @@
 			require.Less(t, w.statements("s3"), 20)
 		})
 	})
+	t.Run("a data centre in maintenance sends its reads away and gets none", func(t *testing.T) {
+		withSpillOver(t, testSpillValues, func(w *cluster) {
+			w.overload(4 * time.Second)
+			w.setMaintenance("c", true)
+			sleep(maintenanceBound)
+			w.overload(4 * time.Second)
+			require.Zero(t, w.statements("s3"))
+			require.Greater(t, w.statements("s1"), 50)
+			w.setMaintenance("c", false)
+			w.setMaintenance("b", true)
+			sleep(maintenanceBound)
+			w.resetStatements()
+			require.InDelta(t, 1, w.sendReads(50, 2*time.Second, "front-1", "front-4").share(""), 0)
+			require.Zero(t, w.statements("s2"))
+			require.Greater(t, w.statements("s3"), 50)
+		})
+	})
 	t.Run("transactions stay", func(t *testing.T) {
 		withSpillOver(t, testSpillValues, func(w *cluster) {
 			w.overload(4 * time.Second)
