--- a/cmd/gateway/fixture_test.go
+++ b/cmd/gateway/fixture_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rhubarbwick/rhubarbwick/cmd/startup"
+	"github.com/rhubarbwick/rhubarbwick/dispatch"
 	"github.com/rhubarbwick/rhubarbwick/platform"
 	"github.com/rhubarbwick/rhubarbwick/proxy"
 	"github.com/rhubarbwick/rhubarbwick/standin/database"
@@ -37,6 +38,8 @@
 	address  string
 	group    *database.Group
 	gateways map[string]*gatewayInstance
+	// spillOver is a setting of gateways that start.
+	spillOver dispatch.SpillValues
 }
 
 // gatewayInstance is one running entry instance.
@@ -141,6 +144,7 @@
 		Name: name, DataCentre: "kig-a", ClientAddress: anyPort, ReadyAddress: anyPort, PeerAddress: anyPort,
 		MetricsAddress: anyPort, StoreAddress: f.address, CloudAddress: f.address, MemoryMB: 200, FileDescriptors: 2000,
 		DrainTimeout: 6 * time.Second, RateTolerance: proxy.RateTolerance{Window: 5 * time.Second},
+		SpillOver: f.spillOver,
 	}, startup.NewIncarnation(), lines)
 	require.NoError(f.t, err)
 	p.settingsPath = filepath.Join(f.t.TempDir(), "missing.conf")
