--- a/adapter/decisions/log.go
+++ b/adapter/decisions/log.go
@@ -114,6 +114,13 @@
 		l.logger.Info("document: checked", zap.Uint64("revision", uint64(e.Revision)), zap.Int("new_errors", e.Errors), zap.Int("new_warnings", e.Warnings))
 	case proxy.PeerPanicked:
 		l.logger.Error("peer: serving it failed unexpectedly", zap.String("peer", e.Peer), zap.String("reason", e.Reason), zap.String("stack", e.Stack))
+	case proxy.MaintenanceUpdated, proxy.MaintenanceProgress:
+		l.writeMaintenance(e)
+	case proxy.WarmUpChanged:
+		l.logger.Info("server: cold limit changed", zap.String("server", e.Server), zap.Bool("limited", e.Limited), zap.Bool("listed", e.Listed),
+			zap.Float64("per_second", e.PerSecond))
+	case proxy.WarmUpProgress:
+		l.logger.Info("server: statements while cold", zap.String("server", e.Server), zap.Int("granted", e.Granted), zap.Int("refused", e.Refused))
 	case proxy.SourceChanged:
 		l.logger.Info("knowledge: source changed", zap.String("source", e.Source), zap.String("reason", e.Reason))
 	}
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -90,9 +90,9 @@
 	p.lending = fleet.NewLendingClient(platform.NewDialer())
 	p.dispatcher = proxy.NewDispatcher(proxy.DispatcherConfig{
 		DataCentre: s.DataCentre, Timer: p.timer, Views: p.views, Dialer: dialer,
-		ConnectionLimit: p.state.ConnectionLimit, Self: self, Members: p.state.Records, OrganisationNames: p.state.OrganisationNames, Recorder: p.metrics, RemotePools: p.lending, SurveyPeer: peers.Survey,
-		Maintenance: p.state.Maintenance,
-		SpillOver:   s.SpillOver,
+		ConnectionLimit: p.state.ConnectionLimit, WarmUp: s.WarmUpTolerance, ColdRate: p.state.ColdRate, Self: self, Members: p.state.Records,
+		OrganisationNames: p.state.OrganisationNames, Recorder: p.metrics, RemotePools: p.lending, SurveyPeer: peers.Survey,
+		Maintenance: p.state.Maintenance, SpillOver: s.SpillOver,
 	})
 	p.state.OnServersChanged(p.dispatcher.SetListings)
 	rateReserve := proxy.NewRateReserve(proxy.RateReserveConfig{
@@ -178,8 +178,7 @@
 	if p.readinessServer, err = platform.NewReadinessServer(ctx, p.settings, p.guard, p.gate.IsOpen); err != nil {
 		return err
 	}
-	p.metricsServer, err = platform.NewHTTPServer(
-		ctx, p.settings.MetricsAddress, "GET /metrics", p.settings.Clients, p.guard, p.metrics.Handler())
+	p.metricsServer, err = platform.NewHTTPServer(ctx, p.settings.MetricsAddress, "GET /", p.settings.Clients, p.guard, p.operatorHandler())
 	return err
 }
 
@@ -194,8 +193,7 @@
 	defer stop()
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context){
-		p.timer.Run, p.dispatcher.Run, p.sessions.Run, p.gate.Run, p.runSyncer, p.promoter.Run, p.listener.Run, p.decisions.Run, p.registration.Run, reloader.Run,
-		checker.Run,
+		p.timer.Run, p.dispatcher.Run, p.sessions.Run, p.gate.Run, p.runSyncer, p.promoter.Run, p.listener.Run, p.decisions.Run, p.registration.Run, reloader.Run, checker.Run,
 	} {
 		running.Go(func() { run(runCtx) })
 	}
--- a/proxy/acquire.go
+++ b/proxy/acquire.go
@@ -44,8 +44,12 @@
 	Affinity uint64
 	// Spill is the read's route between data centres; it is nil for other statements.
 	Spill SpillRoute
+	// Statements is how many statements are sent first; zero counts as one.
+	Statements int
 }
 
+func (r AcquireRequest) statements() int { return max(r.Statements, 1) }
+
 // Grant is an acquired connection. Choice holds the position that a read must require; OverdueAfter is the time after
 // which a missing answer counts as lost.
 type Grant struct {
--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -42,6 +42,9 @@
 	Dialer     Dialer
 	// ConnectionLimit returns how many connections all instances together may hold to each server of the group.
 	ConnectionLimit func(groupName string) int
+	// WarmUp is the tolerance for cold servers, and ColdRate returns the limit of a group's cold servers. It may be nil.
+	WarmUp   admission.WarmUpTolerance
+	ColdRate func(groupName string) admission.ColdRate
 	// Self is this instance. Members returns the records whose instances may own connection pools.
 	Self    Member
 	Members func() (Snapshot, bool)
@@ -76,6 +79,8 @@
 	// passes holds the last pass through the queue of each group, and pass the present one.
 	passes map[string]queuePass
 	pass   queuePass
+	// spenders holds the statements of open transactions that wait for the budget of a limited server.
+	spenders []*spender
 	// admissions tracks how much each organisation has used the servers of this instance's pools.
 	admissions     admission.RecentAdmissions
 	nextID         uint64
@@ -90,6 +95,8 @@
 
 	// lastResponses holds the time of the last response of each server.
 	lastResponses sync.Map
+	// limited holds the names of the servers that are limited because they may be cold.
+	limited sync.Map
 	// suspects holds the servers that may have failed.
 	suspects *ring.Ring[suspicion]
 }
@@ -130,6 +137,7 @@
 
 // Return releases a connection. An unusable connection is closed.
 func (d *Dispatcher) Return(c *Connection, usable bool) {
+	c.lost = c.isLost()
 	usable = usable && c.isUsable()
 	if !usable {
 		c.close()
@@ -229,6 +237,8 @@
 		d.waiters = append(d.waiters, c.waiter)
 	case cancelCommand:
 		d.cancelWaiter(c.waiter)
+	case spendingCommand:
+		d.handleSpending(c, now)
 	case returnCommand:
 		d.release(c.connection, c.usable, now)
 	case statementStarted:
@@ -245,11 +255,7 @@
 	case ownerProbeResult:
 		d.handleProbeResult(c, now)
 	case connectionOpened:
-		d.finishOpening(c.connection.Endpoint)
-		if s := d.server(c.observation.Server); s != nil {
-			d.recordObservation(s, s.server.WithConnected(c.observation.Position), c.observation)
-		}
-		d.release(c.connection, true, now)
+		d.handleOpened(c, now)
 	case openFailed:
 		d.handleOpenFailure(c, now)
 	case listingsChanged:
@@ -274,6 +280,7 @@
 	d.closeExcessIdle(now)
 	d.reportPools(now)
 	d.reportIdleShares(now)
+	d.reportPools(now)
 	d.prewarm(now)
 }
 
@@ -309,6 +316,9 @@
 	if !usable || !c.isUsable() || s.server.Listing.Draining || d.isInMaintenance(s) || s.server.Listing.Address != c.Endpoint.Address {
 		c.close()
 		s.removeConnection(c.Endpoint.Organisation)
+		if c.lost {
+			d.noteConnectionLoss(s, now)
+		}
 		return
 	}
 	c.lastUsed = now
@@ -374,6 +384,14 @@
 	}
 }
 
+func (d *Dispatcher) handleOpened(c connectionOpened, now time.Duration) {
+	d.finishOpening(c.connection.Endpoint)
+	if s := d.server(c.observation.Server); s != nil {
+		d.recordObservation(s, s.server.WithConnected(c.observation.Position), c.observation)
+	}
+	d.release(c.connection, true, now)
+}
+
 func (d *Dispatcher) handleOpenFailure(c openFailed, now time.Duration) {
 	d.finishOpening(c.endpoint)
 	s := d.server(c.endpoint.Server)
@@ -390,6 +408,7 @@
 		s.server = s.server.WithRefusal(now)
 	default:
 		d.Suspect(c.endpoint.Server)
+		d.noteConnectionLoss(s, now)
 		d.excludePath(s, d.cfg.Self.Incarnation, now)
 	}
 }
--- a/proxy/dispatcher_scope.go
+++ b/proxy/dispatcher_scope.go
@@ -91,5 +91,5 @@
 	}
 	s := d.server(need.Name)
 	isUsable := s != nil && !s.delisted && !s.server.Listing.Draining && s.server.IsUp(now) && !d.isInMaintenance(s) && !d.isUnreachable(w, s, now)
-	return need.Name, isUsable && s.isFull(now)
+	return need.Name, isUsable && !s.warmUp.isLimited && s.isFull(now)
 }
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -12,7 +12,8 @@
 
 // Event is a decision about a request, or a change in the instance's view of the system: RequestCompleted,
 // PrimaryChanged, PromotionStep, SourceChanged, MemberUnresponsive, PoolOwnerExcluded, PoolReport, PeerPanicked,
-// SpillShareChanged, DocumentFinding, DocumentChecked, MaintenanceUpdated, MaintenanceRefusal or MaintenanceProgress.
+// SpillShareChanged, DocumentFinding, DocumentChecked, MaintenanceUpdated, MaintenanceRefusal, MaintenanceProgress,
+// WarmUpChanged or WarmUpProgress.
 type Event interface{ event() }
 
 // RequestCompleted reports the result of a request.
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -270,6 +270,10 @@
 	ctx context.Context, conn *acquiredConnection, state statement.SessionState, steps ...statement.Step,
 ) ([]statement.Result, error) {
 	d, c := m.cfg.Dispatcher, conn.connection
+	// The other checks come after this wait, so that nothing is sent by a document from before it.
+	if err := m.awaitBudget(ctx, conn, state, steps); err != nil {
+		return nil, err
+	}
 	if err := m.checkClearance(conn.clearance, steps); err != nil {
 		return nil, err
 	}
