Prefer warm servers elsewhere to cold ones with spill-over

Cause: the merged choice of a server in the own data centre and the advice of a pool's owner did not look at cold servers, so that reads used up a cold server's budget or were refused while a warm server had capacity. Change: a cold server neither keeps reads in its data centre nor receives any from elsewhere, and its owner states no load. Test: the subtests of TestChooseNear "a warm replica elsewhere is preferred to a cold one here" and "a read is not sent to a cold server" failed before.

--- a/dispatch/spillover_test.go
+++ b/dispatch/spillover_test.go
@@ -289,6 +289,19 @@
 		requireServer(t, "far", at(5), dispatch.ChooseNear(reader, all, in, true))
 		require.False(t, dispatch.CanStay(reader, all, in))
 	})
+	t.Run("a warm replica elsewhere is preferred to a cold one here", func(t *testing.T) {
+		cold := free(near)
+		cold.WarmUp = dispatch.Cold
+		requireServer(t, "far", at(5), dispatch.ChooseNear(reader, []dispatch.Candidate{cold, free(far)}, routingContext(), true))
+		require.False(t, dispatch.CanStay(reader, []dispatch.Candidate{cold, free(far)}, routingContext()))
+		requireServer(t, "near", at(5), dispatch.ChooseNear(reader, []dispatch.Candidate{cold}, routingContext(), true))
+	})
+	t.Run("a read is not sent to a cold server", func(t *testing.T) {
+		cold := free(far)
+		cold.WarmUp = dispatch.Cold
+		require.Equal(t, dispatch.NoServer{}, dispatch.ChooseServer(reader, "far", []dispatch.Candidate{free(near), cold}, routingContext()))
+		requireServer(t, "far", at(5), dispatch.ChooseServer(reader, "far", []dispatch.Candidate{free(near), free(far)}, routingContext()))
+	})
 	t.Run("a local replica that lacks the position is skipped", func(t *testing.T) {
 		lacking := free(near.WithMissingPosition(at(5), time.Second))
 		requireServer(t, "far", at(5), dispatch.ChooseNear(reader, []dispatch.Candidate{lacking, free(far)}, routingContext(), true))
--- a/proxy/dispatcher_spillover.go
+++ b/proxy/dispatcher_spillover.go
@@ -257,7 +257,7 @@
 // answerPoolLoad implements PoolLoad.
 func (d *Dispatcher) answerPoolLoad(q poolLoadQuery, now time.Duration) {
 	s := d.server(q.server)
-	if s == nil || s.delisted || d.isInMaintenance(s) || !s.server.IsUp(now) || !s.ownership.isOwner(d.cfg.Self.Incarnation) {
+	if s == nil || s.delisted || d.isInMaintenance(s) || !s.server.IsUp(now) || !s.ownership.isOwner(d.cfg.Self.Incarnation) || d.checkWarmUp(s, now) {
 		q.reply.TryPut(dispatch.PoolLoad{})
 		return
 	}
