--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -280,6 +280,7 @@
 // runPeriodic runs what is done once a second.
 func (d *Dispatcher) runPeriodic(now time.Duration) {
 	d.closeExcessIdle(now)
+	d.reportPools(now)
 	d.reportIdleShares(now)
 	d.reportPools(now)
 	d.prewarm(now)
