--- a/untrusted/postgres_client_test.go
+++ b/untrusted/postgres_client_test.go
@@ -69,6 +69,18 @@
 	return c.awaitReady()
 }
 
+// put stores an item whose value is a parameter, which the stand-in does not have to parse.
+func (c *postgresClient) put(key, value string) error {
+	c.frontend.Send(&pgproto3.Parse{Query: "insert into kv (key, value) values ($1, $2)"})
+	c.frontend.Send(&pgproto3.Bind{Parameters: [][]byte{[]byte(key), []byte(value)}})
+	c.frontend.Send(&pgproto3.Execute{})
+	c.frontend.Send(&pgproto3.Sync{})
+	if err := c.frontend.Flush(); err != nil {
+		return err
+	}
+	return c.awaitReady()
+}
+
 // discard reads and discards the responses to n batches, or fewer if the connection ends.
 func (c *postgresClient) discard(n int) {
 	for n > 0 {
