--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -90,8 +90,8 @@
 	p.lending = fleet.NewLendingClient(platform.NewDialer())
 	p.dispatcher = proxy.NewDispatcher(proxy.DispatcherConfig{
 		DataCentre: s.DataCentre, Timer: p.timer, Views: p.views, Dialer: dialer,
-		ConnectionLimit: p.state.ConnectionLimit, WarmUp: s.WarmUpTolerance, ColdRate: p.state.ColdRate, Self: self, Members: p.state.Records,
-		OrganisationNames: p.state.OrganisationNames, Recorder: p.metrics, RemotePools: p.lending, SurveyPeer: peers.Survey,
+		ConnectionLimit: p.state.ConnectionLimit, WarmUp: s.WarmUpTolerance, Regions: s.Regions, ColdRate: p.state.ColdRate, Self: self,
+		Members: p.state.Records, OrganisationNames: p.state.OrganisationNames, Recorder: p.metrics, RemotePools: p.lending, SurveyPeer: peers.Survey,
 		Maintenance: p.state.Maintenance, SpillOver: s.SpillOver,
 	})
 	p.state.OnServersChanged(p.dispatcher.SetListings)
@@ -102,8 +102,7 @@
 	p.sessions = proxy.NewSessionManager(proxy.SessionManagerConfig{
 		Timer: p.timer, Dispatcher: p.dispatcher, Views: p.views, Documents: p.state, RateLimiter: rateLimiter, Recorder: p.metrics,
 		DocumentAge: p.state.DocumentAge, IsIsolated: p.gate.IsIsolated, DocumentChanged: p.state.Changed,
-		AwaitState: p.gate.Await, Maintenance: p.state,
-		SessionLimits: s.Clients.Session,
+		AwaitState: p.gate.Await, Maintenance: p.state, SessionLimits: s.Clients.Session, Guard: p.guard,
 	})
 	notifications := ring.New[proxy.Member](0)
 	p.peerService = proxy.NewPeerService(proxy.PeerServiceConfig{
--- a/dispatch/choose_near.go
+++ b/dispatch/choose_near.go
@@ -28,6 +28,7 @@
 // CanStay reports whether a warm server of the data centre could run the read if none had refused it yet.
 func CanStay(need Need, candidates []Candidate, in RoutingContext) bool {
 	in.Excluded = nil
+	candidates, _ = withinHomes(need, candidates, in)
 	return slices.ContainsFunc(candidates, func(c Candidate) bool {
 		_, fits := checkServer(need, c.Server, in)
 		return fits && c.WarmUp == Warm && c.Server.Listing.DataCentre == in.DataCentre
