Avoid servers with partial failures for reads

A server that failed 40 % of its reads while it reported to be healthy got as many as before, because any success reset what was known of its failures. Each instance now compares the recent answers of a group's servers to reads and ejects one that fails far more of them, or is far slower, than the others. It returns gradually, and is used where no other server can run a read. Primaries are not ejected for writes.

TestHealthyServersAreNotEjected replays loads without an outlier.

--- a/adapter/decisions/log.go
+++ b/adapter/decisions/log.go
@@ -107,6 +107,9 @@
 			zap.Float64("per_second", e.PerSecond))
 	case proxy.WarmUpProgress:
 		l.logger.Info("server: statements while cold", zap.String("server", e.Server), zap.Int("granted", e.Granted), zap.Int("refused", e.Refused))
+	case proxy.ServerEjected:
+		l.logger.Warn("server: avoided for reads", zap.String("group", e.Group), zap.String("server", e.Server), zap.String("reason", string(e.Reason)),
+			zap.Duration("for", e.For))
 	case proxy.SourceChanged:
 		l.logger.Info("knowledge: source changed", zap.String("source", e.Source), zap.String("reason", e.Reason))
 	}
--- a/adapter/metrics/gateway.go
+++ b/adapter/metrics/gateway.go
@@ -38,6 +38,7 @@
 	panics         *prometheus.CounterVec
 	coldChanges    *prometheus.CounterVec
 	coldStatements *prometheus.CounterVec
+	ejections      *prometheus.CounterVec
 	next           proxy.Recorder
 }
 
@@ -67,9 +68,10 @@
 		coldChanges: newCounterVec("gateway_cold_servers_total", "Times that a server was limited because it is cold, or may have been restarted.",
 			"reason"),
 		coldStatements: newCounterVec("gateway_cold_statements_total", "Statements at limited servers that this instance granted or refused.", "result"),
+		ejections:      newCounterVec("gateway_servers_ejected_total", "Times that a server was avoided for reads as an outlier of its group, by reason.", "reason"),
 		next:           next,
 	}
-	g.registry.MustRegister(g.requests, g.latency, g.promotionSteps, g.primaryChanges, g.storeCalls, g.statements, g.ownersExcluded, g.panics, g.coldChanges, g.coldStatements, collectors.NewGoCollector(),
+	g.registry.MustRegister(g.requests, g.latency, g.promotionSteps, g.primaryChanges, g.storeCalls, g.statements, g.ownersExcluded, g.panics, g.coldChanges, g.coldStatements, g.ejections, collectors.NewGoCollector(),
 		newGaugeFunc("gateway_document_revision", "The revision of the document in force.", func() float64 { return float64(s.DocumentRevision()) }),
 		newGaugeFunc("gateway_document_age_seconds", "How long ago the document was known to be the newest.",
 			func() float64 { return s.DocumentAge().Seconds() }),
@@ -120,6 +122,8 @@
 	case proxy.WarmUpProgress:
 		g.coldStatements.WithLabelValues("granted").Add(float64(e.Granted))
 		g.coldStatements.WithLabelValues("refused").Add(float64(e.Refused))
+	case proxy.ServerEjected:
+		g.ejections.WithLabelValues(string(e.Reason)).Inc()
 	case proxy.PromotionStep:
 		g.promotionSteps.WithLabelValues(e.Step).Inc()
 	case proxy.PrimaryChanged:
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -48,6 +48,8 @@
 	Opening bool
 	// WarmUp states whether the server is limited because it may be cold.
 	WarmUp WarmUp
+	// Ejected is true when the server is avoided for this statement because it is an outlier.
+	Ejected bool
 }
 
 // RoutingContext holds the input of a choice other than the need and the servers.
@@ -103,24 +105,25 @@
 		return OutsideHomes{}
 	}
 	var choice Choice = NoServer{}
-	best, bestWarmUp, opensWarm := time.Duration(-1), Warm, false
+	var best preference
+	found, opensOther := false, false
 	for _, c := range candidates {
 		minPosition, fits := checkServer(need, c.Server, in)
 		if !fits {
 			continue
 		}
 		if !c.HasIdle && !c.MayOpen {
-			opensWarm = opensWarm || c.Opening && c.WarmUp == Warm
-			if best < 0 {
+			opensOther = opensOther || c.Opening && !c.preference(0).isUnwanted()
+			if !found {
 				choice = NoConnection{}
 			}
 			continue
 		}
-		if cost := costOf(need, c, in); best < 0 || c.isPreferred(cost, bestWarmUp, best) {
-			best, bestWarmUp, choice = cost, c.WarmUp, ToServer{Server: c.Server.Listing.Name, MinPosition: minPosition}
+		if p := c.preference(costOf(need, c, in)); !found || p.isBefore(best) {
+			best, found, choice = p, true, ToServer{Server: c.Server.Listing.Name, MinPosition: minPosition}
 		}
 	}
-	if opensWarm && best >= 0 && bestWarmUp != Warm {
+	if opensOther && found && best.isUnwanted() {
 		return NoConnection{}
 	}
 	return choice
--- a/proxy/acquire.go
+++ b/proxy/acquire.go
@@ -19,6 +19,8 @@
 	dialing string
 	// checkOnly is true if no connection is needed, only a server that can run the statement.
 	checkOnly bool
+	// random decides whether the statement is offered to a server that returns from an ejection.
+	random uint64
 }
 
 // AcquireRequest describes the connection that a transaction needs.
@@ -61,7 +63,7 @@
 // Acquire returns a connection to a suitable server. Its errors are of kind Busy, NoPrimary, Unavailable or Stopping;
 // no statement has run.
 func (d *Dispatcher) Acquire(ctx context.Context, req AcquireRequest) (Grant, error) {
-	return d.await(ctx, &waiter{request: req, reply: ring.New[grantResult](1)})
+	return d.await(ctx, &waiter{request: req, reply: ring.New[grantResult](1), random: newRandom()})
 }
 
 // await queues a waiter and returns its result.
--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -157,12 +157,13 @@
 	d.send(statementRefused{server: server, refusal: busyRefusal{}})
 }
 
-// ReportUnreachable reports that the connection was lost or that its server did not answer.
-func (d *Dispatcher) ReportUnreachable(c *Connection) {
+// ReportUnreachable reports that the connection was lost or that its server did not answer. readTime is the time since a
+// read was sent; zero if it was no read.
+func (d *Dispatcher) ReportUnreachable(c *Connection, readTime time.Duration) {
 	if _, isBorrowed := c.owner(); !isBorrowed {
 		d.Suspect(c.Endpoint.Server)
 	}
-	d.send(connectionFailed{connection: c})
+	d.send(connectionFailed{connection: c, readTime: readTime})
 }
 
 // ReportNotLent reports that the owner of a pool refused to lend the connection or could not be reached.
@@ -321,6 +322,9 @@
 func (d *Dispatcher) recordAnswer(a Observation) {
 	if s := d.server(a.Server); s != nil {
 		d.recordObservation(s, s.server.WithAnswer(a.Position, a.ReceivedAt-a.SentAt), a)
+		if a.IsRead {
+			d.recordRead(s, a.ReceivedAt-a.SentAt, a.IsFailed, a.ReceivedAt)
+		}
 	}
 }
 
--- a/proxy/dispatcher_command.go
+++ b/proxy/dispatcher_command.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"time"
+
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
 	"github.com/rhubarbwick/rhubarbwick/ring"
 )
@@ -31,6 +33,8 @@
 type connectionFailed struct {
 	connection *Connection
 	notSent    *NotSentError
+	// readTime is the time since a read was sent whose answer was lost; zero if it was no read.
+	readTime time.Duration
 }
 
 // ownerSuspected requests a probe of a pool owner that does not answer for a server.
--- a/proxy/dispatcher_owners.go
+++ b/proxy/dispatcher_owners.go
@@ -62,6 +62,7 @@
 	switch {
 	case s == nil:
 	case c.notSent == nil:
+		d.recordLostRead(s, c.readTime, now)
 		// A single connection may be reset, and a single answer lost. Whether the server is still reachable becomes
 		// clear when the next connection is opened.
 	case c.notSent.OwnerUnavailable:
--- a/proxy/dispatcher_waiters.go
+++ b/proxy/dispatcher_waiters.go
@@ -194,12 +194,12 @@
 			continue
 		}
 		if _, found := d.remoteOwnerFor(w, s, now); found {
-			candidates = append(candidates, dispatch.Candidate{Server: s.server, HasIdle: true, WarmUp: d.warmUpOf(w, s, true, now)})
+			candidates = append(candidates, dispatch.Candidate{Server: s.server, HasIdle: true, WarmUp: d.warmUpOf(w, s, true, now), Ejected: w.avoids(s, now)})
 			continue
 		}
 		_, hasIdle := s.findIdle(w.request)
 		mayOpen := w.dialing == "" && (s.total < d.connectionShare(s, now) || s.hasEvictable(w.request.Organisation))
-		candidates = append(candidates, dispatch.Candidate{Server: s.server, HasIdle: hasIdle, MayOpen: mayOpen, Opening: w.dialing == s.server.Listing.Name, WarmUp: d.warmUpOf(w, s, false, now)})
+		candidates = append(candidates, dispatch.Candidate{Server: s.server, HasIdle: hasIdle, MayOpen: mayOpen, Opening: w.dialing == s.server.Listing.Name, WarmUp: d.warmUpOf(w, s, false, now), Ejected: w.avoids(s, now)})
 	}
 	slices.SortFunc(candidates, func(a, b dispatch.Candidate) int {
 		return strings.Compare(a.Server.Listing.Name, b.Server.Listing.Name)
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -12,7 +12,7 @@
 
 // Event is a decision about a request, or a change in the instance's view of the system: RequestCompleted,
 // PrimaryChanged, PromotionStep, SourceChanged, MemberUnresponsive, PoolOwnerExcluded, PeerPanicked,
-// WarmUpChanged or WarmUpProgress.
+// WarmUpChanged, WarmUpProgress or ServerEjected.
 type Event interface{ event() }
 
 // RequestCompleted reports the result of a request.
--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -106,6 +106,8 @@
 	slow
 	// refuseSessionState refuses session values and prepared statements.
 	refuseSessionState
+	// failsSome fails two of five statements.
+	failsSome
 	// panicking panics in the code that reads the answer.
 	panicking
 )
@@ -968,6 +970,8 @@
 	}
 	_, writes := o.Request.Statement.(statement.Write)
 	switch {
+	case s.fault == failsSome && len(s.arrivals)%5 < 2:
+		return statement.Failure{Kind: port.StatementFailed, Text: "storage error"}
 	case s.fault == busy:
 		return statement.Failure{Kind: port.Busy}
 	case writes && !s.primary:
--- a/proxy/ports.go
+++ b/proxy/ports.go
@@ -112,4 +112,7 @@
 	// SentAt and ReceivedAt are the times of the statement and of its answer.
 	SentAt     time.Duration
 	ReceivedAt time.Duration
+	// IsRead is true for the answer to a read, and IsFailed if the server failed it.
+	IsRead   bool
+	IsFailed bool
 }
--- a/proxy/server_state.go
+++ b/proxy/server_state.go
@@ -24,6 +24,8 @@
 	reducedLimit int
 	delisted     bool
 	warmUp       warmUpState
+	// answers are the recent answers to reads.
+	answers dispatch.Answers
 }
 
 // findIdle returns the index of the best unused connection: the one that the session used last, otherwise the most
@@ -90,6 +92,9 @@
 			s = &serverState{server: dispatch.NewServer(l), running: make(map[uint64]time.Duration), byOrganisation: make(map[string]int), warmUp: newWarmUpState()}
 			d.servers[name] = s
 		}
+		if l.Incarnation != s.server.Listing.Incarnation {
+			s.answers = dispatch.Answers{}
+		}
 		s.warmUp = s.warmUp.withListing(s.server.Listing, l, d.cfg.Timer.Now())
 		s.server, s.delisted = s.server.WithListing(l), false
 		if l.Draining {
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -267,15 +267,18 @@
 	if len(results) > 0 {
 		lastResult := results[len(results)-1]
 		conn.state = lastResult.State
-		d.ReportAnswer(c, Observation{Server: c.Endpoint.Server, Position: lastResult.Position, SentAt: sent, ReceivedAt: m.cfg.Timer.Now()})
+		d.ReportAnswer(c, Observation{
+			Server: c.Endpoint.Server, Position: lastResult.Position, SentAt: sent, ReceivedAt: m.cfg.Timer.Now(),
+			IsRead: isRead(steps), IsFailed: isServerFailure(lastResult.Failure),
+		})
 	}
 	var notSent *NotSentError
 	switch _, isBorrowed := c.owner(); {
 	case err == nil:
 	case isBorrowed && errors.As(err, &notSent):
 		d.ReportNotLent(c, notSent)
-	case ctx.Err() == nil || !isBorrowed:
-		d.ReportUnreachable(c)
+	case ctx.Err() == nil || !isBorrowed || isRead(steps):
+		d.ReportUnreachable(c, lostReadTime(steps, m.cfg.Timer.Now()-sent))
 	}
 	return results, err
 }
--- a/statement/step.go
+++ b/statement/step.go
@@ -34,6 +34,9 @@
 	return commits
 }
 
+// IsRead reports whether the step forwards a read, which can be run again without harm.
+func (s Step) IsRead() bool { return s.isRead() }
+
 func (s Step) isRead() bool {
 	forward, isForward := s.Command.(Forward)
 	if !isForward {
