Keep the tests of cold servers above the bound after an owner is lost

With 150 ms between two clients, five remaining instances sent 33 statements per second, so that the bound of 35 could not be exceeded. With 110 ms they send 45.

--- a/proxy/warm_up_test.go
+++ b/proxy/warm_up_test.go
@@ -208,7 +208,7 @@
 				w.setCold(true, "s1")
 				w.recordArrivals("s1")
 				owner := w.firstOwner("s1")
-				load{every: 150 * time.Millisecond, statements: writes, during: func() { c(w, owner) }}.run(w, during)
+				load{every: 110 * time.Millisecond, statements: writes, during: func() { c(w, owner) }}.run(w, during)
 				requireColdLimit(t, w, "s1", coldPerSecond*20)
 			})
 		})
