--- a/adapter/metrics/gateway.go
+++ b/adapter/metrics/gateway.go
@@ -46,6 +46,7 @@
 	findings       *prometheus.CounterVec
 	coldChanges    *prometheus.CounterVec
 	coldStatements *prometheus.CounterVec
+	ejections      *prometheus.CounterVec
 	next           proxy.Recorder
 }
 
@@ -78,9 +79,10 @@
 		coldChanges: newCounterVec("gateway_cold_servers_total", "Times that a server was limited because it is cold, or may have been restarted.",
 			"reason"),
 		coldStatements: newCounterVec("gateway_cold_statements_total", "Statements at limited servers that this instance granted or refused.", "result"),
+		ejections:      newCounterVec("gateway_servers_ejected_total", "Times that a server was avoided for reads as an outlier of its group, by reason.", "reason"),
 	}
 	g.registry.MustRegister(g.admission.collectors()...)
-	g.registry.MustRegister(append(g.spill.collectors(), g.findings, g.coldChanges, g.coldStatements)...)
+	g.registry.MustRegister(append(g.spill.collectors(), g.findings, g.coldChanges, g.coldStatements, g.ejections)...)
 	g.registry.MustRegister(g.maintenance.collectors()...)
 	g.registry.MustRegister(g.requests, g.latency, g.promotionSteps, g.primaryChanges, g.storeCalls, g.statements, g.ownersExcluded, g.panics, collectors.NewGoCollector(),
 		newGaugeFunc("gateway_document_revision", "The revision of the document in force.", func() float64 { return float64(s.DocumentRevision()) }),
@@ -145,6 +147,8 @@
 	case proxy.WarmUpProgress:
 		g.coldStatements.WithLabelValues("granted").Add(float64(e.Granted))
 		g.coldStatements.WithLabelValues("refused").Add(float64(e.Refused))
+	case proxy.ServerEjected:
+		g.ejections.WithLabelValues(string(e.Reason)).Inc()
 	case proxy.PromotionStep:
 		g.promotionSteps.WithLabelValues(e.Step).Inc()
 	case proxy.PrimaryChanged:
--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -117,6 +117,8 @@
 	refuseSessionState
 	// loaded delays answers by loadedServerDelay.
 	loaded
+	// failsSome fails two of five statements.
+	failsSome
 	// panicking panics in the code that reads the answer.
 	panicking
 	// failing runs statements and reports that they failed.
@@ -1007,6 +1009,8 @@
 	}
 	_, writes := o.Request.Statement.(statement.Write)
 	switch {
+	case s.fault == failsSome && len(s.arrivals)%5 < 2:
+		return statement.Failure{Kind: port.StatementFailed, Text: "storage error"}
 	case s.fault == busy:
 		return statement.Failure{Kind: port.Busy}
 	case s.fault == failing:
