--- a/clientlimit/socket.go
+++ b/adapter/connlimit/limited.go
@@ -1,17 +1,20 @@
-package clientlimit
+// Package connlimit limits the connections that a listening socket holds open.
+package connlimit
 
 import (
 	"container/list"
 	"net"
 	"sync"
+
+	"github.com/rhubarbwick/rhubarbwick/clientlimit"
 )
 
-// LimitSocket returns a listening socket with at most n open connections. A further connection closes the oldest one, so
+// Wrap returns a listening socket with at most n open connections. A further connection closes the oldest one, so
 // that connections that are held without use do not keep a health check from being answered. Zero means
-// DefaultHTTPClients. guard may be nil.
-func LimitSocket(socket net.Listener, n int, guard *Guard) net.Listener {
+// clientlimit.DefaultHTTPClients. guard may be nil.
+func Wrap(socket net.Listener, n int, guard *clientlimit.Guard) net.Listener {
 	if n <= 0 {
-		n = DefaultHTTPClients
+		n = clientlimit.DefaultHTTPClients
 	}
 	return &limitedSocket{Listener: socket, limit: n, guard: guard, open: list.New()}
 }
@@ -19,7 +22,7 @@
 type limitedSocket struct {
 	net.Listener
 	limit int
-	guard *Guard
+	guard *clientlimit.Guard
 
 	mu sync.Mutex
 	// open contains the open connections, the oldest first.
@@ -41,7 +44,7 @@
 	c.element = s.open.PushBack(c)
 	s.mu.Unlock()
 	if oldest != nil {
-		s.guard.Report(HTTPClients)
+		s.guard.Report(clientlimit.HTTPClients)
 		_ = oldest.Close()
 	}
 	return c, nil
--- a/cmd/serve/process.go
+++ b/cmd/serve/process.go
@@ -16,6 +16,7 @@
 
 	"github.com/rhubarbwick/rhubarbwick/adapter/admin"
 	"github.com/rhubarbwick/rhubarbwick/adapter/clock"
+	"github.com/rhubarbwick/rhubarbwick/adapter/connlimit"
 	"github.com/rhubarbwick/rhubarbwick/adapter/console"
 	"github.com/rhubarbwick/rhubarbwick/adapter/metrics"
 	"github.com/rhubarbwick/rhubarbwick/adapter/operator"
@@ -120,7 +121,7 @@
 		}
 		*l.socket = socket
 	}
-	p.adminSocket = clientlimit.LimitSocket(p.adminSocket, p.cfg.Instance.AdminConnections, p.guard)
+	p.adminSocket = connlimit.Wrap(p.adminSocket, p.cfg.Instance.AdminConnections, p.guard)
 	return nil
 }
 
