Report the pools once a second, not twice

The second never had anything to report, because the first had just set reportedAt. No behaviour changes.

--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -192,7 +192,6 @@
 	d.closeExcessIdle(now)
 	d.reportPools(now)
 	d.reportIdleShares(now)
-	d.reportPools(now)
 	d.prewarm(now)
 }
 
