Ask for the remote owner of a pool in one place

remoteOwnerFor repeated the check for absent pools of other instances, and answerPoolLoad the test that hasRemoteOwner is. serveSpenders runs after every command; it now returns at once while no transaction waits for a budget, instead of allocating a map each time. No behaviour changes.

--- a/proxy/dispatcher_owners.go
+++ b/proxy/dispatcher_owners.go
@@ -18,10 +18,14 @@
 
 // remoteOwner returns the instance through whose pool the server is reached, or false if this instance connects directly.
 func (d *Dispatcher) remoteOwner(s *serverState, now time.Duration) (Member, bool) {
+	return d.remoteOwnerOf(s.ownership, now)
+}
+
+func (d *Dispatcher) remoteOwnerOf(o ownership, now time.Duration) (Member, bool) {
 	if d.cfg.RemotePools == nil {
 		return Member{}, false
 	}
-	return s.ownership.remoteOwner(d.cfg.Self.Incarnation, d.unreachableOwners, now)
+	return o.remoteOwner(d.cfg.Self.Incarnation, d.unreachableOwners, now)
 }
 
 // hasRemoteOwner reports whether the server is reached through another instance's pool.
@@ -36,10 +40,7 @@
 	if _, isLent := w.request.Need.(dispatch.NeedServer); isLent {
 		return Member{}, false
 	}
-	if d.cfg.RemotePools == nil {
-		return Member{}, false
-	}
-	return s.ownership.within(w.request.Homes, d.cfg.Regions).remoteOwner(d.cfg.Self.Incarnation, d.unreachableOwners, now)
+	return d.remoteOwnerOf(s.ownership.within(w.request.Homes, d.cfg.Regions), now)
 }
 
 // updateMembers updates the candidate pool owners if the records have changed.
--- a/proxy/dispatcher_spillover.go
+++ b/proxy/dispatcher_spillover.go
@@ -257,11 +257,8 @@
 // answerPoolLoad implements PoolLoad.
 func (d *Dispatcher) answerPoolLoad(q poolLoadQuery, now time.Duration) {
 	s := d.server(q.server)
-	if s == nil || s.delisted || d.isInMaintenance(s) || !s.server.IsUp(now) || !s.ownership.isOwner(d.cfg.Self.Incarnation) || d.checkWarmUp(s, now) {
-		q.reply.TryPut(dispatch.PoolLoad{})
-		return
-	}
-	if _, isRemote := d.remoteOwner(s, now); isRemote {
+	if s == nil || s.delisted || d.isInMaintenance(s) || !s.server.IsUp(now) || !s.ownership.isOwner(d.cfg.Self.Incarnation) ||
+		d.checkWarmUp(s, now) || d.hasRemoteOwner(s, now) {
 		q.reply.TryPut(dispatch.PoolLoad{})
 		return
 	}
--- a/proxy/warm_up_spending.go
+++ b/proxy/warm_up_spending.go
@@ -123,6 +123,9 @@
 
 // serveSpenders grants the waiting statements of open transactions in order of arrival.
 func (d *Dispatcher) serveSpenders(now time.Duration) {
+	if len(d.spenders) == 0 {
+		return
+	}
 	blocked := make(map[string]bool)
 	d.spenders = slices.DeleteFunc(d.spenders, func(c *spender) bool {
 		s := d.server(c.server)
