Keep the checks of idle transactions in one registry

keyWatcher and maintenanceWatcher each had the same mutex, set of waiting transactions, add, remove and checkAll. idleTransactions now holds the checks of both. hasRecovered no longer repeats what mayWithdraw, on which its only call depends, has just decided. No behaviour changes: go test ./proxy passes.

--- a/proxy/key_watcher.go
+++ b/proxy/key_watcher.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/organisation"
@@ -13,39 +12,17 @@
 // errWithdrawn ends the wait of a transaction whose key was withdrawn.
 var errWithdrawn = errors.New("the client's key was withdrawn")
 
-// keyWatcher ends the waits of idle transactions whose key is withdrawn. Until the client's next statement, such a
-// transaction would keep its locks and its connection.
+// keyWatcher ends the waits of idle transactions whose key is withdrawn.
 type keyWatcher struct {
 	documents DocumentSource
 	// changed returns a channel that is closed when the document may have changed. It may be nil.
 	changed func() <-chan struct{}
-
-	mu      sync.Mutex
-	waiting map[*idleTransaction]struct{}
-}
-
-// idleTransaction is a transaction that waits for its client's next statement.
-type idleTransaction struct {
-	allowed organisation.Allowed
-	end     context.CancelCauseFunc
+	idle    idleTransactions
 }
 
 // add watches the key of an idle transaction until the returned function is called.
 func (k *keyWatcher) add(a organisation.Allowed, end context.CancelCauseFunc) (remove func()) {
-	t := &idleTransaction{allowed: a, end: end}
-	k.mu.Lock()
-	if k.waiting == nil {
-		k.waiting = make(map[*idleTransaction]struct{})
-	}
-	k.waiting[t] = struct{}{}
-	k.mu.Unlock()
-	// The document may have changed since the last statement was authorized.
-	k.check(t)
-	return func() {
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		delete(k.waiting, t)
-	}
+	return k.idle.add(func() { k.check(a, end) })
 }
 
 func (k *keyWatcher) loop(ctx context.Context) {
@@ -58,7 +35,7 @@
 		index, _ := k.documents.CurrentDocument()
 		if r := index.Document().Revision; r != checked {
 			checked = r
-			k.checkAll()
+			k.idle.checkAll()
 		}
 		select {
 		case <-changed:
@@ -68,19 +45,11 @@
 	}
 }
 
-func (k *keyWatcher) checkAll() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for t := range k.waiting {
-		k.check(t)
-	}
-}
-
 // check ends the wait of a transaction whose key was withdrawn. An outdated document ends none: it may be current again
 // when the next statement arrives.
-func (k *keyWatcher) check(t *idleTransaction) {
+func (k *keyWatcher) check(a organisation.Allowed, end context.CancelCauseFunc) {
 	index, fresh := k.documents.CurrentDocument()
-	if denied, ok := organisation.ReauthorizeKey(index, t.allowed, fresh).(organisation.Denied); ok && denied.Kind == port.KeyRefused {
-		t.end(errWithdrawn)
+	if denied, ok := organisation.ReauthorizeKey(index, a, fresh).(organisation.Denied); ok && denied.Kind == port.KeyRefused {
+		end(errWithdrawn)
 	}
 }
--- a/proxy/maintenance_watcher.go
+++ b/proxy/maintenance_watcher.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
@@ -22,22 +21,13 @@
 }
 
 // maintenanceWatcher decides for a SessionManager which statements may be sent, and ends the waits of transactions that
-// are idle at a server in maintenance. Such a transaction would otherwise keep its connection and its locks until its
-// client's next statement.
+// are idle at a server in maintenance.
 type maintenanceWatcher struct {
 	// source is nil if the deployment has no maintenance.
 	source   MaintenanceSource
 	timer    port.Timer
 	recorder Recorder
-
-	mu      sync.Mutex
-	waiting map[*maintainedTransaction]struct{}
-}
-
-// maintainedTransaction is a transaction that waits for its client's next statement.
-type maintainedTransaction struct {
-	dataCentre string
-	end        context.CancelCauseFunc
+	idle     idleTransactions
 }
 
 func (w *maintenanceWatcher) current() dispatch.Maintenance {
@@ -52,26 +42,11 @@
 	if w.source == nil {
 		return func() {}
 	}
-	t := &maintainedTransaction{dataCentre: e.DataCentre, end: end}
-	w.mu.Lock()
-	if w.waiting == nil {
-		w.waiting = make(map[*maintainedTransaction]struct{})
-	}
-	w.waiting[t] = struct{}{}
-	w.mu.Unlock()
-	// The time of the transaction may have passed while its last statement ran.
-	w.check(t, w.current())
-	return func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		delete(w.waiting, t)
-	}
-}
-
-func (w *maintenanceWatcher) check(t *maintainedTransaction, m dispatch.Maintenance) {
-	if _, isOver := dispatch.CheckSend(m, t.dataCentre, true, w.timer.Now()).(dispatch.EndTransaction); isOver {
-		t.end(errMaintenance)
-	}
+	return w.idle.add(func() {
+		if _, isOver := dispatch.CheckSend(w.current(), e.DataCentre, true, w.timer.Now()).(dispatch.EndTransaction); isOver {
+			end(errMaintenance)
+		}
+	})
 }
 
 func (w *maintenanceWatcher) loop(ctx context.Context) {
@@ -81,7 +56,7 @@
 	for ctx.Err() == nil {
 		changed := w.source.Changed()
 		m := w.current()
-		w.checkAll(m)
+		w.idle.checkAll()
 		waitCtx, cancel := ctx, context.CancelFunc(func() {})
 		if remaining := w.untilNextEnd(m); remaining > 0 {
 			waitCtx, cancel = port.WithTimeout(ctx, w.timer, remaining)
@@ -94,14 +69,6 @@
 	}
 }
 
-func (w *maintenanceWatcher) checkAll(m dispatch.Maintenance) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for t := range w.waiting {
-		w.check(t, m)
-	}
-}
-
 // untilNextEnd returns the time until transactions in one of the data centres have to end, or zero if there is none.
 func (w *maintenanceWatcher) untilNextEnd(m dispatch.Maintenance) time.Duration {
 	now, next := w.timer.Now(), time.Duration(0)
--- a/proxy/replacement.go
+++ b/proxy/replacement.go
@@ -187,10 +187,7 @@
 	p := r.promoter
 	ctx, cancel := port.WithTimeout(ctx, p.cfg.Timer, wait.remaining())
 	defer cancel()
-	oldPrimary, listed := r.oldPrimary()
-	if !listed || r.isPlannedFor(oldPrimary) {
-		return false
-	}
+	oldPrimary, _ := r.oldPrimary()
 	status, err := p.status(ctx, oldPrimary)
 	return err == nil && status.IsPrimary && status.Term == r.stored.Record.Term
 }
