Let the reason that ends an idle transaction carry its kind

Session.receive had a branch for each reason, which differed only in the kind that it added. The reasons now are errors with that kind. Whether steps roll back is asked in one function instead of twice. No behaviour changes: go test ./proxy passes.

--- a/proxy/key_watcher.go
+++ b/proxy/key_watcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/organisation"
@@ -10,7 +9,7 @@
 )
 
 // errWithdrawn ends the wait of a transaction whose key was withdrawn.
-var errWithdrawn = errors.New("the client's key was withdrawn")
+var errWithdrawn = port.Errorf(port.KeyRefused, "the client's key was withdrawn")
 
 // keyWatcher ends the waits of idle transactions whose key is withdrawn.
 type keyWatcher struct {
--- a/proxy/maintenance_watcher.go
+++ b/proxy/maintenance_watcher.go
@@ -11,7 +11,7 @@
 )
 
 // errMaintenance ends the wait of a transaction whose server is in a data centre in maintenance.
-var errMaintenance = errors.New("the transaction was ended because its server's data centre is in maintenance")
+var errMaintenance = port.Errorf(port.NotKept, "the transaction was ended because its server's data centre is in maintenance")
 
 // MaintenanceSource provides the data centres in maintenance.
 type MaintenanceSource interface {
@@ -87,7 +87,7 @@
 	if !m.Has(e.DataCentre) {
 		return nil
 	}
-	if _, isRollback := steps[0].Command.(statement.RollbackTransaction); isRollback {
+	if isRollback(steps) {
 		return &NotSentError{Err: port.Errorf(port.NotKept, "the data centre of server %s is in maintenance", e.Server)}
 	}
 	inTransaction := conn.state != statement.Idle
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -174,13 +174,9 @@
 		s.place.Report(clientlimit.IdleTransaction)
 		s.failTransaction()
 		return s.client.Receive(ctx)
-	case errors.Is(cause, errWithdrawn):
+	case errors.Is(cause, errWithdrawn), errors.Is(cause, errMaintenance):
 		s.failTransaction()
-		s.tx.unreported = statement.Failure{Kind: port.KeyRefused, Text: cause.Error()}
-		return s.client.Receive(ctx)
-	case errors.Is(cause, errMaintenance):
-		s.failTransaction()
-		s.tx.unreported = statement.Failure{Kind: port.NotKept, Text: cause.Error()}
+		s.tx.unreported = failureOf(cause)
 		return s.client.Receive(ctx)
 	default:
 		return req, err
--- a/proxy/session_manager.go
+++ b/proxy/session_manager.go
@@ -244,7 +244,7 @@
 // is the only place in which a statement that waited for its server is checked again, and every path to a server leads
 // through it.
 func (m *SessionManager) checkClearance(c organisation.Clearance, steps []statement.Step) error {
-	if _, isRollback := steps[0].Command.(statement.RollbackTransaction); isRollback {
+	if isRollback(steps) {
 		return nil
 	}
 	index, fresh := m.cfg.Documents.CurrentDocument()
@@ -255,6 +255,12 @@
 	return &DeniedError{Failure: failure}
 }
 
+// isRollback reports whether the steps roll a transaction back.
+func isRollback(steps []statement.Step) bool {
+	_, isRollback := steps[0].Command.(statement.RollbackTransaction)
+	return isRollback
+}
+
 func allowedOf(d organisation.Decision) (organisation.Allowed, statement.Failure) {
 	switch d := d.(type) {
 	case organisation.Allowed:
