--- a/proxy/session.go
+++ b/proxy/session.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/clientlimit"
-	"github.com/rhubarbwick/rhubarbwick/dispatch"
 	"github.com/rhubarbwick/rhubarbwick/document"
 	"github.com/rhubarbwick/rhubarbwick/group"
 	"github.com/rhubarbwick/rhubarbwick/organisation"
@@ -66,38 +65,6 @@
 	unreported statement.Failure
 }
 
-// acquiredConnection is a connection that a session has acquired. term is the primary's term if the server was chosen
-// as primary.
-type acquiredConnection struct {
-	connection *Connection
-	choice     dispatch.ToServer
-	asPrimary  bool
-	term       group.Term
-	// state is the transaction state that the server last reported.
-	state statement.TransactionState
-	// granted is the number of statements that were granted with the connection, for the first run.
-	granted int
-	// used is true once steps have been run.
-	used bool
-	// released is true once the connection was returned or its rollback has begun.
-	released bool
-	// overdueAfter is the time after which a missing answer counts as lost; zero for connections of other instances'
-	// pools.
-	overdueAfter time.Duration
-	// clearance is checked each time before something is sent to the server.
-	clearance organisation.Clearance
-	// spill is the route on which the connection was acquired.
-	spill SpillRoute
-}
-
-// slowAfter returns the time after which a missing answer causes the server or the pool's owner to be suspected.
-func (l *acquiredConnection) slowAfter() time.Duration {
-	if _, isBorrowed := l.connection.owner(); isBorrowed {
-		return slowOwnerThreshold
-	}
-	return slowAnswerThreshold
-}
-
 // NewSession returns the session of an authorized client.
 func NewSession(m *SessionManager, c ClientConn, a organisation.Allowed, place *clientlimit.Place) *Session {
 	return &Session{manager: m, client: c, authorized: a, place: place, closing: m.closingContext()}
