Wait for changes of the state in one function

maintenanceWatcher, MaintenanceMonitor and PeerService each waited for the next change with a limit in the same lines. No behaviour changes: go test ./proxy passes.

--- a/proxy/cluster_state.go
+++ b/proxy/cluster_state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"maps"
 	"slices"
 	"sync"
@@ -134,6 +135,19 @@
 	return c.hasDocument && c.servers != nil && c.hasRecords && !c.awaitsMaintenance()
 }
 
+// awaitChange returns when changed is closed, when ctx ends, or after limit. A limit of zero is none.
+func awaitChange(ctx context.Context, timer port.Timer, changed <-chan struct{}, limit time.Duration) {
+	if limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = port.WithTimeout(ctx, timer, limit)
+		defer cancel()
+	}
+	select {
+	case <-changed:
+	case <-ctx.Done():
+	}
+}
+
 // Changed returns a channel that is closed at the next change.
 func (c *ClusterState) Changed() <-chan struct{} {
 	c.mu.Lock()
--- a/proxy/maintenance_monitor.go
+++ b/proxy/maintenance_monitor.go
@@ -66,16 +66,12 @@
 	for ctx.Err() == nil {
 		changed := m.cfg.State.Changed()
 		m.update(m.cfg.State.Maintenance())
-		waitCtx, cancel := ctx, context.CancelFunc(func() {})
+		limit := time.Duration(0)
 		if !m.seen.IsEmpty() {
 			m.reportProgress()
-			waitCtx, cancel = port.WithTimeout(ctx, m.cfg.Timer, maintenanceCheckInterval)
+			limit = maintenanceCheckInterval
 		}
-		select {
-		case <-changed:
-		case <-waitCtx.Done():
-		}
-		cancel()
+		awaitChange(ctx, m.cfg.Timer, changed, limit)
 	}
 }
 
--- a/proxy/maintenance_watcher.go
+++ b/proxy/maintenance_watcher.go
@@ -57,15 +57,7 @@
 		changed := w.source.Changed()
 		m := w.current()
 		w.idle.checkAll()
-		waitCtx, cancel := ctx, context.CancelFunc(func() {})
-		if remaining := w.untilNextEnd(m); remaining > 0 {
-			waitCtx, cancel = port.WithTimeout(ctx, w.timer, remaining)
-		}
-		select {
-		case <-changed:
-		case <-waitCtx.Done():
-		}
-		cancel()
+		awaitChange(ctx, w.timer, changed, w.untilNextEnd(m))
 	}
 }
 
--- a/proxy/peer_service.go
+++ b/proxy/peer_service.go
@@ -191,12 +191,7 @@
 		if remaining <= 0 || s.hasNewerState(req) {
 			return
 		}
-		waitCtx, cancel := port.WithTimeout(ctx, s.cfg.Timer, remaining)
-		select {
-		case <-changed:
-		case <-waitCtx.Done():
-		}
-		cancel()
+		awaitChange(ctx, s.cfg.Timer, changed, remaining)
 		if ctx.Err() != nil {
 			return
 		}
