Adapt the reads of StoreReaders in one function

The list of data centres in maintenance had brought a third copy of the closure that drops a read's version. No behaviour changes: go test ./proxy passes.

--- a/proxy/maintenance_reader.go
+++ b/proxy/maintenance_reader.go
@@ -25,12 +25,8 @@
 	if r.Maintenances == nil {
 		return nil
 	}
-	read := func(ctx context.Context) error {
-		_, err := r.readMaintenance(ctx)
-		return err
-	}
 	return []reader{
-		&periodicReader{timer: r.Timer, delay: maintenanceReadInterval, interval: maintenanceReadInterval, read: read, backoff: backoff{max: maxFullReadBackoff}},
+		&periodicReader{timer: r.Timer, delay: maintenanceReadInterval, interval: maintenanceReadInterval, read: withoutVersion(r.readMaintenance), backoff: backoff{max: maxFullReadBackoff}},
 		&watcher{timer: r.Timer, read: r.readMaintenance, await: r.awaitMaintenance},
 	}
 }
--- a/proxy/store_readers.go
+++ b/proxy/store_readers.go
@@ -63,19 +63,11 @@
 
 // Run reads and watches the store until ctx ends.
 func (r *StoreReaders) Run(ctx context.Context) {
-	readDocument := func(ctx context.Context) error {
-		_, err := r.readDocument(ctx)
-		return err
-	}
-	readServers := func(ctx context.Context) error {
-		_, err := r.readServers(ctx)
-		return err
-	}
 	var running sync.WaitGroup
 	readers := []reader{
 		// The watchers read at the start, so the first full read can wait.
-		&periodicReader{timer: r.Timer, delay: documentReadInterval, interval: documentReadInterval, read: readDocument, backoff: backoff{max: maxFullReadBackoff}},
-		&periodicReader{timer: r.Timer, delay: serversReadInterval, interval: serversReadInterval, read: readServers, backoff: backoff{max: maxFullReadBackoff}},
+		&periodicReader{timer: r.Timer, delay: documentReadInterval, interval: documentReadInterval, read: withoutVersion(r.readDocument), backoff: backoff{max: maxFullReadBackoff}},
+		&periodicReader{timer: r.Timer, delay: serversReadInterval, interval: serversReadInterval, read: withoutVersion(r.readServers), backoff: backoff{max: maxFullReadBackoff}},
 		&periodicReader{timer: r.Timer, interval: recordsReadInterval, read: r.ReadRecords},
 		&watcher{timer: r.Timer, read: r.readDocument, await: r.awaitDocument},
 		&watcher{timer: r.Timer, read: r.readServers, await: r.awaitServers},
@@ -104,6 +96,14 @@
 	_ = r.ReadRecords(ctx)
 }
 
+// withoutVersion returns a read that does not return the version.
+func withoutVersion(read func(ctx context.Context) (port.Version, error)) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		_, err := read(ctx)
+		return err
+	}
+}
+
 // periodicReader reads something in full at a fixed interval.
 type periodicReader struct {
 	timer port.Timer
