--- a/proxy/session_spillover.go
+++ b/proxy/session_spillover.go
@@ -46,8 +46,7 @@
 // offerSpillOver allows a read outside a transaction to leave the data centre, if the settings do. The later statements of
 // a transaction are not checked by the owner of the pool, so transactions stay.
 func (s *Session) offerSpillOver(w *pendingStatement) {
-	_, isReader := s.need(w.route, w.writes, false).(dispatch.NeedReader)
-	if isReader && s.manager.cfg.Dispatcher.cfg.SpillOver.IsEnabled() {
+	if w.mayMove && s.manager.cfg.Dispatcher.cfg.SpillOver.IsEnabled() {
 		w.spill = SpillOffer{Bytes: s.manager.routeSizes.bytes(w.route.Name)}
 	}
 }
