Name the test of a server that may be given statements

Prewarming, the queue for lent statements and the survey of neighbours each spelled out the same four conditions.

--- a/proxy/dispatcher_prewarm.go
+++ b/proxy/dispatcher_prewarm.go
@@ -33,7 +33,7 @@
 
 // canPrewarm reports whether this instance owns the server's pool and the server has spare capacity.
 func (d *Dispatcher) canPrewarm(s *serverState, now time.Duration) bool {
-	if s.delisted || s.server.Listing.Draining || d.isInMaintenance(s) || !s.server.IsUp(now) || s.isFull(now) || s.dialing > 0 {
+	if !d.isAvailable(s, now) || s.isFull(now) || s.dialing > 0 {
 		return false
 	}
 	if d.hasRemoteOwner(s, now) || !s.ownership.isOwner(d.cfg.Self.Incarnation) {
--- a/proxy/dispatcher_scope.go
+++ b/proxy/dispatcher_scope.go
@@ -90,6 +90,6 @@
 		return "", false
 	}
 	s := d.server(need.Name)
-	isUsable := s != nil && !s.delisted && !s.server.Listing.Draining && s.server.IsUp(now) && !d.isInMaintenance(s) && !d.isUnreachable(w, s, now)
+	isUsable := s != nil && d.isAvailable(s, now) && !d.isUnreachable(w, s, now)
 	return need.Name, isUsable && !s.warmUp.isLimited && s.isFull(now)
 }
--- a/proxy/server_state.go
+++ b/proxy/server_state.go
@@ -67,6 +67,11 @@
 	s.byOrganisation[organisation]++
 }
 
+// isAvailable reports whether the server is listed, responds and may be given statements.
+func (d *Dispatcher) isAvailable(s *serverState, now time.Duration) bool {
+	return !s.delisted && !s.server.Listing.Draining && !d.isInMaintenance(s) && s.server.IsUp(now)
+}
+
 func (s *serverState) removeConnection(organisation string) {
 	s.total--
 	if s.byOrganisation[organisation]--; s.byOrganisation[organisation] <= 0 {
--- a/proxy/spill_survey.go
+++ b/proxy/spill_survey.go
@@ -38,7 +38,7 @@
 			continue
 		}
 		owner, found := d.remoteOwner(other, now)
-		if !found || other.delisted || d.isInMaintenance(other) || l.Draining || !other.server.IsUp(now) {
+		if !found || !d.isAvailable(other, now) {
 			s.spill.over = s.spill.over.WithoutNeighbour(name)
 			continue
 		}
