Ask the owner of a pool about a server in one function

Probes and surveys repeated the call with its timeout, and each checked in its own way that the owner's process had not been replaced. No behaviour changes: go test ./proxy ./cmd/gateway passes.

--- a/proxy/dispatcher_owners.go
+++ b/proxy/dispatcher_owners.go
@@ -124,17 +124,26 @@
 func (p *ownerProbe) run() {
 	d := p.dispatcher
 	defer d.running.Done()
-	callCtx, cancel := port.WithTimeout(d.stopped, d.cfg.Timer, ownerProbeTimeout)
-	defer cancel()
-	response, err := d.cfg.SurveyPeer(callCtx, p.suspected.owner.Address, SurveyRequest{Server: p.suspected.server})
+	response, err := d.survey(p.suspected.owner, SurveyRequest{Server: p.suspected.server}, ownerProbeTimeout)
 	d.send(ownerProbeResult{ownerSuspected: p.suspected, response: response, err: err})
 }
 
+// survey asks the owner of a pool about a server. It fails if another process answers in the owner's place.
+func (d *Dispatcher) survey(owner Member, q SurveyRequest, timeout time.Duration) (SurveyResponse, error) {
+	ctx, cancel := port.WithTimeout(d.stopped, d.cfg.Timer, timeout)
+	defer cancel()
+	response, err := d.cfg.SurveyPeer(ctx, owner.Address, q)
+	if err == nil && response.Incarnation != owner.Incarnation {
+		err = port.Errorf(port.Unavailable, "the owner was replaced")
+	}
+	return response, err
+}
+
 // handleProbeResult excludes an owner that did not respond and aborts its loans, so that their reads run elsewhere. If
 // the owner is alive but has had no response from the server either, the server is suspected.
 func (d *Dispatcher) handleProbeResult(c ownerProbeResult, now time.Duration) {
 	delete(d.probing, c.owner.Incarnation)
-	if c.err != nil || c.response.Incarnation != c.owner.Incarnation {
+	if c.err != nil {
 		d.excludeOwner(c.owner, "the owner did not respond to a probe", now)
 		d.cfg.RemotePools.Abort(c.owner)
 		// Its data centre may be cut off, with the server in it. Otherwise that would become clear only after every other
--- a/proxy/spill_survey.go
+++ b/proxy/spill_survey.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
-	"github.com/rhubarbwick/rhubarbwick/port"
 )
 
 // spillSurveyTimeout limits a survey. It is the time between two surveys and far above the latency between data centres.
@@ -69,13 +68,8 @@
 func (p *spillSurvey) run() {
 	d := p.dispatcher
 	defer d.running.Done()
-	ctx, cancel := port.WithTimeout(d.stopped, d.cfg.Timer, spillSurveyTimeout)
-	defer cancel()
 	start := d.cfg.Timer.Now()
-	response, err := d.cfg.SurveyPeer(ctx, p.owner.Address, SurveyRequest{Server: p.server, WantsLoad: true})
-	if err == nil && response.Incarnation != p.owner.Incarnation {
-		err = port.Errorf(port.Unavailable, "the owner was replaced")
-	}
+	response, err := d.survey(p.owner, SurveyRequest{Server: p.server, WantsLoad: true}, spillSurveyTimeout)
 	d.send(spillSurveyed{pool: p.pool, server: p.server, load: response.Load, took: d.cfg.Timer.Now() - start, err: err})
 }
 
