--- a/clientlimit/plan.go
+++ b/clientlimit/plan.go
@@ -54,6 +54,9 @@
 	State, Messages, Reserve int64
 }
 
+// HeapLimit returns the soft limit in bytes of the Go runtime on a machine with the given memory.
+func HeapLimit(memoryMB int) int64 { return int64(clientPart * float64(memoryMB) * (1 << 20)) }
+
 // NewPlan divides the memory of a machine. A place has placeBytes. The number of places is reduced if the memory is too
 // small for them.
 func NewPlan(memoryBytes int64, places, placeBytes int) Plan {
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -21,8 +21,6 @@
 )
 
 const (
-	// heapFraction is the fraction of the machine's memory that the Go runtime uses as its soft limit.
-	heapFraction = 0.6
 	// transactionsFraction is the fraction of the time between SIGTERM and SIGKILL in which open transactions may end, and
 	// statementsFraction that in which statements that are running then may end. The rest is left for deregistration.
 	transactionsFraction = 0.5
@@ -63,7 +61,7 @@
 
 // newProcess opens the sockets and creates the components.
 func newProcess(ctx context.Context, s platform.Settings, incarnation string, log *startup.Log) (*process, error) {
-	debug.SetMemoryLimit(int64(heapFraction * float64(s.MemoryMB) * (1 << 20)))
+	debug.SetMemoryLimit(clientlimit.HeapLimit(s.MemoryMB))
 	name := zap.String("instance", s.Name)
 	p := &process{settings: s, log: log.Process.With(name), timer: clock.NewBootTimeService()}
 	p.decisions = decisions.New(p.log, log.Requests.With(name), p.timer)
--- a/cmd/serve/process.go
+++ b/cmd/serve/process.go
@@ -38,13 +38,9 @@
 // httpShutdownTimeout is how long pending HTTP calls of operators and other instances may take while the instance stops.
 const httpShutdownTimeout = time.Second
 
-const (
-	// heapFraction is the fraction of the machine's memory that the Go runtime uses as its soft limit.
-	heapFraction = 0.6
-	// startingConnections is the number of connections beyond the limit of clients for clients that are logging in and for
-	// cancel requests.
-	startingConnections = 64
-)
+// startingConnections is the number of connections beyond the limit of clients for clients that are logging in and for
+// cancel requests.
+const startingConnections = 64
 
 // process is one entry instance with its components and sockets.
 type process struct {
@@ -75,7 +71,7 @@
 // newProcess opens the sockets and creates the components.
 func newProcess(ctx context.Context, cfg settings.Settings, incarnation string, log *startup.Log) (*process, error) {
 	p := &process{cfg: cfg, log: log.Process, requestLog: log.Requests, timer: clock.NewService(), metrics: metrics.New(log.Dropped)}
-	debug.SetMemoryLimit(int64(heapFraction * float64(cfg.Clients.MemoryMB) * (1 << 20)))
+	debug.SetMemoryLimit(clientlimit.HeapLimit(cfg.Clients.MemoryMB))
 	plan := clientlimit.NewPlan(int64(cfg.Clients.MemoryMB)<<20, cfg.Clients.MaxConnections+startingConnections, clientlimit.PostgresPlace)
 	p.guard = clientlimit.NewGuard(plan.WithStarting(startingConnections), p.timer, func(limit clientlimit.Limit, total uint64) {
 		p.log.Named("callers").Warn("limit reached", zap.String("limit", string(limit)), zap.Uint64("total", total))
