--- a/adapter/postgres/client_limits.go
+++ b/adapter/postgres/client_limits.go
@@ -38,20 +38,12 @@
 // KeepAlive ends the connection of an unreachable client. It is for the socket on which clients connect.
 var KeepAlive = keepAlive
 
-// hostOf returns the IP address of a client; it is empty if the connection is not a TCP connection.
-func hostOf(conn net.Conn) string {
-	if address, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
-		return address.IP.String()
-	}
-	return ""
-}
-
 // openPlace takes a place for a connection without a key. It returns nil without an error if there are no limits.
 func (l *Listener) openPlace(conn net.Conn) (*clientlimit.Place, error) {
 	if l.cfg.Guard == nil {
 		return nil, nil
 	}
-	if place := l.cfg.Guard.Open(hostOf(conn), func() { _ = conn.Close() }); place != nil {
+	if place := l.cfg.Guard.OpenConn(conn); place != nil {
 		return place, nil
 	}
 	return nil, port.Errorf(port.NoConnection, "too many clients")
