--- a/untrusted/gateway_test.go
+++ b/untrusted/gateway_test.go
@@ -41,10 +41,21 @@
 // TestGatewayUnderCrowd guards against clients that make a gateway exceed the memory or the descriptors of its machine,
 // that end it, or that take the places of ordinary clients.
 func TestGatewayUnderCrowd(t *testing.T) {
-	for _, name := range slices.Sorted(maps.Keys(gatewayCrowds)) {
+	testCrowds(t, gatewayCrowds, startGateway)
+}
+
+// fixture is a process under test with what it needs.
+type fixture interface {
+	requireService(t *testing.T)
+	requireBounds(t *testing.T)
+}
+
+// testCrowds starts a process for each crowd and requires that it still serves afterwards.
+func testCrowds[F fixture](t *testing.T, crowds map[string]func(*testing.T, *crowd, F), start func(*testing.T) F) {
+	for _, name := range slices.Sorted(maps.Keys(crowds)) {
 		t.Run(name, func(t *testing.T) {
-			f := startGateway(t)
-			gatewayCrowds[name](t, newCrowd(t), f)
+			f := start(t)
+			crowds[name](t, newCrowd(t), f)
 			f.requireService(t)
 			f.requireBounds(t)
 		})
--- a/untrusted/serve_test.go
+++ b/untrusted/serve_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 	"strings"
 	"testing"
 
@@ -29,14 +27,7 @@
 
 // TestServeUnderCrowd is TestGatewayUnderCrowd for the serve command and the PostgreSQL protocol.
 func TestServeUnderCrowd(t *testing.T) {
-	for _, name := range slices.Sorted(maps.Keys(serveCrowds)) {
-		t.Run(name, func(t *testing.T) {
-			f := startServe(t)
-			serveCrowds[name](t, newCrowd(t), f)
-			f.requireService(t)
-			f.requireBounds(t)
-		})
-	}
+	testCrowds(t, serveCrowds, startServe)
 }
 
 func serveLargeMessages(_ *testing.T, c *crowd, f *serveFixture) {
