Build and run programs under test in one package

bench, soak and untrusted each built the programs in the same lines; bench and untrusted also started, killed and awaited processes and polled conditions in the same way. standin/harness does it now. The assertions, limits and poll periods stay; the three packages pass.

--- a/bench/fixture_test.go
+++ b/bench/fixture_test.go
@@ -314,7 +314,7 @@
 	var found *server
 	highest := 0
 	for _, s := range f.groups[g] {
-		if s.hasExited() {
+		if s.HasExited() {
 			continue
 		}
 		if st, ok := s.status(); ok && st.isPrimary() && st.term() > highest {
@@ -352,7 +352,7 @@
 	var terms []int
 	primaries := 0
 	for _, s := range f.groups[g] {
-		if s.hasExited() {
+		if s.HasExited() {
 			continue
 		}
 		st, ok := s.status()
@@ -369,7 +369,7 @@
 
 // replicas returns the running servers of a group except the primary.
 func (f *fixture) replicas(g int, primary *server) []*server {
-	return slices.DeleteFunc(slices.Clone(f.groups[g]), func(s *server) bool { return s == primary || s.hasExited() })
+	return slices.DeleteFunc(slices.Clone(f.groups[g]), func(s *server) bool { return s == primary || s.HasExited() })
 }
 
 // logOnFailure prints the end of each log if the test has failed.
--- a/bench/forward_test.go
+++ b/bench/forward_test.go
@@ -198,8 +198,8 @@
 	eventually(t, shutdownTimeout, "the serving instance is no longer ready", func() bool { return statusCode(f.localServing.adminURL+"/ready") != 200 })
 	t.Run("a transaction completes", func(t *testing.T) {
 		transaction.mustExec(t, "COMMIT")
-		eventually(t, shutdownTimeout, "the serving instance ends", f.localServing.hasExited)
-		require.Zero(t, f.localServing.cmd.ProcessState.ExitCode())
+		eventually(t, shutdownTimeout, "the serving instance ends", f.localServing.HasExited)
+		require.Zero(t, f.localServing.Cmd.ProcessState.ExitCode())
 	})
 	t.Run("sessions move", func(t *testing.T) {
 		requireValue(t, idle, "tin", "1")
@@ -212,8 +212,8 @@
 		_, err := idle.exec(getSQL("tin"))
 		requireCode(t, "57P01", err)
 		transaction.mustExec(t, "COMMIT")
-		eventually(t, shutdownTimeout, "the instance ends", f.forwarder.hasExited)
-		require.Zero(t, f.forwarder.cmd.ProcessState.ExitCode())
+		eventually(t, shutdownTimeout, "the instance ends", f.forwarder.HasExited)
+		require.Zero(t, f.forwarder.Cmd.ProcessState.ExitCode())
 	})
 	l.end()
 	t.Logf("outcomes: %v", l.counts())
--- a/bench/instance_test.go
+++ b/bench/instance_test.go
@@ -116,8 +116,8 @@
 	})
 	t.Run("a running statement completes", func(t *testing.T) { require.NoError(t, slow.await()) })
 	t.Run("the process exits with 0", func(t *testing.T) {
-		eventually(t, shutdownTimeout, "the process exits", m.hasExited)
-		require.Zero(t, m.cmd.ProcessState.ExitCode())
+		eventually(t, shutdownTimeout, "the process exits", m.HasExited)
+		require.Zero(t, m.Cmd.ProcessState.ExitCode())
 	})
 	l.end()
 	t.Run("outcomes are correct", func(t *testing.T) {
--- a/bench/measure_test.go
+++ b/bench/measure_test.go
@@ -63,12 +63,12 @@
 
 // killAll kills all processes before the benchmark ends, to make room for the next fixture.
 func (f *fixture) killAll() {
-	f.platform.killAndWait()
+	f.platform.KillAndWait()
 	for _, s := range slices.Concat(f.groups...) {
-		s.killAndWait()
+		s.KillAndWait()
 	}
 	for _, m := range f.members {
-		m.killAndWait()
+		m.KillAndWait()
 	}
 }
 
--- a/bench/process_test.go
+++ b/bench/process_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/standin/harness"
 )
 
 const (
@@ -22,36 +24,24 @@
 
 // process is a process started by the test, with its output in files.
 type process struct {
+	*harness.Process
 	name     string
-	cmd      *exec.Cmd
 	out, log string
-	// done is closed when the process has exited.
-	done chan struct{}
 }
 
 // start starts a binary and kills it at the end of the test, even if it is paused then.
 func start(t testing.TB, dir, name, binary string, args ...string) *process {
 	t.Helper()
-	p := &process{
-		name: name,
-		cmd:  exec.Command(pathOf(binary), args...),
-		out:  filepath.Join(dir, name+".out"),
-		log:  filepath.Join(dir, name+".log"),
-		done: make(chan struct{}),
-	}
+	p := &process{name: name, out: filepath.Join(dir, name+".out"), log: filepath.Join(dir, name+".log")}
 	out, err := os.Create(p.out)
 	require.NoError(t, err)
 	defer func() { _ = out.Close() }()
 	log, err := os.Create(p.log)
 	require.NoError(t, err)
 	defer func() { _ = log.Close() }()
-	p.cmd.Stdout, p.cmd.Stderr = out, log
-	// When the shell that started the tests in the background exits, their process group is orphaned, and the kernel sends
-	// SIGHUP to an orphaned group with a stopped member. A process group of its own protects the stopped process.
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-	require.NoError(t, p.cmd.Start())
-	go p.run()
-	t.Cleanup(p.killAndWait)
+	cmd := exec.Command(pathOf(binary), args...)
+	cmd.Stdout, cmd.Stderr = out, log
+	p.Process = harness.Start(t, cmd)
 	return p
 }
 
@@ -63,26 +53,15 @@
 	return filepath.Join(binaries, binary)
 }
 
-// run waits until the process exits.
-func (p *process) run() {
-	defer close(p.done)
-	_ = p.cmd.Wait()
-}
-
-func (p *process) killAndWait() {
-	_ = p.cmd.Process.Kill()
-	<-p.done
-}
-
 func (p *process) signal(t testing.TB, s syscall.Signal) {
 	t.Helper()
-	require.NoError(t, p.cmd.Process.Signal(s), "signal %s to %s", s, p.name)
+	require.NoError(t, p.Cmd.Process.Signal(s), "signal %s to %s", s, p.name)
 }
 
 func (p *process) kill(t testing.TB) {
 	t.Helper()
 	p.signal(t, syscall.SIGKILL)
-	<-p.done
+	<-p.Exited
 }
 
 // pause suspends the process with SIGSTOP until resume is called.
@@ -90,15 +69,6 @@
 func (p *process) resume(t testing.TB)    { t.Helper(); p.signal(t, syscall.SIGCONT) }
 func (p *process) terminate(t testing.TB) { t.Helper(); p.signal(t, syscall.SIGTERM) }
 
-func (p *process) hasExited() bool {
-	select {
-	case <-p.done:
-		return true
-	default:
-		return false
-	}
-}
-
 // addresses waits until the process prints a line that matches the pattern, and returns the submatches.
 func (p *process) addresses(t testing.TB, pattern string) []string {
 	t.Helper()
--- a/bench/secret_test.go
+++ b/bench/secret_test.go
@@ -35,7 +35,7 @@
 		}
 	})
 	f.members[0].terminate(t)
-	eventually(t, shutdownTimeout, "the process exits", f.members[0].hasExited)
+	eventually(t, shutdownTimeout, "the process exits", f.members[0].HasExited)
 	s := f.secrets
 	for _, secret := range []string{s.key, s.spareKey, s.rivalKey, s.operator, s.server, s.token, mistyped} {
 		for i, text := range seen {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -16,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rhubarbwick/rhubarbwick/standin/harness"
 	"github.com/rhubarbwick/rhubarbwick/standin/objects"
 )
 
@@ -46,18 +46,7 @@
 
 func runTests(m *testing.M) int {
 	flag.Parse()
-	dir, err := os.MkdirTemp("", "rhubarbwick-soak-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	binary = filepath.Join(dir, "rhubarbwick")
-	if output, err := exec.Command("go", "build", "-o", binary, "../cmd/rhubarbwick").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "building the program failed: %s\n%s", err, output)
-		return 1
-	}
-	return m.Run()
+	return harness.RunTests(m, func(dir string) { binary = filepath.Join(dir, "rhubarbwick") }, "../cmd/rhubarbwick")
 }
 
 // regressionSeeds are the seeds that have failed, each with its cause. ./script/soak runs them as well.
--- a/untrusted/main_test.go
+++ b/untrusted/main_test.go
@@ -2,16 +2,14 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/require"
-
 	"github.com/rhubarbwick/rhubarbwick/adapter/clock"
+	"github.com/rhubarbwick/rhubarbwick/port"
+	"github.com/rhubarbwick/rhubarbwick/standin/harness"
 )
 
 const (
@@ -48,41 +46,17 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go timer.Run(ctx)
-	dir, err := os.MkdirTemp("", "rhubarbwick-untrusted-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	program = filepath.Join(dir, "rhubarbwick")
-	build := exec.Command("go", "build", "-o", program, "../cmd/rhubarbwick")
-	if output, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "building the program failed: %s\n%s", err, output)
-		return 1
-	}
-	return m.Run()
+	return harness.RunTests(m, func(dir string) { program = filepath.Join(dir, "rhubarbwick") }, "../cmd/rhubarbwick")
 }
 
 // eventually polls a condition until it holds, and fails the test when it does not hold within the limit.
 func eventually(t testing.TB, limit time.Duration, what string, holds func() bool) {
 	t.Helper()
-	deadline := timer.Now() + limit
-	for !holds() {
-		if timer.Now() > deadline {
-			require.FailNow(t, "condition did not hold", "%s within %s", what, limit)
-		}
-		pause(t, pollPeriod)
-	}
+	harness.Eventually(t, timer, pollPeriod, limit, what, holds)
 }
 
 // pause waits for one period of a poll or of a slow client.
 func pause(t testing.TB, d time.Duration) {
 	t.Helper()
-	done := make(chan struct{})
-	stop := timer.After(d, func(time.Duration) { close(done) })
-	defer stop()
-	select {
-	case <-done:
-	case <-t.Context().Done():
-	}
+	_ = port.Sleep(t.Context(), timer, d)
 }
--- a/untrusted/process_test.go
+++ b/untrusted/process_test.go
@@ -10,19 +10,19 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbwick/rhubarbwick/standin/harness"
 )
 
 // process is a process under test.
 type process struct {
-	cmd *exec.Cmd
+	*harness.Process
 	// log is the file with its output.
-	log  string
-	done chan struct{}
+	log string
 
 	mu sync.Mutex
 	// mostDescriptors is the largest number of open descriptors that was seen.
@@ -32,41 +32,22 @@
 // startProcess starts the program and kills it at the end of the test.
 func startProcess(t *testing.T, args ...string) *process {
 	t.Helper()
-	p := &process{cmd: exec.Command(program, args...), log: filepath.Join(t.TempDir(), "process.log"), done: make(chan struct{})}
+	p := &process{log: filepath.Join(t.TempDir(), "process.log")}
 	log, err := os.Create(p.log)
 	require.NoError(t, err)
 	defer func() { _ = log.Close() }()
-	p.cmd.Stdout, p.cmd.Stderr = log, log
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-	require.NoError(t, p.cmd.Start())
-	go p.run()
-	stop := timer.Every(pollPeriod, p.sampleDescriptors)
 	t.Cleanup(func() {
-		stop()
-		_ = p.cmd.Process.Kill()
-		<-p.done
 		if t.Failed() {
 			t.Logf("end of the log:\n%s", lastBytes(p.output(), 4<<10))
 		}
 	})
+	cmd := exec.Command(program, args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	p.Process = harness.Start(t, cmd)
+	t.Cleanup(timer.Every(pollPeriod, p.sampleDescriptors))
 	return p
 }
 
-// run waits until the process exits.
-func (p *process) run() {
-	defer close(p.done)
-	_ = p.cmd.Wait()
-}
-
-func (p *process) hasExited() bool {
-	select {
-	case <-p.done:
-		return true
-	default:
-		return false
-	}
-}
-
 func (p *process) output() string {
 	data, _ := os.ReadFile(p.log)
 	return string(data)
@@ -77,7 +58,7 @@
 // peakMemoryKB returns the largest resident memory of the process so far.
 func (p *process) peakMemoryKB(t *testing.T) int {
 	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Cmd.Process.Pid))
 	require.NoError(t, err, "the process has exited")
 	for line := range strings.Lines(string(status)) {
 		if rest, found := strings.CutPrefix(line, "VmHWM:"); found {
@@ -91,7 +72,7 @@
 }
 
 func (p *process) descriptors() int {
-	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.Cmd.Process.Pid))
 	if err != nil {
 		return 0
 	}
@@ -109,7 +90,7 @@
 // log.
 func (p *process) requireBounds(t *testing.T) {
 	t.Helper()
-	require.False(t, p.hasExited(), "the process has exited")
+	require.False(t, p.HasExited(), "the process has exited")
 	peak := p.peakMemoryKB(t)
 	p.sampleDescriptors(0)
 	p.mu.Lock()
