--- a/statement/step.go
+++ b/statement/step.go
@@ -41,7 +41,7 @@
 		case OpenTransaction:
 			inTransaction = true
 		case Forward:
-			if command.isCommit() || !inTransaction && !s.isRead() {
+			if command.isCommit() || !inTransaction && !s.IsRead() {
 				return false
 			}
 		}
@@ -55,9 +55,8 @@
 }
 
 // IsRead reports whether the step forwards a read, which can be run again without harm.
-func (s Step) IsRead() bool { return s.isRead() }
-
-func (s Step) isRead() bool {
+// IsRead reports whether the step forwards a read, which can be run again without harm.
+func (s Step) IsRead() bool {
 	forward, isForward := s.Command.(Forward)
 	if !isForward {
 		return false
