--- a/admission/connections_replay_test.go
+++ b/admission/connections_replay_test.go
@@ -6,25 +6,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/rhubarbwick/rhubarbwick/admission"
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
 )
 
-// fairOrder and halfObjective are the order and the limit before run times were estimated by kind.
-func fairOrder(s *simulation) []int {
-	queued := make([]admission.QueuedStatement, len(s.queue))
-	for i, o := range s.queue {
-		queued[i] = admission.QueuedStatement{Organisation: o.organisation, Priority: o.class.priority, Arrived: o.issued}
-	}
-	return admission.Order(queued, s.recent)
-}
-
-func halfObjective(s *simulation, o *operation, ahead time.Duration) bool {
-	server := admission.Server{Slots: s.slots, ServiceTime: ahead}
-	_, refused := admission.Decide(server, 1, s.now-o.issued, o.class.objective/2).(admission.Refused)
-	return refused && !o.holds
-}
-
 // leastRecent opens a connection for every statement without one, and closes the least recently used one.
 func leastRecent(s *simulation, o *operation, _ int) dispatch.ConnectionChoice {
 	if s.all < s.connections {
@@ -88,10 +72,10 @@
 				s.seed = seed
 				c(&s)
 				results := make(map[string]outcome)
-				for policy, connect := range map[string]func(*simulation, *operation, int) dispatch.ConnectionChoice{
+				for policy, connect := range map[string]connectionPolicy{
 					"least recent": leastRecent, "equal share": equalShare, "by need": byNeed,
 				} {
-					results[policy] = s.run(strategy{order: fairOrder, refuses: halfObjective, connect: connect})
+					results[policy] = s.run(connect)
 					t.Logf("%d %-13s %s", seed, policy, results[policy])
 				}
 				need, recent := results["by need"], results["least recent"]
--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -91,15 +91,9 @@
 	return least
 }
 
-// strategy holds the decisions that a simulation compares.
-type strategy struct {
-	// order returns the order of service of the queue.
-	order func(s *simulation) []int
-	// refuses decides about a statement that cannot start now, with the work ahead of it.
-	refuses func(s *simulation, o *operation, ahead time.Duration) bool
-	// connect decides how a statement without an idle connection gets one.
-	connect func(s *simulation, o *operation, ahead int) dispatch.ConnectionChoice
-}
+// connectionPolicy decides how a statement without an idle connection gets one. ahead is the number of statements of the
+// organisation before it.
+type connectionPolicy func(s *simulation, o *operation, ahead int) dispatch.ConnectionChoice
 
 type idleConnection struct {
 	organisation string
@@ -109,10 +103,10 @@
 // simulation runs a scenario against one server in virtual time.
 type simulation struct {
 	scenario
-	strategy
-	now    time.Duration
-	events events
-	random *rand.Rand
+	connect connectionPolicy
+	now     time.Duration
+	events  events
+	random  *rand.Rand
 
 	queue   []*operation
 	idle    []idleConnection
@@ -147,9 +141,9 @@
 
 func (s *simulation) after(d time.Duration, run func()) { heap.Push(&s.events, event{s.now + d, run}) }
 
-// run simulates the scenario under the strategy.
-func (c scenario) run(st strategy) outcome {
-	s := &simulation{scenario: c, strategy: st, random: rand.New(rand.NewPCG(c.seed, 7)), total: make(map[string]int)}
+// run simulates the scenario under the policy.
+func (c scenario) run(connect connectionPolicy) outcome {
+	s := &simulation{scenario: c, connect: connect, random: rand.New(rand.NewPCG(c.seed, 7)), total: make(map[string]int)}
 	s.outcome = outcome{byOrganisation: make(map[string]*tally), byClass: make(map[string]*tally)}
 	for i := range c.classes {
 		s.scheduleArrival(&c.classes[i])
@@ -212,16 +206,31 @@
 	}
 }
 
-// serve starts the statements that can run, in order, and refuses those that the strategy refuses.
+// order returns the order of service of the queue.
+func (s *simulation) order() []int {
+	queued := make([]admission.QueuedStatement, len(s.queue))
+	for i, o := range s.queue {
+		queued[i] = admission.QueuedStatement{Organisation: o.organisation, Priority: o.class.priority, Arrived: o.issued}
+	}
+	return admission.Order(queued, s.recent)
+}
+
+// refuses decides about a statement that cannot start now, with the work ahead of it.
+func (s *simulation) refuses(o *operation, ahead time.Duration) bool {
+	server := admission.Server{Slots: s.slots, ServiceTime: ahead}
+	_, refused := admission.Decide(server, 1, s.now-o.issued, o.class.objective/2).(admission.Refused)
+	return refused && !o.holds
+}
+
+// serve starts the statements that can run, in order, and refuses those that would wait for too long.
 func (s *simulation) serve() {
 	var kept []*operation
 	ahead, ofOrganisation := time.Duration(0), make(map[string]int)
-	order := s.order(s)
-	for _, i := range order {
+	for _, i := range s.order() {
 		o := s.queue[i]
 		switch {
 		case s.start(o, ofOrganisation[o.organisation]):
-		case s.refuses(s, o, ahead):
+		case s.refuses(o, ahead):
 			s.refuse(o)
 		default:
 			kept = append(kept, o)
