Choose the priorities of immutable.Map by a seed

The priorities were an unkeyed hash of the names that clients choose, so that chosen names could make the tree a list and bring back the n squared that the map is there to avoid. They now depend on a seed of the process. The entries and their order stay.

--- a/immutable/map.go
+++ b/immutable/map.go
@@ -2,9 +2,8 @@
 package immutable
 
 import (
+	"hash/maphash"
 	"iter"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Map is an immutable map from texts to values. With and Without copy only the path to the entry, so that a map of n
@@ -14,6 +13,10 @@
 	size int
 }
 
+// seed makes priorities unpredictable. Clients choose the keys, and could otherwise choose some whose priorities make the
+// tree a list.
+var seed = maphash.MakeSeed()
+
 // node is a node of a treap: a search tree by key and a heap by priority, which is a hash of the key. Its shape depends
 // only on the set of keys.
 type node[V any] struct {
@@ -56,7 +59,7 @@
 	if _, found := m.Get(key); !found {
 		m.size++
 	}
-	m.root = m.root.with(&node[V]{key: key, value: value, priority: xxhash.Sum64String(key)})
+	m.root = m.root.with(&node[V]{key: key, value: value, priority: maphash.String(seed, key)})
 	return m
 }
 
