Match the items of two documents in one function

Impacts and Diff each paired the items of two lists by name. splitField searched for the last full stop by hand. No behaviour changes: the documents that Diff gets are valid, so that no name occurs twice in them.

--- a/document/diff.go
+++ b/document/diff.go
@@ -20,27 +20,44 @@
 	return append(lines, diffItems("route", old.Routes, next.Routes, routeName, routeLines)...)
 }
 
-// diffItems describes the items that were added, removed or changed. changed describes the changes within one item.
-func diffItems[T any](kind string, old, next []T, name func(T) string, changed func(path string, a, b T) []string) []string {
-	var lines []string
+// matchItems calls visit for each item of next, with the item of old that has its name, and then for each item of old that
+// was removed. An item that was added or removed is paired with the zero value.
+func matchItems[T any](old, next []T, name func(T) string, visit func(change ChangeKind, a, b T)) {
 	before := make(map[string]T, len(old))
 	for _, item := range old {
 		before[name(item)] = item
 	}
+	kept := make(map[string]bool, len(next))
 	for _, item := range next {
-		path := kind + " " + name(item)
-		previous, found := before[name(item)]
-		delete(before, name(item))
-		if !found {
-			lines = append(lines, path+": added")
+		kept[name(item)] = true
+		if previous, found := before[name(item)]; found {
+			visit(Changed, previous, item)
+		} else {
+			visit(Added, previous, item)
 		}
-		lines = append(lines, changed(path, previous, item)...)
 	}
 	for _, item := range old {
-		if _, left := before[name(item)]; left {
-			lines = append(lines, kind+" "+name(item)+": removed")
+		if !kept[name(item)] {
+			var none T
+			visit(Removed, item, none)
 		}
 	}
+}
+
+// diffItems describes the items that were added, removed or changed. changed describes the changes within one item.
+func diffItems[T any](kind string, old, next []T, name func(T) string, changed func(path string, a, b T) []string) []string {
+	var lines []string
+	matchItems(old, next, name, func(change ChangeKind, a, b T) {
+		if change == Removed {
+			lines = append(lines, kind+" "+name(a)+": removed")
+			return
+		}
+		path := kind + " " + name(b)
+		if change == Added {
+			lines = append(lines, path+": added")
+		}
+		lines = append(lines, changed(path, a, b)...)
+	})
 	return lines
 }
 
--- a/document/finding.go
+++ b/document/finding.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -62,10 +63,8 @@
 
 // splitField separates the last field of a path from the entry that it belongs to.
 func splitField(path string) (section, key string) {
-	for i := len(path) - 1; i >= 0; i-- {
-		if path[i] == '.' {
-			return path[:i], path[i+1:]
-		}
+	if i := strings.LastIndexByte(path, '.'); i >= 0 {
+		return path[:i], path[i+1:]
 	}
 	return "document", path
 }
--- a/document/impact.go
+++ b/document/impact.go
@@ -69,25 +69,16 @@
 
 // compareLists compares the entries of a list by name.
 func compareLists[T any](c *comparison, kind string, old, next []T, name func(T) string, added, removed string, changed func(section string, a, b T)) {
-	before := make(map[string]T, len(old))
-	for _, item := range old {
-		before[name(item)] = item
-	}
-	kept := make(map[string]bool, len(next))
-	for _, item := range next {
-		section := fmt.Sprintf("%s %q", kind, name(item))
-		kept[name(item)] = true
-		if previous, found := before[name(item)]; found {
-			changed(section, previous, item)
-			continue
-		}
-		c.impacts = append(c.impacts, Impact{Kind: Added, Section: section, Effect: added})
-	}
-	for _, item := range old {
-		if !kept[name(item)] {
-			c.impacts = append(c.impacts, Impact{Kind: Removed, Section: fmt.Sprintf("%s %q", kind, name(item)), Effect: removed})
+	matchItems(old, next, name, func(change ChangeKind, a, b T) {
+		switch change {
+		case Added:
+			c.impacts = append(c.impacts, Impact{Kind: Added, Section: fmt.Sprintf("%s %q", kind, name(b)), Effect: added})
+		case Removed:
+			c.impacts = append(c.impacts, Impact{Kind: Removed, Section: fmt.Sprintf("%s %q", kind, name(a)), Effect: removed})
+		default:
+			changed(fmt.Sprintf("%s %q", kind, name(b)), a, b)
 		}
-	}
+	})
 }
 
 func (c *comparison) organisation(section string, a, b Organisation) {
