--- a/dispatch/spillover.go
+++ b/dispatch/spillover.go
@@ -125,7 +125,7 @@
 	wait      time.Duration
 	waitAt    time.Duration
 	runTime   time.Duration
-	bytes     float64
+	bytes     ReadSize
 	steppedAt time.Duration
 	reason    SpillReason
 }
@@ -214,10 +214,7 @@
 // that the read meets, and bytes the expected size of the read and its answer.
 func (s SpillOver) WithRead(v SpillValues, local PoolLoad, bytes int, now time.Duration) (SpillOver, Placement) {
 	s = s.WithLoad(local, now)
-	if s.bytes == 0 {
-		s.bytes = float64(bytes)
-	}
-	s.bytes += (float64(bytes) - s.bytes) / bytesWeight
+	s.bytes = s.bytes.WithRead(bytes)
 	if now-s.steppedAt >= SpillStepInterval {
 		s = s.withStep(v, now)
 	}
@@ -243,7 +240,7 @@
 	next := make(map[string]spillNeighbour, len(s.neighbours))
 	total := 0.0
 	for server, n := range s.neighbours {
-		next[server] = n.withStep(s.wait+s.runTime, v.timeOf(s.bytes), now)
+		next[server] = n.withStep(s.wait+s.runTime, v.timeOf(s.bytes.mean), now)
 		total += next[server].share
 	}
 	largest := -1.0
