--- a/document/impact.go
+++ b/document/impact.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 )
 
 // ChangeKind is the kind of a change between two documents.
@@ -35,6 +36,7 @@
 	effectNextOperation = "from the next operation on, at all instances within seconds; running statements are not affected"
 	effectKeyRemoved    = "sessions with the key are refused (key_refused) from the next statement on, and their idle transactions are ended"
 	effectRouteRemoved  = "sessions on the route are refused (unknown_route) from the next statement on; open transactions may end"
+	effectHomes         = "from the next statement of each session outside a transaction on; open transactions end where they began"
 	effectOtherGroup    = "the next statement of each session outside a transaction runs at the other group, which does not have the session's earlier writes; open transactions end where they began"
 	effectRouteClosed   = "sessions without a key are refused (key_refused) from the next statement on"
 	effectConnections   = "open transactions keep their connections; idle connections above the limit are closed within seconds"
@@ -85,6 +87,7 @@
 	c.field(section, "rate", a.Rate, b.Rate, effectNextOperation)
 	c.field(section, "burst", a.Burst, b.Burst, effectNextOperation)
 	c.field(section, "priority", a.Priority, b.Priority, effectNextStatement)
+	c.homes(section, a.Homes, b.Homes)
 	// A key that was replaced under its id is refused like a removed one.
 	identity := func(k Key) string { return k.ID + "\x00" + k.SHA256 }
 	for _, k := range b.Keys {
@@ -106,6 +109,8 @@
 	c.field(section, "serving_instances", a.ServingInstances, b.ServingInstances, effectNextStatement)
 	c.field(section, "connections", a.Connections, b.Connections, effectConnections)
 	c.field(section, "synchronous_replicas", a.SynchronousReplicas, b.SynchronousReplicas, effectReplacement)
+	c.field(section, "cold_per_s", a.ColdRate, b.ColdRate, effectNextStatement)
+	c.field(section, "cold_start_ms", a.ColdStartMS, b.ColdStartMS, effectNextStatement)
 	compareLists(c, section+" server", a.Servers, b.Servers, func(s Server) string { return s.Name }, effectNone, effectServerRemoved, c.server)
 }
 
@@ -140,4 +145,9 @@
 	c.field(section, "timeout_ms", a.TimeoutMS, b.TimeoutMS, effectNextStatement)
 	c.field(section, "target_latency_ms", a.TargetLatencyMS, b.TargetLatencyMS, effectNextStatement)
 	c.field(section, "priority", a.Priority, b.Priority, effectNextStatement)
+	c.homes(section, a.Homes, b.Homes)
+}
+
+func (c *comparison) homes(section string, a, b Homes) {
+	c.field(section, "homes", strings.Join(a.List(), " "), strings.Join(b.List(), " "), effectHomes)
 }
