--- a/adapter/postgres/client.go
+++ b/adapter/postgres/client.go
@@ -20,8 +20,7 @@
 
 const (
 	// clientEventCapacity limits the events that are queued for a client; each holds up to readChunkBytes of a response.
-	// While the queue is full, servers and the
-	// client block.
+	// While the queue is full, servers and the client block.
 	clientEventCapacity = 16
 	// maxReadAhead is how many batches of a client are read before the first of them is sent. It is far below
 	// clientEventCapacity, so that batches never fill the queue and block the responses of the server.
--- a/untrusted/gateway_test.go
+++ b/untrusted/gateway_test.go
@@ -171,27 +171,13 @@
 				return
 			}
 		}
-		for range 50 {
-			if _, err := client.conn.Read(make([]byte, 1)); err != nil {
-				return
-			}
-			pause(t, pollPeriod)
-		}
+		readBytes(t, client.conn)
 	})
 }
 
 // openHalf opens connections that send nothing or a part of the START message.
 func openHalf(_ *testing.T, c *crowd, f *gatewayFixture) {
-	c.run(3*placeLimit, func(i int) {
-		conn, err := dial(f.clients, crowdAddress)
-		if err != nil {
-			return
-		}
-		c.keep(conn)
-		if i%2 == 0 {
-			_, _ = conn.Write([]byte("STA"))
-		}
-	})
+	c.openHalf(f.clients, []byte("STA"))
 }
 
 func setValues(_ *testing.T, c *crowd, f *gatewayFixture) {
--- a/untrusted/line_client_test.go
+++ b/untrusted/line_client_test.go
@@ -90,6 +90,31 @@
 	c.running.Wait()
 }
 
+// openHalf opens connections that send nothing or the beginning of the first message.
+func (c *crowd) openHalf(address string, beginning []byte) {
+	c.run(3*placeLimit, func(i int) {
+		conn, err := dial(address, crowdAddress)
+		if err != nil {
+			return
+		}
+		c.keep(conn)
+		if i%2 == 0 {
+			_, _ = conn.Write(beginning)
+		}
+	})
+}
+
+// readBytes reads some bytes one by one, with pauses.
+func readBytes(t *testing.T, conn net.Conn) {
+	t.Helper()
+	for range 50 {
+		if _, err := conn.Read(make([]byte, 1)); err != nil {
+			return
+		}
+		pause(t, pollPeriod)
+	}
+}
+
 // lineClient is a client of the line protocol.
 type lineClient struct {
 	conn  net.Conn
--- a/untrusted/serve_test.go
+++ b/untrusted/serve_test.go
@@ -142,27 +142,13 @@
 				return
 			}
 		}
-		for range 50 {
-			if _, err := client.conn.Read(make([]byte, 1)); err != nil {
-				return
-			}
-			pause(t, pollPeriod)
-		}
+		readBytes(t, client.conn)
 	})
 }
 
 // serveHalfOpen opens connections that send nothing or a part of the start-up message.
 func serveHalfOpen(_ *testing.T, c *crowd, f *serveFixture) {
-	c.run(3*placeLimit, func(i int) {
-		conn, err := dial(f.clients, crowdAddress)
-		if err != nil {
-			return
-		}
-		c.keep(conn)
-		if i%2 == 0 {
-			_, _ = conn.Write([]byte{0, 0, 0, 40, 0, 3})
-		}
-	})
+	c.openHalf(f.clients, []byte{0, 0, 0, 40, 0, 3})
 }
 
 func servePreparedStatements(_ *testing.T, c *crowd, f *serveFixture) {
