--- a/adapter/connlimit/limited.go
+++ b/adapter/connlimit/limited.go
@@ -1,4 +1,4 @@
-// Package connlimit limits the connections that a listening socket holds open.
+// Package connlimit limits the connections that a listening socket holds open, and gives clients' connections their places.
 package connlimit
 
 import (
@@ -19,6 +19,15 @@
 	return &limitedSocket{Listener: socket, limit: n, guard: guard, open: list.New()}
 }
 
+// OpenPlace returns a place for a client without a key. The connection is closed when it loses its place.
+func OpenPlace(guard *clientlimit.Guard, conn net.Conn) *clientlimit.Place {
+	address := ""
+	if a, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
+		address = a.IP.String()
+	}
+	return guard.Open(address, func() { _ = conn.Close() })
+}
+
 type limitedSocket struct {
 	net.Listener
 	limit int
--- a/adapter/postgres/client_limits.go
+++ b/adapter/postgres/client_limits.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/rhubarbwick/rhubarbwick/adapter/connlimit"
 	"github.com/rhubarbwick/rhubarbwick/clientlimit"
 	"github.com/rhubarbwick/rhubarbwick/port"
 )
@@ -43,7 +44,7 @@
 	if l.cfg.Guard == nil {
 		return nil, nil
 	}
-	if place := l.cfg.Guard.OpenConn(conn); place != nil {
+	if place := connlimit.OpenPlace(l.cfg.Guard, conn); place != nil {
 		return place, nil
 	}
 	return nil, port.Errorf(port.NoConnection, "too many clients")
--- a/clientlimit/guard.go
+++ b/clientlimit/guard.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/list"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -130,15 +129,6 @@
 	return p
 }
 
-// OpenConn is Open for a connection, which is closed when it loses its place.
-func (g *Guard) OpenConn(conn net.Conn) *Place {
-	address := ""
-	if a, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
-		address = a.IP.String()
-	}
-	return g.Open(address, func() { _ = conn.Close() })
-}
-
 // removeStarting removes the oldest client of the address with most clients without a key. It returns nil if there is no
 // such client.
 func (g *Guard) removeStarting() *Place {
