--- a/adapter/decisions/log.go
+++ b/adapter/decisions/log.go
@@ -102,6 +102,8 @@
 		l.logger.Info("pool: owner is passed over", zap.String("owner", e.Owner), zap.String("server", e.Server), zap.String("reason", e.Reason))
 	case proxy.PeerPanicked:
 		l.logger.Error("peer: serving it failed unexpectedly", zap.String("peer", e.Peer), zap.String("reason", e.Reason), zap.String("stack", e.Stack))
+	case proxy.MaintenanceUpdated, proxy.MaintenanceProgress:
+		l.writeMaintenance(e)
 	case proxy.SourceChanged:
 		l.logger.Info("knowledge: source changed", zap.String("source", e.Source), zap.String("reason", e.Reason))
 	}
--- a/adapter/metrics/gateway.go
+++ b/adapter/metrics/gateway.go
@@ -36,6 +36,7 @@
 	statements     *prometheus.CounterVec
 	ownersExcluded prometheus.Counter
 	panics         *prometheus.CounterVec
+	maintenance    maintenanceMetrics
 	next           proxy.Recorder
 }
 
@@ -61,9 +62,11 @@
 		ownersExcluded: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "gateway_owners_passed_over_total", Help: "Times that the owner of a pool was passed over.",
 		}),
-		panics: newCounterVec("gateway_panics_total", "Panics while one peer was served, by kind of peer.", "peer"),
-		next:   next,
+		panics:      newCounterVec("gateway_panics_total", "Panics while one peer was served, by kind of peer.", "peer"),
+		maintenance: newMaintenanceMetrics(),
+		next:        next,
 	}
+	g.registry.MustRegister(g.maintenance.collectors()...)
 	g.registry.MustRegister(g.requests, g.latency, g.promotionSteps, g.primaryChanges, g.storeCalls, g.statements, g.ownersExcluded, g.panics, collectors.NewGoCollector(),
 		newGaugeFunc("gateway_document_revision", "The revision of the document in force.", func() float64 { return float64(s.DocumentRevision()) }),
 		newGaugeFunc("gateway_document_age_seconds", "How long ago the document was known to be the newest.",
@@ -91,6 +94,9 @@
 
 // Record counts an event and passes it on.
 func (g *Gateway) Record(e proxy.Event) {
+	if g.maintenance.record(e) {
+		return
+	}
 	switch e := e.(type) {
 	case proxy.RequestCompleted:
 		result := string(e.Kind)
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -169,7 +169,7 @@
 	if p.readinessServer, err = platform.NewReadinessServer(ctx, p.settings, p.gate.IsOpen); err != nil {
 		return err
 	}
-	p.metricsServer, err = platform.NewHTTPServer(ctx, p.settings.MetricsAddress, "GET /metrics", p.metrics.Handler())
+	p.metricsServer, err = platform.NewHTTPServer(ctx, p.settings.MetricsAddress, "GET /", p.operatorHandler())
 	return err
 }
 
--- a/cmd/root/root.go
+++ b/cmd/root/root.go
@@ -13,6 +13,7 @@
 	"github.com/rhubarbwick/rhubarbwick/cmd/group"
 	"github.com/rhubarbwick/rhubarbwick/cmd/instance"
 	"github.com/rhubarbwick/rhubarbwick/cmd/key"
+	"github.com/rhubarbwick/rhubarbwick/cmd/maintenance"
 	"github.com/rhubarbwick/rhubarbwick/cmd/organisation"
 	"github.com/rhubarbwick/rhubarbwick/cmd/request"
 	"github.com/rhubarbwick/rhubarbwick/cmd/serve"
@@ -63,6 +64,7 @@
 			key.NewCommand(s),
 			group.NewCommand(s),
 			instance.NewCommand(s),
+			maintenance.NewCommand(s),
 			session.NewCommand(s),
 			request.NewCommand(s),
 			settings.NewCommand(s),
