--- a/review/standin-3/database.go
+++ b/review/standin-3/database.go
@@ -80,6 +80,9 @@
 	isPrimary bool
 	term      uint64
 	conns     int
+	isLost    bool
+	listener  net.Listener
+	open      map[net.Conn]bool
 }
 
 func (g *group) start(id, zone string, isPrimary bool) (*dbServer, error) {
@@ -89,6 +92,7 @@
 	}
 	s := &dbServer{
 		group: g, id: id, zone: zone, address: listener.Addr().String(), isPrimary: isPrimary, term: g.term,
+		listener: listener, open: map[net.Conn]bool{},
 		slots: make(chan struct{}, serverSlots), waiting: make(chan struct{}, serverSlots+serverQueue),
 	}
 	g.mu.Lock()
@@ -106,14 +110,25 @@
 	return s, nil
 }
 
+// lose crashes the server for good.
+func (s *dbServer) lose() {
+	s.listener.Close()
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.isLost = true
+	for conn := range s.open {
+		conn.Close()
+	}
+}
+
 // promote makes the server the primary of the next term.
 func (g *group) promote(id string) int {
 	g.mu.Lock()
 	s, found := g.servers[id]
-	isPrimary := found && s.isPrimary
+	isPrimary, isLost := found && s.isPrimary, found && s.isLost
 	g.mu.Unlock()
 	switch {
-	case !found:
+	case !found || isLost:
 		return http.StatusConflict
 	case isPrimary:
 		return http.StatusOK
@@ -168,6 +183,14 @@
 
 func (s *dbServer) serve(conn net.Conn) {
 	defer conn.Close()
+	s.group.mu.Lock()
+	s.open[conn] = true
+	s.group.mu.Unlock()
+	defer func() {
+		s.group.mu.Lock()
+		delete(s.open, conn)
+		s.group.mu.Unlock()
+	}()
 	r := bufio.NewReader(conn)
 	line, err := readMessage(r)
 	if err != nil {
--- a/review/standin-3/gateway.go
+++ b/review/standin-3/gateway.go
@@ -23,6 +23,8 @@
 	settings       string
 	program        string
 	record         *record
+	// store is the platform's store as this machine sees it.
+	store *view
 
 	mu      sync.Mutex
 	process *os.Process
@@ -33,8 +35,12 @@
 	done chan struct{}
 }
 
-// newGateway writes the settings file of a gateway.
-func newGateway(w *world, n int, zone string) (*gateway, error) {
+// newGateway writes the settings file of a gateway. n is its number in the deployment, and inZone that in its zone.
+func newGateway(w *world, n, inZone int, zone string) (*gateway, error) {
+	store, err := w.store.newView()
+	if err != nil {
+		return nil, err
+	}
 	ip := fmt.Sprintf("127.0.%d.%d", 20+os.Getpid()%200, 10+n)
 	ports, err := freePorts(ip, 3)
 	if err != nil {
@@ -45,7 +51,7 @@
 		return nil, err
 	}
 	g := &gateway{
-		name: fmt.Sprintf("frontend-%s-%d", zone, n), zone: zone, ip: ip, record: w.record, program: w.program,
+		name: fmt.Sprintf("frontend-%s-%d", zone, inZone), zone: zone, store: store, ip: ip, record: w.record, program: w.program,
 		front: fmt.Sprintf("%s:%d", ip, ports[0]), ready: fmt.Sprintf("%s:%d", ip, ports[1]),
 		settings: filepath.Join(w.temp, fmt.Sprintf("settings-%d.conf", n)), done: make(chan struct{}),
 	}
@@ -62,9 +68,9 @@
 		"bounds.drain_ms=7000", "bounds.grace_s=6", "bounds.loss_slack_ms=200", "bounds.config_apply_ms=3000",
 		"bounds.downgrade_slack_ms=250", "bounds.outer_bound_ms=12000", "bounds.strict_revocation=false",
 		"bounds.revoke_ms=5000", "bounds.quota_window_s=5", "bounds.quota_over=0.1", "bounds.quota_slack=20",
-		"bounds.recover_s=12", "bounds.fencing_required=false", "bounds.thaw_slack_ms=300", "platform.address=" + w.store.address,
+		"bounds.recover_s=12", "bounds.fencing_required=false", "bounds.thaw_slack_ms=300", "platform.address=" + store.address,
 		"platform.form=objects", "platform.writes_per_s=400", "platform.reads_per_s=2000", "platform.history_s=20",
-		"platform.value_bytes=1048576", "platform.ttl_min_ms=1000", "cloud.address=" + w.store.address,
+		"platform.value_bytes=1048576", "platform.ttl_min_ms=1000", "cloud.address=" + store.address,
 		"cloud.rate_per_s=50.0", "cloud.duties=promotion", "cloud.duty_per_s=50.0",
 	}
 	return g, os.WriteFile(g.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600)
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -10,7 +10,9 @@
 
 // cases maps the name of a case to its function, which returns the exit code.
 var cases = map[string]func(rec *record, program string, trouble bool) (int, error){
-	"quota": quotaCase,
+	"config": configCase,
+	"quota":  quotaCase,
+	"start":  startCase,
 }
 
 func main() {
--- a/review/standin-3/quota.go
+++ b/review/standin-3/quota.go
@@ -64,7 +64,7 @@
 
 // quotaCase kills all gateways three times within one window while a small tenant sends more than its limit.
 func quotaCase(rec *record, program string, trouble bool) (int, error) {
-	w, err := newWorld(rec, program)
+	w, err := newWorld(rec, program, "kig-a", "kig-b", "kig-c")
 	if err != nil {
 		return 2, err
 	}
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -1,13 +1,16 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sort"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -61,6 +64,64 @@
 	return s, nil
 }
 
+// view is the store as one machine sees it. While it is silent, the store leaves the calls of the machine without an
+// answer and does nothing.
+type view struct {
+	store   *store
+	address string
+	silent  atomic.Bool
+}
+
+// newView returns the view of one machine, at an address of its own.
+func (s *store) newView() (*view, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	v := &view{store: s, address: listener.Addr().String()}
+	go func() { _ = http.Serve(listener, v) }()
+	return v, nil
+}
+
+// ServeHTTP implements http.Handler.
+func (v *view) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	answer := &heldAnswer{header: http.Header{}, status: http.StatusOK}
+	if !v.silent.Load() {
+		call := r.Clone(r.Context())
+		call.Body = io.NopCloser(bytes.NewReader(body))
+		v.store.ServeHTTP(answer, call)
+	}
+	if v.silent.Load() {
+		<-r.Context().Done()
+		return
+	}
+	for key, values := range answer.header {
+		w.Header()[key] = values
+	}
+	w.WriteHeader(answer.status)
+	_, _ = w.Write(answer.body.Bytes())
+}
+
+// heldAnswer is an answer that is not sent yet.
+type heldAnswer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (a *heldAnswer) Header() http.Header { return a.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (a *heldAnswer) WriteHeader(status int) { a.status = status }
+
+// Write implements http.ResponseWriter.
+func (a *heldAnswer) Write(b []byte) (int, error) { return a.body.Write(b) }
+
 // set writes an object whatever its revision, as the operator and the servers do.
 func (s *store) set(kind, name string, spec any) {
 	data, err := json.Marshal(spec)
@@ -72,6 +133,16 @@
 	s.write(kind, object{Meta: meta{Name: name}, Spec: data})
 }
 
+// unset removes an object.
+func (s *store) unset(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.objects[kind][name]
+	delete(s.objects[kind], name)
+	s.revision++
+	s.notify(event{Object: old, Deleted: true, kind: kind, at: s.revision})
+}
+
 // write stores an object under the next revision. mu must be held.
 func (s *store) write(kind string, o object) object {
 	old, found := s.objects[kind][o.Meta.Name]
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -32,7 +32,8 @@
 	Urgency int      `json:"priority"`
 }
 
-func newWorld(rec *record, program string) (*world, error) {
+// newWorld starts the platform and three servers, the primary first, in the zones.
+func newWorld(rec *record, program string, zones ...string) (*world, error) {
 	temp, err := os.MkdirTemp("", "review-3-")
 	if err != nil {
 		return nil, err
@@ -51,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	for i, zone := range []string{"kig-a", "kig-b", "kig-c"} {
+	for i, zone := range zones {
 		s, err := w.group.start(fmt.Sprintf("i-%d", i+1), zone, i == 0)
 		if err != nil {
 			return nil, err
@@ -95,10 +96,12 @@
 	})
 }
 
-// startGateways starts one gateway in each zone and waits until all are ready.
+// startGateways starts a gateway in each of the zones, which may be named more than once, and waits until all are ready.
 func (w *world) startGateways(zones ...string) error {
+	inZone := map[string]int{}
 	for n, zone := range zones {
-		g, err := newGateway(w, n+1, zone)
+		inZone[zone]++
+		g, err := newGateway(w, n+1, inZone[zone], zone)
 		if err != nil {
 			return err
 		}
@@ -117,6 +120,16 @@
 	return nil
 }
 
+// gateway returns the gateway with the name.
+func (w *world) gateway(name string) *gateway {
+	for _, g := range w.gateways {
+		if g.name == name {
+			return g
+		}
+	}
+	return nil
+}
+
 func (w *world) noteRun(r run) {
 	w.record.printf("server %s runs %s for %s: %s", r.server, r.id, r.tenant, r.text)
 	w.mu.Lock()
