--- a/review/standin-3/config.go
+++ b/review/standin-3/config.go
@@ -17,9 +17,11 @@
 	configRollGap = time.Second
 	// configFirst is when the first key is taken away, from the beginning of the silence, and configGap the time until
 	// the next one.
-	configFirst = 2800 * time.Millisecond
-	configGap   = 300 * time.Millisecond
-	configKeys  = 8
+	configFirst = 2900 * time.Millisecond
+	configGap   = 100 * time.Millisecond
+	configKeys  = 16
+	// configProbeGap is the time between two requests with a key.
+	configProbeGap = 100 * time.Millisecond
 	// configWatch is how long each key is tried after it was taken away.
 	configWatch = 7 * time.Second
 )
@@ -43,7 +45,7 @@
 		}
 	}()
 	for rec.now() < until {
-		time.Sleep(40 * time.Millisecond)
+		time.Sleep(configProbeGap)
 		if c == nil {
 			code := ""
 			if c, code = dial(p.gateway.front, "schedules", p.key); c == nil {
