--- a/review/standin-3/gateway.go
+++ b/review/standin-3/gateway.go
@@ -26,6 +26,9 @@
 	// store is the platform's store as this machine sees it.
 	store *view
 
+	// onStart is called after each start of the process. It may be nil.
+	onStart func(g *gateway)
+
 	mu      sync.Mutex
 	process *os.Process
 	stopped bool
@@ -133,6 +136,9 @@
 			g.record.say("%s cannot be started: %s", g.name, err)
 			return
 		}
+		if g.onStart != nil {
+			g.onStart(g)
+		}
 		g.record.printf("%s: process %d started", g.name, cmd.Process.Pid)
 		err = cmd.Wait()
 		g.mu.Lock()
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -11,7 +11,7 @@
 // cases maps the name of a case to its function, which returns the exit code.
 var cases = map[string]func(rec *record, program string, trouble bool) (int, error){
 	"config": configCase,
-	"quota":  quotaCase,
+	"hup":    hupCase,
 	"start":  startCase,
 }
 
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -18,6 +18,8 @@
 	store    *store
 	group    *group
 	gateways []*gateway
+	// onStart is called after each start of a gateway's process. It may be nil.
+	onStart func(g *gateway)
 
 	mu   sync.Mutex
 	runs []run
@@ -105,6 +107,7 @@
 		if err != nil {
 			return err
 		}
+		g.onStart = w.onStart
 		w.gateways = append(w.gateways, g)
 		go g.run()
 	}
