--- a/review/standin-3/config.go
+++ b/review/standin-3/config.go
@@ -15,6 +15,8 @@
 	configSilence = 9 * time.Second
 	// configRollGap is the time between two restarts of the rolling restart.
 	configRollGap = time.Second
+	// configRollDelay is the time between the beginning of the silence and the first restart.
+	configRollDelay = 800 * time.Millisecond
 	// configFirst is when the first key is taken away, from the beginning of the silence, and configGap the time until
 	// the next one.
 	configFirst = 2900 * time.Millisecond
@@ -126,6 +128,7 @@
 
 // rollKigA restarts three machines of a zone in turn, one after the other, until the time.
 func (w *world) rollKigA(until time.Duration) {
+	time.Sleep(configRollDelay)
 	for n := 0; w.record.now() < until; n++ {
 		w.gateway([]string{"frontend-kig-a-4", "frontend-kig-a-3", "frontend-kig-a-1"}[n%3]).signal(syscall.SIGTERM)
 		time.Sleep(configRollGap)
