--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -11,6 +11,7 @@
 // cases maps the name of a case to its function, which returns the exit code.
 var cases = map[string]func(rec *record, program string, trouble bool) (int, error){
 	"config": configCase,
+	"deep":   deepCase,
 	"hup":    hupCase,
 	"start":  startCase,
 }
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -14,6 +14,11 @@
 	"time"
 )
 
+// nestedMark stands for the value nested in the specs that the store holds.
+const nestedMark = "@nested@"
+
+var nested = []byte(strings.Repeat("[", deepLevels) + strings.Repeat("]", deepLevels))
+
 // pageSize is the number of objects of one response, as the pages state it.
 const pageSize = 500
 
@@ -103,7 +108,7 @@
 		w.Header()[key] = values
 	}
 	w.WriteHeader(answer.status)
-	_, _ = w.Write(answer.body.Bytes())
+	_, _ = w.Write(bytes.ReplaceAll(answer.body.Bytes(), []byte(strconv.Quote(nestedMark)), nested))
 }
 
 // heldAnswer is an answer that is not sent yet.
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -65,7 +65,10 @@
 }
 
 // list writes the entry of a server.
-func (w *world) list(s *dbServer) {
+func (w *world) list(s *dbServer) { w.listAs(s, "ready") }
+
+// listAs writes the entry of a server with the state.
+func (w *world) listAs(s *dbServer, state string) {
 	role := "replica"
 	w.group.mu.Lock()
 	if s.isPrimary {
@@ -73,7 +76,7 @@
 	}
 	w.group.mu.Unlock()
 	w.store.set("servers", s.id, map[string]any{
-		"service": s.group.name, "address": s.address, "zone": s.zone, "version": "v1", "slots": serverSlots, "state": "ready",
+		"service": s.group.name, "address": s.address, "zone": s.zone, "version": "v1", "slots": serverSlots, "state": state,
 		"cold_remaining_ms": 0, "database_role": role, "sequence": 1, "born": 1765000000000,
 	})
 }
