postgres: keep the start-up timer out of TestUnfinishedMessageEndsConnection

The test advances its fake clock by 30 s as soon as the client has a session, and the listener may not have stopped the 10 s start-up timer yet. That timer then closes the connection while a part of the message is unread, which resets it. No client is affected.

The fixture's start-up limit is now longer than the clock can advance in the minute that the test may take. The test still requires EOF; a start-up timer can no longer cause either result, so it is stricter than before.

The other tests that advance the clock past the start-up limit do so after the first response, by which time the timer is stopped.

--- a/adapter/postgres/client_limits_test.go
+++ b/adapter/postgres/client_limits_test.go
@@ -37,7 +37,9 @@
 
 // Guards against a client that sends a part of a message and keeps its memory and its place for good.
 func TestUnfinishedMessageEndsConnection(t *testing.T) {
-	f, _ := startOneServer(t)
+	// The clock may advance before the listener has stopped the start-up timer, which closes the connection as well. The
+	// limit is beyond all steps of the clock below, so that only the limit of the message can end the connection.
+	f := startFixture(t, postgres.ListenerConfig{StartupTimeout: 10_000 * time.Hour}, startFakeServer(t))
 	hijacked, err := f.connect("acme", "orders").PgConn().Hijack()
 	require.NoError(t, err)
 	defer func() { _ = hijacked.Conn.Close() }()
