proxy: log which relay supplies the cluster state, and the ages of its parts

"source changed" said only whether an instance read the store or a relay, so the log could not tell relays that follow each other from a head whose reads fail, or an old document from old records.

The line now names the relay, is written when the relay changes, and gives the ages of the document and of the records.

--- a/proxy/event.go
+++ b/proxy/event.go
@@ -63,8 +63,13 @@
 
 // SourceChanged reports where the instance now reads the cluster state from.
 type SourceChanged struct {
+	// Source is "store" or "relay"; Relay is the name of the relay, or empty.
 	Source string
+	Relay  string
 	Reason string
+	// DocumentAge and RecordsAge are the times since the document and the records were last known to be the newest.
+	DocumentAge time.Duration
+	RecordsAge  time.Duration
 }
 
 // MemberUnresponsive reports that another instance is unresponsive and that its record was marked as leaving or
--- a/proxy/syncer.go
+++ b/proxy/syncer.go
@@ -87,7 +87,9 @@
 	extendingRelay atomic.Pointer[Member]
 	// readingSince is when this instance began to read the store.
 	readingSince time.Duration
-	running      sync.WaitGroup
+	// source is the last recorded source of the state.
+	source  SourceChanged
+	running sync.WaitGroup
 	// readBackoff delays reads of the records after failures while no member is known.
 	readBackoff backoff
 }
@@ -302,6 +304,7 @@
 	switch {
 	case err == nil && response.Fresh:
 		c.stopReaders()
+		c.recordSource(SourceChanged{Source: "relay", Relay: relay.Name, Reason: "the relay's state is fresh"})
 	case fromRelay && err == nil:
 		now := c.cfg.Timer.Now()
 		pause := max(minStaleHeadExclusion, staleHeadTryTime*time.Duration(len(c.dataCentres())))
@@ -338,7 +341,7 @@
 	}
 	ctx, c.stopReading = context.WithCancel(ctx)
 	c.readingSince = c.cfg.Timer.Now()
-	c.cfg.Recorder.Record(SourceChanged{Source: "store", Reason: "this instance is the head relay, or its relay's state is outdated"})
+	c.recordSource(SourceChanged{Source: "store", Reason: "this instance is the head relay, or its relay's state is outdated"})
 	c.running.Go(func() { c.cfg.Readers.Run(ctx) })
 }
 
@@ -346,6 +349,15 @@
 	if c.stopReading != nil {
 		c.stopReading()
 		c.stopReading = nil
-		c.cfg.Recorder.Record(SourceChanged{Source: "relay", Reason: "the relay's state is fresh"})
 	}
 }
+
+// recordSource records the source if it has changed.
+func (c *Syncer) recordSource(next SourceChanged) {
+	if next.Source == c.source.Source && next.Relay == c.source.Relay {
+		return
+	}
+	c.source = next
+	next.DocumentAge, next.RecordsAge = c.cfg.State.DocumentAge(), c.cfg.Timer.Now()-c.readAt()
+	c.cfg.Recorder.Record(next)
+}
