proxy: judge a relay by its source and by each part of its state

Cause: a relay called its state fresh if the records were recent. The records may come from the instance that asks: a head that had lost the store followed the next relay, which then followed the head again and stopped reading the store. And the records say nothing about the document, the servers and the data centres in maintenance: restarted instances, registrations and promoters have the records read alone, so nothing showed that nobody read the document.

Change: a response names the path of the state, from the instance that reads the store to the relay. An instance that is in the path goes on reading and passes the relay over. An instance counts as a reader only while it has read all parts itself. The age of each part is passed on and has its own limit, its read interval and 700 ms; the same ages decide when a relay gives up the store and when an instance looks for another relay. The path removes the circle, and the ages cover a part that cannot be read while the records can.

--- a/adapter/decisions/log.go
+++ b/adapter/decisions/log.go
@@ -125,7 +125,7 @@
 		l.logger.Warn("server: avoided for reads", zap.String("group", e.Group), zap.String("server", e.Server), zap.String("reason", string(e.Reason)),
 			zap.Duration("for", e.For))
 	case proxy.SourceChanged:
-		l.logger.Info("knowledge: source changed", zap.String("source", e.Source), zap.String("relay", e.Relay), zap.String("reason", e.Reason),
+		l.logger.Info("knowledge: source changed", zap.String("source", e.Source), zap.String("relay", e.Relay), zap.Strings("path", e.Path), zap.String("reason", e.Reason),
 			zap.Duration("document_age", e.DocumentAge), zap.Duration("records_age", e.RecordsAge))
 	}
 }
--- a/adapter/fleet/client.go
+++ b/adapter/fleet/client.go
@@ -145,6 +145,7 @@
 		RecordsVersion: m.GetRecordsVersion(), RecordsAge: milliseconds(m.GetRecordsAgeMs()),
 		ReadAge:        milliseconds(m.GetReadAgeMs()),
 		ServersVersion: port.Version(m.GetServersVersion()), Fresh: m.GetFresh(), Maintenance: decodeMaintenance(m.GetMaintenance()),
+		ServersAge: milliseconds(m.GetServersAgeMs()), MaintenanceAge: milliseconds(m.GetMaintenanceAgeMs()), Path: m.GetPath(),
 	}
 	if len(m.GetDocument()) > 0 {
 		r.Document = &document.Document{}
--- a/adapter/fleet/codec_fuzz_test.go
+++ b/adapter/fleet/codec_fuzz_test.go
@@ -59,7 +59,8 @@
 func FuzzExchangeResponse(f *testing.F) {
 	addMessages(f, &fleetv1.ExchangeResponse{
 		Document: []byte(`{"revision":3}`), Records: []*fleetv1.Record{{Name: "instance/a", Version: 3, Data: []byte(`{"name":"a","incarnation":"1"}`)}},
-		Servers: []*fleetv1.Server{{Name: "i-1", Group: "g", Address: "10.0.0.1:1"}},
+		Servers: []*fleetv1.Server{{Name: "i-1", Group: "g", Address: "10.0.0.1:1"}}, ServersAgeMs: 40, MaintenanceAgeMs: 1 << 63,
+		Path: []string{"a", "b"},
 	})
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		var m fleetv1.ExchangeResponse
--- a/adapter/fleet/server.go
+++ b/adapter/fleet/server.go
@@ -130,7 +130,8 @@
 	m := &fleetv1.ExchangeResponse{
 		HeldMs: uint32(r.Held.Milliseconds()), DocumentAgeMs: ceilMilliseconds(r.DocumentAge), RecordsVersion: r.RecordsVersion,
 		RecordsAgeMs: ceilMilliseconds(r.RecordsAge), ReadAgeMs: ceilMilliseconds(r.ReadAge), ServersVersion: uint64(r.ServersVersion), Fresh: r.Fresh,
-		Maintenance: encodeMaintenance(r.Maintenance),
+		Maintenance: encodeMaintenance(r.Maintenance), ServersAgeMs: ceilMilliseconds(r.ServersAge),
+		MaintenanceAgeMs: ceilMilliseconds(r.MaintenanceAge), Path: r.Path,
 	}
 	if r.Document != nil {
 		data, err := json.Marshal(r.Document)
--- a/proxy/cluster_state.go
+++ b/proxy/cluster_state.go
@@ -24,6 +24,7 @@
 	// maxDocumentAge is the age above which the document is no longer relied on; zero means no limit.
 	maxDocumentAge   time.Duration
 	onServersChanged func(map[string]dispatch.Listing)
+	startedAt        time.Duration
 
 	mu                  sync.Mutex
 	index               document.Index
@@ -34,19 +35,22 @@
 	// which it was read.
 	serversVersion     port.Version
 	serversReadVersion port.Version
-	records            Snapshot
-	hasRecords         bool
-	changed            chan struct{}
-	selfUnregistered   *ring.Ring[struct{}]
-	recordsOutdated    *ring.Ring[struct{}]
-	history            *MembershipHistory
-	maintenance        maintenanceState
+	// serversReadAt is when the list was last requested from the store, by this instance or for its relay.
+	serversReadAt    time.Duration
+	records          Snapshot
+	hasRecords       bool
+	changed          chan struct{}
+	selfUnregistered *ring.Ring[struct{}]
+	recordsOutdated  *ring.Ring[struct{}]
+	history          *MembershipHistory
+	maintenance      maintenanceState
+	source           StateSource
 }
 
 // NewClusterState returns an empty state.
 func NewClusterState(self Member, timer port.Timer, views *PrimaryViews, maxDocumentAge time.Duration) *ClusterState {
 	return &ClusterState{
-		self: self, timer: timer, views: views, maxDocumentAge: maxDocumentAge, changed: make(chan struct{}),
+		self: self, timer: timer, views: views, maxDocumentAge: maxDocumentAge, startedAt: timer.Now(), changed: make(chan struct{}),
 		selfUnregistered: ring.New[struct{}](1), recordsOutdated: ring.New[struct{}](1), history: NewMembershipHistory(),
 	}
 }
@@ -72,6 +76,42 @@
 	return c.timer.Now() - c.documentConfirmedAt
 }
 
+// Overdue returns by how much the most outdated part of the state exceeds its maximum age. It is zero or negative if all
+// parts are recent.
+func (c *ClusterState) Overdue() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	times := ReadTimes{Document: c.documentConfirmedAt, Servers: c.serversReadAt, Records: c.records.ReadAt, Maintenance: c.maintenance.readAt}
+	return c.withUsedParts(times).WithStart(c.startedAt).Overdue(c.timer.Now())
+}
+
+// SourcePath returns the path of the state's source; see StateSource.Path.
+func (c *ClusterState) SourcePath() ([]string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.source.WithReads(c.withUsedParts(c.source.reads)).Path(c.timer.Now())
+}
+
+// updateSource changes where the state comes from.
+func (c *ClusterState) updateSource(update func(StateSource) StateSource) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.source = update(c.source)
+}
+
+// withUsedParts returns the times without the part that the deployment does not use. mu must be held.
+func (c *ClusterState) withUsedParts(t ReadTimes) ReadTimes {
+	if !c.maintenance.isUsed {
+		return t.WithMaintenance(partNotUsed)
+	}
+	return t
+}
+
+// recordOwnRead records that this instance has read a part of the state from the store.
+func (c *ClusterState) recordOwnRead(update func(ReadTimes) ReadTimes) {
+	c.updateSource(func(s StateSource) StateSource { return s.WithReads(update(s.reads)) })
+}
+
 // ConnectionLimit returns how many connections all instances together may hold to each server of the group.
 func (c *ClusterState) ConnectionLimit(groupName string) int {
 	index, _ := c.CurrentDocument()
@@ -179,6 +219,20 @@
 	}
 }
 
+// ServersAge returns the time since the list of servers was last requested from the store.
+func (c *ClusterState) ServersAge() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.timer.Now() - c.serversReadAt
+}
+
+// ConfirmServers records that the list of servers was requested from the store at the given time.
+func (c *ClusterState) ConfirmServers(at time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serversReadAt = max(c.serversReadAt, at)
+}
+
 // SetServers updates the list of servers as of a store version, unless a newer list is known.
 func (c *ClusterState) SetServers(servers map[string]dispatch.Listing, at port.Version) {
 	c.updateServers(func() bool { return c.setServers(servers, at) }, servers)
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -63,9 +63,11 @@
 
 // SourceChanged reports where the instance now reads the cluster state from.
 type SourceChanged struct {
-	// Source is "store" or "relay"; Relay is the name of the relay, or empty.
+	// Source is "store" or "relay"; Relay is the name of the relay, or empty. Path holds the names of the instances from the
+	// one that reads the store to the relay.
 	Source string
 	Relay  string
+	Path   []string
 	Reason string
 	// DocumentAge and RecordsAge are the times since the document and the records were last known to be the newest.
 	DocumentAge time.Duration
--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -70,6 +70,12 @@
 	cutPeers map[string]bool
 	// storeRejects holds the instances whose calls the store rejects.
 	storeRejects map[string]bool
+	// storeSilent holds the instances whose calls the store does not answer.
+	storeSilent map[string]bool
+	// unreadable holds the parts of the state that an instance cannot read, although the store answers its other calls.
+	unreadable map[string]statePart
+	// undecodable is a part that the store answers with bytes that cannot be decoded.
+	undecodable statePart
 	// unreachable holds "instance/server" pairs without a connection.
 	unreachable map[string]bool
 	instances   map[string]*testInstance
@@ -84,8 +90,10 @@
 	answerDelay func(name string, data []byte) time.Duration
 	// promotionDelay is the time from a promotion call until the server leads.
 	promotionDelay time.Duration
-	storeCalls     atomic.Int64
-	dials          atomic.Int64
+	// documentReads holds when the document was read.
+	documentReads []time.Time
+	storeCalls    atomic.Int64
+	dials         atomic.Int64
 	// exchanges counts the exchanges of cluster state, and stateTransfers those that transferred any.
 	exchanges      atomic.Int64
 	stateTransfers atomic.Int64
@@ -97,6 +105,15 @@
 	maintenance fakeMaintenance
 }
 
+// statePart is a part of the cluster state.
+type statePart int
+
+const (
+	documentPart statePart = iota + 1
+	listingsPart
+	maintenancePart
+)
+
 type promotionCall struct {
 	server string
 	epoch  uint64
@@ -177,6 +194,7 @@
 	reserve     *proxy.RateReserve
 	// registration registers the instance in the store.
 	registration *proxy.Registration
+	readers      *proxy.StoreReaders
 	stop         context.CancelFunc
 	ended        chan struct{}
 }
@@ -223,7 +241,7 @@
 func newCluster(t *testing.T) *cluster {
 	w := &cluster{
 		t: t, objects: make(map[string]port.Object), writes: make(map[string]int), servers: make(map[string]*fakeServer),
-		listed: make(map[string]dispatch.Listing), partitioned: make(map[string]bool), cutPeers: make(map[string]bool), loansVia: make(map[string]int), storeRejects: make(map[string]bool), unreachable: make(map[string]bool),
+		listed: make(map[string]dispatch.Listing), partitioned: make(map[string]bool), cutPeers: make(map[string]bool), loansVia: make(map[string]int), storeRejects: make(map[string]bool), storeSilent: make(map[string]bool), unreadable: make(map[string]statePart), unreachable: make(map[string]bool),
 		instances: make(map[string]*testInstance), version: 10,
 	}
 	for i, name := range []string{"s1", "s2", "s3", "t1", "t2", "t3"} {
@@ -305,6 +323,7 @@
 		Dialer: client, Records: client, Promotions: client,
 	})
 	i.registration = &proxy.Registration{Self: self, Records: client, Readers: readers, State: i.state, Timer: timer}
+	i.readers = readers
 	registration := i.registration
 	w.mu.Lock()
 	w.instances[name] = i
@@ -621,7 +640,7 @@
 	}
 	sleep(callLatency)
 	w.mu.Lock()
-	if (toStore && (w.storeDown || w.cutPeers[r.name])) || w.partitioned[r.name] {
+	if (toStore && (w.storeDown || w.cutPeers[r.name] || w.storeSilent[r.name])) || w.partitioned[r.name] {
 		w.mu.Unlock()
 		<-ctx.Done()
 		return nil, port.Errorf(port.Unavailable, "no response")
@@ -633,6 +652,23 @@
 	return w.mu.Unlock, nil
 }
 
+// callForPart is call for a read of one part of the state.
+func (r *clusterClient) callForPart(ctx context.Context, part statePart) (func(), error) {
+	done, err := r.call(ctx, true)
+	if err != nil {
+		return nil, err
+	}
+	if r.cluster.unreadable[r.name] == part {
+		done()
+		return nil, port.Errorf(port.Unavailable, "no response")
+	}
+	if r.cluster.undecodable == part {
+		done()
+		return nil, port.Errorf(port.Invalid, "cannot decode the response")
+	}
+	return done, nil
+}
+
 // sleep lets virtual time pass.
 func sleep(d time.Duration) { <-time.After(d) }
 
@@ -699,11 +735,12 @@
 
 // Read returns the document.
 func (r *clusterClient) Read(ctx context.Context) (document.Document, port.Version, error) {
-	done, err := r.call(ctx, true)
+	done, err := r.callForPart(ctx, documentPart)
 	if err != nil {
 		return document.Document{}, 0, err
 	}
 	defer done()
+	r.cluster.documentReads = append(r.cluster.documentReads, time.Now())
 	return r.cluster.doc, r.cluster.version, nil
 }
 
@@ -712,7 +749,7 @@
 	if err := sleepContext(ctx, wait); err != nil {
 		return document.Document{}, false, 0, err
 	}
-	done, err := r.call(ctx, true)
+	done, err := r.callForPart(ctx, documentPart)
 	if err != nil {
 		return document.Document{}, false, 0, err
 	}
@@ -722,7 +759,7 @@
 
 // ReadAll returns the listed servers.
 func (r *clusterClient) ReadAll(ctx context.Context) ([]dispatch.Listing, port.Version, error) {
-	done, err := r.call(ctx, true)
+	done, err := r.callForPart(ctx, listingsPart)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -739,7 +776,7 @@
 	if err := sleepContext(ctx, wait); err != nil {
 		return nil, 0, err
 	}
-	done, err := r.call(ctx, true)
+	done, err := r.callForPart(ctx, listingsPart)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/proxy/maintenance_fake_test.go
+++ b/proxy/maintenance_fake_test.go
@@ -54,7 +54,7 @@
 // ReadAll returns the list.
 func (r *maintenanceReader) ReadAll(ctx context.Context) ([]string, port.Version, error) {
 	r.client.cluster.maintenance.reads.Add(1)
-	done, err := r.client.call(ctx, true)
+	done, err := r.client.callForPart(ctx, maintenancePart)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/proxy/maintenance_reader.go
+++ b/proxy/maintenance_reader.go
@@ -33,12 +33,17 @@
 
 // readMaintenance reads the list and returns the version from which its changes can be awaited.
 func (r *StoreReaders) readMaintenance(ctx context.Context) (port.Version, error) {
+	requestedAt := r.Timer.Now()
 	callCtx, cancel := port.WithTimeout(ctx, r.Timer, readTimeout)
 	defer cancel()
 	names, version, err := r.Maintenances.ReadAll(callCtx)
 	if err == nil {
 		r.State.SetMaintenance(MaintenanceList{DataCentres: names, Version: version})
 	}
+	if isAnswer(err) {
+		r.State.ConfirmMaintenance(requestedAt)
+		r.State.recordOwnRead(func(t ReadTimes) ReadTimes { return t.WithMaintenance(requestedAt) })
+	}
 	return version, err
 }
 
--- a/proxy/maintenance_state.go
+++ b/proxy/maintenance_state.go
@@ -30,6 +30,8 @@
 	// changed.
 	readVersion    port.Version
 	changedVersion port.Version
+	// readAt is when the list was last requested from the store, by this instance or for its relay.
+	readAt time.Duration
 	// serversSince is when the servers were first known while the list was not; zero before.
 	serversSince time.Duration
 }
@@ -99,6 +101,20 @@
 	c.setMaintenance(l)
 }
 
+// MaintenanceAge returns the time since the list was last requested from the store.
+func (c *ClusterState) MaintenanceAge() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.timer.Now() - c.maintenance.readAt
+}
+
+// ConfirmMaintenance records that the list was requested from the store at the given time.
+func (c *ClusterState) ConfirmMaintenance(at time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maintenance.readAt = max(c.maintenance.readAt, at)
+}
+
 // ApplyMaintenanceChanges applies changes up to a store version, unless a newer list is known.
 func (c *ClusterState) ApplyMaintenanceChanges(changes []MaintenanceChange, at port.Version) {
 	if len(changes) == 0 {
--- a/proxy/peer_client.go
+++ b/proxy/peer_client.go
@@ -74,8 +74,14 @@
 	// Servers is nil if the requesting instance has the newest ones.
 	Servers        map[string]dispatch.Listing
 	ServersVersion port.Version
-	// Maintenance is nil if the relay does not know which data centres are in maintenance.
-	Maintenance *MaintenanceList
-	// Fresh is false if the relay's own records are outdated.
+	// ServersAge is the time from the request to the store that read the servers until the response.
+	ServersAge time.Duration
+	// Maintenance is nil if the relay does not know which data centres are in maintenance. MaintenanceAge is like
+	// ServersAge.
+	Maintenance    *MaintenanceList
+	MaintenanceAge time.Duration
+	// Fresh is false if a part of the relay's own state is outdated, or if the relay has no source.
 	Fresh bool
+	// Path holds the names of the instances through which the state came, from the one that reads the store to the relay.
+	Path []string
 }
--- a/proxy/peer_service.go
+++ b/proxy/peer_service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,9 +14,6 @@
 const (
 	// maxExchangeWait limits how long a relay delays a response while it waits for newer state.
 	maxExchangeWait = time.Second
-	// maxRelayRecordsAge is the age up to which a relay's records are useful. A relay with older records has lost the
-	// store, and another one may still reach it.
-	maxRelayRecordsAge = 1200 * time.Millisecond
 	// plannedDrainTimeout is how long statements at a primary may take to finish in a planned replacement.
 	plannedDrainTimeout = 500 * time.Millisecond
 	// unknownMemberInterval is the least time between two reads of the records because of the same unknown instance.
@@ -217,13 +215,18 @@
 	if servers, at := state.Servers(); servers != nil && at != req.KnownServers {
 		res.Servers, res.ServersVersion = servers, at
 	}
-	res.Maintenance = state.MaintenanceList()
+	res.ServersAge = state.ServersAge()
+	if res.Maintenance = state.MaintenanceList(); res.Maintenance != nil {
+		res.MaintenanceAge = state.MaintenanceAge()
+	}
 	records, known := state.Records()
 	if !known {
 		return
 	}
 	res.RecordsVersion, res.RecordsAge, res.ReadAge = records.Version(), now-records.RequestedAt, now-records.ReadAt
-	res.Fresh = res.ReadAge <= maxRelayRecordsAge
+	path, hasSource := state.SourcePath()
+	res.Path = append(slices.Clone(path), s.cfg.Self.Name)
+	res.Fresh = hasSource && state.Overdue() <= 0
 	if res.RecordsVersion != req.KnownRecords {
 		res.Records = records.Objects
 	}
--- a/proxy/store_readers.go
+++ b/proxy/store_readers.go
@@ -165,14 +165,31 @@
 	if err == nil {
 		r.State.SetDocument(d, requestedAt)
 	}
+	if port.KindOf(err) == port.NotFound {
+		r.State.ConfirmDocument(0, requestedAt)
+	}
+	if isAnswer(err) {
+		r.State.recordOwnRead(func(t ReadTimes) ReadTimes { return t.WithDocument(requestedAt) })
+	}
 	return version, err
 }
 
+// isAnswer reports whether the store has answered a read. If an object is missing or cannot be decoded, another instance
+// would not find a better one, so that the search for another source of the state would only cost calls.
+func isAnswer(err error) bool {
+	return err == nil || port.KindOf(err) == port.NotFound || port.KindOf(err) == port.Invalid
+}
+
 // readServers reads the list of servers and returns the version from which its changes can be awaited.
 func (r *StoreReaders) readServers(ctx context.Context) (port.Version, error) {
+	requestedAt := r.Timer.Now()
 	callCtx, cancel := port.WithTimeout(ctx, r.Timer, readTimeout)
 	defer cancel()
 	listings, version, err := r.Listings.ReadAll(callCtx)
+	if isAnswer(err) {
+		r.State.ConfirmServers(requestedAt)
+		r.State.recordOwnRead(func(t ReadTimes) ReadTimes { return t.WithServers(requestedAt) })
+	}
 	if err != nil {
 		return 0, err
 	}
@@ -213,6 +230,7 @@
 		return err
 	}
 	r.State.SetRecords(NewSnapshot(objects, requestedAt))
+	r.State.recordOwnRead(func(t ReadTimes) ReadTimes { return t.WithRecords(requestedAt) })
 	return nil
 }
 
--- a/proxy/syncer.go
+++ b/proxy/syncer.go
@@ -39,8 +39,9 @@
 	staleRelayExclusionTime = 2 * time.Second
 	// firstReadTimeout is how long a relay that has begun to read the store waits for the first response.
 	firstReadTimeout = 500 * time.Millisecond
-	// storeLostAge is the age of the records above which an instance no longer relies on the relays to find the store.
-	storeLostAge = 1500 * time.Millisecond
+	// storeLostDelay is how long a part of the state must be overdue until an instance no longer relies on the relays to
+	// find the store.
+	storeLostDelay = 300 * time.Millisecond
 	// maxFailedRelays is how many unresponsive relays of its data centre an instance excludes before it reads the store
 	// itself.
 	maxFailedRelays = 2
@@ -171,7 +172,7 @@
 		c.lastCleaned = now
 		c.cleaner.clean(ctx)
 	}
-	if now-c.readAt() > maxRelayRecordsAge {
+	if c.cfg.State.Overdue() > 0 {
 		// Other relays may have lost the store as well; this instance may still reach it.
 		c.startReaders(ctx)
 	}
@@ -182,7 +183,7 @@
 	}
 	c.startReaders(ctx)
 	_ = port.Sleep(ctx, c.cfg.Timer, exchangeWait)
-	if now = c.cfg.Timer.Now(); now-c.readAt() > maxRelayRecordsAge && now-c.readingSince > firstReadTimeout {
+	if c.cfg.State.Overdue() > 0 && c.cfg.Timer.Now()-c.readingSince > firstReadTimeout {
 		// The store rejects this instance or is down; another relay may still reach it.
 		c.exclude(c.cfg.Self)
 	}
@@ -291,20 +292,22 @@
 // outdated.
 func (c *Syncer) follow(ctx context.Context, relay Member, fromRelay bool) {
 	wait := exchangeWait
-	if c.cfg.Timer.Now()-c.readAt() > maxRelayRecordsAge || !c.cfg.State.IsComplete() {
+	if c.cfg.State.Overdue() > 0 || !c.cfg.State.IsComplete() {
 		// Another relay may have newer state.
 		wait = staleExchangeWait
 	}
 	response, err := c.exchange(ctx, relay, wait)
-	storeLost := c.cfg.Timer.Now()-c.readAt() > storeLostAge
+	storeLost := c.cfg.State.Overdue() > storeLostDelay
+	isUsable := isUsablePath(response.Path, c.cfg.Self.Name)
 	if err != nil && !c.cfg.State.IsComplete() {
 		// After a loss of power of all instances, the relay may start later than this one.
 		c.cfg.Readers.ReadAll(ctx)
 	}
 	switch {
-	case err == nil && response.Fresh:
+	case err == nil && response.Fresh && isUsable:
 		c.stopReaders()
-		c.recordSource(SourceChanged{Source: "relay", Relay: relay.Name, Reason: "the relay's state is fresh"})
+		c.cfg.State.updateSource(func(s StateSource) StateSource { return s.WithRelay(response.Path) })
+		c.recordSource(SourceChanged{Source: "relay", Relay: relay.Name, Path: response.Path, Reason: "the relay's state is fresh"})
 	case fromRelay && err == nil:
 		now := c.cfg.Timer.Now()
 		pause := max(minStaleHeadExclusion, staleHeadTryTime*time.Duration(len(c.dataCentres())))
@@ -314,7 +317,7 @@
 	case fromRelay:
 		c.exclude(relay)
 		c.startReaders(ctx)
-	case err != nil && (c.countExcluded(c.failed) >= maxFailedRelays || c.cfg.Timer.Now()-c.readAt() > maxRelayRecordsAge):
+	case err != nil && (c.countExcluded(c.failed) >= maxFailedRelays || c.cfg.State.Overdue() > 0):
 		// The cause may be on this side. All connections may have gone silent, so that no relay has newer state for a
 		// while, and documents must be in force within seconds.
 		c.exclude(relay)
@@ -323,7 +326,7 @@
 		// The next in rank takes its place for all instances that find the same. If each of them read the store itself,
 		// an outage of one relay would cost as many calls as there are instances.
 		c.exclude(relay)
-	case storeLost && c.countExcluded(c.stale) < maxStaleRelays:
+	case (storeLost || !isUsable) && c.countExcluded(c.stale) < maxStaleRelays:
 		now := c.cfg.Timer.Now()
 		c.stale = c.stale.with(relay.Incarnation, now, now+relayExclusionTime)
 	}
@@ -341,6 +344,7 @@
 	}
 	ctx, c.stopReading = context.WithCancel(ctx)
 	c.readingSince = c.cfg.Timer.Now()
+	c.cfg.State.updateSource(func(s StateSource) StateSource { return s.WithReading(c.readingSince) })
 	c.recordSource(SourceChanged{Source: "store", Reason: "this instance is the head relay, or its relay's state is outdated"})
 	c.running.Go(func() { c.cfg.Readers.Run(ctx) })
 }
--- a/proxy/syncer_exchange.go
+++ b/proxy/syncer_exchange.go
@@ -45,8 +45,10 @@
 	if r.Servers != nil {
 		state.AdoptServers(r.Servers, r.ServersVersion)
 	}
+	state.ConfirmServers(sentAt - r.ServersAge)
 	if r.Maintenance != nil {
 		state.SetMaintenance(*r.Maintenance)
+		state.ConfirmMaintenance(sentAt - r.MaintenanceAge)
 	}
 	records, known := state.Records()
 	switch {
