proxy: name the limits of a relay's state apart from the limit of a document

maxDocumentAge was also the name of the age above which ClusterState no longer relies on the document. Comments and the reason in the log name a relay that has the state from the instance itself. No change of behaviour; go test ./proxy passes.

--- a/proxy/cleaner.go
+++ b/proxy/cleaner.go
@@ -43,7 +43,7 @@
 func (c *cleaner) clean(ctx context.Context) {
 	s, _ := c.cfg.State.Records()
 	now := c.cfg.Timer.Now()
-	if now-s.ReadAt > maxRecordsAge || now-c.lastChecked > maxCleanGap {
+	if now-s.ReadAt > maxRecordsReadAge || now-c.lastChecked > maxCleanGap {
 		c.observingSince = now
 	}
 	c.lastChecked = now
--- a/proxy/state_source.go
+++ b/proxy/state_source.go
@@ -10,12 +10,12 @@
 	// readDelay is how much older than its read interval a part of the state may be: the time that the read and the way
 	// to a relay take.
 	readDelay = 700 * time.Millisecond
-	// maxDocumentAge, maxServersAge, maxRecordsAge and maxMaintenanceAge are the ages up to which the parts of a relay's
+	// maxDocumentReadAge, maxServersReadAge, maxRecordsReadAge and maxMaintenanceReadAge are the ages up to which the parts of a relay's
 	// state are useful. A relay with an older part cannot read it, and another one may.
-	maxDocumentAge    = documentReadInterval + readDelay
-	maxServersAge     = serversReadInterval + readDelay
-	maxRecordsAge     = recordsReadInterval + readDelay
-	maxMaintenanceAge = maintenanceReadInterval + readDelay
+	maxDocumentReadAge    = documentReadInterval + readDelay
+	maxServersReadAge     = serversReadInterval + readDelay
+	maxRecordsReadAge     = recordsReadInterval + readDelay
+	maxMaintenanceReadAge = maintenanceReadInterval + readDelay
 	// maxSourcePath is the maximum length of a path of instances. The usual path has two: the head and the relay of the
 	// data centre.
 	maxSourcePath = 8
@@ -69,7 +69,7 @@
 // Overdue returns by how much the most outdated part exceeds its maximum age. It is zero or negative if all parts are
 // recent.
 func (t ReadTimes) Overdue(now time.Duration) time.Duration {
-	return max(now-t.Document-maxDocumentAge, now-t.Servers-maxServersAge, now-t.Records-maxRecordsAge, now-t.Maintenance-maxMaintenanceAge)
+	return max(now-t.Document-maxDocumentReadAge, now-t.Servers-maxServersReadAge, now-t.Records-maxRecordsReadAge, now-t.Maintenance-maxMaintenanceReadAge)
 }
 
 // StateSource says where an instance's cluster state comes from: its own reads of the store, or a relay. Relays pass the
--- a/proxy/syncer.go
+++ b/proxy/syncer.go
@@ -74,7 +74,7 @@
 type Syncer struct {
 	cfg SyncerConfig
 	// failed holds the relays that are excluded because they did not respond, and stale those that are excluded because
-	// they have lost the store.
+	// they have lost the store or have the state from this instance.
 	failed exclusions
 	stale  exclusions
 	// staleHeads holds the data centres whose relay has lost the store, and staleHeadRelays these relays.
@@ -287,9 +287,9 @@
 	return members
 }
 
-// follow exchanges state with a relay, and excludes a relay that does not respond or has lost the store. fromRelay is
-// true if this instance is itself a relay that follows the head; it then reads the store as soon as the head's state is
-// outdated.
+// follow exchanges state with a relay, and excludes a relay that does not respond, has lost the store or has the state from
+// this instance. fromRelay is true if this instance is itself a relay that follows the head; it then reads the store as soon
+// as the head's state is of no use.
 func (c *Syncer) follow(ctx context.Context, relay Member, fromRelay bool) {
 	wait := exchangeWait
 	if c.cfg.State.Overdue() > 0 || !c.cfg.State.IsComplete() {
@@ -345,7 +345,7 @@
 	ctx, c.stopReading = context.WithCancel(ctx)
 	c.readingSince = c.cfg.Timer.Now()
 	c.cfg.State.updateSource(func(s StateSource) StateSource { return s.WithReading(c.readingSince) })
-	c.recordSource(SourceChanged{Source: "store", Reason: "this instance is the head relay, or its relay's state is outdated"})
+	c.recordSource(SourceChanged{Source: "store", Reason: "this instance is the head relay, or its relay's state is outdated or comes from this instance"})
 	c.running.Go(func() { c.cfg.Readers.Run(ctx) })
 }
 
