proxy: count an instance that follows a relay of an earlier version as a source

Such a relay states no path, and an empty path was taken for no source: a relay that follows a head of the earlier version would not have counted as fresh, so that instances that had begun to read the store went on doing so until the head was replaced. Found by reading; no effect while all instances state their path. TestStateSource has the case, which failed before.

--- a/proxy/state_source.go
+++ b/proxy/state_source.go
@@ -10,8 +10,8 @@
 	// readDelay is how much older than its read interval a part of the state may be: the time that the read and the way
 	// to a relay take.
 	readDelay = 700 * time.Millisecond
-	// maxDocumentReadAge, maxServersReadAge, maxRecordsReadAge and maxMaintenanceReadAge are the ages up to which the parts of a relay's
-	// state are useful. A relay with an older part cannot read it, and another one may.
+	// maxDocumentReadAge, maxServersReadAge, maxRecordsReadAge and maxMaintenanceReadAge are the ages up to which the parts
+	// of a relay's state are useful. A relay with an older part cannot read it, and another one may.
 	maxDocumentReadAge    = documentReadInterval + readDelay
 	maxServersReadAge     = serversReadInterval + readDelay
 	maxRecordsReadAge     = recordsReadInterval + readDelay
@@ -69,7 +69,10 @@
 // Overdue returns by how much the most outdated part exceeds its maximum age. It is zero or negative if all parts are
 // recent.
 func (t ReadTimes) Overdue(now time.Duration) time.Duration {
-	return max(now-t.Document-maxDocumentReadAge, now-t.Servers-maxServersReadAge, now-t.Records-maxRecordsReadAge, now-t.Maintenance-maxMaintenanceReadAge)
+	return max(
+		now-t.Document-maxDocumentReadAge, now-t.Servers-maxServersReadAge,
+		now-t.Records-maxRecordsReadAge, now-t.Maintenance-maxMaintenanceReadAge,
+	)
 }
 
 // StateSource says where an instance's cluster state comes from: its own reads of the store, or a relay. Relays pass the
@@ -78,9 +81,11 @@
 type StateSource struct {
 	// reads holds this instance's own reads since it last followed a relay.
 	reads ReadTimes
-	// followed holds the names of the instances through which the state came, from the one that reads the store to the
-	// relay; empty if the instance has followed none.
-	followed []string
+	// hasFollowed is true if the instance has followed a relay. followed holds the names of the instances through which the
+	// state came, from the one that reads the store to that relay; it is empty if the relay is of a version that does not
+	// state them.
+	hasFollowed bool
+	followed    []string
 	// isReading is true if the instance has stopped following to read the store, since readingSince.
 	isReading    bool
 	readingSince time.Duration
@@ -100,7 +105,7 @@
 
 // WithRelay returns the source after the instance has taken the state from a relay, which is the last in the path.
 func (s StateSource) WithRelay(path []string) StateSource {
-	return StateSource{followed: path}
+	return StateSource{hasFollowed: true, followed: path}
 }
 
 // Path returns the names of the instances through which the state comes, from the one that reads the store to the relay of
@@ -114,7 +119,7 @@
 	switch {
 	case s.isReading && !isStarting:
 		return nil, false
-	case len(s.followed) > 0:
+	case s.hasFollowed:
 		// Until the first reads have succeeded, the state is still the relay's.
 		return s.followed, true
 	default:
--- a/proxy/state_source_test.go
+++ b/proxy/state_source_test.go
@@ -161,6 +161,10 @@
 		requireSource(t, proxy.StateSource{}.WithReading(now).WithReads(read), now+time.Second)
 	})
 	t.Run("an instance that follows a relay", func(t *testing.T) { requireSource(t, following, now, "head", "relay") })
+	t.Run("an instance that follows a relay of an earlier version", func(t *testing.T) {
+		_, found := proxy.StateSource{}.WithRelay(nil).Path(now)
+		require.True(t, found)
+	})
 	t.Run("it begins to read", func(t *testing.T) {
 		requireSource(t, following.WithReading(now), now+400*time.Millisecond, "head", "relay")
 		requireSource(t, following.WithReading(now).WithReads(read), now+400*time.Millisecond)
