proxy: end the limit of a restarted server by the list of servers

What callers would see: slow answers from a server that was restarted and is cold.

A server to which all connections were lost is limited until the list of servers would show the restart, and the age of the records stood for that of the list. The list is read in full every 3 s only, and not at all while the store is down, when lease extensions keep the records recent.

Change: the limit ends when the list itself was requested 1.5 s after the loss, or when a restarted server would be warm again.

The former case and its bound are the same; the load lasts 16 s instead of 8 s.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -89,7 +89,7 @@
 	p.dispatcher = proxy.NewDispatcher(proxy.DispatcherConfig{
 		DataCentre: s.DataCentre, Timer: p.timer, Views: p.views, Dialer: dialer,
 		ConnectionLimit: p.state.ConnectionLimit, WarmUp: s.WarmUpTolerance, Regions: s.Regions, ColdRate: p.state.ColdRate, Self: self,
-		Members: p.state.Records, OrganisationNames: p.state.OrganisationNames, Recorder: p.metrics, RemotePools: p.lending, SurveyPeer: peers.Survey,
+		Members: p.state.Records, ServersReadAt: p.state.ServersReadAt, OrganisationNames: p.state.OrganisationNames, Recorder: p.metrics, RemotePools: p.lending, SurveyPeer: peers.Survey,
 		Maintenance: p.state.Maintenance, SpillOver: s.SpillOver,
 	})
 	p.state.OnServersChanged(p.dispatcher.SetListings)
--- a/proxy/cluster_state.go
+++ b/proxy/cluster_state.go
@@ -219,11 +219,11 @@
 	}
 }
 
-// ServersAge returns the time since the list of servers was last requested from the store.
-func (c *ClusterState) ServersAge() time.Duration {
+// ServersReadAt returns when the list of servers was last requested from the store, by this instance or for its relay.
+func (c *ClusterState) ServersReadAt() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.timer.Now() - c.serversReadAt
+	return c.serversReadAt
 }
 
 // ConfirmServers records that the list of servers was requested from the store at the given time.
--- a/proxy/dispatcher.go
+++ b/proxy/dispatcher.go
@@ -50,6 +50,9 @@
 	// Self is this instance. Members returns the records whose instances may own connection pools.
 	Self    Member
 	Members func() (Snapshot, bool)
+	// ServersReadAt returns when the list of servers was last requested from the store. It is needed for the limits of cold
+	// servers only.
+	ServersReadAt func() time.Duration
 	// OrganisationNames returns the organisations for which connections are prewarmed, the most important first. It may
 	// be nil.
 	OrganisationNames func() []string
--- a/proxy/fake_cluster_test.go
+++ b/proxy/fake_cluster_test.go
@@ -293,7 +293,7 @@
 	i.state = proxy.NewClusterState(self, timer, i.views, 0)
 	i.gate = &proxy.ReadinessGate{Timer: timer, State: i.state, Views: i.views}
 	i.dispatcher = proxy.NewDispatcher(proxy.DispatcherConfig{
-		Regions: w.regions, WarmUp: w.warmUp, ColdRate: i.state.ColdRate,
+		Regions: w.regions, WarmUp: w.warmUp, ColdRate: i.state.ColdRate, ServersReadAt: i.state.ServersReadAt,
 		DataCentre: dataCentre, Timer: timer, Views: i.views, Dialer: client, ConnectionLimit: i.state.ConnectionLimit,
 		Self: self, Members: i.state.Records, OrganisationNames: i.state.OrganisationNames, RemotePools: client, SurveyPeer: client.Survey,
 		Maintenance: i.state.Maintenance,
--- a/proxy/peer_service.go
+++ b/proxy/peer_service.go
@@ -215,7 +215,7 @@
 	if servers, at := state.Servers(); servers != nil && at != req.KnownServers {
 		res.Servers, res.ServersVersion = servers, at
 	}
-	res.ServersAge = state.ServersAge()
+	res.ServersAge = now - state.ServersReadAt()
 	if res.Maintenance = state.MaintenanceList(); res.Maintenance != nil {
 		res.MaintenanceAge = state.MaintenanceAge()
 	}
--- a/proxy/warm_up.go
+++ b/proxy/warm_up.go
@@ -16,7 +16,7 @@
 	// rank.
 	maxWarmUpRecordsAge = 2500 * time.Millisecond
 	// restartConfirmationTime is how long after the loss of all connections to a server the list may still describe its
-	// earlier process: one heartbeat of 1,200 ms, and the way of the entry to this instance.
+	// earlier process: one heartbeat of 1,200 ms, and the way of the entry to the store.
 	restartConfirmationTime = 1500 * time.Millisecond
 	// maxBudgetWait limits how long a statement of an open transaction waits for a cold server's budget. It leaves half of
 	// the shortest time limit of a route for the statement itself and for a retry.
@@ -92,15 +92,27 @@
 	}
 	w.claim = w.claim.WithRank(rank, now, maxWarmUpRecordsAge)
 	w.budget = w.budget.WithShare(d.cfg.WarmUp.Share(rate.PerSecond, w.claim.Rank()), now)
-	if w.isSuspected && known && records.RequestedAt-w.suspectedAt >= restartConfirmationTime {
+	// An outage of the store keeps an entry from changing, but a server is cold only for a limited time.
+	mayBeColdSince := func(at time.Duration) bool {
+		return rate.Duration == 0 || now-at < rate.Duration+restartConfirmationTime
+	}
+	if w.isSuspected && (d.serversReadAt(now)-w.suspectedAt >= restartConfirmationTime || !mayBeColdSince(w.suspectedAt)) {
 		w.isSuspected = false
 	}
-	// An outage of the store keeps an entry from changing, but a server is cold only for a limited time.
-	isCold := s.server.Listing.Cold && (rate.Duration == 0 || now-w.coldSince < rate.Duration+restartConfirmationTime)
+	isCold := s.server.Listing.Cold && mayBeColdSince(w.coldSince)
 	d.setLimited(s, isCold || w.isSuspected)
 	return w.isLimited
 }
 
+// serversReadAt returns when the list of servers was last requested from the store. Without a source of that time, the list
+// counts as read at any time.
+func (d *Dispatcher) serversReadAt(now time.Duration) time.Duration {
+	if d.cfg.ServersReadAt == nil {
+		return now
+	}
+	return d.cfg.ServersReadAt()
+}
+
 // setLimited records whether the server is limited, and publishes it to the sessions.
 func (d *Dispatcher) setLimited(s *serverState, isLimited bool) {
 	if s.warmUp.isLimited == isLimited {
--- a/proxy/warm_up_fake_test.go
+++ b/proxy/warm_up_fake_test.go
@@ -4,6 +4,7 @@
 	"maps"
 
 	"github.com/rhubarbwick/rhubarbwick/dispatch"
+	"github.com/rhubarbwick/rhubarbwick/port"
 	"github.com/rhubarbwick/rhubarbwick/proxy"
 )
 
@@ -51,15 +52,23 @@
 
 // listRestarted lists a server's new process, which is cold, and lets all instances learn of it as from a watch.
 func (w *cluster) listRestarted(server string) {
+	l, version := w.listRestartedInStore(server)
 	w.mu.Lock()
+	instances := maps.Clone(w.instances)
+	w.mu.Unlock()
+	for _, i := range instances {
+		i.state.ApplyServerChanges([]proxy.ListingChange{proxy.ListingUpdated{Listing: l}}, version)
+	}
+}
+
+// listRestartedInStore lists a server's new process, which is cold. The instances learn of it when they read the list.
+func (w *cluster) listRestartedInStore(server string) (dispatch.Listing, port.Version) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	l := w.listed[server]
 	l.Incarnation++
 	l.Cold = true
 	w.version++
 	w.listed[server], w.listedVersion = l, w.version
-	version, instances := w.version, maps.Clone(w.instances)
-	w.mu.Unlock()
-	for _, i := range instances {
-		i.state.ApplyServerChanges([]proxy.ListingChange{proxy.ListingUpdated{Listing: l}}, version)
-	}
+	return l, w.version
 }
--- a/proxy/warm_up_test.go
+++ b/proxy/warm_up_test.go
@@ -215,20 +215,40 @@
 	}
 }
 
-// Guards against a server that gets the full load after a restart until its entry in the list says that it is cold.
+// Guards against a server that gets the full load after a restart until its entry in the list says that it is cold. The
+// age of the records does not show that the list has been read since.
 func TestRestartedServerIsLimitedBeforeItIsListed(t *testing.T) {
-	withColdCluster(t, 4, func(w *cluster) {
-		l := load{every: 20 * time.Millisecond, statements: writes}
-		l.during = func() {
-			w.crash("s1")
-			sleep(100 * time.Millisecond)
-			w.setDown("s1", false)
-			w.recordArrivals("s1")
-			time.AfterFunc(time.Second, func() { w.listRestarted("s1") })
-		}
-		l.run(w, 8*time.Second)
-		requireColdLimit(t, w, "s1", coldPerSecond)
-	})
+	for _, c := range []struct {
+		name string
+		// after is the time before the load, which shifts the reads of the list.
+		after time.Duration
+		list  func(w *cluster)
+	}{
+		{"a watch supplies the entry", 0, func(w *cluster) { w.listRestarted("s1") }},
+		{"a read finds the entry soon", 0, func(w *cluster) { w.listRestartedInStore("s1") }},
+		{"a read finds the entry after 1 s", time.Second, func(w *cluster) { w.listRestartedInStore("s1") }},
+		{"a read finds the entry after 2 s", 2 * time.Second, func(w *cluster) { w.listRestartedInStore("s1") }},
+		{"the store is down", 0, func(w *cluster) {
+			w.setStoreDownFor(3 * time.Second)
+			time.AfterFunc(3*time.Second, func() { w.listRestartedInStore("s1") })
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withColdCluster(t, 4, func(w *cluster) {
+				sleep(c.after)
+				l := load{every: 20 * time.Millisecond, statements: writes}
+				l.during = func() {
+					w.crash("s1")
+					sleep(100 * time.Millisecond)
+					w.setDown("s1", false)
+					w.recordArrivals("s1")
+					time.AfterFunc(time.Second, func() { c.list(w) })
+				}
+				l.run(w, 16*time.Second)
+				requireColdLimit(t, w, "s1", coldPerSecond)
+			})
+		})
+	}
 }
 
 // Guards against reads that go to a cold server although a warm one can serve them, and against a group that serves
