proxy: let the storm of documents skip instances that are being restarted

The test measures instances by name while another goroutine restarts some of them, so an instance could be gone between the two steps, which would end the test with a nil pointer.

--- a/proxy/state_source_test.go
+++ b/proxy/state_source_test.go
@@ -60,7 +60,10 @@
 	for start := time.Now(); time.Since(start) < stormTime; sleep(documentInterval) {
 		s.write()
 		for _, name := range w.names() {
-			longest = max(longest, s.delay(w.instance(name)))
+			// The instance may have been stopped meanwhile.
+			if i := w.instance(name); i != nil {
+				longest = max(longest, s.delay(i))
+			}
 		}
 	}
 	return longest
@@ -109,6 +112,7 @@
 	}
 }
 
+// noDisturbance leaves the instances alone.
 func noDisturbance(context.Context, *cluster) {}
 
 // requireDocumentsDespite runs the storm beside the disturbance, once for each instance to which fail is applied.
