proxy: keep when the instance began to read the store in one place

The list of data centres in maintenance states when it was read like the list of servers does, and the method for the records' read time, which had one caller left, is gone. No change of behaviour.

--- a/proxy/cluster_state.go
+++ b/proxy/cluster_state.go
@@ -92,6 +92,13 @@
 	return c.source.WithReads(c.withUsedParts(c.source.reads)).Path(c.timer.Now())
 }
 
+// isSourceStarting reports whether the instance has just begun to read the store.
+func (c *ClusterState) isSourceStarting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.source.isStarting(c.timer.Now())
+}
+
 // updateSource changes where the state comes from.
 func (c *ClusterState) updateSource(update func(StateSource) StateSource) {
 	c.mu.Lock()
--- a/proxy/maintenance_state.go
+++ b/proxy/maintenance_state.go
@@ -101,11 +101,11 @@
 	c.setMaintenance(l)
 }
 
-// MaintenanceAge returns the time since the list was last requested from the store.
-func (c *ClusterState) MaintenanceAge() time.Duration {
+// MaintenanceReadAt returns when the list was last requested from the store, by this instance or for its relay.
+func (c *ClusterState) MaintenanceReadAt() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.timer.Now() - c.maintenance.readAt
+	return c.maintenance.readAt
 }
 
 // ConfirmMaintenance records that the list was requested from the store at the given time.
--- a/proxy/peer_service.go
+++ b/proxy/peer_service.go
@@ -217,7 +217,7 @@
 	}
 	res.ServersAge = now - state.ServersReadAt()
 	if res.Maintenance = state.MaintenanceList(); res.Maintenance != nil {
-		res.MaintenanceAge = state.MaintenanceAge()
+		res.MaintenanceAge = now - state.MaintenanceReadAt()
 	}
 	records, known := state.Records()
 	if !known {
--- a/proxy/state_source.go
+++ b/proxy/state_source.go
@@ -115,19 +115,23 @@
 	if s.reads.isComplete() && s.reads.Overdue(now) <= 0 {
 		return nil, true
 	}
-	isStarting := s.isReading && now-s.readingSince <= firstReadTimeout
 	switch {
-	case s.isReading && !isStarting:
+	case s.isReading && !s.isStarting(now):
 		return nil, false
 	case s.hasFollowed:
 		// Until the first reads have succeeded, the state is still the relay's.
 		return s.followed, true
 	default:
 		// A process that has followed no relay yet has reached the store to register itself.
-		return nil, isStarting
+		return nil, s.isStarting(now)
 	}
 }
 
+// isStarting reports whether the instance has begun to read the store so recently that the first reads may still be running.
+func (s StateSource) isStarting(now time.Duration) bool {
+	return s.isReading && now-s.readingSince <= firstReadTimeout
+}
+
 // isUsablePath reports whether the instance may take the state from a relay with the path. It must not if the state comes
 // from the instance itself. The path is empty if the relay is of a version that does not state it.
 func isUsablePath(path []string, self string) bool {
--- a/proxy/syncer.go
+++ b/proxy/syncer.go
@@ -86,8 +86,6 @@
 	// extendingRelay is the instance that requests lease extensions for its data centre: the first of the relays that
 	// respond, also if it has lost the store.
 	extendingRelay atomic.Pointer[Member]
-	// readingSince is when this instance began to read the store.
-	readingSince time.Duration
 	// source is the last recorded source of the state.
 	source  SourceChanged
 	running sync.WaitGroup
@@ -183,18 +181,12 @@
 	}
 	c.startReaders(ctx)
 	_ = port.Sleep(ctx, c.cfg.Timer, exchangeWait)
-	if c.cfg.State.Overdue() > 0 && c.cfg.Timer.Now()-c.readingSince > firstReadTimeout {
+	if c.cfg.State.Overdue() > 0 && !c.cfg.State.isSourceStarting() {
 		// The store rejects this instance or is down; another relay may still reach it.
 		c.exclude(c.cfg.Self)
 	}
 }
 
-// readAt returns when the newest records were requested from the store.
-func (c *Syncer) readAt() time.Duration {
-	s, _ := c.cfg.State.Records()
-	return s.ReadAt
-}
-
 // head returns the relay that reads the store for all instances: the relay of the highest-ranked data centre that has a
 // relay that is not excluded. Data centres whose relay has lost the store are passed over for a while, so that an
 // instance asks those of other data centres before it asks another instance of the same one.
@@ -343,8 +335,8 @@
 		return
 	}
 	ctx, c.stopReading = context.WithCancel(ctx)
-	c.readingSince = c.cfg.Timer.Now()
-	c.cfg.State.updateSource(func(s StateSource) StateSource { return s.WithReading(c.readingSince) })
+	now := c.cfg.Timer.Now()
+	c.cfg.State.updateSource(func(s StateSource) StateSource { return s.WithReading(now) })
 	c.recordSource(SourceChanged{Source: "store", Reason: "this instance is the head relay, or its relay's state is outdated or comes from this instance"})
 	c.running.Go(func() { c.cfg.Readers.Run(ctx) })
 }
@@ -362,6 +354,7 @@
 		return
 	}
 	c.source = next
-	next.DocumentAge, next.RecordsAge = c.cfg.State.DocumentAge(), c.cfg.Timer.Now()-c.readAt()
+	records, _ := c.cfg.State.Records()
+	next.DocumentAge, next.RecordsAge = c.cfg.State.DocumentAge(), c.cfg.Timer.Now()-records.ReadAt
 	c.cfg.Recorder.Record(next)
 }
